--- /dev/null
+++ b/src/util/logger.h
@@ -0,0 +1,34 @@
+/**
+ * @file logger.h
+ * @brief Log lines on standard error, for changes of state only.
+ */
+#ifndef PPS_UTIL_LOGGER_H
+#define PPS_UTIL_LOGGER_H
+
+#include "fields.h"
+
+/** Severity of a line. */
+typedef enum {
+    PPS_LOG_DEBUG,
+    PPS_LOG_INFO,
+    PPS_LOG_WARN,
+    PPS_LOG_ERROR,
+} pps_log_level_t;
+
+/** Form of a line. */
+typedef enum {
+    PPS_LOG_KEY_VALUE,
+    PPS_LOG_JSON,
+} pps_log_format_t;
+
+/** Sets the form, the least severity written, and the host's name. */
+void
+pps_logger_setup(pps_log_format_t format, pps_log_level_t least,
+                 const char *host);
+
+/** Writes one line in one write. `event` is a stable lower-case word. */
+void
+pps_logger_write(pps_log_level_t level, const char *event,
+                 const pps_field_t *fields, size_t count);
+
+#endif
