Record checksum covers the kind as well

Cause: the checksum was over the payload alone, so that a flipped kind made a claim read as a pin. The kind now seeds XXH64. test_record flips a bit in every byte, the kind included: all refused (byte 2 passed before).

--- a/include/papayaswitch/record.h
+++ b/include/papayaswitch/record.h
@@ -2,8 +2,9 @@
  * @file record.h
  * @brief Envelope of the records that the system keeps in the platform's log.
  *
- * msgpack array: format number, kind, payload, XXH64 of the payload. A record
- * whose envelope does not hold is dropped alike by every reader.
+ * msgpack array: format number, kind, payload, XXH64 of the payload seeded
+ * with the kind. A record whose envelope does not hold is dropped alike by
+ * every reader.
  */
 #ifndef PAPAYASWITCH_RECORD_H
 #define PAPAYASWITCH_RECORD_H
--- a/src/libpapayaswitch/record/record.c
+++ b/src/libpapayaswitch/record/record.c
@@ -25,7 +25,8 @@
         msgpack_pack_int(&packer, FORMAT_NUMBER) != 0 ||
         msgpack_pack_int(&packer, (int)kind) != 0 ||
         msgpack_pack_bin_with_body(&packer, payload, size) != 0 ||
-        msgpack_pack_uint64(&packer, XXH64(payload, size, 0)) != 0) {
+        msgpack_pack_uint64(&packer,
+                            XXH64(payload, size, (XXH64_hash_t)kind)) != 0) {
         msgpack_sbuffer_destroy(&buffer);
         return pps_error_set(PPS_ENOMEM, "record: out of memory");
     }
@@ -54,7 +55,7 @@
     out->kind = (pps_record_kind_t)field[1].via.u64;
     out->payload = field[2].via.bin.ptr;
     out->size = field[2].via.bin.size;
-    if (XXH64(out->payload, out->size, 0) != field[3].via.u64) {
+    if (XXH64(out->payload, out->size, field[1].via.u64) != field[3].via.u64) {
         return PPS_ECORRUPT;
     }
     return PPS_OK;
--- a/tests/unit/test_record.c
+++ b/tests/unit/test_record.c
@@ -33,8 +33,7 @@
     for (size_t cut = 0; cut < size; cut++) {
         cr_expect_eq(pps_record_decode(&record, data, cut), PPS_ECORRUPT);
     }
-    /* Byte 2 is the kind: not covered, unknown kinds are skipped alike. */
-    for (size_t at = 3; at < size; at++) {
+    for (size_t at = 0; at < size; at++) {
         data[at] ^= 0x10;
         cr_expect_eq(pps_record_decode(&record, data, size), PPS_ECORRUPT,
                      "byte %zu", at);
