--- a/include/papayaswitch/errors.h
+++ b/include/papayaswitch/errors.h
@@ -28,13 +28,17 @@
     PPS_EUNKNOWN = -15,    /**< the outcome cannot be known */
 } pps_error_t;
 
+/** Records the detail of a failure for this thread. */
+void
+pps_error_detail(const char *format, ...)
+    __attribute__((format(printf, 1, 2)));
+
 /**
- * Records the detail of a failure for this thread.
- * @return `code`, so that a caller can write `return pps_error_set(...)`.
+ * Records a detail and has the value of `code`, so that a caller can write
+ * `return pps_error_set(PPS_EIO, "%s: ...", path);`. A macro, so that static
+ * analysis sees which number is returned.
  */
-int
-pps_error_set(int code, const char *format, ...)
-    __attribute__((format(printf, 2, 3)));
+#define pps_error_set(code, ...) (pps_error_detail(__VA_ARGS__), (code))
 
 /** The detail of this thread's last failure; never NULL. */
 const char *
--- a/src/util/error.c
+++ b/src/util/error.c
@@ -8,15 +8,14 @@
 
 static _Thread_local char last_detail[DETAIL_BYTES];
 
-int
-pps_error_set(int code, const char *format, ...)
+void
+pps_error_detail(const char *format, ...)
 {
     va_list args;
 
     va_start(args, format);
     vsnprintf(last_detail, sizeof(last_detail), format, args);
     va_end(args);
-    return code;
 }
 
 const char *
