Fold of the stream work: claims, outcomes, pins, checkpoints

The log's order decides who runs a request once, so the state must be the same on every host, also on one that starts from a checkpoint. Lists are kept in the order of the last record, which makes the encoded state canonical; what is past its time counts as absent whether or not it was removed from memory.

--- /dev/null
+++ b/src/libpapayaswitch/work/fold_hosts.c
@@ -0,0 +1,56 @@
+/** @file fold_hosts.c @brief Hosts and their incarnations in the fold. */
+#include "fold_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+pps_fold_host_t *
+pps_fold_host_intern(pps_work_fold_t *fold, const char *name)
+{
+    pps_fold_host_t *host;
+
+    HASH_FIND_STR(fold->hosts, name, host);
+    if (host != NULL) {
+        return host;
+    }
+    host = calloc(1, sizeof(*host));
+    if (host == NULL) {
+        return NULL;
+    }
+    strncpy(host->name, name, sizeof(host->name) - 1);
+    cds_list_add_tail(&host->node, &fold->host_list);
+    HASH_ADD_STR(fold->hosts, name, host);
+    return host;
+}
+
+int
+pps_fold_host_gone(const pps_work_fold_t *fold, const pps_fold_host_t *host)
+{
+    return host->claims == 0 &&
+           fold->log_time_us - host->time_us > fold->keep_us;
+}
+
+int
+pps_fold_host_overtaken(pps_work_fold_t *fold, pps_fold_host_t *host,
+                        uint64_t incarnation)
+{
+    if (pps_fold_host_gone(fold, host)) {
+        host->incarnation = 0;
+    }
+    if (incarnation < host->incarnation) {
+        return 1;
+    }
+    host->incarnation = incarnation;
+    host->time_us = fold->log_time_us;
+    cds_list_del(&host->node);
+    cds_list_add_tail(&host->node, &fold->host_list);
+    return 0;
+}
+
+void
+pps_fold_host_remove(pps_work_fold_t *fold, pps_fold_host_t *host)
+{
+    HASH_DEL(fold->hosts, host);
+    cds_list_del(&host->node);
+    free(host);
+}
--- /dev/null
+++ b/src/libpapayaswitch/work/fold_part.c
@@ -0,0 +1,252 @@
+/** @file fold_part.c @brief Checkpoints cut into records, and rejoined. */
+#include "fold_state.h"
+
+#include "commit/pack.h"
+#include "papayaswitch/errors.h"
+#include "papayaswitch/record.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define PART_FIELDS 6
+#define PART_SIZE_MAX (PPS_RECORD_PAYLOAD_MAX / 2)
+
+/** A checkpoint of which parts have come, in order. */
+typedef struct {
+    struct cds_list_head node;
+    uint64_t next;
+    uint64_t digest;
+    uint64_t parts;
+    char *data;
+    size_t size;
+} pending_t;
+
+struct pps_work_restorer {
+    struct cds_list_head pending;
+    pps_work_fold_t *newest;
+};
+
+static int
+emit_part(const pps_work_fold_t *fold, const pps_fold_part_t *part,
+          int (*emit)(const void *, size_t, void *), void *user)
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    int error;
+
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, PART_FIELDS);
+    msgpack_pack_uint64(&packer, part->next);
+    msgpack_pack_uint64(&packer, part->digest);
+    msgpack_pack_uint64(&packer, part->index);
+    msgpack_pack_uint64(&packer, part->count);
+    msgpack_pack_int64(&packer, part->time_us);
+    pps_pack_bytes(&packer, part->data, part->size);
+    error = emit(buffer.data, buffer.size, user);
+    msgpack_sbuffer_destroy(&buffer);
+    return error;
+}
+
+int
+pps_work_fold_checkpoint(const pps_work_fold_t *fold,
+                         int (*emit)(const void *payload, size_t size,
+                                     void *user),
+                         void *user)
+{
+    pps_fold_part_t part = {.next = fold->next, .time_us = fold->log_time_us};
+    void *data;
+    size_t size;
+    int error = pps_fold_encode(fold, &data, &size);
+
+    if (error < 0) {
+        return pps_error_set(error, "work checkpoint: out of memory");
+    }
+    part.digest = XXH64(data, size, 0);
+    part.count = (size + PART_SIZE_MAX - 1) / PART_SIZE_MAX;
+    for (; part.index < part.count && error == 0; part.index++) {
+        size_t from = part.index * PART_SIZE_MAX;
+
+        part.data = (const char *)data + from;
+        part.size = size - from < PART_SIZE_MAX ? size - from : PART_SIZE_MAX;
+        error = emit_part(fold, &part, emit, user);
+    }
+    free(data);
+    return error;
+}
+
+uint64_t
+pps_work_fold_digest(const pps_work_fold_t *fold)
+{
+    void *data;
+    size_t size;
+    uint64_t digest;
+
+    if (pps_fold_encode(fold, &data, &size) < 0) {
+        return 0;
+    }
+    digest = XXH64(data, size, 0);
+    free(data);
+    return digest;
+}
+
+int
+pps_fold_part_decode(pps_fold_part_t *out, const void *payload, size_t size)
+{
+    msgpack_unpacked unpacked;
+    pps_pack_cursor_t cursor;
+    size_t used = 0;
+    int error = PPS_ECORRUPT;
+
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, payload, size, &used) ==
+            MSGPACK_UNPACK_SUCCESS &&
+        used == size) {
+        pps_pack_open(&cursor, &unpacked.data);
+        out->next = pps_pack_read_u64(&cursor);
+        out->digest = pps_pack_read_u64(&cursor);
+        out->index = pps_pack_read_u64(&cursor);
+        out->count = pps_pack_read_u64(&cursor);
+        out->time_us = pps_pack_read_i64(&cursor);
+        pps_pack_read_bytes(&cursor, &out->data, &out->size);
+        error = pps_pack_finish(&cursor);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    if (error == 0 && out->index >= out->count) {
+        error = PPS_ECORRUPT;
+    }
+    return error;
+}
+
+int
+pps_work_restorer_new(pps_work_restorer_t **out)
+{
+    pps_work_restorer_t *restorer = calloc(1, sizeof(*restorer));
+
+    if (restorer == NULL) {
+        return pps_error_set(PPS_ENOMEM, "work restorer: out of memory");
+    }
+    CDS_INIT_LIST_HEAD(&restorer->pending);
+    *out = restorer;
+    return PPS_OK;
+}
+
+static void
+pending_free(pending_t *pending)
+{
+    cds_list_del(&pending->node);
+    free(pending->data);
+    free(pending);
+}
+
+void
+pps_work_restorer_free(pps_work_restorer_t *restorer)
+{
+    pending_t *pending;
+    pending_t *following;
+
+    if (restorer == NULL) {
+        return;
+    }
+    cds_list_for_each_entry_safe (pending, following, &restorer->pending,
+                                  node) {
+        pending_free(pending);
+    }
+    pps_work_fold_free(restorer->newest);
+    free(restorer);
+}
+
+static pending_t *
+pending_find(pps_work_restorer_t *restorer, const pps_fold_part_t *part)
+{
+    pending_t *pending;
+
+    cds_list_for_each_entry (pending, &restorer->pending, node) {
+        if (pending->next == part->next && pending->digest == part->digest) {
+            return pending;
+        }
+    }
+    if (part->index != 0) {
+        return NULL;
+    }
+    pending = calloc(1, sizeof(*pending));
+    if (pending != NULL) {
+        pending->next = part->next;
+        pending->digest = part->digest;
+        cds_list_add_tail(&pending->node, &restorer->pending);
+    }
+    return pending;
+}
+
+static int
+pending_append(pending_t *pending, const pps_fold_part_t *part)
+{
+    char *data = realloc(pending->data, pending->size + part->size + 1);
+
+    if (data == NULL) {
+        return pps_error_set(PPS_ENOMEM, "work restorer: out of memory");
+    }
+    if (part->size > 0) {
+        memcpy(data + pending->size, part->data, part->size);
+    }
+    pending->data = data;
+    pending->size += part->size;
+    pending->parts++;
+    return PPS_OK;
+}
+
+static void
+keep_newest(pps_work_restorer_t *restorer, const pending_t *pending)
+{
+    pps_work_fold_t *fold;
+
+    if (XXH64(pending->data, pending->size, 0) != pending->digest ||
+        pps_fold_decode(&fold, pending->data, pending->size) < 0) {
+        return;
+    }
+    if (restorer->newest != NULL && restorer->newest->next >= fold->next) {
+        pps_work_fold_free(fold);
+        return;
+    }
+    pps_work_fold_free(restorer->newest);
+    restorer->newest = fold;
+}
+
+int
+pps_work_restorer_feed(pps_work_restorer_t *restorer,
+                       const pps_log_entry_t *entry)
+{
+    pps_record_t record;
+    pps_fold_part_t part;
+    pending_t *pending;
+
+    if (pps_record_decode(&record, entry->data, entry->size) < 0 ||
+        record.kind != PPS_RECORD_WORK_CHECKPOINT ||
+        pps_fold_part_decode(&part, record.payload, record.size) < 0) {
+        return PPS_OK;
+    }
+    pending = pending_find(restorer, &part);
+    if (pending == NULL || part.index != pending->parts) {
+        return PPS_OK;
+    }
+    if (pending_append(pending, &part) < 0) {
+        return PPS_ENOMEM;
+    }
+    if (pending->parts == part.count) {
+        keep_newest(restorer, pending);
+        pending_free(pending);
+    }
+    return PPS_OK;
+}
+
+int
+pps_work_restorer_take(pps_work_restorer_t *restorer, pps_work_fold_t **out)
+{
+    if (restorer->newest == NULL) {
+        return pps_error_set(PPS_ENOTFOUND, "no whole checkpoint of `work`");
+    }
+    *out = restorer->newest;
+    restorer->newest = NULL;
+    return PPS_OK;
+}
--- /dev/null
+++ b/src/libpapayaswitch/work/fold_pins.c
@@ -0,0 +1,111 @@
+/** @file fold_pins.c @brief Pins of sessions in the fold. */
+#include "fold_state.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static int64_t
+idle_us(const pps_fold_pin_t *pin)
+{
+    return (int64_t)pin->idle_s * PPS_US_PER_S;
+}
+
+int
+pps_fold_pin_ended(const pps_fold_pin_t *pin, int64_t log_time_us)
+{
+    return log_time_us - pin->time_us > idle_us(pin);
+}
+
+int
+pps_fold_pin_gone(const pps_work_fold_t *fold, const pps_fold_pin_t *pin)
+{
+    return fold->log_time_us - pin->time_us > idle_us(pin) + fold->keep_us;
+}
+
+pps_fold_pin_t *
+pps_fold_pin_find(const pps_work_fold_t *fold, const char *workspace,
+                  const char *session)
+{
+    char name[PPS_FOLD_NAME_MAX];
+    size_t size = pps_fold_name(name, workspace, session);
+    pps_fold_pin_t *pin;
+
+    HASH_FIND(hh, fold->pins, name, size, pin);
+    return pin != NULL && pps_fold_pin_gone(fold, pin) ? NULL : pin;
+}
+
+pps_fold_pin_t *
+pps_fold_pin_add(pps_work_fold_t *fold, const char *name, size_t name_size)
+{
+    pps_fold_pin_t *pin;
+
+    HASH_FIND(hh, fold->pins, name, name_size, pin);
+    if (pin != NULL) {
+        pps_fold_pin_remove(fold, pin);
+    }
+    pin = calloc(1, sizeof(*pin) + name_size);
+    if (pin == NULL) {
+        return NULL;
+    }
+    memcpy(pin->name, name, name_size);
+    pin->name_size = name_size;
+    cds_list_add_tail(&pin->node, &fold->pin_list);
+    HASH_ADD(hh, fold->pins, name[0], name_size, pin);
+    return pin;
+}
+
+void
+pps_fold_pin_remove(pps_work_fold_t *fold, pps_fold_pin_t *pin)
+{
+    HASH_DEL(fold->pins, pin);
+    cds_list_del(&pin->node);
+    free(pin);
+}
+
+static void
+renew(pps_work_fold_t *fold, pps_fold_pin_t *pin)
+{
+    pin->time_us = fold->log_time_us;
+    cds_list_del(&pin->node);
+    cds_list_add_tail(&pin->node, &fold->pin_list);
+}
+
+int
+pps_fold_pin_apply(pps_work_fold_t *fold, uint64_t offset,
+                   const pps_pin_t *wanted)
+{
+    char name[PPS_FOLD_NAME_MAX];
+    size_t size = pps_fold_name(name, wanted->workspace, wanted->session);
+    pps_fold_pin_t *pin =
+        pps_fold_pin_find(fold, wanted->workspace, wanted->session);
+
+    if (pin != NULL && !pps_fold_pin_ended(pin, fold->log_time_us)) {
+        renew(fold, pin);
+        return PPS_OK;
+    }
+    pin = pps_fold_pin_add(fold, name, size);
+    if (pin == NULL) {
+        return PPS_ENOMEM;
+    }
+    memcpy(pin->version, wanted->version, sizeof(pin->version));
+    pin->offset = offset;
+    pin->idle_s = wanted->idle_s;
+    pin->time_us = fold->log_time_us;
+    return PPS_OK;
+}
+
+/* A touch that an outage held back may come after the idle time: it revives
+ * the pin unless a later one took its place. */
+void
+pps_fold_touch_apply(pps_work_fold_t *fold, const pps_touch_t *touch)
+{
+    pps_fold_pin_t *pin =
+        pps_fold_pin_find(fold, touch->workspace, touch->session);
+
+    if (pin != NULL) {
+        renew(fold, pin);
+    }
+}
