--- /dev/null
+++ b/src/libpapayaswitch/work/journal_claim.c
@@ -0,0 +1,274 @@
+/** @file journal_claim.c @brief Claims and pins: append, then wait. */
+#include "journal_state.h"
+
+#include "clock.h"
+#include "commit/wait.h"
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** Links the appender's answer to a waiter that may be gone by then. */
+typedef struct {
+    pps_journal_t *journal;
+    uint64_t attempt;
+} ticket_t;
+
+void
+pps_verdict_clear(pps_verdict_t *verdict)
+{
+    free(verdict->body);
+    verdict->body = NULL;
+}
+
+int
+pps_verdict_copy(pps_verdict_t *out, const pps_held_claim_t *held,
+                 const uint8_t *digest)
+{
+    static const pps_verdict_kind_t kinds[] = {
+        [PPS_CLAIM_IN_PROGRESS] = PPS_VERDICT_IN_PROGRESS,
+        [PPS_CLAIM_COMPLETED] = PPS_VERDICT_DONE,
+        [PPS_CLAIM_UNKNOWN] = PPS_VERDICT_UNKNOWN,
+    };
+
+    memset(out, 0, sizeof(*out));
+    out->kind = kinds[held->state];
+    out->fencing = held->offset;
+    if (digest != NULL &&
+        memcmp(digest, held->digest, PPS_BODY_DIGEST_SIZE) != 0) {
+        out->kind = PPS_VERDICT_MISMATCH;
+        return PPS_OK;
+    }
+    if (out->kind != PPS_VERDICT_DONE) {
+        return PPS_OK;
+    }
+    out->status = held->status;
+    out->body_size = held->body_size;
+    strncpy(out->content_type, held->content_type,
+            sizeof(out->content_type) - 1);
+    if (held->body != NULL) {
+        out->body = malloc(held->body_size + 1);
+        if (out->body == NULL) {
+            return pps_error_set(PPS_ENOMEM, "verdict: out of memory");
+        }
+        memcpy(out->body, held->body, held->body_size);
+    }
+    return PPS_OK;
+}
+
+static pps_waiter_t *
+find_waiter(pps_journal_t *journal, uint64_t attempt)
+{
+    pps_waiter_t *waiter;
+
+    cds_list_for_each_entry (waiter, &journal->waiters, node) {
+        if (waiter->attempt == attempt) {
+            return waiter;
+        }
+    }
+    return NULL;
+}
+
+/* PPS_EUNKNOWN decides nothing: the record may still appear in the log. */
+static void
+appended(int result, uint64_t offset, void *user)
+{
+    ticket_t *ticket = user;
+    pps_journal_t *journal = ticket->journal;
+    pps_waiter_t *waiter;
+
+    pthread_mutex_lock(&journal->mutex);
+    waiter = find_waiter(journal, ticket->attempt);
+    if (waiter != NULL && !waiter->decided && result == PPS_EUNAVAILABLE) {
+        waiter->decided = 1;
+        waiter->result = result;
+        pthread_cond_signal(&waiter->cond);
+    }
+    pthread_mutex_unlock(&journal->mutex);
+    free(ticket);
+}
+
+static int64_t
+decide_by(const pps_journal_t *journal, int64_t deadline_us)
+{
+    int64_t bound_us = pps_clock_now_us() + journal->options.decide_us;
+
+    return deadline_us < bound_us ? deadline_us : bound_us;
+}
+
+/* Mutex held. The waiter is listed before the record can be appended: a claim
+ * seen in the log without a waiter is an orphan and is released. */
+static int
+submit_and_wait(pps_journal_t *journal, pps_waiter_t *waiter, void *data,
+                size_t size, int64_t deadline_us)
+{
+    ticket_t *ticket = malloc(sizeof(*ticket));
+    int error;
+
+    if (ticket == NULL) {
+        free(data);
+        return pps_error_set(PPS_ENOMEM, "journal: out of memory");
+    }
+    *ticket = (ticket_t){journal, waiter->attempt};
+    waiter->decided = 0;
+    pps_wait_cond_init(&waiter->cond);
+    cds_list_add_tail(&waiter->node, &journal->waiters);
+    error = pps_appender_submit(journal->appender, data, size, deadline_us,
+                                appended, ticket);
+    if (error < 0) {
+        free(data);
+        free(ticket);
+    }
+    while (error == 0 && !waiter->decided) {
+        error = pps_wait_until(&waiter->cond, &journal->mutex, deadline_us);
+    }
+    cds_list_del(&waiter->node);
+    pthread_cond_destroy(&waiter->cond);
+    if (waiter->decided) {
+        return waiter->result;
+    }
+    return error == PPS_ETIMEOUT
+               ? pps_error_set(PPS_EUNKNOWN, "the log has not decided in time")
+               : error;
+}
+
+static int
+copy_name(char *out, size_t capacity, const char *name)
+{
+    if (name == NULL || name[0] == '\0' || strlen(name) >= capacity) {
+        return pps_error_set(PPS_EINVALID, "a name is empty or too long");
+    }
+    strcpy(out, name);
+    return PPS_OK;
+}
+
+static int
+fill_claim(pps_claim_t *claim, const pps_journal_t *journal,
+           const char *workspace, const char *key, const uint8_t *digest,
+           const char *request_id)
+{
+    memset(claim, 0, sizeof(*claim));
+    if (copy_name(claim->workspace, sizeof(claim->workspace), workspace) < 0 ||
+        copy_name(claim->key, sizeof(claim->key), key) < 0 ||
+        copy_name(claim->request_id, sizeof(claim->request_id), request_id) <
+            0) {
+        return PPS_EINVALID;
+    }
+    memcpy(claim->digest, digest, sizeof(claim->digest));
+    memcpy(claim->host, journal->host, sizeof(claim->host));
+    claim->incarnation = journal->options.incarnation;
+    return PPS_OK;
+}
+
+int
+pps_journal_claim(pps_verdict_t *out, pps_journal_t *journal,
+                  const char *workspace, const char *key,
+                  const uint8_t digest[PPS_BODY_DIGEST_SIZE],
+                  const char *request_id, int64_t deadline_us)
+{
+    pps_claim_t claim;
+    pps_held_claim_t held;
+    pps_waiter_t waiter = {.kind = PPS_WAIT_CLAIM,
+                           .workspace = workspace,
+                           .name = key,
+                           .digest = digest,
+                           .verdict = out};
+    void *data;
+    size_t size;
+    int error;
+
+    memset(out, 0, sizeof(*out));
+    error = fill_claim(&claim, journal, workspace, key, digest, request_id);
+    if (error < 0) {
+        return error;
+    }
+    pthread_mutex_lock(&journal->mutex);
+    if (pps_work_fold_claim(journal->fold, &held, workspace, key) == 0) {
+        error = pps_verdict_copy(out, &held, digest);
+        goto done;
+    }
+    claim.attempt = waiter.attempt = ++journal->last_attempt;
+    error = pps_claim_encode(&data, &size, &claim);
+    if (error == 0) {
+        error = submit_and_wait(journal, &waiter, data, size,
+                                decide_by(journal, deadline_us));
+    }
+done:
+    pthread_mutex_unlock(&journal->mutex);
+    return error;
+}
+
+int
+pps_journal_lookup(pps_verdict_t *out, pps_journal_t *journal,
+                   const char *workspace, const char *key)
+{
+    pps_held_claim_t held;
+    int error;
+
+    pthread_mutex_lock(&journal->mutex);
+    error = pps_work_fold_claim(journal->fold, &held, workspace, key);
+    if (error == 0) {
+        error = pps_verdict_copy(out, &held, NULL);
+    }
+    pthread_mutex_unlock(&journal->mutex);
+    return error;
+}
+
+static int
+find_pin(const pps_journal_t *journal, char *version, const char *workspace,
+         const char *session)
+{
+    pps_held_pin_t pin;
+    int error = pps_work_fold_pin(journal->fold, &pin, workspace, session,
+                                  pps_work_fold_log_time(journal->fold));
+
+    if (error == 0) {
+        memcpy(version, pin.version, strlen(pin.version) + 1);
+    }
+    return error;
+}
+
+int
+pps_journal_pinned(char *version, pps_journal_t *journal,
+                   const char *workspace, const char *session)
+{
+    int error;
+
+    pthread_mutex_lock(&journal->mutex);
+    error = find_pin(journal, version, workspace, session);
+    pthread_mutex_unlock(&journal->mutex);
+    return error;
+}
+
+int
+pps_journal_pin(char *version, pps_journal_t *journal, const char *workspace,
+                const char *session, uint32_t idle_s, int64_t deadline_us)
+{
+    pps_pin_t pin = {.idle_s = idle_s};
+    pps_waiter_t waiter = {.kind = PPS_WAIT_PIN,
+                           .workspace = workspace,
+                           .name = session,
+                           .version = version};
+    void *data;
+    size_t size;
+    int error;
+
+    if (copy_name(pin.workspace, sizeof(pin.workspace), workspace) < 0 ||
+        copy_name(pin.session, sizeof(pin.session), session) < 0 ||
+        copy_name(pin.version, sizeof(pin.version), version) < 0) {
+        return PPS_EINVALID;
+    }
+    memcpy(pin.host, journal->host, sizeof(pin.host));
+    pthread_mutex_lock(&journal->mutex);
+    error = find_pin(journal, version, workspace, session);
+    if (error == PPS_ENOTFOUND) {
+        waiter.attempt = ++journal->last_attempt;
+        error = pps_pin_encode(&data, &size, &pin);
+        if (error == 0) {
+            error = submit_and_wait(journal, &waiter, data, size,
+                                    decide_by(journal, deadline_us));
+        }
+    }
+    pthread_mutex_unlock(&journal->mutex);
+    return error;
+}
--- /dev/null
+++ b/src/libpapayaswitch/work/journal_state.h
@@ -0,0 +1,96 @@
+/** @file journal_state.h @brief State of a journal, shared by its parts. */
+#ifndef PPS_WORK_JOURNAL_STATE_H
+#define PPS_WORK_JOURNAL_STATE_H
+
+#include "fold_state.h"
+#include "papayaswitch/journal.h"
+
+#include <pthread.h>
+#include <urcu/list.h>
+#include <uthash.h>
+
+/** What a waiting thread waits for. */
+typedef enum {
+    PPS_WAIT_CLAIM,
+    PPS_WAIT_PIN,
+} pps_wait_kind_t;
+
+/** A thread that waits; lives on its stack. */
+typedef struct {
+    struct cds_list_head node;
+    pps_wait_kind_t kind;
+    uint64_t attempt;
+    const char *workspace;
+    const char *name; /**< key or session */
+    const uint8_t *digest;
+    int decided;
+    int result;
+    pps_verdict_t *verdict;
+    char *version;
+    pthread_cond_t cond;
+} pps_waiter_t;
+
+/** An outcome that the log does not show yet. */
+typedef struct {
+    struct cds_list_head node;
+    char workspace[PPS_NAME_MAX + 1];
+    char key[PPS_WORK_KEY_MAX + 1];
+    uint64_t claim_offset;
+    pps_outcome_state_t state;
+    uint64_t id;
+    int in_flight;
+    int64_t tried_us;
+    void *data; /**< the encoded record */
+    size_t size;
+} pps_pending_t;
+
+/** A session that is in use here. */
+typedef struct {
+    UT_hash_handle hh;
+    pps_touch_t touch;
+    int64_t idle_us;
+    int64_t sent_us; /**< 0: never */
+    int queued;
+    size_t name_size;
+    char name[];
+} pps_session_use_t;
+
+struct pps_journal {
+    pthread_mutex_t mutex;
+    pps_journal_options_t options;
+    char host[PPS_NAME_MAX + 1];
+    pps_appender_t *appender;
+    pps_work_fold_t *fold;
+    uint64_t last_attempt;
+    uint64_t last_pending;
+    struct cds_list_head waiters;
+    struct cds_list_head pending;
+    size_t pending_count;
+    pps_session_use_t *uses;
+    int checkpoint_queued;      /**< parts on their way to the log */
+    int64_t checkpoint_seen_us; /**< own clock */
+    int64_t stagger_us;
+    uint64_t stagger_records;
+};
+
+/** Adds an outcome to the pending ones and sends it; mutex held. */
+int
+pps_pending_add(pps_journal_t *journal, const pps_outcome_t *outcome);
+/** Drops what the fold shows, sends again what failed; mutex held. */
+void
+pps_pending_retry(pps_journal_t *journal, int64_t now_us);
+void
+pps_pending_clear(pps_journal_t *journal);
+
+/** Writes the touches that are due; mutex held. */
+void
+pps_uses_flush(pps_journal_t *journal, int64_t now_us);
+void
+pps_uses_clear(pps_journal_t *journal);
+
+/** Copies what the fold says of a key. @return 0 or PPS_ENOMEM */
+int
+pps_verdict_copy(pps_verdict_t *out, const pps_held_claim_t *held,
+                 const uint8_t *digest);
+
+#endif
--- /dev/null
+++ b/src/libpapayaswitch/work/journal_touch.c
@@ -0,0 +1,136 @@
+/** @file journal_touch.c @brief Coarse, batched touches of sessions in use. */
+#include "journal_state.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TOUCHES_MAX 1000
+/** A session is touched in the log once in this part of its idle time. */
+#define TOUCH_DIVISOR 4
+
+/** Touches on their way into one record. */
+typedef struct {
+    pps_touch_t touches[TOUCHES_MAX];
+    pps_session_use_t *uses[TOUCHES_MAX];
+    size_t count;
+} batch_t;
+
+static pps_session_use_t *
+use_intern(pps_journal_t *journal, const char *workspace, const char *session)
+{
+    char name[PPS_FOLD_NAME_MAX];
+    size_t size = pps_fold_name(name, workspace, session);
+    pps_session_use_t *use;
+
+    HASH_FIND(hh, journal->uses, name, size, use);
+    if (use != NULL) {
+        return use;
+    }
+    use = calloc(1, sizeof(*use) + size);
+    if (use == NULL) {
+        return NULL;
+    }
+    memcpy(use->name, name, size);
+    use->name_size = size;
+    strncpy(use->touch.workspace, workspace, PPS_NAME_MAX);
+    strncpy(use->touch.session, session, PPS_WORK_KEY_MAX);
+    HASH_ADD(hh, journal->uses, name[0], size, use);
+    return use;
+}
+
+static int
+touch_held(pps_journal_t *journal, const char *workspace, const char *session)
+{
+    const pps_fold_pin_t *pin =
+        pps_fold_pin_find(journal->fold, workspace, session);
+    int64_t now_us = pps_clock_now_us();
+    pps_session_use_t *use;
+
+    if (pin == NULL) {
+        return pps_error_set(PPS_ENOTFOUND, "session without a pin");
+    }
+    use = use_intern(journal, workspace, session);
+    if (use == NULL) {
+        return pps_error_set(PPS_ENOMEM, "journal: out of memory");
+    }
+    use->idle_us = (int64_t)pin->idle_s * PPS_US_PER_S;
+    if (use->sent_us == 0 ||
+        now_us - use->sent_us >= use->idle_us / TOUCH_DIVISOR) {
+        use->queued = 1;
+    }
+    return PPS_OK;
+}
+
+int
+pps_journal_touch(pps_journal_t *journal, const char *workspace,
+                  const char *session)
+{
+    int error;
+
+    pthread_mutex_lock(&journal->mutex);
+    error = touch_held(journal, workspace, session);
+    pthread_mutex_unlock(&journal->mutex);
+    return error;
+}
+
+static void
+write_batch(pps_journal_t *journal, batch_t *batch, int64_t now_us)
+{
+    void *data;
+    size_t size;
+
+    if (batch->count == 0 ||
+        pps_touch_encode(&data, &size, batch->touches, batch->count) < 0) {
+        return;
+    }
+    if (pps_appender_submit(journal->appender, data, size, INT64_MAX, NULL,
+                            NULL) < 0) {
+        free(data);
+        return;
+    }
+    for (size_t i = 0; i < batch->count; i++) {
+        batch->uses[i]->queued = 0;
+        batch->uses[i]->sent_us = now_us;
+    }
+    batch->count = 0;
+}
+
+void
+pps_uses_flush(pps_journal_t *journal, int64_t now_us)
+{
+    batch_t *batch = calloc(1, sizeof(*batch));
+    pps_session_use_t *use;
+    pps_session_use_t *following;
+
+    if (batch == NULL) {
+        return;
+    }
+    HASH_ITER (hh, journal->uses, use, following) {
+        if (use->queued && batch->count < TOUCHES_MAX) {
+            batch->touches[batch->count] = use->touch;
+            batch->uses[batch->count] = use;
+            batch->count++;
+        }
+        else if (!use->queued && now_us - use->sent_us > use->idle_us) {
+            HASH_DEL(journal->uses, use);
+            free(use);
+        }
+    }
+    write_batch(journal, batch, now_us);
+    free(batch);
+}
+
+void
+pps_uses_clear(pps_journal_t *journal)
+{
+    pps_session_use_t *use;
+    pps_session_use_t *following;
+
+    HASH_ITER (hh, journal->uses, use, following) {
+        HASH_DEL(journal->uses, use);
+        free(use);
+    }
+}
--- /dev/null
+++ b/tests/unit/test_journal.c
@@ -0,0 +1,342 @@
+/** @file test_journal.c @brief Claims and pins through faults of the log. */
+#include "fake_log.h"
+#include "papayaswitch/journal.h"
+
+#include <criterion/criterion.h>
+#include <stdatomic.h>
+#include <stdio.h>
+
+#define HOSTS 2
+#define THREADS 8
+#define WAIT_US (60 * PPS_US_PER_S)
+#define NAP_US 1000
+
+static fake_log_t logged;
+static pps_journal_t *journals[HOSTS];
+static pthread_t pump_thread;
+static atomic_int pump_stop;
+static const uint8_t digest[PPS_BODY_DIGEST_SIZE] = {1};
+
+/* Stands for the control threads of both hosts. */
+static void
+pump_once(void)
+{
+    for (int i = 0; i < HOSTS; i++) {
+        uint64_t next = pps_journal_next(journals[i]);
+
+        pthread_mutex_lock(&logged.mutex);
+        if (next < logged.count) {
+            pps_journal_fold(journals[i], &logged.entries[next],
+                             logged.count - next);
+        }
+        pthread_mutex_unlock(&logged.mutex);
+        pps_journal_tick(journals[i]);
+    }
+}
+
+static void *
+pump(void *user)
+{
+    while (!atomic_load(&pump_stop)) {
+        pump_once();
+        pps_clock_sleep_us(NAP_US);
+    }
+    return NULL;
+}
+
+static void
+start(int64_t decide_us)
+{
+    static const char *const names[HOSTS] = {"a", "b"};
+
+    fake_log_init(&logged);
+    atomic_store(&pump_stop, 0);
+    for (int i = 0; i < HOSTS; i++) {
+        pps_journal_options_t options = PPS_JOURNAL_OPTIONS_INIT;
+
+        options.host = names[i];
+        options.decide_us = decide_us;
+        options.appender.interval_us = NAP_US;
+        cr_assert_eq(pps_journal_new(&journals[i], &logged.base, &options), 0);
+    }
+    pthread_create(&pump_thread, NULL, pump, NULL);
+}
+
+static void
+stop(void)
+{
+    atomic_store(&pump_stop, 1);
+    pthread_join(pump_thread, NULL);
+    for (int i = 0; i < HOSTS; i++) {
+        pps_journal_free(journals[i]);
+    }
+    fake_log_clear(&logged);
+}
+
+static int64_t
+later(void)
+{
+    return pps_clock_now_us() + WAIT_US;
+}
+
+static int
+claim(pps_verdict_t *verdict, int host, const char *key)
+{
+    return pps_journal_claim(verdict, journals[host], "ministry", key, digest,
+                             "r", later());
+}
+
+static void
+finish(int host, const char *key, uint64_t fencing, pps_outcome_state_t state)
+{
+    pps_outcome_t outcome = {.workspace = "ministry",
+                             .claim_offset = fencing,
+                             .state = state,
+                             .status = 201,
+                             .body = "filed",
+                             .body_size = 5};
+
+    strcpy(outcome.key, key);
+    cr_assert_eq(pps_journal_outcome(journals[host], &outcome), 0);
+}
+
+static void
+settle(void)
+{
+    while (pps_journal_pending(journals[0]) +
+               pps_journal_pending(journals[1]) >
+           0) {
+        pps_clock_sleep_us(NAP_US);
+    }
+}
+
+/** One caller among many. */
+typedef struct {
+    int host;
+    const char *key;
+    int error;
+    pps_verdict_t verdict;
+} caller_t;
+
+static void *
+call(void *user)
+{
+    caller_t *caller = user;
+
+    caller->error = claim(&caller->verdict, caller->host, caller->key);
+    return NULL;
+}
+
+static int
+run_callers(const char *key, caller_t callers[THREADS])
+{
+    pthread_t threads[THREADS];
+    int granted = 0;
+
+    for (int i = 0; i < THREADS; i++) {
+        callers[i] = (caller_t){.host = i % HOSTS, .key = key};
+        pthread_create(&threads[i], NULL, call, &callers[i]);
+    }
+    for (int i = 0; i < THREADS; i++) {
+        pthread_join(threads[i], NULL);
+        granted += callers[i].error == 0 &&
+                   callers[i].verdict.kind == PPS_VERDICT_GRANTED;
+    }
+    return granted;
+}
+
+Test(journal, one_of_many_is_granted_whatever_the_log_does)
+{
+    static const struct {
+        fake_log_fault_t fault;
+        int granted;
+    } cases[] = {
+        {FAKE_LOG_WELL, 1},     {FAKE_LOG_LOST_ACK, 1},
+        {FAKE_LOG_REPEATED, 1}, {FAKE_LOG_LOST_CALL, 0},
+        {FAKE_LOG_OUTAGE, 0},
+    };
+    caller_t callers[THREADS];
+    char key[16];
+
+    start(300 * PPS_US_PER_MS);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        fake_log_set(&logged, cases[i].fault);
+        snprintf(key, sizeof(key), "k%zu", i);
+        cr_expect_eq(run_callers(key, callers), cases[i].granted, "case %zu",
+                     i);
+        for (int j = 0; j < THREADS; j++) {
+            if (cases[i].granted) {
+                cr_expect_eq(callers[j].error, 0);
+                cr_expect(callers[j].verdict.kind == PPS_VERDICT_GRANTED ||
+                          callers[j].verdict.kind == PPS_VERDICT_IN_PROGRESS);
+            }
+            else {
+                cr_expect_eq(callers[j].error,
+                             cases[i].fault == FAKE_LOG_OUTAGE
+                                 ? PPS_EUNAVAILABLE
+                                 : PPS_EUNKNOWN);
+            }
+        }
+    }
+    stop();
+}
+
+Test(journal, later_callers_learn_the_outcome)
+{
+    static const struct {
+        pps_outcome_state_t state;
+        pps_verdict_kind_t kind;
+    } cases[] = {
+        {PPS_OUTCOME_COMPLETED, PPS_VERDICT_DONE},
+        {PPS_OUTCOME_NOT_RUN, PPS_VERDICT_GRANTED},
+        {PPS_OUTCOME_UNKNOWN, PPS_VERDICT_UNKNOWN},
+    };
+    pps_verdict_t verdict;
+    char key[16];
+
+    start(WAIT_US);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        snprintf(key, sizeof(key), "k%zu", i);
+        cr_assert_eq(claim(&verdict, 0, key), 0);
+        finish(0, key, verdict.fencing, cases[i].state);
+        settle();
+        cr_assert_eq(claim(&verdict, 1, key), 0);
+        cr_expect_eq(verdict.kind, cases[i].kind, "case %zu", i);
+        if (verdict.kind == PPS_VERDICT_DONE) {
+            cr_expect_eq(verdict.status, 201);
+            cr_expect_eq(memcmp(verdict.body, "filed", 5), 0);
+        }
+        pps_verdict_clear(&verdict);
+    }
+    stop();
+}
+
+Test(journal, another_body_under_the_same_key_is_refused)
+{
+    static const uint8_t other[PPS_BODY_DIGEST_SIZE] = {2};
+    pps_verdict_t verdict;
+
+    start(WAIT_US);
+    cr_assert_eq(claim(&verdict, 0, "k"), 0);
+    cr_assert_eq(pps_journal_claim(&verdict, journals[1], "ministry", "k",
+                                   other, "r2", later()),
+                 0);
+    cr_expect_eq(verdict.kind, PPS_VERDICT_MISMATCH);
+    stop();
+}
+
+/* The log takes the claim after its caller was told "not run". */
+Test(journal, a_claim_that_appears_late_is_released)
+{
+    pps_claim_t late = {.workspace = "ministry",
+                        .key = "k",
+                        .host = "a",
+                        .incarnation = 1,
+                        .attempt = 1,
+                        .request_id = "r"};
+    pps_verdict_t verdict;
+    void *data;
+    size_t size;
+
+    start(20 * PPS_US_PER_MS);
+    fake_log_set(&logged, FAKE_LOG_LOST_CALL);
+    cr_assert_eq(claim(&verdict, 0, "k"), PPS_EUNKNOWN);
+    fake_log_set(&logged, FAKE_LOG_WELL);
+    cr_assert_eq(pps_claim_encode(&data, &size, &late), 0);
+    pthread_mutex_lock(&logged.mutex);
+    fake_log_store(&logged, data, size);
+    pthread_mutex_unlock(&logged.mutex);
+    free(data);
+    while (pps_journal_next(journals[1]) < 2) {
+        pps_clock_sleep_us(NAP_US);
+    }
+    settle();
+    cr_expect_eq(pps_journal_lookup(&verdict, journals[1], "ministry", "k"),
+                 PPS_ENOTFOUND);
+    stop();
+}
+
+Test(journal, an_outcome_outlives_an_outage)
+{
+    pps_verdict_t verdict;
+
+    start(WAIT_US);
+    cr_assert_eq(claim(&verdict, 0, "k"), 0);
+    fake_log_set(&logged, FAKE_LOG_OUTAGE);
+    finish(0, "k", verdict.fencing, PPS_OUTCOME_COMPLETED);
+    pps_clock_sleep_us(20 * NAP_US);
+    cr_expect_eq(pps_journal_pending(journals[0]), 1);
+    fake_log_set(&logged, FAKE_LOG_WELL);
+    settle();
+    while (pps_journal_next(journals[1]) < 2) {
+        pps_clock_sleep_us(NAP_US);
+    }
+    cr_assert_eq(pps_journal_lookup(&verdict, journals[1], "ministry", "k"),
+                 0);
+    cr_expect_eq(verdict.kind, PPS_VERDICT_DONE);
+    pps_verdict_clear(&verdict);
+    stop();
+}
+
+/** One first request of a session. */
+typedef struct {
+    int host;
+    int error;
+    char version[PPS_NAME_MAX + 1];
+} pinner_t;
+
+static void *
+pin(void *user)
+{
+    pinner_t *pinner = user;
+
+    pinner->error = pps_journal_pin(pinner->version, journals[pinner->host],
+                                    "ministry", "s", 600, later());
+    return NULL;
+}
+
+Test(journal, two_first_requests_get_one_pin)
+{
+    pinner_t pinners[HOSTS] = {{0, 0, "v1"}, {1, 0, "v2"}};
+    pthread_t threads[HOSTS];
+    char version[PPS_NAME_MAX + 1] = "v3";
+
+    start(WAIT_US);
+    for (int i = 0; i < HOSTS; i++) {
+        pthread_create(&threads[i], NULL, pin, &pinners[i]);
+    }
+    for (int i = 0; i < HOSTS; i++) {
+        pthread_join(threads[i], NULL);
+        cr_expect_eq(pinners[i].error, 0);
+    }
+    cr_expect_str_eq(pinners[0].version, pinners[1].version);
+    cr_expect_eq(
+        pps_journal_pin(version, journals[0], "ministry", "s", 600, later()),
+        0);
+    cr_expect_str_eq(version, pinners[0].version);
+    cr_expect_eq(pps_journal_touch(journals[0], "ministry", "s"), 0);
+    cr_expect_eq(pps_journal_touch(journals[0], "ministry", "none"),
+                 PPS_ENOTFOUND);
+    stop();
+}
+
+Test(journal, a_checkpoint_is_due_after_so_many_records)
+{
+    pps_journal_options_t options = PPS_JOURNAL_OPTIONS_INIT;
+    pps_journal_t *journal;
+
+    fake_log_init(&logged);
+    options.host = "a";
+    options.checkpoint_records = 1;
+    cr_assert_eq(pps_journal_new(&journal, &logged.base, &options), 0);
+    cr_expect_not(pps_journal_checkpoint_due(journal));
+    for (int i = 0; i < 3; i++) {
+        fake_log_store(&logged, "junk", 4);
+    }
+    pps_journal_fold(journal, logged.entries, logged.count);
+    cr_expect(pps_journal_checkpoint_due(journal));
+    cr_assert_eq(pps_journal_checkpoint(journal), 0);
+    pps_journal_free(journal);
+    cr_expect_eq(logged.count, 4);
+    fake_log_clear(&logged);
+}
