Table of embedded items in place of bare uthash macros

The macros put 340 statements into a function and hide a use after free from the analyser; one wrapper holds them.

--- a/include/papayaswitch/work_fold.h
+++ b/include/papayaswitch/work_fold.h
@@ -132,7 +132,7 @@
  */
 int
 pps_work_fold_checkpoint(const pps_work_fold_t *fold,
-                         int (*part)(const void *payload, size_t size,
+                         int (*emit)(const void *payload, size_t size,
                                      void *user),
                          void *user);
 
--- a/src/libpapayaswitch/work/fold_checkpoint.c
+++ b/src/libpapayaswitch/work/fold_checkpoint.c
@@ -50,7 +50,7 @@
 {
     const pps_fold_claim_t *claim;
 
-    msgpack_pack_array(packer, HASH_COUNT(fold->claims));
+    msgpack_pack_array(packer, pps_table_count(&fold->claims));
     cds_list_for_each_entry (claim, &fold->claim_list, node) {
         msgpack_pack_array(packer, 9);
         pps_pack_bytes(packer, claim->name, claim->name_size);
@@ -206,8 +206,7 @@
         state > PPS_CLAIM_UNKNOWN) {
         return PPS_ECORRUPT;
     }
-    HASH_FIND(hh, fold->claims, name, name_size, claim);
-    if (claim != NULL) {
+    if (pps_table_find(&fold->claims, name, name_size) != NULL) {
         return PPS_ECORRUPT;
     }
     host = pps_fold_host_intern(fold, host_name);
--- a/src/libpapayaswitch/work/fold_claims.c
+++ b/src/libpapayaswitch/work/fold_claims.c
@@ -26,10 +26,9 @@
 {
     char name[PPS_FOLD_NAME_MAX];
     size_t size = pps_fold_name(name, workspace, key);
-    pps_fold_claim_t *claim;
+    pps_table_item_t *item = pps_table_find(&fold->claims, name, size);
 
-    HASH_FIND(hh, fold->claims, name, size, claim);
-    return claim;
+    return item ? caa_container_of(item, pps_fold_claim_t, item) : NULL;
 }
 
 pps_fold_claim_t *
@@ -46,7 +45,7 @@
     claim->host = host;
     host->claims++;
     cds_list_add_tail(&claim->node, &fold->claim_list);
-    HASH_ADD(hh, fold->claims, name[0], name_size, claim);
+    pps_table_add(&fold->claims, &claim->item, claim->name, name_size);
     return claim;
 }
 
@@ -63,7 +62,7 @@
 pps_fold_claim_remove(pps_work_fold_t *fold, pps_fold_claim_t *claim)
 {
     claim->host->claims--;
-    HASH_DEL(fold->claims, claim);
+    pps_table_remove(&fold->claims, &claim->item);
     cds_list_del(&claim->node);
     free_outcome(claim->outcome);
     free(claim);
@@ -93,8 +92,7 @@
     if (pps_fold_host_overtaken(fold, host, claim->incarnation)) {
         return PPS_OK;
     }
-    HASH_FIND(hh, fold->claims, name, size, held);
-    if (held != NULL) {
+    if (pps_table_find(&fold->claims, name, size) != NULL) {
         return PPS_OK;
     }
     held = pps_fold_claim_add(fold, name, size, host);
--- a/src/libpapayaswitch/work/fold_hosts.c
+++ b/src/libpapayaswitch/work/fold_hosts.c
@@ -7,11 +7,11 @@
 pps_fold_host_t *
 pps_fold_host_intern(pps_work_fold_t *fold, const char *name)
 {
+    pps_table_item_t *item = pps_table_find(&fold->hosts, name, strlen(name));
     pps_fold_host_t *host;
 
-    HASH_FIND_STR(fold->hosts, name, host);
-    if (host != NULL) {
-        return host;
+    if (item != NULL) {
+        return caa_container_of(item, pps_fold_host_t, item);
     }
     host = calloc(1, sizeof(*host));
     if (host == NULL) {
@@ -19,7 +19,7 @@
     }
     strncpy(host->name, name, sizeof(host->name) - 1);
     cds_list_add_tail(&host->node, &fold->host_list);
-    HASH_ADD_STR(fold->hosts, name, host);
+    pps_table_add(&fold->hosts, &host->item, host->name, strlen(host->name));
     return host;
 }
 
@@ -50,7 +50,7 @@
 void
 pps_fold_host_remove(pps_work_fold_t *fold, pps_fold_host_t *host)
 {
-    HASH_DEL(fold->hosts, host);
+    pps_table_remove(&fold->hosts, &host->item);
     cds_list_del(&host->node);
     free(host);
 }
--- a/src/libpapayaswitch/work/fold_pins.c
+++ b/src/libpapayaswitch/work/fold_pins.c
@@ -25,24 +25,30 @@
     return fold->log_time_us - pin->time_us > idle_us(pin) + fold->keep_us;
 }
 
+static pps_fold_pin_t *
+find_any(const pps_work_fold_t *fold, const char *name, size_t size)
+{
+    pps_table_item_t *item = pps_table_find(&fold->pins, name, size);
+
+    return item ? caa_container_of(item, pps_fold_pin_t, item) : NULL;
+}
+
 pps_fold_pin_t *
 pps_fold_pin_find(const pps_work_fold_t *fold, const char *workspace,
                   const char *session)
 {
     char name[PPS_FOLD_NAME_MAX];
     size_t size = pps_fold_name(name, workspace, session);
-    pps_fold_pin_t *pin;
+    pps_fold_pin_t *pin = find_any(fold, name, size);
 
-    HASH_FIND(hh, fold->pins, name, size, pin);
     return pin != NULL && pps_fold_pin_gone(fold, pin) ? NULL : pin;
 }
 
 pps_fold_pin_t *
 pps_fold_pin_add(pps_work_fold_t *fold, const char *name, size_t name_size)
 {
-    pps_fold_pin_t *pin;
+    pps_fold_pin_t *pin = find_any(fold, name, name_size);
 
-    HASH_FIND(hh, fold->pins, name, name_size, pin);
     if (pin != NULL) {
         pps_fold_pin_remove(fold, pin);
     }
@@ -53,14 +59,14 @@
     memcpy(pin->name, name, name_size);
     pin->name_size = name_size;
     cds_list_add_tail(&pin->node, &fold->pin_list);
-    HASH_ADD(hh, fold->pins, name[0], name_size, pin);
+    pps_table_add(&fold->pins, &pin->item, pin->name, name_size);
     return pin;
 }
 
 void
 pps_fold_pin_remove(pps_work_fold_t *fold, pps_fold_pin_t *pin)
 {
-    HASH_DEL(fold->pins, pin);
+    pps_table_remove(&fold->pins, &pin->item);
     cds_list_del(&pin->node);
     free(pin);
 }
--- a/src/libpapayaswitch/work/fold_state.h
+++ b/src/libpapayaswitch/work/fold_state.h
@@ -9,10 +9,10 @@
 #ifndef PPS_WORK_FOLD_STATE_H
 #define PPS_WORK_FOLD_STATE_H
 
+#include "commit/table.h"
 #include "papayaswitch/work_fold.h"
 
 #include <urcu/list.h>
-#include <uthash.h>
 
 /** Longest name in a table: workspace, zero byte, key, zero byte. */
 #define PPS_FOLD_NAME_MAX (PPS_NAME_MAX + PPS_WORK_KEY_MAX + 2)
@@ -24,7 +24,7 @@
     int64_t time_us;      /**< log time of its last claim */
     size_t claims;        /**< held claims that name it */
     struct cds_list_head node;
-    UT_hash_handle hh;
+    pps_table_item_t item;
 } pps_fold_host_t;
 
 /** Outcome kept with a claim. */
@@ -47,7 +47,7 @@
     uint8_t digest[PPS_BODY_DIGEST_SIZE];
     pps_fold_outcome_t *outcome; /**< NULL until completed */
     struct cds_list_head node;
-    UT_hash_handle hh;
+    pps_table_item_t item;
     size_t name_size;
     char name[];
 } pps_fold_claim_t;
@@ -59,7 +59,7 @@
     uint32_t idle_s;
     int64_t time_us; /**< log time of the last pin or touch */
     struct cds_list_head node;
-    UT_hash_handle hh;
+    pps_table_item_t item;
     size_t name_size;
     char name[];
 } pps_fold_pin_t;
@@ -80,9 +80,9 @@
     pps_fold_seen_t seen;
     uint64_t checkpoint_next;
     int64_t checkpoint_time_us;
-    pps_fold_host_t *hosts;
-    pps_fold_claim_t *claims;
-    pps_fold_pin_t *pins;
+    pps_table_t hosts;
+    pps_table_t claims;
+    pps_table_t pins;
     struct cds_list_head host_list;
     struct cds_list_head claim_list;
     struct cds_list_head pin_list;
@@ -142,7 +142,7 @@
 pps_fold_pin_ended(const pps_fold_pin_t *pin, int64_t log_time_us);
 int
 pps_fold_pin_apply(pps_work_fold_t *fold, uint64_t offset,
-                   const pps_pin_t *pin);
+                   const pps_pin_t *wanted);
 void
 pps_fold_touch_apply(pps_work_fold_t *fold, const pps_touch_t *touch);
 
--- a/src/libpapayaswitch/work/journal.c
+++ b/src/libpapayaswitch/work/journal.c
@@ -39,10 +39,11 @@
         return pps_error_set(PPS_ENOMEM, "journal: out of memory");
     }
     journal->options = *options;
-    strcpy(journal->host, options->host);
+    memcpy(journal->host, options->host, strlen(options->host) + 1);
     journal->options.host = journal->host;
     CDS_INIT_LIST_HEAD(&journal->waiters);
     CDS_INIT_LIST_HEAD(&journal->pending);
+    CDS_INIT_LIST_HEAD(&journal->use_list);
     stagger(journal);
     journal->checkpoint_seen_us = pps_clock_now_us();
     pthread_mutex_init(&journal->mutex, NULL);
@@ -157,7 +158,7 @@
         if (waiter->kind == PPS_WAIT_PIN && !waiter->decided &&
             strcmp(waiter->workspace, pin->workspace) == 0 &&
             strcmp(waiter->name, pin->session) == 0) {
-            strcpy(waiter->version, held.version);
+            memcpy(waiter->version, held.version, strlen(held.version) + 1);
             decide(waiter, PPS_OK);
         }
     }
--- a/src/libpapayaswitch/work/journal_claim.c
+++ b/src/libpapayaswitch/work/journal_claim.c
@@ -135,10 +135,12 @@
 static int
 copy_name(char *out, size_t capacity, const char *name)
 {
-    if (name == NULL || name[0] == '\0' || strlen(name) >= capacity) {
+    size_t size = name ? strlen(name) : 0;
+
+    if (size == 0 || size >= capacity) {
         return pps_error_set(PPS_EINVALID, "a name is empty or too long");
     }
-    strcpy(out, name);
+    memcpy(out, name, size + 1);
     return PPS_OK;
 }
 
--- a/src/libpapayaswitch/work/journal_state.h
+++ b/src/libpapayaswitch/work/journal_state.h
@@ -7,7 +7,6 @@
 
 #include <pthread.h>
 #include <urcu/list.h>
-#include <uthash.h>
 
 /** What a waiting thread waits for. */
 typedef enum {
@@ -46,7 +45,8 @@
 
 /** A session that is in use here. */
 typedef struct {
-    UT_hash_handle hh;
+    pps_table_item_t item;
+    struct cds_list_head node;
     pps_touch_t touch;
     int64_t idle_us;
     int64_t sent_us; /**< 0: never */
@@ -66,7 +66,8 @@
     struct cds_list_head waiters;
     struct cds_list_head pending;
     size_t pending_count;
-    pps_session_use_t *uses;
+    pps_table_t uses;
+    struct cds_list_head use_list;
     int checkpoint_queued;      /**< parts on their way to the log */
     int64_t checkpoint_seen_us; /**< own clock */
     int64_t stagger_us;
--- a/src/libpapayaswitch/work/journal_touch.c
+++ b/src/libpapayaswitch/work/journal_touch.c
@@ -23,11 +23,11 @@
 {
     char name[PPS_FOLD_NAME_MAX];
     size_t size = pps_fold_name(name, workspace, session);
+    pps_table_item_t *item = pps_table_find(&journal->uses, name, size);
     pps_session_use_t *use;
 
-    HASH_FIND(hh, journal->uses, name, size, use);
-    if (use != NULL) {
-        return use;
+    if (item != NULL) {
+        return caa_container_of(item, pps_session_use_t, item);
     }
     use = calloc(1, sizeof(*use) + size);
     if (use == NULL) {
@@ -37,10 +37,19 @@
     use->name_size = size;
     strncpy(use->touch.workspace, workspace, PPS_NAME_MAX);
     strncpy(use->touch.session, session, PPS_WORK_KEY_MAX);
-    HASH_ADD(hh, journal->uses, name[0], size, use);
+    pps_table_add(&journal->uses, &use->item, use->name, size);
+    cds_list_add_tail(&use->node, &journal->use_list);
     return use;
 }
 
+static void
+use_remove(pps_journal_t *journal, pps_session_use_t *use)
+{
+    pps_table_remove(&journal->uses, &use->item);
+    cds_list_del(&use->node);
+    free(use);
+}
+
 static int
 touch_held(pps_journal_t *journal, const char *workspace, const char *session)
 {
@@ -108,15 +117,14 @@
     if (batch == NULL) {
         return;
     }
-    HASH_ITER (hh, journal->uses, use, following) {
+    cds_list_for_each_entry_safe (use, following, &journal->use_list, node) {
         if (use->queued && batch->count < TOUCHES_MAX) {
             batch->touches[batch->count] = use->touch;
             batch->uses[batch->count] = use;
             batch->count++;
         }
         else if (!use->queued && now_us - use->sent_us > use->idle_us) {
-            HASH_DEL(journal->uses, use);
-            free(use);
+            use_remove(journal, use);
         }
     }
     write_batch(journal, batch, now_us);
@@ -129,8 +137,7 @@
     pps_session_use_t *use;
     pps_session_use_t *following;
 
-    HASH_ITER (hh, journal->uses, use, following) {
-        HASH_DEL(journal->uses, use);
-        free(use);
+    cds_list_for_each_entry_safe (use, following, &journal->use_list, node) {
+        use_remove(journal, use);
     }
 }
--- a/src/libpapayaswitch/work/work_fold.c
+++ b/src/libpapayaswitch/work/work_fold.c
@@ -51,13 +51,13 @@
     if (fold == NULL) {
         return;
     }
-    HASH_ITER (hh, fold->claims, claim, next_claim) {
+    cds_list_for_each_entry_safe (claim, next_claim, &fold->claim_list, node) {
         pps_fold_claim_remove(fold, claim);
     }
-    HASH_ITER (hh, fold->pins, pin, next_pin) {
+    cds_list_for_each_entry_safe (pin, next_pin, &fold->pin_list, node) {
         pps_fold_pin_remove(fold, pin);
     }
-    HASH_ITER (hh, fold->hosts, host, next_host) {
+    cds_list_for_each_entry_safe (host, next_host, &fold->host_list, node) {
         pps_fold_host_remove(fold, host);
     }
     free(fold);
@@ -253,13 +253,13 @@
 size_t
 pps_work_fold_claim_count(const pps_work_fold_t *fold)
 {
-    return HASH_COUNT(fold->claims);
+    return pps_table_count(&fold->claims);
 }
 
 size_t
 pps_work_fold_pin_count(const pps_work_fold_t *fold)
 {
-    return HASH_COUNT(fold->pins);
+    return pps_table_count(&fold->pins);
 }
 
 int
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -100,12 +100,29 @@
     cr_assert_eq(pps_journal_outcome(journals[host], &outcome), 0);
 }
 
+static uint64_t
+log_head(void)
+{
+    uint64_t head;
+
+    pthread_mutex_lock(&logged.mutex);
+    head = logged.count;
+    pthread_mutex_unlock(&logged.mutex);
+    return head;
+}
+
+static int
+is_settled(int host)
+{
+    return pps_journal_pending(journals[host]) == 0 &&
+           pps_journal_next(journals[host]) == log_head();
+}
+
+/* Until every outcome is in the log and both hosts have folded all of it. */
 static void
 settle(void)
 {
-    while (pps_journal_pending(journals[0]) +
-               pps_journal_pending(journals[1]) >
-           0) {
+    while (!is_settled(0) || !is_settled(1)) {
         pps_clock_sleep_us(NAP_US);
     }
 }
@@ -268,9 +285,6 @@
     cr_expect_eq(pps_journal_pending(journals[0]), 1);
     fake_log_set(&logged, FAKE_LOG_WELL);
     settle();
-    while (pps_journal_next(journals[1]) < 2) {
-        pps_clock_sleep_us(NAP_US);
-    }
     cr_assert_eq(pps_journal_lookup(&verdict, journals[1], "ministry", "k"),
                  0);
     cr_expect_eq(verdict.kind, PPS_VERDICT_DONE);
