Bills: two hosts' memory, batches in the log, a reader that drops repeats

An answer ends only after a partner in another failure domain or the log has its bill; a lost owner's partner appends what it held; readers drop repeats by (host, incarnation, sequence) and by request id, and name gaps.

--- /dev/null
+++ b/include/papayaswitch/bill.h
@@ -0,0 +1,62 @@
+/**
+ * @file bill.h
+ * @brief A bill, and batches of bills as the stream `bills` holds them.
+ */
+#ifndef PAPAYASWITCH_BILL_H
+#define PAPAYASWITCH_BILL_H
+
+#include "papayaswitch/catalog.h"
+#include "papayaswitch/work_record.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+/** Most bills in one batch. */
+#define PPS_BILL_BATCH_MAX 1000
+
+/** What is billed; docs/design/bills.md says when. */
+typedef enum {
+    PPS_BILL_COMPLETED = 1, /**< one version ran to the end */
+    PPS_BILL_ESCALATED = 2, /**< several versions ran to the end */
+    PPS_BILL_CANCELLED = 3, /**< the caller left; tokens until the cancel */
+} pps_bill_kind_t;
+
+/** One bill for one request. */
+typedef struct {
+    char request_id[PPS_REQUEST_ID_MAX + 1];
+    char workspace[PPS_NAME_MAX + 1];
+    char model[PPS_NAME_MAX + 1];
+    char version[PPS_NAME_MAX + 1]; /**< that gave the answer */
+    char upstream[PPS_NAME_MAX + 1];
+    uint64_t prompt_tokens;
+    uint64_t generated_tokens;
+    uint64_t cost_micros; /**< millionths of the currency unit */
+    pps_bill_kind_t kind;
+    char host[PPS_NAME_MAX + 1]; /**< host that answered */
+    uint64_t incarnation;
+    uint64_t sequence; /**< from 1, without gaps within an incarnation */
+} pps_bill_t;
+
+/** Bills of one incarnation of one host. */
+typedef struct {
+    pps_bill_t *bills;
+    size_t count;
+} pps_bill_batch_t;
+
+/**
+ * Encodes bills of one (host, incarnation), of which the first bill tells.
+ * The caller frees `*out` with free().
+ */
+int
+pps_bill_batch_encode(void **out, size_t *size, const pps_bill_t *bills,
+                      size_t count);
+
+/** Decodes a batch. @return 0, PPS_ECORRUPT or PPS_ENOMEM */
+int
+pps_bill_batch_decode(pps_bill_batch_t *out, const void *payload, size_t size);
+
+/** Frees what a batch holds. */
+void
+pps_bill_batch_clear(pps_bill_batch_t *batch);
+
+#endif
--- /dev/null
+++ b/src/libpapayaswitch/bill/bills.c
@@ -0,0 +1,211 @@
+/** @file bills.c @brief Own bills: taken, held, drained. */
+#include "bills_state.h"
+
+#include "clock.h"
+#include "commit/wait.h"
+#include "papayaswitch/errors.h"
+#include "papayaswitch/record.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int
+pps_bills_new(pps_bills_t **out, pps_log_backend_t *backend,
+              const pps_bills_transport_t *transport,
+              const pps_bills_options_t *options)
+{
+    pps_appender_options_t appender = PPS_APPENDER_OPTIONS_INIT;
+    pps_bills_t *bills;
+    int error;
+
+    if (options->version != PPS_BILLS_OPTIONS_VERSION ||
+        strlen(options->host) > PPS_NAME_MAX || options->batch_max == 0 ||
+        options->batch_max > PPS_BILL_BATCH_MAX) {
+        return pps_error_set(PPS_EINVALID, "bills options");
+    }
+    bills = calloc(1, sizeof(*bills));
+    if (bills == NULL) {
+        return pps_error_set(PPS_ENOMEM, "bills: out of memory");
+    }
+    bills->options = *options;
+    memcpy(bills->host, options->host, strlen(options->host) + 1);
+    bills->options.host = bills->host;
+    bills->transport = *transport;
+    bills->log_up = 1;
+    CDS_INIT_LIST_HEAD(&bills->own);
+    CDS_INIT_LIST_HEAD(&bills->origins);
+    pthread_mutex_init(&bills->mutex, NULL);
+    pps_wait_cond_init(&bills->changed);
+    appender.interval_us = options->append_interval_us;
+    error = pps_appender_new(&bills->appender, backend, PPS_STREAM_BILLS,
+                             &appender);
+    if (error < 0) {
+        pps_bills_free(bills);
+        return error;
+    }
+    *out = bills;
+    return PPS_OK;
+}
+
+void
+pps_bills_free(pps_bills_t *bills)
+{
+    pps_bill_item_t *item;
+    pps_bill_item_t *following;
+
+    if (bills == NULL) {
+        return;
+    }
+    pps_appender_free(bills->appender);
+    cds_list_for_each_entry_safe (item, following, &bills->own, node) {
+        free(item);
+    }
+    pps_bills_origins_clear(bills);
+    pthread_cond_destroy(&bills->changed);
+    pthread_mutex_destroy(&bills->mutex);
+    free(bills);
+}
+
+static int
+take(pps_bills_t *bills, const pps_bill_t *bill, uint64_t *sequence)
+{
+    pps_bill_item_t *item;
+
+    if (bills->own_count >=
+        bills->options.bills_max + bills->options.reserve) {
+        return pps_error_set(PPS_ELIMIT, "%zu bills in memory",
+                             bills->own_count);
+    }
+    item = calloc(1, sizeof(*item));
+    if (item == NULL) {
+        return pps_error_set(PPS_ENOMEM, "bills: out of memory");
+    }
+    item->bill = *bill;
+    memcpy(item->bill.host, bills->host, sizeof(item->bill.host));
+    item->bill.incarnation = bills->options.incarnation;
+    item->bill.sequence = *sequence = ++bills->last_sequence;
+    cds_list_add_tail(&item->node, &bills->own);
+    bills->own_count++;
+    bills->fresh++;
+    pps_bills_send_hold(bills, item, pps_clock_now_us());
+    return PPS_OK;
+}
+
+/* A bill leaves the list once the log has it. */
+static int
+is_safe(const pps_bills_t *bills, uint64_t sequence)
+{
+    const pps_bill_item_t *item;
+
+    cds_list_for_each_entry_reverse(item, &bills->own, node)
+    {
+        if (item->bill.sequence == sequence) {
+            return item->acked;
+        }
+    }
+    return 1;
+}
+
+int
+pps_bills_hold(pps_bills_t *bills, const pps_bill_t *bill, int64_t deadline_us)
+{
+    uint64_t sequence;
+    int error;
+
+    pthread_mutex_lock(&bills->mutex);
+    error = take(bills, bill, &sequence);
+    if (error < 0) {
+        goto done;
+    }
+    pps_bills_flush(bills, pps_clock_now_us(), bills->partner[0] == '\0');
+    while (error == 0 && !is_safe(bills, sequence)) {
+        error = pps_wait_until(&bills->changed, &bills->mutex, deadline_us);
+    }
+    if (error < 0) {
+        error = pps_error_set(error, "bill %llu is held by one host so far",
+                              (unsigned long long)sequence);
+    }
+done:
+    pthread_mutex_unlock(&bills->mutex);
+    return error;
+}
+
+void
+pps_bills_set_log(pps_bills_t *bills, int reachable)
+{
+    pthread_mutex_lock(&bills->mutex);
+    bills->log_up = reachable;
+    pthread_mutex_unlock(&bills->mutex);
+}
+
+int
+pps_bills_may_accept(pps_bills_t *bills)
+{
+    int partner_up;
+    int accept;
+
+    pthread_mutex_lock(&bills->mutex);
+    partner_up = bills->partner[0] != '\0' && !bills->partner_silent;
+    accept = bills->own_count < bills->options.bills_max &&
+             (partner_up || bills->log_up);
+    pthread_mutex_unlock(&bills->mutex);
+    return accept;
+}
+
+void
+pps_bills_tick(pps_bills_t *bills)
+{
+    int64_t now_us = pps_clock_now_us();
+
+    pthread_mutex_lock(&bills->mutex);
+    pps_bills_flush(bills, now_us, 0);
+    pps_bills_resend(bills, now_us);
+    pps_bills_origins_prune(bills, now_us);
+    pthread_mutex_unlock(&bills->mutex);
+}
+
+static void
+count(const pps_bills_t *bills, pps_bills_stats_t *out)
+{
+    const pps_bill_item_t *item;
+    const pps_bill_origin_t *origin;
+
+    memset(out, 0, sizeof(*out));
+    out->appended = bills->appended;
+    out->recovered = bills->recovered;
+    out->held = bills->held_count;
+    cds_list_for_each_entry (item, &bills->own, node) {
+        out->own++;
+        out->exposed += !item->partner_has;
+    }
+    cds_list_for_each_entry (origin, &bills->origins, node) {
+        if (origin->lost_us == 0) {
+            continue;
+        }
+        cds_list_for_each_entry (item, &origin->items, node) {
+            out->recovering++;
+        }
+    }
+}
+
+size_t
+pps_bills_drain(pps_bills_t *bills)
+{
+    int64_t now_us = pps_clock_now_us();
+    pps_bills_stats_t stats;
+
+    pthread_mutex_lock(&bills->mutex);
+    pps_bills_flush(bills, now_us, 1);
+    pps_bills_resend(bills, now_us);
+    count(bills, &stats);
+    pthread_mutex_unlock(&bills->mutex);
+    return stats.exposed + stats.recovering;
+}
+
+void
+pps_bills_stats(pps_bills_t *bills, pps_bills_stats_t *out)
+{
+    pthread_mutex_lock(&bills->mutex);
+    count(bills, out);
+    pthread_mutex_unlock(&bills->mutex);
+}
--- /dev/null
+++ b/src/libpapayaswitch/bill/bills_held.c
@@ -0,0 +1,206 @@
+/** @file bills_held.c @brief Copies that this host holds for others. */
+#include "bills_state.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** A lost host's late messages are over after this. */
+#define LATE_COPY_US (600 * PPS_US_PER_S)
+
+static void
+mark_lost(pps_bill_origin_t *origin)
+{
+    if (origin->lost_us == 0) {
+        origin->lost_us = pps_clock_now_us();
+    }
+}
+
+static pps_bill_origin_t *
+origin_find(pps_bills_t *bills, const char *host, uint64_t incarnation)
+{
+    pps_bill_origin_t *origin;
+
+    cds_list_for_each_entry (origin, &bills->origins, node) {
+        if (origin->incarnation == incarnation &&
+            strcmp(origin->host, host) == 0) {
+            return origin;
+        }
+    }
+    return NULL;
+}
+
+static int
+is_overtaken(pps_bills_t *bills, const char *host, uint64_t incarnation)
+{
+    pps_bill_origin_t *origin;
+
+    cds_list_for_each_entry (origin, &bills->origins, node) {
+        if (origin->incarnation > incarnation &&
+            strcmp(origin->host, host) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* A host that speaks under a new incarnation has lost the earlier ones. */
+static pps_bill_origin_t *
+origin_intern(pps_bills_t *bills, const char *host, uint64_t incarnation)
+{
+    pps_bill_origin_t *origin = origin_find(bills, host, incarnation);
+
+    if (origin != NULL) {
+        return origin;
+    }
+    origin = calloc(1, sizeof(*origin));
+    if (origin == NULL) {
+        return NULL;
+    }
+    memcpy(origin->host, host, strlen(host) + 1);
+    origin->incarnation = incarnation;
+    CDS_INIT_LIST_HEAD(&origin->items);
+    if (incarnation > 0) {
+        pps_bills_mark_lost(bills, host, incarnation - 1);
+    }
+    if (is_overtaken(bills, host, incarnation)) {
+        mark_lost(origin);
+    }
+    cds_list_add_tail(&origin->node, &bills->origins);
+    return origin;
+}
+
+/* Mostly the new bill is the last: the search starts at the end. */
+static int
+origin_add(pps_bills_t *bills, pps_bill_origin_t *origin,
+           const pps_bill_t *bill)
+{
+    struct cds_list_head *after = origin->items.prev;
+    pps_bill_item_t *item;
+
+    while (after != &origin->items) {
+        item = cds_list_entry(after, pps_bill_item_t, node);
+        if (item->bill.sequence == bill->sequence) {
+            return PPS_OK;
+        }
+        if (item->bill.sequence < bill->sequence) {
+            break;
+        }
+        after = after->prev;
+    }
+    if (bills->held_count >= bills->options.held_max) {
+        return pps_error_set(PPS_ELIMIT, "%zu copies of bills held",
+                             bills->held_count);
+    }
+    item = calloc(1, sizeof(*item));
+    if (item == NULL) {
+        return pps_error_set(PPS_ENOMEM, "bills: out of memory");
+    }
+    item->bill = *bill;
+    cds_list_add(&item->node, after);
+    bills->held_count++;
+    return PPS_OK;
+}
+
+int
+pps_bills_keep(pps_bills_t *bills, const pps_bill_batch_t *batch)
+{
+    const pps_bill_t *first = &batch->bills[0];
+    pps_bill_origin_t *origin =
+        origin_intern(bills, first->host, first->incarnation);
+    int error = PPS_OK;
+
+    if (origin == NULL) {
+        return pps_error_set(PPS_ENOMEM, "bills: out of memory");
+    }
+    for (size_t i = 0; i < batch->count && error == 0; i++) {
+        if (batch->bills[i].sequence > origin->released) {
+            error = origin_add(bills, origin, &batch->bills[i]);
+        }
+    }
+    return error;
+}
+
+static void
+forget_items(pps_bills_t *bills, pps_bill_origin_t *origin, uint64_t up_to)
+{
+    pps_bill_item_t *item;
+    pps_bill_item_t *following;
+
+    cds_list_for_each_entry_safe (item, following, &origin->items, node) {
+        if (item->bill.sequence > up_to) {
+            break;
+        }
+        cds_list_del(&item->node);
+        free(item);
+        bills->held_count--;
+    }
+}
+
+void
+pps_bills_forget(pps_bills_t *bills, const char *host, uint64_t incarnation,
+                 uint64_t up_to)
+{
+    pps_bill_origin_t *origin = origin_find(bills, host, incarnation);
+
+    if (origin == NULL) {
+        return;
+    }
+    if (up_to > origin->released) {
+        origin->released = up_to;
+    }
+    forget_items(bills, origin, up_to);
+}
+
+void
+pps_bills_mark_lost(pps_bills_t *bills, const char *host, uint64_t incarnation)
+{
+    pps_bill_origin_t *origin;
+
+    cds_list_for_each_entry (origin, &bills->origins, node) {
+        if (origin->incarnation <= incarnation &&
+            strcmp(origin->host, host) == 0) {
+            mark_lost(origin);
+        }
+    }
+}
+
+void
+pps_bills_host_lost(pps_bills_t *bills, const char *host, uint64_t incarnation)
+{
+    pthread_mutex_lock(&bills->mutex);
+    /* Made when missing, so that a copy that comes late finds it lost. */
+    origin_intern(bills, host, incarnation);
+    pps_bills_mark_lost(bills, host, incarnation);
+    pthread_mutex_unlock(&bills->mutex);
+}
+
+void
+pps_bills_origins_prune(pps_bills_t *bills, int64_t now_us)
+{
+    pps_bill_origin_t *origin;
+    pps_bill_origin_t *following;
+
+    cds_list_for_each_entry_safe (origin, following, &bills->origins, node) {
+        if (origin->lost_us != 0 && cds_list_empty(&origin->items) &&
+            now_us - origin->lost_us > LATE_COPY_US) {
+            cds_list_del(&origin->node);
+            free(origin);
+        }
+    }
+}
+
+void
+pps_bills_origins_clear(pps_bills_t *bills)
+{
+    pps_bill_origin_t *origin;
+    pps_bill_origin_t *following;
+
+    cds_list_for_each_entry_safe (origin, following, &bills->origins, node) {
+        forget_items(bills, origin, UINT64_MAX);
+        cds_list_del(&origin->node);
+        free(origin);
+    }
+}
--- /dev/null
+++ b/tests/unit/test_bills.c
@@ -0,0 +1,426 @@
+/** @file test_bills.c @brief Each bill is counted once, whoever dies when. */
+#include "fake_log.h"
+#include "papayaswitch/bill_reader.h"
+#include "papayaswitch/bills.h"
+#include "papayaswitch/record.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+
+#define HOSTS 3
+#define MESSAGES_MAX 4096
+#define INTERVAL_US 1000
+#define LONG_US (60 * PPS_US_PER_S)
+#define SHORT_US (20 * PPS_US_PER_MS)
+
+/** A message on its way. */
+typedef struct {
+    int from;
+    char to[PPS_NAME_MAX + 1];
+    pps_bills_message_t kind;
+    void *payload;
+    size_t size;
+} message_t;
+
+/** A host, with its own way to the one log. */
+typedef struct {
+    pps_log_backend_t base;
+    int index;
+    int log_cut;
+    pps_bills_t *bills;
+} host_t;
+
+static const char *const names[HOSTS] = {"a", "b", "c"};
+static fake_log_t logged;
+static host_t hosts[HOSTS];
+static message_t messages[MESSAGES_MAX];
+static size_t message_count;
+static pthread_mutex_t wire = PTHREAD_MUTEX_INITIALIZER;
+static unsigned int dropped_kinds; /**< bit for each kind */
+
+static int
+host_append(pps_log_backend_t *self, const char *stream,
+            const pps_log_blob_t *records, size_t count, uint64_t *first)
+{
+    int cut;
+
+    pthread_mutex_lock(&wire);
+    cut = ((host_t *)self)->log_cut;
+    pthread_mutex_unlock(&wire);
+    if (cut) {
+        return PPS_EUNAVAILABLE;
+    }
+    return fake_log_append(&logged.base, stream, records, count, first);
+}
+
+static int
+send_message(void *user, const char *to, pps_bills_message_t kind,
+             const void *payload, size_t size)
+{
+    message_t *message;
+
+    pthread_mutex_lock(&wire);
+    if ((dropped_kinds & (1U << kind)) == 0 && message_count < MESSAGES_MAX) {
+        message = &messages[message_count++];
+        message->from = ((host_t *)user)->index;
+        snprintf(message->to, sizeof(message->to), "%s", to);
+        message->kind = kind;
+        message->payload = malloc(size);
+        message->size = size;
+        memcpy(message->payload, payload, size);
+    }
+    pthread_mutex_unlock(&wire);
+    return 0;
+}
+
+static int
+take_message(message_t *out)
+{
+    int taken = 0;
+
+    pthread_mutex_lock(&wire);
+    if (message_count > 0) {
+        *out = messages[0];
+        message_count--;
+        memmove(messages, messages + 1, message_count * sizeof(messages[0]));
+        taken = 1;
+    }
+    pthread_mutex_unlock(&wire);
+    return taken;
+}
+
+static void
+deliver(void)
+{
+    message_t message;
+
+    while (take_message(&message)) {
+        for (int i = 0; i < HOSTS; i++) {
+            if (strcmp(names[i], message.to) == 0 && hosts[i].bills != NULL &&
+                hosts[message.from].bills != NULL) {
+                pps_bills_receive(hosts[i].bills, names[message.from],
+                                  message.kind, message.payload, message.size);
+            }
+        }
+        free(message.payload);
+    }
+}
+
+static void
+set_cut(int host, int cut)
+{
+    pthread_mutex_lock(&wire);
+    hosts[host].log_cut = cut;
+    pthread_mutex_unlock(&wire);
+}
+
+static void
+drop(unsigned int kinds)
+{
+    pthread_mutex_lock(&wire);
+    dropped_kinds = kinds;
+    pthread_mutex_unlock(&wire);
+}
+
+static void
+kill_host(int host)
+{
+    pps_bills_t *bills = hosts[host].bills;
+
+    set_cut(host, 1);
+    hosts[host].bills = NULL;
+    pps_bills_free(bills);
+}
+
+static void
+start_host(int i, uint64_t incarnation, size_t bills_max)
+{
+    pps_bills_options_t options = PPS_BILLS_OPTIONS_INIT;
+    pps_bills_transport_t transport = {send_message, &hosts[i]};
+
+    options.host = names[i];
+    options.incarnation = incarnation;
+    options.append_interval_us = INTERVAL_US;
+    options.resend_us = INTERVAL_US;
+    options.bills_max = bills_max;
+    options.reserve = 0;
+    hosts[i] = (host_t){.base = {.append = host_append}, .index = i};
+    cr_assert_eq(
+        pps_bills_new(&hosts[i].bills, &hosts[i].base, &transport, &options),
+        0);
+}
+
+static void
+setup(void)
+{
+    fake_log_init(&logged);
+    for (int i = 0; i < HOSTS; i++) {
+        start_host(i, 1, 100);
+    }
+    pps_bills_set_partner(hosts[0].bills, "b");
+}
+
+static void
+teardown(void)
+{
+    deliver();
+    for (int i = 0; i < HOSTS; i++) {
+        pps_bills_free(hosts[i].bills);
+    }
+    fake_log_clear(&logged);
+}
+
+TestSuite(bills, .init = setup, .fini = teardown);
+
+static pps_bill_t
+a_bill(const char *request)
+{
+    pps_bill_t bill = {.workspace = "ministry",
+                       .model = "draft",
+                       .version = "v1",
+                       .upstream = "pool",
+                       .prompt_tokens = 10,
+                       .generated_tokens = 20,
+                       .cost_micros = 7,
+                       .kind = PPS_BILL_COMPLETED};
+
+    snprintf(bill.request_id, sizeof(bill.request_id), "%s", request);
+    return bill;
+}
+
+/** A traffic thread that ends an answer. */
+typedef struct {
+    pthread_t thread;
+    int64_t wait_us;
+    int result;
+    char request[PPS_REQUEST_ID_MAX + 1];
+} answer_t;
+
+static void *
+hold(void *user)
+{
+    answer_t *answer = user;
+    pps_bill_t bill = a_bill(answer->request);
+
+    answer->result = pps_bills_hold(hosts[0].bills, &bill,
+                                    pps_clock_now_us() + answer->wait_us);
+    return NULL;
+}
+
+static int
+hold_one(const char *request, int64_t wait_us)
+{
+    answer_t answer = {.wait_us = wait_us, .result = 1};
+    int64_t end_us = pps_clock_now_us() + wait_us;
+    pps_bills_stats_t stats;
+
+    snprintf(answer.request, sizeof(answer.request), "%s", request);
+    pthread_create(&answer.thread, NULL, hold, &answer);
+    do {
+        deliver();
+        pps_clock_sleep_us(INTERVAL_US);
+        pps_bills_stats(hosts[0].bills, &stats);
+    } while (stats.exposed > 0 && pps_clock_now_us() < end_us);
+    pthread_join(answer.thread, NULL);
+    return answer.result;
+}
+
+static void
+drain(int host)
+{
+    while (pps_bills_drain(hosts[host].bills) > 0) {
+        deliver();
+        pps_clock_sleep_us(INTERVAL_US);
+    }
+}
+
+/* Until the log has all own bills of the host. */
+static void
+append_own(int host)
+{
+    pps_bills_stats_t stats;
+
+    do {
+        pps_bills_drain(hosts[host].bills);
+        pps_clock_sleep_us(INTERVAL_US);
+        pps_bills_stats(hosts[host].bills, &stats);
+    } while (stats.own > 0);
+}
+
+static void
+expect_counted(uint64_t bills, const char *at)
+{
+    pps_bill_reader_t *reader;
+    pps_bill_reading_t reading;
+
+    cr_assert_eq(pps_bill_reader_new(&reader), 0);
+    cr_assert_eq(pps_bill_reader_read(reader, &logged.base), 0);
+    pps_bill_reader_reading(reader, &reading);
+    cr_expect_eq(reading.bills, bills, "%s: %zu bills", at,
+                 (size_t)reading.bills);
+    cr_expect_eq(reading.corrupt, 0);
+    pps_bill_reader_free(reader);
+}
+
+#define BIT(kind) (1U << (kind))
+
+/** Where the owner dies. */
+typedef struct {
+    const char *at;
+    unsigned int dropped;
+    int cut;    /**< the owner cannot reach the log */
+    int append; /**< the owner appends before it dies */
+    fake_log_fault_t fault;
+    int result; /**< of the hold */
+    uint64_t counted;
+} death_t;
+
+Test(bills, owner_dies_at_each_step)
+{
+    static const death_t cases[] = {
+        {"copy lost", BIT(PPS_BILLS_HOLD), 1, 0, FAKE_LOG_WELL, PPS_ETIMEOUT,
+         0},
+        {"answer to the copy lost", BIT(PPS_BILLS_HOLD_ACK), 1, 0,
+         FAKE_LOG_WELL, PPS_ETIMEOUT, 1},
+        {"copy held", 0, 1, 0, FAKE_LOG_WELL, 0, 1},
+        {"appended, release lost", BIT(PPS_BILLS_RELEASE), 0, 1, FAKE_LOG_WELL,
+         0, 1},
+        {"appended, answer and release lost", BIT(PPS_BILLS_RELEASE), 0, 0,
+         FAKE_LOG_LOST_ACK, 0, 1},
+        {"appended twice, release lost", BIT(PPS_BILLS_RELEASE), 0, 1,
+         FAKE_LOG_REPEATED, 0, 1},
+        {"appended and released", 0, 0, 1, FAKE_LOG_WELL, 0, 1},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        const death_t *c = &cases[i];
+
+        teardown();
+        setup();
+        drop(c->dropped);
+        set_cut(0, c->cut);
+        fake_log_set(&logged, c->fault);
+        cr_expect_eq(hold_one("r", c->result == 0 ? LONG_US : SHORT_US),
+                     c->result, "%s", c->at);
+        if (c->append) {
+            append_own(0);
+            pps_bills_tick(hosts[0].bills);
+        }
+        deliver();
+        kill_host(0);
+        drop(0);
+        fake_log_set(&logged, FAKE_LOG_WELL);
+        pps_bills_host_lost(hosts[1].bills, "a", 1);
+        drain(1);
+        expect_counted(c->counted, c->at);
+    }
+}
+
+Test(bills, a_new_incarnation_makes_the_partner_append_the_old_copies)
+{
+    set_cut(0, 1);
+    cr_assert_eq(hold_one("r1", LONG_US), 0);
+    kill_host(0);
+    start_host(0, 2, 100);
+    set_cut(0, 1);
+    pps_bills_set_partner(hosts[0].bills, "b");
+    cr_assert_eq(hold_one("r2", LONG_US), 0);
+    drain(1);
+    expect_counted(1, "old incarnation");
+    kill_host(0);
+    pps_bills_host_lost(hosts[1].bills, "a", 2);
+    drain(1);
+    expect_counted(2, "both");
+}
+
+Test(bills, a_new_partner_gets_what_the_log_lacks)
+{
+    set_cut(0, 1);
+    cr_assert_eq(hold_one("r1", LONG_US), 0);
+    cr_assert_eq(hold_one("r2", LONG_US), 0);
+    kill_host(1);
+    pps_bills_set_partner(hosts[0].bills, "c");
+    drain(0);
+    kill_host(0);
+    pps_bills_host_lost(hosts[2].bills, "a", 1);
+    drain(2);
+    expect_counted(2, "new partner");
+}
+
+Test(bills, a_living_host_taken_for_lost_is_counted_once)
+{
+    pps_bills_stats_t stats;
+
+    cr_assert_eq(hold_one("r", LONG_US), 0);
+    pps_bills_host_lost(hosts[1].bills, "a", 1);
+    drain(1);
+    append_own(0);
+    pps_bills_tick(hosts[0].bills);
+    deliver();
+    expect_counted(1, "both appended");
+    pps_bills_stats(hosts[1].bills, &stats);
+    cr_expect_eq(stats.held, 0);
+}
+
+Test(bills, an_outage_is_bounded_and_then_made_good)
+{
+    char request[16];
+    pps_bill_t bill;
+
+    fake_log_set(&logged, FAKE_LOG_OUTAGE);
+    cr_expect(pps_bills_may_accept(hosts[0].bills));
+    for (int i = 0; i < 100; i++) {
+        snprintf(request, sizeof(request), "r%d", i);
+        cr_assert_eq(hold_one(request, LONG_US), 0);
+    }
+    cr_expect_not(pps_bills_may_accept(hosts[0].bills));
+    bill = a_bill("one too many");
+    cr_expect_eq(pps_bills_hold(hosts[0].bills, &bill, 0), PPS_ELIMIT);
+    fake_log_set(&logged, FAKE_LOG_WELL);
+    append_own(0);
+    cr_expect(pps_bills_may_accept(hosts[0].bills));
+    expect_counted(100, "after the outage");
+}
+
+Test(bills, accepts_with_a_partner_or_the_log)
+{
+    static const struct {
+        int partner;
+        int log;
+        int accept;
+    } cases[] = {{1, 1, 1}, {1, 0, 1}, {0, 1, 1}, {0, 0, 0}};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        pps_bills_set_partner(hosts[0].bills, cases[i].partner ? "b" : NULL);
+        pps_bills_set_log(hosts[0].bills, cases[i].log);
+        cr_expect_eq(pps_bills_may_accept(hosts[0].bills), cases[i].accept,
+                     "case %zu", i);
+    }
+}
+
+Test(bills, without_a_partner_the_log_holds_the_bill)
+{
+    pps_bills_set_partner(hosts[0].bills, NULL);
+    cr_expect_eq(hold_one("r", LONG_US), 0);
+    expect_counted(1, "log alone");
+}
+
+Test(bills, copies_of_another_host_are_refused)
+{
+    pps_bill_t bill = a_bill("r");
+    void *payload;
+    size_t size;
+
+    snprintf(bill.host, sizeof(bill.host), "a");
+    bill.sequence = 1;
+    cr_assert_eq(pps_bill_batch_encode(&payload, &size, &bill, 1), 0);
+    cr_expect_eq(
+        pps_bills_receive(hosts[1].bills, "c", PPS_BILLS_HOLD, payload, size),
+        PPS_EREFUSED);
+    for (size_t cut = 0; cut < size; cut++) {
+        cr_expect_eq(pps_bills_receive(hosts[1].bills, "a", PPS_BILLS_HOLD,
+                                       payload, cut),
+                     PPS_ECORRUPT);
+    }
+    free(payload);
+}
