--- a/src/libpapayaswitch/bill/bill_reader.c
+++ b/src/libpapayaswitch/bill/bill_reader.c
@@ -182,7 +182,7 @@
 int
 pps_bill_reader_feed(pps_bill_reader_t *reader, const pps_log_entry_t *entry)
 {
-    pps_bill_batch_t batch;
+    pps_bill_batch_t batch = {NULL, 0};
     pps_record_t record;
     int error;
 
--- a/src/libpapayaswitch/bill/bills_log.c
+++ b/src/libpapayaswitch/bill/bills_log.c
@@ -155,7 +155,7 @@
 flush_batch(pps_bills_t *bills, struct cds_list_head *items, int own)
 {
     size_t max = bills->options.batch_max;
-    pps_bill_t *batch = calloc(max, sizeof(*batch));
+    pps_bill_t *batch = calloc(max + 1, sizeof(*batch));
     ticket_t *ticket = calloc(1, sizeof(*ticket) + max * sizeof(uint64_t));
     size_t sent = 0;
     uint64_t first;
@@ -172,7 +172,7 @@
     first = ticket->sequences[0];
     last = ticket->sequences[ticket->count - 1];
     sent = ticket->count;
-    if (submit(bills, batch, ticket) < 0) {
+    if (submit(bills, batch, ticket) != 0) {
         sent = 0;
         goto done;
     }
--- a/tests/unit/test_bills.c
+++ b/tests/unit/test_bills.c
@@ -5,6 +5,7 @@
 #include "papayaswitch/record.h"
 
 #include <criterion/criterion.h>
+#include <stdatomic.h>
 #include <stdio.h>
 
 #define HOSTS 3
@@ -192,6 +193,7 @@
 typedef struct {
     pthread_t thread;
     int64_t wait_us;
+    atomic_int done;
     int result;
     char request[PPS_REQUEST_ID_MAX + 1];
 } answer_t;
@@ -204,6 +206,7 @@
 
     answer->result = pps_bills_hold(hosts[0].bills, &bill,
                                     pps_clock_now_us() + answer->wait_us);
+    atomic_store(&answer->done, 1);
     return NULL;
 }
 
@@ -211,16 +214,13 @@
 hold_one(const char *request, int64_t wait_us)
 {
     answer_t answer = {.wait_us = wait_us, .result = 1};
-    int64_t end_us = pps_clock_now_us() + wait_us;
-    pps_bills_stats_t stats;
 
     snprintf(answer.request, sizeof(answer.request), "%s", request);
     pthread_create(&answer.thread, NULL, hold, &answer);
     do {
         deliver();
         pps_clock_sleep_us(INTERVAL_US);
-        pps_bills_stats(hosts[0].bills, &stats);
-    } while (stats.exposed > 0 && pps_clock_now_us() < end_us);
+    } while (!atomic_load(&answer.done));
     pthread_join(answer.thread, NULL);
     return answer.result;
 }
