Worker view and the choice of version and worker

Nothing picked what serves a request. The view of workers is replaced whole by the control thread and carries over the cells of workers that stay, so that a refusal or a started request counts at once on every traffic thread. A session pinned to a held version is refused, not moved: neither promise (fit version, one version a session) is broken by a refusal.

--- /dev/null
+++ b/src/libpapayaswitch/choice/choice_version.c
@@ -0,0 +1,226 @@
+/** @file choice_version.c @brief Cheapest fit version that meets the target.
+ */
+#include "papayaswitch/choice.h"
+#include "papayaswitch/errors.h"
+
+#include <string.h>
+
+/** Slack for targets that equal a declared quality. */
+#define TARGET_SLACK 1e-9
+
+/** A version with what is believed of it. */
+typedef struct {
+    const pps_version_t *version;
+    pps_quality_t quality;
+    int meets_target;
+} candidate_t;
+
+/** Candidates that remain, by the step that a version fails at. */
+typedef struct {
+    candidate_t items[PPS_CANDIDATES_MAX];
+    size_t count;
+    size_t allowed;
+    size_t expired;
+    size_t held;
+    size_t tried;
+    size_t limited;
+} candidates_t;
+
+int
+pps_name_set_has(const pps_name_set_t *set, const char *name)
+{
+    for (size_t i = 0; i < set->count; i++) {
+        if (strcmp(set->names[i], name) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static int
+is_allowed(const pps_workspace_t *workspace, const char *version)
+{
+    pps_name_set_t allow = {workspace->allow, workspace->allow_count};
+
+    return pps_name_set_has(&allow, version);
+}
+
+static int
+is_expired(const pps_choice_version_input_t *input,
+           const pps_version_t *version)
+{
+    if (version->state == PPS_VERSION_RETIRING) {
+        return input->pinned == NULL;
+    }
+    return version->state == PPS_VERSION_WITHDRAWN;
+}
+
+static void
+estimate(const pps_choice_version_input_t *input, candidate_t *candidate)
+{
+    pps_quality_t *quality = &candidate->quality;
+
+    if (input->quality != NULL) {
+        input->quality->estimate(input->quality, quality,
+                                 input->workspace->name, input->kind,
+                                 candidate->version);
+    }
+    else {
+        *quality = (pps_quality_t){candidate->version->quality, 0.0, 0.0};
+    }
+    candidate->meets_target =
+        quality->mean - input->caution * quality->deviation + TARGET_SLACK >=
+        input->workspace->quality_target;
+}
+
+static void
+consider(candidates_t *candidates, const pps_choice_version_input_t *input,
+         const pps_version_t *version)
+{
+    candidate_t *next = &candidates->items[candidates->count];
+
+    if (!is_allowed(input->workspace, version->name)) {
+        return;
+    }
+    candidates->allowed++;
+    if (is_expired(input, version)) {
+        candidates->expired++;
+    }
+    else if (pps_name_set_has(&input->tried, version->name)) {
+        candidates->tried++;
+    }
+    else if (pps_name_set_has(&input->held, version->name)) {
+        candidates->held++;
+    }
+    else if (candidates->count < PPS_CANDIDATES_MAX) {
+        next->version = version;
+        estimate(input, next);
+        candidates->count++;
+    }
+}
+
+/**
+ * One draw decides for all: versions with bounded exposure divide [0, 1)
+ * among them, so that each stays under its share whatever the others do.
+ */
+static void
+bound_exposure(candidates_t *candidates, pps_rng_t *rng)
+{
+    double draw = pps_rng_unit(rng);
+    double from = 0.0;
+    size_t kept = 0;
+
+    for (size_t i = 0; i < candidates->count; i++) {
+        double exposure = candidates->items[i].version->exposure;
+        int inside = draw >= from && draw < from + exposure;
+
+        if (exposure >= 1.0 || inside) {
+            candidates->items[kept++] = candidates->items[i];
+        }
+        else {
+            candidates->limited++;
+        }
+        if (exposure < 1.0) {
+            from += exposure;
+        }
+    }
+    candidates->count = kept;
+}
+
+static int
+none_left(const candidates_t *candidates, const char *model)
+{
+    if (candidates->allowed == 0) {
+        return pps_error_set(PPS_EINVALID, "model %s: no allowed version",
+                             model);
+    }
+    if (candidates->limited > 0) {
+        return pps_error_set(PPS_ELIMIT, "model %s: exposure bound", model);
+    }
+    if (candidates->held > 0) {
+        return pps_error_set(PPS_EREFUSED, "model %s: versions held", model);
+    }
+    if (candidates->tried > 0) {
+        return pps_error_set(PPS_ECLOSED, "model %s: versions tried", model);
+    }
+    return pps_error_set(PPS_EEXPIRED, "model %s: versions withdrawn", model);
+}
+
+/**
+ * Expected cost when answers judged too low go on to the next dearer version
+ * that meets the target.
+ */
+static double
+expected_cost(const candidates_t *candidates, const candidate_t *candidate)
+{
+    double next = 0.0;
+
+    for (size_t i = 0; i < candidates->count; i++) {
+        const candidate_t *other = &candidates->items[i];
+
+        if (other->meets_target &&
+            other->version->cost > candidate->version->cost &&
+            (next == 0.0 || other->version->cost < next)) {
+            next = other->version->cost;
+        }
+    }
+    return candidate->version->cost + candidate->quality.escalation * next;
+}
+
+static int
+is_better(const candidates_t *candidates, const candidate_t *a,
+          const candidate_t *b)
+{
+    if (a->meets_target != b->meets_target) {
+        return a->meets_target;
+    }
+    if (!a->meets_target) {
+        return a->quality.mean > b->quality.mean;
+    }
+    return expected_cost(candidates, a) < expected_cost(candidates, b);
+}
+
+static void
+take_best(pps_choice_version_t *out, const candidates_t *candidates)
+{
+    const candidate_t *best = &candidates->items[0];
+
+    for (size_t i = 1; i < candidates->count; i++) {
+        if (is_better(candidates, &candidates->items[i], best)) {
+            best = &candidates->items[i];
+        }
+    }
+    out->version = best->version;
+    out->quality = best->quality;
+    out->meets_target = best->meets_target;
+}
+
+int
+pps_choice_version_among(pps_choice_version_t *out,
+                         const pps_choice_version_input_t *input,
+                         const pps_version_t *const *versions, size_t count)
+{
+    candidates_t candidates = {.count = 0};
+    size_t seen = 0;
+
+    memset(out, 0, sizeof(*out));
+    for (size_t i = 0; i < count; i++) {
+        if (input->pinned == NULL ||
+            strcmp(versions[i]->name, input->pinned) == 0) {
+            seen++;
+            consider(&candidates, input, versions[i]);
+        }
+    }
+    if (seen == 0) {
+        return pps_error_set(PPS_ENOTFOUND, "model %s: unknown", input->model);
+    }
+    /* Moving a session for the sake of a share would break its promise. */
+    if (input->pinned == NULL) {
+        bound_exposure(&candidates, input->rng);
+    }
+    if (candidates.count == 0) {
+        return none_left(&candidates, input->model);
+    }
+    take_best(out, &candidates);
+    return PPS_OK;
+}
--- /dev/null
+++ b/src/libpapayaswitch/worker/worker_view.c
@@ -0,0 +1,139 @@
+/** @file worker_view.c @brief Reference-counted lists of workers. */
+#include "papayaswitch/errors.h"
+#include "worker/worker_cell.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct pps_worker_view {
+    _Atomic int references;
+    size_t count;
+    pps_worker_t workers[];
+};
+
+static void
+worker_clear(pps_worker_t *worker)
+{
+    free((char *)worker->id);
+    free((char *)worker->upstream);
+    free((char *)worker->address);
+    free((char *)worker->failure_domain);
+    pps_worker_cell_free(worker->cell);
+}
+
+static void
+view_destroy(pps_worker_view_t *view)
+{
+    for (size_t i = 0; i < view->count; i++) {
+        worker_clear(&view->workers[i]);
+    }
+    free(view);
+}
+
+/** A worker that comes back elsewhere is another process: no carry-over. */
+static int
+is_same(const pps_worker_t *a, const pps_worker_t *b)
+{
+    return a->port == b->port && strcmp(a->address, b->address) == 0 &&
+           strcmp(a->upstream, b->upstream) == 0;
+}
+
+static int
+cell_attach(pps_worker_t *worker, const pps_worker_view_t *previous)
+{
+    const pps_worker_t *before = NULL;
+
+    if (previous != NULL) {
+        before = pps_worker_view_find(previous, worker->id);
+    }
+    if (before != NULL && is_same(before, worker)) {
+        worker->cell = pps_worker_cell_ref(before->cell);
+        return PPS_OK;
+    }
+    return pps_worker_cell_new(&worker->cell);
+}
+
+static int
+worker_copy(pps_worker_t *out, const pps_worker_t *from,
+            const pps_worker_view_t *previous)
+{
+    *out = *from;
+    out->cell = NULL;
+    out->id = strdup(from->id);
+    out->upstream = strdup(from->upstream);
+    out->address = strdup(from->address);
+    out->failure_domain = strdup(from->failure_domain);
+    if (out->id == NULL || out->upstream == NULL || out->address == NULL ||
+        out->failure_domain == NULL) {
+        return pps_error_set(PPS_ENOMEM, "worker: out of memory");
+    }
+    return cell_attach(out, previous);
+}
+
+int
+pps_worker_view_new(pps_worker_view_t **out, const pps_worker_view_t *previous,
+                    const pps_worker_t *workers, size_t count)
+{
+    pps_worker_view_t *view;
+    int error = PPS_OK;
+
+    *out = NULL;
+    view = calloc(1, sizeof(*view) + count * sizeof(view->workers[0]));
+    if (view == NULL) {
+        return pps_error_set(PPS_ENOMEM, "workers: out of memory");
+    }
+    atomic_init(&view->references, 1);
+    for (size_t i = 0; i < count && error == PPS_OK; i++) {
+        if (pps_worker_view_find(view, workers[i].id) != NULL) {
+            error = pps_error_set(PPS_EEXISTS, "worker %s is listed twice",
+                                  workers[i].id);
+            break;
+        }
+        error = worker_copy(&view->workers[i], &workers[i], previous);
+        view->count++;
+    }
+    if (error < 0) {
+        view_destroy(view);
+        return error;
+    }
+    *out = view;
+    return PPS_OK;
+}
+
+pps_worker_view_t *
+pps_worker_view_ref(pps_worker_view_t *view)
+{
+    atomic_fetch_add(&view->references, 1);
+    return view;
+}
+
+void
+pps_worker_view_free(pps_worker_view_t *view)
+{
+    if (view != NULL && atomic_fetch_sub(&view->references, 1) == 1) {
+        view_destroy(view);
+    }
+}
+
+size_t
+pps_worker_view_count(const pps_worker_view_t *view)
+{
+    return view->count;
+}
+
+const pps_worker_t *
+pps_worker_view_at(const pps_worker_view_t *view, size_t index)
+{
+    return index < view->count ? &view->workers[index] : NULL;
+}
+
+const pps_worker_t *
+pps_worker_view_find(const pps_worker_view_t *view, const char *id)
+{
+    for (size_t i = 0; i < view->count; i++) {
+        if (strcmp(view->workers[i].id, id) == 0) {
+            return &view->workers[i];
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/tests/unit/test_choice_worker.c
@@ -0,0 +1,188 @@
+/** @file test_choice_worker.c @brief Rules for the choice of a worker. */
+#include "papayaswitch/choice.h"
+#include "papayaswitch/errors.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define DRAWS 2000
+#define NOW_US 1000000
+#define WORKERS 4
+
+/** What has happened to a worker before the choice. */
+typedef enum {
+    FINE,
+    LEAVING,
+    FULL,
+    BROKEN,
+    NOT_LOADED,
+    BUSY,
+    SLOW,
+    TRIED,
+    ELSEWHERE,
+} fate_t;
+
+static pps_worker_view_t *
+make(const fate_t *fates)
+{
+    static char ids[WORKERS][4];
+    pps_worker_t workers[WORKERS] = {0};
+    pps_worker_view_t *view;
+
+    for (int i = 0; i < WORKERS; i++) {
+        snprintf(ids[i], sizeof(ids[i]), "w%d", i);
+        workers[i] = (pps_worker_t){
+            ids[i],
+            fates[i] == ELSEWHERE ? "registry" : "drafting",
+            "10.0.0.1",
+            1,
+            i % 2 ? "b" : "a",
+            fates[i] == LEAVING ? PPS_WORKER_LEAVING : PPS_WORKER_LIVE,
+            8,
+            NULL};
+    }
+    cr_assert_eq(pps_worker_view_new(&view, NULL, workers, WORKERS), 0);
+    return view;
+}
+
+static void
+suffer(const pps_worker_t *worker, fate_t fate)
+{
+    pps_worker_report_t busy = {8, 30, 8, NULL, 0, NOW_US};
+
+    pps_worker_first_token(worker, fate == SLOW ? 5000 : 100);
+    if (fate == FULL) {
+        pps_worker_refused(worker, PPS_REFUSAL_FULL, "m/1", NOW_US, 7000);
+    }
+    if (fate == BROKEN) {
+        pps_worker_refused(worker, PPS_REFUSAL_BROKEN, "m/1", NOW_US, 9000);
+    }
+    if (fate == NOT_LOADED) {
+        pps_worker_refused(worker, PPS_REFUSAL_NOT_LOADED, "m/1", NOW_US, 0);
+    }
+    if (fate == BUSY) {
+        pps_worker_reported(worker, &busy);
+    }
+}
+
+Test(choice_worker, eligibility)
+{
+    static const struct {
+        const char *what;
+        fate_t fates[WORKERS];
+        int error;
+        int64_t retry_after_us;
+        int used[WORKERS];
+    } cases[] = {
+        {"all", {FINE, FINE, FINE, FINE}, 0, 0, {1, 1, 1, 1}},
+        {"leaving", {LEAVING, FINE, FINE, FINE}, 0, 0, {0, 1, 1, 1}},
+        {"back-off", {FULL, BROKEN, FINE, FINE}, 0, 0, {0, 0, 1, 1}},
+        {"version", {NOT_LOADED, FINE, FINE, FINE}, 0, 0, {0, 1, 1, 1}},
+        {"tried", {TRIED, TRIED, TRIED, FINE}, 0, 0, {0, 0, 0, 1}},
+        {"slow", {SLOW, FINE, FINE, FINE}, 0, 0, {0, 1, 1, 1}},
+        {"slow at need", {SLOW, FULL, TRIED, FULL}, 0, 0, {1, 0, 0, 0}},
+        {"busiest of all", {BUSY, FINE, FINE, FINE}, 0, 0, {0, 1, 1, 1}},
+        {"upstream", {ELSEWHERE, FINE, FINE, FINE}, 0, 0, {0, 1, 1, 1}},
+        {"closed", {FULL, BROKEN, LEAVING, FULL}, PPS_EUNAVAILABLE, 7000, {0}},
+        {"all tried", {TRIED, TRIED, TRIED, TRIED}, PPS_ECLOSED, 0, {0}},
+        {"none",
+         {ELSEWHERE, ELSEWHERE, ELSEWHERE, ELSEWHERE},
+         PPS_ENOTFOUND,
+         0,
+         {0}},
+    };
+    pps_rng_t rng;
+
+    pps_rng_init(&rng, 3);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        pps_choice_worker_input_t input = PPS_CHOICE_WORKER_INPUT_INIT;
+        pps_worker_view_t *view = make(cases[i].fates);
+        const char *tried[WORKERS];
+        int used[WORKERS] = {0};
+
+        input.workers = view;
+        input.upstream = "drafting";
+        input.model_version = "m/1";
+        input.now_us = NOW_US;
+        input.rng = &rng;
+        input.tried.names = tried;
+        for (int w = 0; w < WORKERS; w++) {
+            suffer(pps_worker_view_at(view, w), cases[i].fates[w]);
+            if (cases[i].fates[w] == TRIED) {
+                tried[input.tried.count++] = pps_worker_view_at(view, w)->id;
+            }
+        }
+        for (int draw = 0; draw < DRAWS; draw++) {
+            pps_choice_worker_t out;
+
+            cr_assert_eq(pps_choice_worker(&out, &input), cases[i].error, "%s",
+                         cases[i].what);
+            cr_expect_eq(out.retry_after_us, cases[i].retry_after_us);
+            if (out.worker != NULL) {
+                used[out.worker - pps_worker_view_at(view, 0)] = 1;
+            }
+        }
+        for (int w = 0; w < WORKERS; w++) {
+            cr_expect_eq(used[w], cases[i].used[w], "%s: worker %d",
+                         cases[i].what, w);
+        }
+        pps_worker_view_free(view);
+    }
+}
+
+Test(choice_worker, affinity_holds_up_to_a_bound)
+{
+    static const struct {
+        unsigned int extra; /**< requests at the warm worker, of 8 slots */
+        int stays;
+    } cases[] = {{0, 1}, {2, 1}, {3, 0}, {16, 0}};
+    static const fate_t fates[WORKERS] = {FINE, FINE, FINE, FINE};
+    pps_rng_t rng;
+
+    pps_rng_init(&rng, 5);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        pps_choice_worker_input_t input = PPS_CHOICE_WORKER_INPUT_INIT;
+        pps_worker_view_t *view = make(fates);
+        pps_choice_worker_t warm;
+        pps_choice_worker_t out;
+
+        input.workers = view;
+        input.upstream = "drafting";
+        input.affinity = 42;
+        input.now_us = NOW_US;
+        input.rng = &rng;
+        cr_assert_eq(pps_choice_worker(&warm, &input), 0);
+        for (unsigned int n = 0; n < cases[i].extra; n++) {
+            pps_worker_started(warm.worker);
+        }
+        cr_assert_eq(pps_choice_worker(&out, &input), 0);
+        cr_expect_eq(out.worker == warm.worker, cases[i].stays, "case %zu", i);
+        pps_worker_view_free(view);
+    }
+}
+
+Test(choice_worker, own_failure_domain_wins_ties)
+{
+    static const fate_t fates[WORKERS] = {FINE, FINE, FINE, FINE};
+    pps_choice_worker_input_t input = PPS_CHOICE_WORKER_INPUT_INIT;
+    pps_worker_view_t *view = make(fates);
+    size_t own = 0;
+    pps_rng_t rng;
+
+    pps_rng_init(&rng, 6);
+    input.workers = view;
+    input.upstream = "drafting";
+    input.failure_domain = "b";
+    input.now_us = NOW_US;
+    input.rng = &rng;
+    for (int draw = 0; draw < DRAWS; draw++) {
+        pps_choice_worker_t out;
+
+        cr_assert_eq(pps_choice_worker(&out, &input), 0);
+        own += strcmp(out.worker->failure_domain, "b") == 0;
+    }
+    /* Two of four are near: a pair has none of them one time in six. */
+    cr_expect_float_eq((double)own / DRAWS, 5.0 / 6.0, 0.04);
+    pps_worker_view_free(view);
+}
