One list of refusals for engines, services and the view of workers

Two headers had an enum of the same name. It stands in refusal.h now, with the stale order (which corrects nothing about a worker) and silence.

--- a/include/papayaswitch/engine.h
+++ b/include/papayaswitch/engine.h
@@ -5,20 +5,12 @@
 #ifndef PAPAYASWITCH_ENGINE_H
 #define PAPAYASWITCH_ENGINE_H
 
+#include "papayaswitch/refusal.h"
+
 #include <stdint.h>
 
 #define PPS_ENGINE_BACKEND_VERSION 1
 
-/** Why a worker did not take a request. Each corrects the view at once. */
-typedef enum {
-    PPS_REFUSAL_NONE,
-    PPS_REFUSAL_DRAINING,   /**< it is leaving */
-    PPS_REFUSAL_FULL,       /**< no slot and no place in its queue */
-    PPS_REFUSAL_NOT_LOADED, /**< it does not hold the version */
-    PPS_REFUSAL_BROKEN,     /**< it cannot serve */
-    PPS_REFUSAL_STALE,      /**< the order carries an old revision */
-} pps_refusal_t;
-
 /** What a worker answered instead of running a request. */
 typedef struct {
     pps_refusal_t reason;
@@ -93,12 +85,4 @@
 int
 pps_engine_http_new(pps_engine_backend_t **out);
 
-/** A stable short name, such as `draining`. */
-const char *
-pps_refusal_name(pps_refusal_t refusal);
-
-/** The refusal of that name; PPS_REFUSAL_BROKEN when there is none. */
-pps_refusal_t
-pps_refusal_parse(const char *name);
-
 #endif
--- a/include/papayaswitch/worker_view.h
+++ b/include/papayaswitch/worker_view.h
@@ -11,6 +11,8 @@
 #ifndef PAPAYASWITCH_WORKER_VIEW_H
 #define PAPAYASWITCH_WORKER_VIEW_H
 
+#include "papayaswitch/refusal.h"
+
 #include <stddef.h>
 #include <stdint.h>
 
@@ -20,16 +22,6 @@
     PPS_WORKER_LEAVING, /**< gets no new work */
 } pps_worker_state_t;
 
-/** Why a worker did not serve; each corrects the view at once. */
-typedef enum {
-    PPS_REFUSAL_FULL,       /**< no slot and no room in its queue */
-    PPS_REFUSAL_DRAINING,   /**< shutting down */
-    PPS_REFUSAL_NOT_LOADED, /**< does not hold the version */
-    PPS_REFUSAL_BROKEN,     /**< answered with a fault */
-    PPS_REFUSAL_SILENT,     /**< gave no sign of life */
-    PPS_REFUSAL_COUNT
-} pps_refusal_t;
-
 /** Whether a worker holds a version. */
 typedef enum {
     PPS_LOADED_UNKNOWN,
--- a/src/libpapayaswitch/upstream/refusal.c
+++ b/src/libpapayaswitch/upstream/refusal.c
@@ -1,11 +1,11 @@
 /** @file refusal.c @brief Names of the ways in which a worker says no. */
-#include "papayaswitch/engine.h"
+#include "papayaswitch/refusal.h"
 
 #include <string.h>
 
-static const char *const names[] = {"none",   "draining",
-                                    "full",   "version_not_loaded",
-                                    "broken", "stale_revision"};
+static const char *const names[] = {
+    "none",   "draining",       "full",  "version_not_loaded",
+    "broken", "stale_revision", "silent"};
 
 #define NAME_COUNT (sizeof(names) / sizeof(names[0]))
 
--- a/src/libpapayaswitch/worker/worker_cell.c
+++ b/src/libpapayaswitch/worker/worker_cell.c
@@ -9,6 +9,7 @@
 #include <xxhash.h>
 
 /** Back-offs for refusals that name no time of their own. */
+/* A stale order says nothing of the worker: no back-off. */
 static const int64_t default_backoff_us[PPS_REFUSAL_COUNT] = {
     [PPS_REFUSAL_FULL] = 100 * PPS_US_PER_MS,
     [PPS_REFUSAL_DRAINING] = 60 * PPS_US_PER_S,
