--- /dev/null
+++ b/src/libpapayaswitch/api/chat_reply.c
@@ -0,0 +1,83 @@
+/** @file chat_reply.c @brief JSON and events of chat completions. */
+#include "chat_reply.h"
+
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+
+static json_t *
+usage_json(const pps_answer_usage_t *usage)
+{
+    return json_pack("{s:I, s:I, s:I}", "prompt_tokens",
+                     (json_int_t)usage->prompt_tokens, "completion_tokens",
+                     (json_int_t)usage->generated_tokens, "total_tokens",
+                     (json_int_t)usage->prompt_tokens +
+                         (json_int_t)usage->generated_tokens);
+}
+
+static json_t *
+frame(const pps_chat_reply_t *reply, const char *object, json_t *choice)
+{
+    return json_pack("{s:s+, s:s, s:I, s:s, s:[o]}", "id", "chatcmpl-",
+                     reply->request_id, "object", object, "created",
+                     (json_int_t)reply->created_s, "model", reply->model,
+                     "choices", choice);
+}
+
+json_t *
+pps_chat_reply_whole(const pps_chat_reply_t *reply, const char *text,
+                     const pps_answer_usage_t *usage)
+{
+    json_t *choice = json_pack("{s:i, s:{s:s, s:s}, s:s}", "index", 0,
+                               "message", "role", "assistant", "content", text,
+                               "finish_reason", usage->finish_reason);
+    json_t *whole = frame(reply, "chat.completion", choice);
+
+    json_object_set_new(whole, "usage", usage_json(usage));
+    return whole;
+}
+
+static int
+append_event(pps_buf_t *out, json_t *event)
+{
+    char *text = json_dumps(event, JSON_COMPACT);
+    int error;
+
+    json_decref(event);
+    if (text == NULL) {
+        return pps_error_set(PPS_ENOMEM, "event: out of memory");
+    }
+    error = pps_buf_printf(out, "data: %s\n\n", text);
+    free(text);
+    return error;
+}
+
+int
+pps_chat_reply_delta(const pps_chat_reply_t *reply, pps_buf_t *out,
+                     const char *text)
+{
+    json_t *choice = json_pack("{s:i, s:{s:s}, s:n}", "index", 0, "delta",
+                               "content", text, "finish_reason");
+
+    return append_event(out, frame(reply, "chat.completion.chunk", choice));
+}
+
+int
+pps_chat_reply_finish(const pps_chat_reply_t *reply, pps_buf_t *out,
+                      const pps_answer_usage_t *usage)
+{
+    json_t *choice = json_pack("{s:i, s:{}, s:s}", "index", 0, "delta",
+                               "finish_reason", usage->finish_reason);
+    json_t *last = frame(reply, "chat.completion.chunk", choice);
+    int error;
+
+    json_object_set_new(last, "usage", usage_json(usage));
+    error = append_event(out, last);
+    return error < 0 ? error : pps_buf_puts(out, "data: [DONE]\n\n");
+}
+
+int
+pps_chat_reply_error(pps_buf_t *out, json_t *error)
+{
+    return append_event(out, error);
+}
