Peer links: authenticated frames, heartbeats, suspicion

Hosts need evidence of one another that runs end to end. A silent link is given up after 1 s and dialled anew; a host is suspected only when the new link stays silent too.

--- /dev/null
+++ b/src/libpapayaswitch/peer/heartbeat.h
@@ -0,0 +1,29 @@
+/**
+ * @file heartbeat.h
+ * @brief Payloads of ping and pong.
+ */
+#ifndef PPS_PEER_HEARTBEAT_H
+#define PPS_PEER_HEARTBEAT_H
+
+#include "buf.h"
+#include "papayaswitch/host.h"
+
+/** Appends the payload of a ping sent at `sent_us`. */
+int
+pps_ping_encode(pps_buf_t *out, int64_t sent_us);
+
+/** Decodes a ping. @return 0 or PPS_ECORRUPT */
+int
+pps_ping_decode(int64_t *sent_us, const void *data, size_t size);
+
+/** Appends the payload of the pong to a ping sent at `echo_us`. */
+int
+pps_pong_encode(pps_buf_t *out, int64_t echo_us,
+                const pps_host_status_t *status);
+
+/** Decodes a pong; fields behind the known ones are skipped. */
+int
+pps_pong_decode(int64_t *echo_us, pps_host_status_t *status, const void *data,
+                size_t size);
+
+#endif
--- /dev/null
+++ b/src/libpapayaswitch/peer/peers_links.c
@@ -0,0 +1,287 @@
+/** @file peers_links.c @brief Events of the links, and the tick. */
+#include "counters.h"
+#include "event.h"
+#include "papayaswitch/errors.h"
+#include "peer/heartbeat.h"
+#include "peer/peers_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+pps_peers_drop_link(pps_peers_t *peers, pps_peer_link_t *link)
+{
+    pps_peer_t *peer;
+    pps_peer_t *next;
+
+    HASH_ITER (hh, peers->by_id, peer, next) {
+        pps_peer_forget_link(peer, link, pps_clock_now_us(), &peers->rng);
+    }
+    pps_peer_link_close(link);
+}
+
+static void
+tell_report(pps_peers_t *peers, const pps_peer_t *peer)
+{
+    if (peers->callbacks->report != NULL) {
+        peers->callbacks->report(peers->user, &peer->report);
+    }
+}
+
+static int
+judge(pps_peer_t *peer, int64_t now_us)
+{
+    if (!pps_peer_judge(peer, now_us)) {
+        return 0;
+    }
+    pps_event_record("host_suspicion",
+                     PPS_FIELDS(PPS_STR("peer", peer->host.id),
+                                PPS_INT("suspected", peer->report.suspected)));
+    return 1;
+}
+
+static void
+take_link(pps_peers_t *peers, pps_peer_link_t *link)
+{
+    pps_peer_t *peer = pps_peers_find(peers, link->remote.id);
+
+    if (peer == NULL && pps_peers_add(peers, &peer, link->remote.id) != 0) {
+        pps_peers_drop_link(peers, link);
+        return;
+    }
+    if (peer->taken != NULL) {
+        pps_peers_drop_link(peers, peer->taken);
+    }
+    peer->taken = link;
+    pps_dial_hasten(&peer->dial, pps_clock_now_us());
+}
+
+static void
+on_ready(pps_peer_link_t *link, void *user)
+{
+    pps_peers_t *peers = user;
+    pps_peer_t *peer;
+
+    if (!link->initiator) {
+        take_link(peers, link);
+    }
+    peer = pps_peers_find(peers, link->remote.id);
+    if (peer != NULL && link->state == PPS_LINK_READY) {
+        peer->ping_due_us = 0;
+        pps_peer_ping(peer, pps_clock_now_us());
+    }
+}
+
+static uint32_t
+count_heard(const pps_peers_t *peers, int64_t now_us)
+{
+    pps_peer_t *peer;
+    pps_peer_t *next;
+    uint32_t count = 0;
+
+    HASH_ITER (hh, peers->by_id, peer, next) {
+        if (peer->report.heard_us != PPS_TIME_NONE &&
+            now_us - peer->report.heard_us < PPS_DIAL_SILENCE_US) {
+            count++;
+        }
+    }
+    return count;
+}
+
+static void
+answer_ping(pps_peers_t *peers, pps_peer_link_t *link, int64_t echo_us)
+{
+    int64_t now = pps_clock_now_us();
+    int64_t evidence = peers->status.evidence_us;
+    pps_buf_t payload = PPS_BUF_INIT;
+    pps_host_status_t status = {
+        .incarnation = peers->config.incarnation,
+        .revision = peers->status.revision,
+        .next_offset = peers->status.next_offset,
+        .evidence_age_us =
+            evidence == PPS_TIME_NONE ? PPS_TIME_NONE : now - evidence,
+        .synced = peers->status.synced,
+        .leaving = peers->status.leaving,
+        .heard = count_heard(peers, now),
+    };
+
+    if (pps_pong_encode(&payload, echo_us, &status) == 0) {
+        pps_peer_link_send(link, PPS_FRAME_PONG, payload.data, payload.size);
+    }
+    pps_buf_clear(&payload);
+}
+
+static void
+take_pong(pps_peers_t *peers, pps_peer_link_t *link, const pps_frame_t *frame)
+{
+    pps_peer_t *peer = pps_peers_find(peers, link->remote.id);
+    int64_t now = pps_clock_now_us();
+
+    if (peer == NULL) {
+        return;
+    }
+    if (pps_peer_pong(peer, link, frame, now) != 0) {
+        pps_counter_add(PPS_COUNTER_PEER_FRAMES_MALFORMED, 1);
+        pps_peers_drop_link(peers, link);
+        return;
+    }
+    judge(peer, now);
+    tell_report(peers, peer);
+}
+
+static void
+take_message(pps_peers_t *peers, const pps_peer_link_t *link,
+             const pps_frame_t *frame)
+{
+    if (frame->kind < PPS_PEERS_KIND_FIRST ||
+        peers->callbacks->message(
+            peers->user, link->remote.id, link->remote.incarnation,
+            frame->kind, frame->payload, frame->size) == PPS_ENOTFOUND) {
+        pps_counter_add(PPS_COUNTER_PEER_FRAMES_UNKNOWN, 1);
+    }
+}
+
+static void
+on_frame(pps_peer_link_t *link, const pps_frame_t *frame, void *user)
+{
+    pps_peers_t *peers = user;
+    int64_t echo_us;
+
+    switch (frame->kind) {
+    case PPS_FRAME_PING:
+        if (pps_ping_decode(&echo_us, frame->payload, frame->size) != 0) {
+            pps_counter_add(PPS_COUNTER_PEER_FRAMES_MALFORMED, 1);
+            pps_peers_drop_link(peers, link);
+            return;
+        }
+        answer_ping(peers, link, echo_us);
+        break;
+    case PPS_FRAME_PONG:
+        take_pong(peers, link, frame);
+        break;
+    default:
+        take_message(peers, link, frame);
+        break;
+    }
+}
+
+static void
+on_closed(pps_peer_link_t *link, void *user)
+{
+    pps_peers_t *peers = user;
+
+    pps_peers_drop_link(peers, link);
+    cds_list_del(&link->node);
+    pps_peers_handle_closed(peers);
+}
+
+const pps_peer_link_ops_t pps_peers_link_ops = {on_ready, on_frame, on_closed};
+
+static pps_peer_link_t *
+new_link(pps_peers_t *peers)
+{
+    pps_peer_link_t *link;
+
+    if (pps_peer_link_new(&link, &peers->config, &pps_peers_link_ops, peers) !=
+        0) {
+        return NULL;
+    }
+    cds_list_add_tail(&link->node, &peers->links);
+    peers->handles++;
+    return link;
+}
+
+void
+pps_peers_on_connection(uv_stream_t *server, int status)
+{
+    pps_peers_t *peers = server->data;
+    pps_peer_link_t *link;
+
+    if (status != 0 || peers->closing) {
+        return;
+    }
+    link = new_link(peers);
+    if (link == NULL) {
+        return;
+    }
+    pps_peer_link_accept(link, server);
+    if (peers->pending++ >= PPS_PEERS_PENDING_MAX) {
+        pps_peers_drop_link(peers, link);
+    }
+}
+
+static void
+close_idle_links(pps_peers_t *peers, int64_t now_us)
+{
+    pps_peer_link_t *link;
+    pps_peer_link_t *next;
+
+    peers->pending = 0;
+    cds_list_for_each_entry_safe (link, next, &peers->links, node) {
+        int64_t limit = link->state == PPS_LINK_READY ? PPS_PEERS_IDLE_US
+                                                      : PPS_PEERS_HANDSHAKE_US;
+
+        if (link->state < PPS_LINK_READY) {
+            peers->pending++;
+        }
+        if (now_us - link->received_us >= limit &&
+            link->state != PPS_LINK_CLOSING) {
+            pps_counter_add(PPS_COUNTER_PEER_LINKS_GIVEN_UP, 1);
+            pps_peers_drop_link(peers, link);
+        }
+    }
+}
+
+static void
+dial(pps_peers_t *peers, pps_peer_t *peer, int64_t now_us)
+{
+    pps_peer_link_t *link = new_link(peers);
+
+    if (link == NULL) {
+        return;
+    }
+    pps_dial_begin(&peer->dial, now_us);
+    peer->dialled = link;
+    pps_peer_link_connect(link, &peer->host);
+}
+
+static void
+look_at(pps_peers_t *peers, pps_peer_t *peer, int64_t now_us)
+{
+    if (peer->dialled != NULL && pps_dial_is_silent(&peer->dial, now_us)) {
+        pps_counter_add(PPS_COUNTER_PEER_LINKS_GIVEN_UP, 1);
+        pps_peers_drop_link(peers, peer->dialled);
+    }
+    if (peer->listed && peer->dialled == NULL &&
+        pps_dial_is_due(&peer->dial, now_us)) {
+        dial(peers, peer, now_us);
+    }
+    pps_peer_ping(peer, now_us);
+    if (peer->listed && judge(peer, now_us)) {
+        tell_report(peers, peer);
+    }
+}
+
+static int
+is_forgotten(const pps_peer_t *peer)
+{
+    return !peer->listed && peer->dialled == NULL && peer->taken == NULL;
+}
+
+void
+pps_peers_on_tick(int64_t now_us, void *user)
+{
+    pps_peers_t *peers = user;
+    pps_peer_t *peer;
+    pps_peer_t *next;
+
+    close_idle_links(peers, now_us);
+    HASH_ITER (hh, peers->by_id, peer, next) {
+        if (is_forgotten(peer)) {
+            HASH_DEL(peers->by_id, peer);
+            free(peer);
+            continue;
+        }
+        look_at(peers, peer, now_us);
+    }
+}
