--- /dev/null
+++ b/src/libpapayaswitch/serving/evaluate.c
@@ -0,0 +1,146 @@
+/** @file evaluate.c @brief The right to start work, as a pure function. */
+#include "papayaswitch/errors.h"
+#include "papayaswitch/serving.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static int
+is_fresh(const pps_serving_input_t *input, const pps_host_report_t *report)
+{
+    return report->heard_us != PPS_TIME_NONE &&
+           report->echo_us + input->window_us > input->now_us;
+}
+
+static int64_t
+own_evidence(const pps_serving_input_t *input)
+{
+    return input->read_head <= input->next_offset ? input->read_sent_us
+                                                  : PPS_TIME_NONE;
+}
+
+/* The pong left after the ping, so the peer's evidence is no older than its
+ * age counted back from the ping. */
+static int64_t
+peer_evidence(const pps_serving_input_t *input)
+{
+    int64_t best = PPS_TIME_NONE;
+
+    for (size_t i = 0; i < input->report_count; i++) {
+        const pps_host_report_t *report = &input->reports[i];
+        int64_t age = report->status.evidence_age_us;
+
+        if (!is_fresh(input, report) || age < 0 || age > report->echo_us ||
+            report->status.next_offset > input->next_offset) {
+            continue;
+        }
+        if (report->echo_us - age > best) {
+            best = report->echo_us - age;
+        }
+    }
+    return best;
+}
+
+static uint64_t
+highest_heard(const pps_serving_input_t *input)
+{
+    uint64_t highest = 0;
+
+    for (size_t i = 0; i < input->report_count; i++) {
+        if (is_fresh(input, &input->reports[i]) &&
+            input->reports[i].status.next_offset > highest) {
+            highest = input->reports[i].status.next_offset;
+        }
+    }
+    return highest;
+}
+
+static int
+newest_first(const void *left, const void *right)
+{
+    int64_t a = *(const int64_t *)left;
+    int64_t b = *(const int64_t *)right;
+
+    return (a < b) - (a > b);
+}
+
+static int
+counts(const pps_serving_input_t *input, const pps_host_report_t *report)
+{
+    return is_fresh(input, report) && report->status.synced &&
+           strcmp(report->id, input->self_id) != 0 &&
+           pps_host_list_find(input->hosts, report->id) != NULL;
+}
+
+/* A host that is not synced may have acknowledged a revision before it
+ * restarted which it no longer holds: it counts nowhere, not even to itself.
+ */
+static int
+majority_heard(int64_t *out, const pps_serving_input_t *input)
+{
+    size_t needed = pps_host_list_majority(input->hosts);
+    int64_t *times = calloc(input->report_count + 1, sizeof(*times));
+    size_t count = 0;
+
+    *out = PPS_TIME_NONE;
+    if (times == NULL) {
+        return pps_error_set(PPS_ENOMEM, "serving: out of memory");
+    }
+    if (input->synced &&
+        pps_host_list_find(input->hosts, input->self_id) != NULL) {
+        times[count++] = input->now_us;
+    }
+    for (size_t i = 0; i < input->report_count; i++) {
+        if (counts(input, &input->reports[i])) {
+            times[count++] = input->reports[i].echo_us;
+        }
+    }
+    if (count >= needed) {
+        qsort(times, count, sizeof(*times), newest_first);
+        *out = times[needed - 1];
+    }
+    free(times);
+    return PPS_OK;
+}
+
+static void
+consider(pps_serving_verdict_t *out, int64_t since_us, int64_t window_us,
+         pps_serving_reason_t reason)
+{
+    if (since_us != PPS_TIME_NONE &&
+        since_us + window_us > out->valid_until_us) {
+        out->valid_until_us = since_us + window_us;
+        out->reason = reason;
+    }
+}
+
+int
+pps_serving_evaluate(pps_serving_verdict_t *out,
+                     const pps_serving_input_t *input)
+{
+    int64_t own = own_evidence(input);
+    int64_t peer = peer_evidence(input);
+    int behind = highest_heard(input) > input->next_offset;
+    int64_t majority;
+    int error = majority_heard(&majority, input);
+
+    memset(out, 0, sizeof(*out));
+    if (error != 0) {
+        return error;
+    }
+    out->evidence_us = own > peer ? own : peer;
+    out->synced = input->synced || out->evidence_us != PPS_TIME_NONE ||
+                  (majority != PPS_TIME_NONE && !behind);
+    out->reason = behind         ? PPS_SERVING_BEHIND
+                  : !out->synced ? PPS_SERVING_NO_STATE
+                                 : PPS_SERVING_ISOLATED;
+    consider(out, own, input->window_us, PPS_SERVING_OWN_EVIDENCE);
+    if (!behind) {
+        consider(out, peer, input->window_us, PPS_SERVING_PEER_EVIDENCE);
+        consider(out, majority, input->window_us, PPS_SERVING_MAJORITY);
+    }
+    if (out->valid_until_us <= input->now_us) {
+        out->valid_until_us = 0;
+    }
+    return PPS_OK;
+}
