standin-platform and the shared parts of the stand-ins

The router's tests and its demo need the platform's log, list of hosts, rater and weight store on loopback.

--- /dev/null
+++ b/src/standin/common/standin_lagged.c
@@ -0,0 +1,114 @@
+/** @file standin_lagged.c @brief Past values, dropped once outdated. */
+#include "standin_lagged.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+
+typedef struct {
+    struct cds_list_head node;
+    int64_t since_us;
+    json_t *value;
+} past_value_t;
+
+static int
+push(standin_lagged_t *lagged, json_t *value, int64_t since_us)
+{
+    past_value_t *entry = calloc(1, sizeof(*entry));
+
+    if (entry == NULL || value == NULL) {
+        free(entry);
+        json_decref(value);
+        return pps_error_set(PPS_ENOMEM, "lagged value: out of memory");
+    }
+    entry->value = value;
+    entry->since_us = since_us;
+    cds_list_add(&entry->node, &lagged->past);
+    return PPS_OK;
+}
+
+static void
+drop(past_value_t *entry)
+{
+    cds_list_del(&entry->node);
+    json_decref(entry->value);
+    free(entry);
+}
+
+/* Drops what is older than the value that readers see now. */
+static past_value_t *
+visible(standin_lagged_t *lagged)
+{
+    int64_t then = pps_clock_now_us() - lagged->lag_us;
+    past_value_t *found = NULL;
+    past_value_t *entry;
+    past_value_t *next;
+
+    cds_list_for_each_entry_safe (entry, next, &lagged->past, node) {
+        if (found != NULL) {
+            drop(entry);
+        }
+        else if (entry->since_us <= then) {
+            found = entry;
+        }
+    }
+    return found;
+}
+
+int
+standin_lagged_init(standin_lagged_t *lagged, int64_t lag_us, json_t *value)
+{
+    pthread_mutex_init(&lagged->lock, NULL);
+    CDS_INIT_LIST_HEAD(&lagged->past);
+    lagged->lag_us = lag_us;
+    return push(lagged, value, INT64_MIN);
+}
+
+void
+standin_lagged_clear(standin_lagged_t *lagged)
+{
+    past_value_t *entry;
+    past_value_t *next;
+
+    cds_list_for_each_entry_safe (entry, next, &lagged->past, node) {
+        drop(entry);
+    }
+    pthread_mutex_destroy(&lagged->lock);
+}
+
+int
+standin_lagged_set(standin_lagged_t *lagged, json_t *value)
+{
+    int error;
+
+    pthread_mutex_lock(&lagged->lock);
+    error = push(lagged, value, pps_clock_now_us());
+    visible(lagged);
+    pthread_mutex_unlock(&lagged->lock);
+    return error;
+}
+
+void
+standin_lagged_set_lag(standin_lagged_t *lagged, int64_t lag_us)
+{
+    pthread_mutex_lock(&lagged->lock);
+    lagged->lag_us = lag_us;
+    pthread_mutex_unlock(&lagged->lock);
+}
+
+json_t *
+standin_lagged_get(standin_lagged_t *lagged)
+{
+    past_value_t *entry;
+    json_t *value;
+
+    pthread_mutex_lock(&lagged->lock);
+    entry = visible(lagged);
+    if (entry == NULL) {
+        entry = cds_list_entry(lagged->past.prev, past_value_t, node);
+    }
+    value = json_incref(entry->value);
+    pthread_mutex_unlock(&lagged->lock);
+    return value;
+}
--- /dev/null
+++ b/src/standin/common/standin_text.c
@@ -0,0 +1,57 @@
+/** @file standin_text.c @brief Words drawn from hashes. */
+#include "standin_text.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define SYLLABLE_COUNT 32
+#define SYLLABLES_MAX 4
+#define LENGTH_MIN 16
+#define LENGTH_SPREAD 112
+#define BYTES_PER_PROMPT_TOKEN 4
+
+static const char syllables[SYLLABLE_COUNT][3] = {
+    "ba", "be", "bo", "da", "de", "do", "fa", "fe", "ga", "go", "ha",
+    "ka", "ke", "ko", "la", "le", "lo", "ma", "me", "mo", "na", "ne",
+    "no", "pa", "pe", "ra", "re", "ro", "sa", "se", "ta", "te"};
+
+uint64_t
+standin_text_key(const char *version, const char *prompt)
+{
+    uint64_t seed = XXH64(version, strlen(version), 0);
+
+    return XXH64(prompt, strlen(prompt), seed);
+}
+
+void
+standin_text_token(char out[STANDIN_TOKEN_BYTES], uint64_t key, uint64_t index)
+{
+    uint64_t bits = XXH64(&index, sizeof(index), key);
+    size_t count = 1 + bits % SYLLABLES_MAX;
+    size_t at = 0;
+
+    bits /= SYLLABLES_MAX;
+    for (size_t i = 0; i < count; i++) {
+        memcpy(out + at, syllables[bits % SYLLABLE_COUNT], 2);
+        bits /= SYLLABLE_COUNT;
+        at += 2;
+    }
+    out[at] = ' ';
+    out[at + 1] = '\0';
+}
+
+uint64_t
+standin_text_length(const char *prompt, uint64_t max_tokens)
+{
+    uint64_t wanted =
+        LENGTH_MIN + XXH64(prompt, strlen(prompt), 0) % LENGTH_SPREAD;
+
+    return wanted < max_tokens ? wanted : max_tokens;
+}
+
+uint64_t
+standin_text_prompt_tokens(const char *prompt)
+{
+    return (strlen(prompt) + BYTES_PER_PROMPT_TOKEN - 1) /
+           BYTES_PER_PROMPT_TOKEN;
+}
--- /dev/null
+++ b/src/standin/platform/platform_faults.c
@@ -0,0 +1,20 @@
+/** @file platform_faults.c @brief Switches of the platform's faults. */
+#include "platform.h"
+
+int
+platform_faults_get(const struct _u_request *request,
+                    struct _u_response *response, void *user)
+{
+    platform_t *platform = user;
+
+    return standin_faults_get(&platform->faults, response);
+}
+
+int
+platform_faults_put(const struct _u_request *request,
+                    struct _u_response *response, void *user)
+{
+    platform_t *platform = user;
+
+    return standin_faults_put(&platform->faults, request, response);
+}
