standin-service: acts that are counted per key

Tests of at-most-once need an upstream that counts what it ran, can lose the answer of an act that took effect, and refuses stale fencing numbers.

Checked by hand: a lower X-Fencing gets 409; a lost answer leaves run 1.

--- a/src/standin/common/standin_faults.c
+++ b/src/standin/common/standin_faults.c
@@ -2,7 +2,6 @@
 #include "standin_faults.h"
 
 #include "papayaswitch/errors.h"
-#include "standin_refusal.h"
 #include "standin_request.h"
 
 #include <string.h>
@@ -134,6 +133,39 @@
     return left > 0;
 }
 
+int
+standin_faults_affect(standin_faults_t *faults)
+{
+    return standin_faults_int(faults, "count") < 0 ||
+           standin_faults_take(faults, "count");
+}
+
+standin_refusal_t
+standin_faults_refusal(standin_faults_t *faults)
+{
+    standin_refusal_t refusal;
+
+    pthread_mutex_lock(&faults->lock);
+    refusal = standin_refusal_find(
+        json_string_value(json_object_get(faults->values, "refuse")));
+    pthread_mutex_unlock(&faults->lock);
+    if (refusal == STANDIN_REFUSAL_NONE || !standin_faults_affect(faults)) {
+        return STANDIN_REFUSAL_NONE;
+    }
+    return refusal;
+}
+
+int
+standin_faults_on(standin_faults_t *faults, const char *key)
+{
+    int on;
+
+    pthread_mutex_lock(&faults->lock);
+    on = json_is_true(json_object_get(faults->values, key));
+    pthread_mutex_unlock(&faults->lock);
+    return on;
+}
+
 int
 standin_faults_get(standin_faults_t *faults, struct _u_response *response)
 {
--- a/src/standin/common/standin_faults.h
+++ b/src/standin/common/standin_faults.h
@@ -10,12 +10,10 @@
 #define STANDIN_FAULTS_H
 
 #include "http_listener.h"
+#include "standin_refusal.h"
 
 #include <pthread.h>
 
-/** Longest text value of a fault, in bytes with its end. */
-#define STANDIN_FAULT_TEXT_MAX 32
-
 /** The faults in force. */
 typedef struct {
     pthread_mutex_t lock;
@@ -53,6 +51,21 @@
 int
 standin_faults_take(standin_faults_t *faults, const char *key);
 
+/**
+ * Uses up one of `count`, where -1 never ends.
+ * @return whether the faults concern this request
+ */
+int
+standin_faults_affect(standin_faults_t *faults);
+
+/** The refusal that `refuse` asks for; counted by `count`. */
+standin_refusal_t
+standin_faults_refusal(standin_faults_t *faults);
+
+/** Whether a boolean fault is on. */
+int
+standin_faults_on(standin_faults_t *faults, const char *key);
+
 /** Answers `GET /faults`. */
 int
 standin_faults_get(standin_faults_t *faults, struct _u_response *response);
--- /dev/null
+++ b/src/standin/service/service_call.c
@@ -0,0 +1,142 @@
+/** @file service_call.c @brief Acts and lookups, with their faults. */
+#include "service.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+#include "standin_request.h"
+#include "standin_server.h"
+
+#include <stdlib.h>
+
+#define CALL_PREFIX "/call/"
+#define SILENCE_US (30 * PPS_US_PER_S)
+#define NO_KEY "unkeyed"
+
+typedef int (*call_body_t)(service_t *service,
+                           const struct _u_request *request,
+                           struct _u_response *response);
+
+static const char *
+request_key(const struct _u_request *request)
+{
+    const char *key = pps_http_header(request, "X-Request-Key");
+
+    if (key == NULL) {
+        key = pps_http_header(request, "Idempotency-Key");
+    }
+    return key == NULL ? NO_KEY : key;
+}
+
+static void
+echo_request_id(const struct _u_request *request,
+                struct _u_response *response)
+{
+    const char *id = pps_http_header(request, "X-Request-Id");
+
+    if (id != NULL) {
+        u_map_put(response->map_header, "X-Request-Id", id);
+    }
+}
+
+static void
+spend_time(service_t *service)
+{
+    int64_t delay_us =
+        standin_faults_int(&service->faults, "delay_ms") * PPS_US_PER_MS;
+
+    standin_server_sleep_us(service->options.call_us + delay_us);
+}
+
+static int
+in_slot(service_t *service, const struct _u_request *request,
+        struct _u_response *response, call_body_t body)
+{
+    standin_refusal_t refusal = standin_faults_refusal(&service->faults);
+
+    if (refusal != STANDIN_REFUSAL_NONE) {
+        return standin_refuse(response, refusal);
+    }
+    if (standin_faults_on(&service->faults, "silent")) {
+        standin_server_sleep_us(SILENCE_US);
+        standin_request_abort(request);
+        return U_CALLBACK_COMPLETE;
+    }
+    refusal = service_enter(service);
+    if (refusal != STANDIN_REFUSAL_NONE) {
+        return standin_refuse(response, refusal);
+    }
+    body(service, request, response);
+    service_leave(service);
+    return U_CALLBACK_COMPLETE;
+}
+
+static int
+count_run(service_t *service, const struct _u_request *request,
+          const char *key, uint64_t *run)
+{
+    const char *text = pps_http_header(request, "X-Fencing");
+    uint64_t fencing = text == NULL ? 0 : strtoull(text, NULL, 10);
+
+    return call_store_run(&service->calls, key,
+                          service->options.checks_fencing ? &fencing : NULL,
+                          run);
+}
+
+static int
+run_act(service_t *service, const struct _u_request *request,
+        struct _u_response *response)
+{
+    const char *key = request_key(request);
+    uint64_t run = 0;
+    char *path;
+    int error;
+
+    spend_time(service);
+    error = count_run(service, request, key, &run);
+    if (error < 0) {
+        return standin_refuse(response, error == PPS_EREFUSED
+                                            ? STANDIN_REFUSAL_STALE_FENCING
+                                            : STANDIN_REFUSAL_BROKEN);
+    }
+    if (standin_faults_take(&service->faults, "lose_answer")) {
+        standin_request_abort(request);
+        return U_CALLBACK_COMPLETE;
+    }
+    path = standin_request_tail(request, CALL_PREFIX);
+    echo_request_id(request, response);
+    pps_http_reply_json(response, 200,
+                        json_pack("{s:s,s:I,s:s,s:s}", "key", key, "run",
+                                  (json_int_t)run, "path", path, "worker",
+                                  service->options.id));
+    free(path);
+    return U_CALLBACK_COMPLETE;
+}
+
+static int
+run_lookup(service_t *service, const struct _u_request *request,
+           struct _u_response *response)
+{
+    char *path = standin_request_tail(request, CALL_PREFIX);
+
+    spend_time(service);
+    echo_request_id(request, response);
+    pps_http_reply_json(response, 200,
+                        json_pack("{s:s,s:s}", "path", path, "worker",
+                                  service->options.id));
+    free(path);
+    return U_CALLBACK_COMPLETE;
+}
+
+int
+service_call_act(const struct _u_request *request,
+                 struct _u_response *response, void *user)
+{
+    return in_slot(user, request, response, run_act);
+}
+
+int
+service_call_lookup(const struct _u_request *request,
+                    struct _u_response *response, void *user)
+{
+    return in_slot(user, request, response, run_lookup);
+}
