--- a/src/standin/common/standin_faults.c
+++ b/src/standin/common/standin_faults.c
@@ -53,7 +53,8 @@
     if (!json_is_object(change)) {
         return pps_error_set(PPS_EINVALID, "faults: no JSON object");
     }
-    json_object_foreach ((json_t *)change, key, value) {
+    json_object_foreach((json_t *)change, key, value)
+    {
         if (strcmp(key, KEY_RESET) == 0) {
             continue;
         }
--- a/src/standin/common/standin_refusal.c
+++ b/src/standin/common/standin_refusal.c
@@ -53,9 +53,8 @@
 int
 standin_refuse_malformed(struct _u_response *response)
 {
-    pps_http_reply_json(
-        response, 400,
-        json_pack("{s:s,s:s}", "error", "malformed", "detail",
-                  pps_error_last()));
+    pps_http_reply_json(response, 400,
+                        json_pack("{s:s,s:s}", "error", "malformed", "detail",
+                                  pps_error_last()));
     return U_CALLBACK_COMPLETE;
 }
--- a/src/standin/common/standin_request.c
+++ b/src/standin/common/standin_request.c
@@ -63,8 +63,7 @@
         socklen_t size = sizeof(peer);
 
         if (getpeername(fd, (struct sockaddr *)&peer, &size) == 0 &&
-            peer.sin_family == AF_INET &&
-            peer.sin_port == caller->sin_port &&
+            peer.sin_family == AF_INET && peer.sin_port == caller->sin_port &&
             peer.sin_addr.s_addr == caller->sin_addr.s_addr) {
             return fd;
         }
--- a/src/standin/common/standin_server.c
+++ b/src/standin/common/standin_server.c
@@ -5,14 +5,16 @@
 #include "papayaswitch/errors.h"
 
 #include <errno.h>
-#include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 #define PATH_BYTES_MAX 4096
 #define SLEEP_SLICE_US (20 * PPS_US_PER_MS)
+#define NS_PER_US 1000L
+#define NS_PER_S 1000000000L
 
 static atomic_int stopping;
 
@@ -34,14 +36,34 @@
     }
 }
 
+void
+standin_server_wait(pthread_cond_t *condition, pthread_mutex_t *lock)
+{
+    struct timespec until;
+
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    until.tv_nsec += SLEEP_SLICE_US * NS_PER_US;
+    until.tv_sec += until.tv_nsec / NS_PER_S;
+    until.tv_nsec %= NS_PER_S;
+    pthread_cond_clockwait(condition, lock, CLOCK_MONOTONIC, &until);
+}
+
 static void
-block_signals(sigset_t *signals)
+fill_signals(sigset_t *signals)
 {
-    signal(SIGPIPE, SIG_IGN);
     sigemptyset(signals);
     sigaddset(signals, SIGTERM);
     sigaddset(signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, signals, NULL);
+}
+
+void
+standin_server_prepare(void)
+{
+    sigset_t signals;
+
+    signal(SIGPIPE, SIG_IGN);
+    fill_signals(&signals);
+    pthread_sigmask(SIG_BLOCK, &signals, NULL);
 }
 
 static int
@@ -97,7 +119,7 @@
     int signal_number;
     int error;
 
-    block_signals(&signals);
+    fill_signals(&signals);
     error = start(server, routes, count, user);
     if (error == 0) {
         sigwait(&signals, &signal_number);
--- a/src/standin/common/standin_server.h
+++ b/src/standin/common/standin_server.h
@@ -8,6 +8,8 @@
 #include "http_listener.h"
 #include "standin_options.h"
 
+#include <pthread.h>
+
 /** Where to serve; the fields are targets of STANDIN_SERVER_OPTIONS(). */
 typedef struct {
     const char *address;
@@ -37,6 +39,10 @@
     pps_http_handler_t handler;
 } standin_route_t;
 
+/** Takes SIGTERM and SIGINT off all threads; call it before any starts. */
+void
+standin_server_prepare(void);
+
 /** Binds, adds the routes, serves until SIGTERM or SIGINT, and stops. */
 int
 standin_server_run(standin_server_t *server, const standin_route_t *routes,
@@ -50,4 +56,8 @@
 void
 standin_server_sleep_us(int64_t us);
 
+/** Waits on a condition, but only so long that a stop is soon noticed. */
+void
+standin_server_wait(pthread_cond_t *condition, pthread_mutex_t *lock);
+
 #endif
--- /dev/null
+++ b/src/standin/engine/prefix_cache.c
@@ -0,0 +1,135 @@
+/** @file prefix_cache.c @brief Bounded LRU of prompt prefixes. */
+#include "prefix_cache.h"
+
+#include "clock.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define EVENT_GAP_EVERY 16
+#define HEX_BYTES 17
+
+void
+prefix_cache_init(prefix_cache_t *cache, size_t capacity)
+{
+    memset(cache, 0, sizeof(*cache));
+    CDS_INIT_LIST_HEAD(&cache->recent);
+    cache->capacity = capacity;
+}
+
+static void
+note_event(prefix_cache_t *cache, uint64_t hash, int stored)
+{
+    cache->events[cache->event_head % PREFIX_EVENTS_MAX] =
+        (prefix_event_t){pps_clock_now_us(), hash, stored};
+    cache->event_head++;
+}
+
+static void
+evict(prefix_cache_t *cache, prefix_entry_t *entry)
+{
+    note_event(cache, entry->hash, 0);
+    cds_list_del(&entry->node);
+    HASH_DEL(cache->entries, entry);
+    free(entry);
+    cache->count--;
+}
+
+void
+prefix_cache_clear(prefix_cache_t *cache)
+{
+    prefix_entry_t *entry;
+    prefix_entry_t *next;
+
+    cds_list_for_each_entry_safe (entry, next, &cache->recent, node) {
+        evict(cache, entry);
+    }
+}
+
+static void
+store(prefix_cache_t *cache, uint64_t hash)
+{
+    prefix_entry_t *entry = calloc(1, sizeof(*entry));
+
+    if (entry == NULL || cache->capacity == 0) {
+        free(entry);
+        return;
+    }
+    if (cache->count == cache->capacity) {
+        evict(cache, cds_list_entry(cache->recent.prev, prefix_entry_t, node));
+    }
+    entry->hash = hash;
+    HASH_ADD(hh, cache->entries, hash, sizeof(entry->hash), entry);
+    cds_list_add(&entry->node, &cache->recent);
+    cache->count++;
+    note_event(cache, hash, 1);
+}
+
+/* @return whether the prefix was cached */
+static int
+touch(prefix_cache_t *cache, uint64_t hash)
+{
+    prefix_entry_t *entry;
+
+    HASH_FIND(hh, cache->entries, &hash, sizeof(hash), entry);
+    if (entry == NULL) {
+        store(cache, hash);
+        return 0;
+    }
+    cds_list_move(&entry->node, &cache->recent);
+    return 1;
+}
+
+size_t
+prefix_cache_use(prefix_cache_t *cache, const char *version,
+                 const char *prompt)
+{
+    size_t length = strlen(prompt);
+    uint64_t hash = XXH64(version, strlen(version), 0);
+    size_t missed = 0;
+
+    for (size_t at = 0; at + PREFIX_BLOCK_BYTES <= length;
+         at += PREFIX_BLOCK_BYTES) {
+        hash = XXH64(prompt + at, PREFIX_BLOCK_BYTES, hash);
+        if (!touch(cache, hash) || missed > 0) {
+            missed++;
+        }
+    }
+    return missed + (length % PREFIX_BLOCK_BYTES != 0);
+}
+
+static json_t *
+event_json(const prefix_event_t *event, uint64_t sequence)
+{
+    char hex[HEX_BYTES];
+
+    snprintf(hex, sizeof(hex), "%016" PRIx64, event->hash);
+    return json_pack("{s:I,s:s,s:s}", "seq", (json_int_t)sequence, "action",
+                     event->stored ? "stored" : "evicted", "hash", hex);
+}
+
+json_t *
+prefix_cache_events(const prefix_cache_t *cache, uint64_t from,
+                    int64_t until_us)
+{
+    json_t *list = json_array();
+    uint64_t first = cache->event_head < PREFIX_EVENTS_MAX
+                         ? 0
+                         : cache->event_head - PREFIX_EVENTS_MAX;
+    uint64_t at = from > first ? from : first;
+
+    for (; at < cache->event_head; at++) {
+        const prefix_event_t *event = &cache->events[at % PREFIX_EVENTS_MAX];
+
+        if (event->time_us > until_us) {
+            break;
+        }
+        if (at % EVENT_GAP_EVERY != EVENT_GAP_EVERY - 1) {
+            json_array_append_new(list, event_json(event, at));
+        }
+    }
+    return json_pack("{s:I,s:o}", "head", (json_int_t)at, "events", list);
+}
--- a/src/standin/platform/append_rate.c
+++ b/src/standin/platform/append_rate.c
@@ -24,8 +24,8 @@
 int
 append_rate_take(append_rate_t *rate, int64_t now_us)
 {
-    double earned = (double)(now_us - rate->filled_us) / PPS_US_PER_S *
-                    rate->per_second;
+    double earned =
+        (double)(now_us - rate->filled_us) / PPS_US_PER_S * rate->per_second;
 
     rate->filled_us = now_us;
     rate->tokens += earned;
--- a/src/standin/platform/log_service.c
+++ b/src/standin/platform/log_service.c
@@ -8,11 +8,8 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define BASE64 sodium_base64_VARIANT_ORIGINAL
-#define WAIT_SLICE_NS 50000000L
-#define NS_PER_S 1000000000L
 
 void
 log_service_init(log_service_t *log, int appends_per_second,
@@ -82,7 +79,8 @@
     if (!json_is_array(records) || json_array_size(records) == 0) {
         return pps_error_set(PPS_EINVALID, "no records");
     }
-    json_array_foreach (records, index, record) {
+    json_array_foreach(records, index, record)
+    {
         unsigned char *data;
         size_t size;
         int error;
@@ -135,7 +133,8 @@
     json_t *record;
     int error = PPS_OK;
 
-    json_array_foreach (records, index, record) {
+    json_array_foreach(records, index, record)
+    {
         const char *text = json_string_value(record);
 
         if (standin_faults_take(log->faults, "corrupt_next")) {
@@ -153,8 +152,8 @@
 }
 
 int
-log_service_append(log_service_t *log, const char *name,
-                   const json_t *records, uint64_t *first_offset)
+log_service_append(log_service_t *log, const char *name, const json_t *records,
+                   uint64_t *first_offset)
 {
     log_stream_t *stream;
     int error = check_records(records);
@@ -178,19 +177,6 @@
     return error;
 }
 
-static void
-wait_slice(log_service_t *log)
-{
-    struct timespec until;
-
-    clock_gettime(CLOCK_MONOTONIC, &until);
-    until.tv_nsec += WAIT_SLICE_NS;
-    until.tv_sec += until.tv_nsec / NS_PER_S;
-    until.tv_nsec %= NS_PER_S;
-    pthread_cond_clockwait(&log->appended, &log->lock, CLOCK_MONOTONIC,
-                           &until);
-}
-
 static int
 keeps_waiting(log_service_t *log, const log_stream_t *stream,
               const log_read_t *read, int64_t end_us)
@@ -215,7 +201,7 @@
         goto done;
     }
     while (keeps_waiting(log, stream, read, end_us)) {
-        wait_slice(log);
+        standin_server_wait(&log->appended, &log->lock);
     }
     *out = json_pack("{s:I,s:I}", "first", (json_int_t)stream->first, "head",
                      (json_int_t)stream->head);
--- a/src/standin/platform/log_service.h
+++ b/src/standin/platform/log_service.h
@@ -40,8 +40,8 @@
  * @return 0; PPS_EINVALID; PPS_ELIMIT above the rate; PPS_ENOMEM
  */
 int
-log_service_append(log_service_t *log, const char *name,
-                   const json_t *records, uint64_t *first_offset);
+log_service_append(log_service_t *log, const char *name, const json_t *records,
+                   uint64_t *first_offset);
 
 /**
  * Reads a stream; waits for a record while there is none at `read->from`.
--- a/src/standin/platform/log_stream.c
+++ b/src/standin/platform/log_stream.c
@@ -56,8 +56,7 @@
     if (record.data == NULL) {
         return pps_error_set(PPS_ENOMEM, "record: out of memory");
     }
-    if (stream->head - stream->first == stream->capacity &&
-        grow(stream) < 0) {
+    if (stream->head - stream->first == stream->capacity && grow(stream) < 0) {
         free(record.data);
         return PPS_ENOMEM;
     }
@@ -83,10 +82,10 @@
     for (uint64_t at = from; at < stream->head && at - from < limit; at++) {
         const log_record_t *record = slot(stream, at);
 
-        json_array_append_new(
-            list, json_pack("{s:I,s:I,s:s}", "offset", (json_int_t)at,
-                            "time_us", (json_int_t)record->time_us, "data",
-                            record->data));
+        json_array_append_new(list, json_pack("{s:I,s:I,s:s}", "offset",
+                                              (json_int_t)at, "time_us",
+                                              (json_int_t)record->time_us,
+                                              "data", record->data));
     }
     return list;
 }
--- a/src/standin/platform/main.c
+++ b/src/standin/platform/main.c
@@ -34,8 +34,7 @@
 {
     return json_pack("{s:s,s:i,s:i,s:i,s:i,s:i}", "log", "up", "slow_ms", 0,
                      "drop_acks", 0, "retain", options->retain_records,
-                     "hosts_lag_ms", options->hosts_lag_ms, "corrupt_next",
-                     0);
+                     "hosts_lag_ms", options->hosts_lag_ms, "corrupt_next", 0);
 }
 
 static void
@@ -47,8 +46,7 @@
 
     standin_lagged_set_lag(&platform->hosts, lag_ms * PPS_US_PER_MS);
     if (retain != NULL) {
-        log_service_trim(&platform->log,
-                         (uint64_t)json_integer_value(retain));
+        log_service_trim(&platform->log, (uint64_t)json_integer_value(retain));
     }
     log_service_wake(&platform->log);
 }
@@ -57,8 +55,8 @@
 platform_init(platform_t *platform, const platform_options_t *options)
 {
     json_t *hosts = json_pack("{s:[],s:[]}", "entries", "workers");
-    int error = standin_faults_init(&platform->faults,
-                                    default_faults(options));
+    int error =
+        standin_faults_init(&platform->faults, default_faults(options));
 
     platform->faults.changed = faults_changed;
     platform->faults.user = platform;
@@ -110,10 +108,11 @@
     if (standin_options_parse(options, COUNT_OF(options), argc, argv) < 0) {
         return EXIT_FAILURE;
     }
+    standin_server_prepare();
     error = platform_init(&platform, &chosen);
     if (error == 0) {
-        error = standin_server_run(&server, routes, COUNT_OF(routes),
-                                   &platform);
+        error =
+            standin_server_run(&server, routes, COUNT_OF(routes), &platform);
         platform_clear(&platform);
     }
     if (error < 0) {
--- a/src/standin/platform/platform_log.c
+++ b/src/standin/platform/platform_log.c
@@ -106,8 +106,8 @@
     log_read_t read = {
         .from = (uint64_t)standin_request_int(request, "from", 0),
         .limit = limit < 0 ? 0 : (uint64_t)limit,
-        .wait_us = (wait_ms > WAIT_MS_MAX ? WAIT_MS_MAX : wait_ms) *
-                   PPS_US_PER_MS,
+        .wait_us =
+            (wait_ms > WAIT_MS_MAX ? WAIT_MS_MAX : wait_ms) * PPS_US_PER_MS,
     };
 
     return read;
--- a/src/standin/platform/ratings.c
+++ b/src/standin/platform/ratings.c
@@ -32,7 +32,8 @@
     if (!json_is_array(added)) {
         return pps_error_set(PPS_EINVALID, "ratings: no JSON array");
     }
-    json_array_foreach (added, index, rating) {
+    json_array_foreach(added, index, rating)
+    {
         const json_t *score = json_object_get(rating, "score");
         double value = json_number_value(score);
 
@@ -58,7 +59,8 @@
         error = pps_error_set(PPS_ELIMIT, "too many ratings");
         goto done;
     }
-    json_array_foreach (added, index, rating) {
+    json_array_foreach(added, index, rating)
+    {
         json_t *copy = json_copy(rating);
         size_t offset = json_array_size(ratings->list);
 
--- a/src/standin/platform/weight_store.h
+++ b/src/standin/platform/weight_store.h
@@ -17,8 +17,7 @@
 } weight_store_t;
 
 void
-weight_store_init(weight_store_t *store, int concurrency,
-                  int64_t transfer_us);
+weight_store_init(weight_store_t *store, int concurrency, int64_t transfer_us);
 
 void
 weight_store_clear(weight_store_t *store);
--- a/src/standin/service/main.c
+++ b/src/standin/service/main.c
@@ -50,6 +50,7 @@
     if (standin_options_parse(options, COUNT_OF(options), argc, argv) < 0) {
         return EXIT_FAILURE;
     }
+    standin_server_prepare();
     error = service_init(&service, &chosen);
     if (error == 0) {
         error =
--- a/src/standin/service/service.c
+++ b/src/standin/service/service.c
@@ -26,10 +26,10 @@
     service->options = *options;
     pthread_mutex_init(&service->lock, NULL);
     call_store_init(&service->calls);
-    error = standin_faults_init(
-        &service->faults,
-        json_pack("{s:s,s:i,s:i,s:i,s:b}", "refuse", "none", "count", -1,
-                  "lose_answer", 0, "delay_ms", 0, "silent", 0));
+    error = standin_faults_init(&service->faults,
+                                json_pack("{s:s,s:i,s:i,s:i,s:b}", "refuse",
+                                          "none", "count", -1, "lose_answer",
+                                          0, "delay_ms", 0, "silent", 0));
     if (error == 0) {
         error = standin_lagged_init(&service->load,
                                     options->load_lag_ms * PPS_US_PER_MS,
--- a/src/standin/service/service_call.c
+++ b/src/standin/service/service_call.c
@@ -28,8 +28,7 @@
 }
 
 static void
-echo_request_id(const struct _u_request *request,
-                struct _u_response *response)
+echo_request_id(const struct _u_request *request, struct _u_response *response)
 {
     const char *id = pps_http_header(request, "X-Request-Id");
 
@@ -120,9 +119,9 @@
 
     spend_time(service);
     echo_request_id(request, response);
-    pps_http_reply_json(response, 200,
-                        json_pack("{s:s,s:s}", "path", path, "worker",
-                                  service->options.id));
+    pps_http_reply_json(
+        response, 200,
+        json_pack("{s:s,s:s}", "path", path, "worker", service->options.id));
     free(path);
     return U_CALLBACK_COMPLETE;
 }
