--- a/include/papayaswitch/errors.h
+++ b/include/papayaswitch/errors.h
@@ -38,7 +38,15 @@
  * `return pps_error_set(PPS_EIO, "%s: ...", path);`. A macro, so that static
  * analysis sees which number is returned.
  */
-#define pps_error_set(code, ...) (pps_error_detail(__VA_ARGS__), (code))
+#define pps_error_set(code, ...)                                              \
+    (pps_error_detail(__VA_ARGS__), pps_error_pass(code))
+
+/** Its argument; lets pps_error_set() stand as a statement too. */
+static inline int
+pps_error_pass(int code)
+{
+    return code;
+}
 
 /** The detail of this thread's last failure; never NULL. */
 const char *
