--- a/src/util/http_client.c
+++ b/src/util/http_client.c
@@ -415,6 +415,16 @@
     }
 }
 
+static void
+copy_content_type(pps_http_response_t *out, const pps_http_stream_t *stream)
+{
+    char *type = NULL;
+
+    curl_easy_getinfo(stream->easy, CURLINFO_CONTENT_TYPE, &type);
+    snprintf(out->content_type, sizeof(out->content_type), "%s",
+             type ? type : "");
+}
+
 int
 pps_http_client_call(pps_http_response_t *out, pps_http_client_t *client,
                      const pps_http_request_t *request)
@@ -431,6 +441,7 @@
     }
     out->status = stream->status;
     out->retry_after_s = stream->retry_after_s;
+    copy_content_type(out, stream);
     do {
         int64_t left_ms = (deadline - pps_clock_now_us()) / PPS_US_PER_MS;
 
--- a/src/util/http_client.h
+++ b/src/util/http_client.h
@@ -37,10 +37,14 @@
     int fresh_connection;
 } pps_http_request_t;
 
+/** Room for a content type, its end included. */
+#define PPS_HTTP_CONTENT_TYPE_BYTES 96
+
 /** A whole answer; free with pps_http_response_clear(). */
 typedef struct {
     int status;
     int retry_after_s; /**< -1 when the header is absent */
+    char content_type[PPS_HTTP_CONTENT_TYPE_BYTES];
     pps_buf_t body;
 } pps_http_response_t;
 
