Release notes: parser, catalog, apply with conflicts, diff

One table of attributes a kind of object drives all of them.

Changed contracts: the public objects carry `note`, the id of the note that last changed them; pps_note_digest tells two notes with one id apart; a note that would make the catalog larger than 512 KiB is refused, so that a checkpoint always fits a record.

--- a/include/papayaswitch/catalog.h
+++ b/include/papayaswitch/catalog.h
@@ -38,6 +38,7 @@
     double quality;    /**< expected rating in [0, 1] before evidence */
     double exposure;   /**< largest share of its model's requests, (0, 1] */
     uint64_t revision; /**< revision that last changed it */
+    const char *note;  /**< id of the note that last changed it */
 } pps_version_t;
 
 /** A caller's workspace: section `[workspace NAME]`. */
@@ -52,6 +53,7 @@
     const char *const *services; /**< names of service upstreams it may use */
     size_t service_count;
     uint64_t revision;
+    const char *note;
 } pps_workspace_t;
 
 /** What stands behind an upstream. */
@@ -69,6 +71,7 @@
     const char *const *idempotent;
     size_t idempotent_count;
     uint64_t revision;
+    const char *note;
 } pps_upstream_t;
 
 /** A model is the set of versions that share its name. */
--- a/include/papayaswitch/note.h
+++ b/include/papayaswitch/note.h
@@ -40,6 +40,13 @@
 uint64_t
 pps_note_base(const pps_note_t *note);
 
+/**
+ * Digest of the text. Two notes with one id but unlike digests are two notes
+ * of which only the first in the log counts.
+ */
+uint64_t
+pps_note_digest(const pps_note_t *note);
+
 /** The text as it was parsed, zero-ended. */
 const char *
 pps_note_text(const pps_note_t *note, size_t *size);
--- /dev/null
+++ b/src/libpapayaswitch/catalog/catalog_apply.c
@@ -0,0 +1,246 @@
+/** @file catalog_apply.c @brief Catalog and note to the next catalog. */
+#include "catalog/catalog_codec.h"
+#include "catalog/catalog_private.h"
+
+#include "note/note_section.h"
+#include "papayaswitch/errors.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+typedef struct {
+    const pps_catalog_t *base;
+    pps_catalog_t *next;
+    const pps_note_t *note;
+    const char *file;
+    pps_findings_t *findings;
+    int conflicts;
+    size_t changes;
+} applier_t;
+
+static void
+check_overtaken(applier_t *applier, const pps_note_section_t *section,
+                const pps_object_t *object)
+{
+    if (object->revision <= applier->note->base) {
+        return;
+    }
+    applier->conflicts++;
+    pps_findings_add(applier->findings, applier->file, section->line,
+                     "%s %s was changed by note %s at revision %" PRIu64
+                     ", after base %" PRIu64,
+                     pps_schema(section->kind)->word, section->name,
+                     object->note, object->revision, applier->note->base);
+}
+
+static void
+remove_items(applier_t *applier, pps_name_list_t *list,
+             const pps_note_key_t *key)
+{
+    for (size_t i = 0; i < key->value.list.count; i++) {
+        if (pps_name_list_remove(list, key->value.list.items[i]) < 0) {
+            pps_findings_add(applier->findings, applier->file, key->line,
+                             "'%s' is not in %s", key->value.list.items[i],
+                             key->attribute->key);
+        }
+    }
+}
+
+static int
+change_list(applier_t *applier, pps_object_t *object,
+            const pps_note_key_t *key)
+{
+    pps_value_t present;
+    pps_value_t changed;
+    int error;
+
+    memset(&changed, 0, sizeof(changed));
+    pps_value_load(&present, key->attribute, &object->as);
+    error = pps_name_list_merge(&changed.list, &present.list);
+    if (error == PPS_OK && key->operation == PPS_NOTE_ADD) {
+        error = pps_name_list_merge(&changed.list, &key->value.list);
+    }
+    else if (error == PPS_OK) {
+        remove_items(applier, &changed.list, key);
+    }
+    if (error == PPS_OK) {
+        error = pps_value_store(&object->as, key->attribute, &changed);
+    }
+    pps_value_clear(&changed);
+    return error;
+}
+
+static int
+apply_operation(applier_t *applier, pps_object_t *object,
+                const pps_note_section_t *section,
+                pps_note_operation_t operation)
+{
+    const pps_note_key_t *key;
+    int error = PPS_OK;
+
+    cds_list_for_each_entry (key, &section->keys, node) {
+        if (key->operation != operation || key->faulty || error < 0) {
+            continue;
+        }
+        error = operation == PPS_NOTE_SET
+                    ? pps_value_store(&object->as, key->attribute, &key->value)
+                    : change_list(applier, object, key);
+    }
+    return error;
+}
+
+static int
+apply_keys(applier_t *applier, pps_object_t *object,
+           const pps_note_section_t *section)
+{
+    int error = apply_operation(applier, object, section, PPS_NOTE_SET);
+
+    if (error == PPS_OK) {
+        error = apply_operation(applier, object, section, PPS_NOTE_ADD);
+    }
+    if (error == PPS_OK) {
+        error = apply_operation(applier, object, section, PPS_NOTE_REMOVE);
+    }
+    return error;
+}
+
+static void
+check_required(applier_t *applier, const pps_note_section_t *section)
+{
+    const pps_schema_t *schema = pps_schema(section->kind);
+
+    for (size_t i = 0; i < schema->attribute_count; i++) {
+        const pps_attribute_t *attribute = &schema->attributes[i];
+
+        if (attribute->fallback == NULL &&
+            pps_note_key_find(section, attribute) == NULL) {
+            pps_findings_add(applier->findings, applier->file, section->line,
+                             "new %s %s needs the key %s", schema->word,
+                             section->name, attribute->key);
+        }
+    }
+}
+
+static int
+apply_section(applier_t *applier, const pps_note_section_t *section)
+{
+    const pps_object_t *before =
+        pps_catalog_find(applier->base, section->kind, section->name);
+    pps_object_t *object =
+        pps_catalog_find(applier->next, section->kind, section->name);
+    int error = PPS_OK;
+
+    if (before != NULL) {
+        check_overtaken(applier, section, before);
+    }
+    else {
+        check_required(applier, section);
+    }
+    if (object == NULL) {
+        error = pps_object_new(&object, section->kind, section->name);
+        if (error < 0) {
+            return error;
+        }
+        pps_catalog_insert(applier->next, object);
+    }
+    error = apply_keys(applier, object, section);
+    if (error < 0 || (before != NULL && pps_object_equal(before, object))) {
+        return error;
+    }
+    applier->changes++;
+    return pps_object_stamp(object, applier->next->revision,
+                            pps_note_id(applier->note));
+}
+
+static int
+apply_sections(applier_t *applier)
+{
+    const pps_note_section_t *section;
+
+    cds_list_for_each_entry (section, &applier->note->sections, node) {
+        int error = apply_section(applier, section);
+
+        if (error < 0) {
+            return error;
+        }
+    }
+    return PPS_OK;
+}
+
+static void
+check_base(applier_t *applier)
+{
+    if (applier->note->base > applier->base->revision) {
+        pps_findings_add(applier->findings, applier->file, applier->note->line,
+                         "base %" PRIu64 " is above the revision in force, "
+                         "%" PRIu64,
+                         applier->note->base, applier->base->revision);
+    }
+}
+
+static void
+check_changes(applier_t *applier)
+{
+    if (applier->changes == 0 && !applier->note->faulty &&
+        applier->conflicts == 0) {
+        pps_findings_add(applier->findings, applier->file, applier->note->line,
+                         "the note changes nothing");
+    }
+}
+
+static int
+check_size(applier_t *applier)
+{
+    size_t size;
+    int error = pps_catalog_encoded_size(&size, applier->next);
+
+    if (error == PPS_OK && size > PPS_CATALOG_BYTES_MAX) {
+        pps_findings_add(applier->findings, applier->file, applier->note->line,
+                         "the catalog would grow to %zu bytes, more than %d",
+                         size, PPS_CATALOG_BYTES_MAX);
+    }
+    return error;
+}
+
+int
+pps_catalog_apply(pps_catalog_t **out, const pps_catalog_t *base,
+                  const pps_note_t *note, const char *file,
+                  pps_findings_t *findings)
+{
+    applier_t applier = {
+        .base = base, .note = note, .file = file, .findings = findings};
+    size_t before = pps_findings_count(findings);
+    int error = pps_catalog_copy(&applier.next, base);
+
+    *out = NULL;
+    if (error < 0) {
+        return error;
+    }
+    applier.next->revision++;
+    check_base(&applier);
+    error = apply_sections(&applier);
+    if (error < 0) {
+        goto done;
+    }
+    pps_catalog_check(applier.next, note, file, findings);
+    check_changes(&applier);
+    error = check_size(&applier);
+    if (error < 0) {
+        goto done;
+    }
+    if (applier.conflicts > 0) {
+        error = pps_error_set(PPS_ECONFLICT, "%s: overtaken", file);
+        goto done;
+    }
+    if (note->faulty || pps_findings_count(findings) > before) {
+        error = pps_error_set(PPS_EINVALID, "%s: the note has findings", file);
+        goto done;
+    }
+    pps_catalog_seal(applier.next);
+    *out = applier.next;
+    applier.next = NULL;
+
+done:
+    pps_catalog_free(applier.next);
+    return error;
+}
--- /dev/null
+++ b/src/libpapayaswitch/catalog/catalog_diff.c
@@ -0,0 +1,106 @@
+/** @file catalog_diff.c @brief What differs between two catalogs. */
+#include "catalog/catalog_private.h"
+
+#include "papayaswitch/errors.h"
+
+typedef struct {
+    void (*line)(const char *text, void *user);
+    void *user;
+} differ_t;
+
+static int
+emit(const differ_t *differ, pps_buf_t *text)
+{
+    int error = text->failed ? PPS_ENOMEM : PPS_OK;
+
+    if (error == PPS_OK) {
+        differ->line(pps_buf_text(text), differ->user);
+    }
+    pps_buf_clear(text);
+    return error;
+}
+
+static int
+emit_word(const differ_t *differ, const pps_object_t *object, const char *word)
+{
+    pps_buf_t text = PPS_BUF_INIT;
+
+    pps_buf_printf(&text, "%s %s: %s", pps_schema(object->kind)->word,
+                   object->name, word);
+    return emit(differ, &text);
+}
+
+static int
+diff_value(const differ_t *differ, const pps_object_t *before,
+           const pps_object_t *after, const pps_attribute_t *attribute)
+{
+    pps_buf_t text = PPS_BUF_INIT;
+    pps_value_t old;
+    pps_value_t new;
+
+    pps_value_load(&new, attribute, &after->as);
+    pps_buf_printf(&text, "%s %s: %s ", pps_schema(after->kind)->word,
+                   after->name, attribute->key);
+    if (before != NULL) {
+        pps_value_load(&old, attribute, &before->as);
+        if (pps_value_equal(attribute, &old, &new)) {
+            pps_buf_clear(&text);
+            return PPS_OK;
+        }
+        pps_value_print(&text, attribute, &old);
+        pps_buf_puts(&text, " -> ");
+    }
+    pps_value_print(&text, attribute, &new);
+    return emit(differ, &text);
+}
+
+static int
+diff_object(const differ_t *differ, const pps_object_t *before,
+            const pps_object_t *after)
+{
+    const pps_schema_t *schema = pps_schema(after->kind);
+    int error = PPS_OK;
+
+    if (before == NULL) {
+        error = emit_word(differ, after, "added");
+    }
+    for (size_t i = 0; i < schema->attribute_count && error == PPS_OK; i++) {
+        error = diff_value(differ, before, after, &schema->attributes[i]);
+    }
+    return error;
+}
+
+static int
+diff_kind(const differ_t *differ, const pps_catalog_t *before,
+          const pps_catalog_t *after, pps_object_kind_t kind)
+{
+    const pps_object_t *object;
+    int error = PPS_OK;
+
+    for (object = after->objects[kind]; object != NULL && error == PPS_OK;
+         object = object->hh.next) {
+        error = diff_object(
+            differ, pps_catalog_find(before, kind, object->name), object);
+    }
+    for (object = before->objects[kind]; object != NULL && error == PPS_OK;
+         object = object->hh.next) {
+        if (pps_catalog_find(after, kind, object->name) == NULL) {
+            error = emit_word(differ, object, "removed");
+        }
+    }
+    return error;
+}
+
+int
+pps_catalog_diff(const pps_catalog_t *before, const pps_catalog_t *after,
+                 void (*line)(const char *text, void *user), void *user)
+{
+    differ_t differ = {line, user};
+    int error = PPS_OK;
+
+    for (int kind = 0; kind < PPS_OBJECT_KIND_COUNT && error == PPS_OK;
+         kind++) {
+        error = diff_kind(&differ, before, after, (pps_object_kind_t)kind);
+    }
+    return error;
+}
--- a/src/util/ini_lines.c
+++ b/src/util/ini_lines.c
@@ -6,13 +6,17 @@
 #include <ctype.h>
 #include <errno.h>
 #include <ini.h>
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define LINE_BYTES 180
-#define SECTION_BYTES 48
+#define LINE_BYTES 8000
+#define LIBRARY_LINE_BYTES (LINE_BYTES + 3)
+#define SECTION_BYTES 64
 #define FILE_BYTES_MAX (1 << 20)
 
+static pthread_once_t limit_lifted = PTHREAD_ONCE_INIT;
+
 typedef struct {
     const char *at;
     const char *end;
@@ -114,6 +118,15 @@
     return 1;
 }
 
+/* libinih takes its limits from globals and reads 200 bytes by default. */
+static void
+lift_line_limit(void)
+{
+    ini_use_stack = false;
+    ini_max_line = LIBRARY_LINE_BYTES;
+    ini_initial_alloc = LIBRARY_LINE_BYTES;
+}
+
 int
 pps_ini_read(const char *text, size_t size, const char *file,
              const pps_ini_handler_t *handler, void *user,
@@ -126,6 +139,7 @@
                        .user = user,
                        .findings = findings};
 
+    pthread_once(&limit_lifted, lift_line_limit);
     if (ini_parse_stream(read_line, &reader, take_key, &reader) == -2) {
         return pps_error_set(PPS_ENOMEM, "%s: out of memory", file);
     }
