Router: control thread, feeds, caller and operator interfaces, daemon, command

The whole path as separate processes: papayaswitchd folds the config and work streams on one control thread, traffic threads answer chat completions and service calls; papayaswitch publishes notes, follows their stages and merges the events of all hosts.

--- /dev/null
+++ b/src/cli/note_publish.c
@@ -0,0 +1,373 @@
+/** @file note_publish.c @brief `note publish` and `note status`. */
+#include "clock.h"
+#include "command.h"
+#include "ini_lines.h"
+#include "papayaswitch/errors.h"
+#include "papayaswitch/findings.h"
+#include "papayaswitch/log_http.h"
+#include "papayaswitch/note.h"
+#include "papayaswitch/record.h"
+#include "papayaswitch/serving.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define APPEND_ATTEMPTS 20
+#define APPEND_PAUSE_US (100 * PPS_US_PER_MS)
+#define POLL_PAUSE_US (50 * PPS_US_PER_MS)
+#define TIMEOUT_DEFAULT_S 30
+
+/** How far a publish is followed. */
+typedef struct {
+    const char *platform;
+    const char *note_id;
+    pps_publish_stage_t wanted;
+    int64_t deadline_us;
+    pps_host_list_t hosts;
+    pps_publish_report_t *reports;
+    uint64_t revision; /**< that the note made, once accepted by the fold */
+    char reason[256];  /**< why it was rejected */
+    int rejected;
+    pps_publish_stage_t stage;
+    int known; /**< a host has folded the note */
+} publish_t;
+
+static int
+append_note(const char *platform, const char *text, size_t size)
+{
+    pps_log_backend_t *log = NULL;
+    pps_log_blob_t blob = {0};
+    void *record = NULL;
+    uint64_t offset;
+    int error = pps_log_http_new(&log, platform);
+
+    if (error == 0) {
+        error = pps_record_encode(&record, &blob.size, PPS_RECORD_NOTE, text,
+                                  size);
+        blob.data = record;
+    }
+    if (error < 0) {
+        goto done;
+    }
+    /* The note's id makes a repeated append the same note. */
+    for (int i = 0; i < APPEND_ATTEMPTS; i++) {
+        error = log->append(log, PPS_STREAM_CONFIG, &blob, 1, &offset);
+        if (error == 0) {
+            break;
+        }
+        pps_clock_sleep_us(APPEND_PAUSE_US);
+    }
+
+done:
+    free(record);
+    if (log != NULL) {
+        log->free(log);
+    }
+    return error;
+}
+
+static void
+take_verdict(publish_t *publish, const json_t *notes)
+{
+    size_t index;
+    json_t *note;
+
+    json_array_foreach(json_object_get(notes, "notes"), index, note)
+    {
+        const char *id = json_string_value(json_object_get(note, "id"));
+        const char *reason =
+            json_string_value(json_object_get(note, "reason"));
+
+        if (id == NULL || strcmp(id, publish->note_id) != 0) {
+            continue;
+        }
+        publish->known = 1;
+        publish->rejected = !json_is_true(json_object_get(note, "accepted"));
+        publish->revision =
+            (uint64_t)json_integer_value(json_object_get(note, "revision"));
+        snprintf(publish->reason, sizeof(publish->reason), "%s",
+                 reason ? reason : "");
+    }
+}
+
+static void
+ask_host(publish_t *publish, size_t index)
+{
+    const pps_host_t *host = &publish->hosts.hosts[index];
+    pps_host_report_t report = {.echo_us = pps_clock_now_us()};
+    json_t *status = pps_cli_ask(host, "/status");
+
+    if (status == NULL) {
+        return;
+    }
+    report.heard_us = pps_clock_now_us();
+    snprintf(report.id, sizeof(report.id), "%s", host->id);
+    report.status.incarnation =
+        (uint64_t)json_integer_value(json_object_get(status, "incarnation"));
+    report.status.revision =
+        (uint64_t)json_integer_value(json_object_get(status, "revision"));
+    pps_publish_report_update(&publish->reports[index], &report,
+                              publish->revision);
+    json_decref(status);
+}
+
+static void
+find_verdict(publish_t *publish)
+{
+    for (size_t i = 0; i < publish->hosts.count && !publish->known; i++) {
+        json_t *notes = pps_cli_ask(&publish->hosts.hosts[i], "/notes");
+
+        take_verdict(publish, notes);
+        json_decref(notes);
+    }
+}
+
+static void
+print_missing(const pps_publish_status_t *status)
+{
+    for (size_t i = 0; i < status->missing_count; i++) {
+        printf("missing: %s\n", status->missing[i]);
+    }
+}
+
+static int
+evaluate(publish_t *publish, int last)
+{
+    pps_publish_input_t input = PPS_PUBLISH_INPUT_INIT;
+    pps_publish_status_t status = {0};
+    int error;
+
+    for (size_t i = 0; i < publish->hosts.count; i++) {
+        ask_host(publish, i);
+    }
+    input.hosts = &publish->hosts;
+    input.reports = publish->reports;
+    input.report_count = publish->hosts.count;
+    input.revision = publish->revision;
+    input.now_us = pps_clock_now_us();
+    error = pps_publish_evaluate(&status, &input);
+    if (error == 0 && status.stage > publish->stage) {
+        publish->stage = status.stage;
+        printf("%s: %s\n", publish->note_id,
+               pps_publish_stage_name(status.stage));
+        fflush(stdout);
+    }
+    if (last) {
+        print_missing(&status);
+    }
+    pps_publish_status_clear(&status);
+    return error;
+}
+
+static void
+init_reports(publish_t *publish)
+{
+    for (size_t i = 0; i < publish->hosts.count; i++) {
+        pps_publish_report_t *report = &publish->reports[i];
+
+        snprintf(report->id, sizeof(report->id), "%s",
+                 publish->hosts.hosts[i].id);
+        report->held_since_us = PPS_TIME_NONE;
+        report->asked_us = PPS_TIME_NONE;
+    }
+}
+
+static int
+follow(publish_t *publish)
+{
+    int error = pps_cli_hosts(&publish->hosts, publish->platform);
+
+    if (error < 0) {
+        return error;
+    }
+    publish->reports =
+        calloc(publish->hosts.count + 1, sizeof(*publish->reports));
+    if (publish->reports == NULL) {
+        return pps_error_set(PPS_ENOMEM, "publish: out of memory");
+    }
+    init_reports(publish);
+    while (pps_clock_now_us() < publish->deadline_us) {
+        if (!publish->known) {
+            find_verdict(publish);
+        }
+        if (publish->rejected) {
+            return pps_error_set(PPS_ECONFLICT, "rejected: %s",
+                                 publish->reason);
+        }
+        if (publish->known && evaluate(publish, 0) == 0 &&
+            publish->stage >= publish->wanted) {
+            return PPS_OK;
+        }
+        pps_clock_sleep_us(POLL_PAUSE_US);
+    }
+    evaluate(publish, 1);
+    return pps_error_set(PPS_ETIMEOUT, "reached only: %s",
+                         publish->known
+                             ? pps_publish_stage_name(publish->stage)
+                             : "appended, not folded by any host");
+}
+
+static int
+run_follow(publish_t *publish)
+{
+    int error = follow(publish);
+
+    if (error < 0) {
+        fprintf(stderr, "%s: %s\n", publish->note_id, pps_error_last());
+    }
+    free(publish->reports);
+    pps_host_list_clear(&publish->hosts);
+    return error < 0 ? PPS_EXIT_FINDINGS : PPS_EXIT_OK;
+}
+
+static int
+read_note(pps_note_t **out, char **text, size_t *size, const char *path)
+{
+    pps_findings_t *findings = NULL;
+    int error = pps_file_read(text, size, path);
+
+    if (error < 0) {
+        fprintf(stderr, "%s\n", pps_error_last());
+        return error;
+    }
+    error = pps_findings_new(&findings);
+    if (error == 0) {
+        error = pps_note_parse(out, *text, *size, path, findings);
+        pps_findings_print(findings, stderr);
+    }
+    pps_findings_free(findings);
+    return error;
+}
+
+static int
+publish_file(const char *path, publish_t *publish, int wait)
+{
+    pps_note_t *note = NULL;
+    char *text = NULL;
+    size_t size = 0;
+    int status = PPS_EXIT_FINDINGS;
+
+    if (read_note(&note, &text, &size, path) < 0) {
+        goto done;
+    }
+    publish->note_id = pps_note_id(note);
+    if (append_note(publish->platform, text, size) < 0) {
+        fprintf(stderr, "%s: %s\n", path, pps_error_last());
+        goto done;
+    }
+    printf("%s: appended\n", publish->note_id);
+    fflush(stdout);
+    status = wait ? run_follow(publish) : PPS_EXIT_OK;
+
+done:
+    pps_note_free(note);
+    free(text);
+    return status;
+}
+
+static int
+parse_stage(pps_publish_stage_t *out, const char *text)
+{
+    for (int i = PPS_PUBLISH_PUBLISHED; i <= PPS_PUBLISH_IN_FORCE; i++) {
+        if (strcmp(text, pps_publish_stage_name((pps_publish_stage_t)i)) ==
+            0) {
+            *out = (pps_publish_stage_t)i;
+            return PPS_OK;
+        }
+    }
+    fputs("--wait: published, accepted or in_force\n", stderr);
+    return PPS_EINVALID;
+}
+
+/** Arguments that both commands share. */
+typedef struct {
+    struct arg_str *platform;
+    struct arg_str *wait;
+    struct arg_int *timeout;
+    struct arg_lit *help;
+    struct arg_end *end;
+} arguments_t;
+
+static void
+make_arguments(arguments_t *arguments)
+{
+    arguments->platform =
+        arg_str1("p", "platform", "URL", "the platform's service");
+    arguments->wait = arg_str0(NULL, "wait", "STAGE",
+                               "follow until published, accepted, in_force");
+    arguments->timeout =
+        arg_int0(NULL, "timeout", "SECONDS", "how long to follow (30)");
+    arguments->help = arg_lit0("h", "help", "show this help");
+    arguments->end = arg_end(8);
+    arguments->timeout->ival[0] = TIMEOUT_DEFAULT_S;
+}
+
+static int
+fill_publish(publish_t *publish, const arguments_t *arguments)
+{
+    memset(publish, 0, sizeof(*publish));
+    publish->platform = arguments->platform->sval[0];
+    publish->deadline_us =
+        pps_clock_now_us() + arguments->timeout->ival[0] * PPS_US_PER_S;
+    if (arguments->wait->count == 0) {
+        return PPS_OK;
+    }
+    return parse_stage(&publish->wanted, arguments->wait->sval[0]);
+}
+
+int
+pps_cli_note_publish(int argc, char **argv)
+{
+    struct arg_file *file = arg_file1(NULL, NULL, "FILE", "a release note");
+    arguments_t arguments;
+    publish_t publish;
+    int status;
+
+    make_arguments(&arguments);
+
+    void *table[] = {file,           arguments.platform,
+                     arguments.wait, arguments.timeout,
+                     arguments.help, arguments.end};
+
+    status = pps_cli_parse(argc, argv, table, arguments.help, arguments.end,
+                           "Publishes a release note.");
+    if (status < 0) {
+        status = fill_publish(&publish, &arguments) < 0
+                     ? PPS_EXIT_USAGE
+                     : publish_file(file->filename[0], &publish,
+                                    arguments.wait->count > 0);
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return status;
+}
+
+int
+pps_cli_note_status(int argc, char **argv)
+{
+    struct arg_str *id = arg_str1(NULL, NULL, "ID", "id of a note");
+    arguments_t arguments;
+    publish_t publish;
+    int status;
+
+    make_arguments(&arguments);
+
+    void *table[] = {id,
+                     arguments.platform,
+                     arguments.wait,
+                     arguments.timeout,
+                     arguments.help,
+                     arguments.end};
+
+    status = pps_cli_parse(argc, argv, table, arguments.help, arguments.end,
+                           "Tells how far a note has come.");
+    if (status < 0) {
+        status = PPS_EXIT_USAGE;
+        if (fill_publish(&publish, &arguments) == 0) {
+            publish.note_id = id->sval[0];
+            status = run_follow(&publish);
+        }
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return status;
+}
--- /dev/null
+++ b/src/cli/timeline.c
@@ -0,0 +1,210 @@
+/** @file timeline.c @brief `papayaswitch timeline`: all hosts' events. */
+#include "command.h"
+#include "papayaswitch/errors.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define US_PER_S 1000000LL
+
+/** Keeps events whose field `key` equals `value`; NULL value: all. */
+typedef struct {
+    const char *key;
+    const char *value;
+} filter_t;
+
+#define FILTER_COUNT 4
+
+static int
+passes(const json_t *event, const filter_t filters[FILTER_COUNT])
+{
+    for (int i = 0; i < FILTER_COUNT; i++) {
+        const char *text;
+
+        if (filters[i].value == NULL) {
+            continue;
+        }
+        text = json_string_value(json_object_get(event, filters[i].key));
+        if (text == NULL || strcmp(text, filters[i].value) != 0) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
+static long long
+number_of(const json_t *event, const char *key)
+{
+    return json_integer_value(json_object_get(event, key));
+}
+
+static int
+compare(const void *a, const void *b)
+{
+    const json_t *x = *(json_t *const *)a;
+    const json_t *y = *(json_t *const *)b;
+    long long by_time = number_of(x, "time_us") - number_of(y, "time_us");
+    long long by_seq = number_of(x, "seq") - number_of(y, "seq");
+    long long order = by_time != 0 ? by_time : by_seq;
+
+    return (order > 0) - (order < 0);
+}
+
+static int
+is_common_field(const char *key)
+{
+    return strcmp(key, "time_us") == 0 || strcmp(key, "seq") == 0 ||
+           strcmp(key, "host") == 0 || strcmp(key, "kind") == 0 ||
+           strcmp(key, "incarnation") == 0;
+}
+
+static void
+print_event(const json_t *event)
+{
+    long long time_us = number_of(event, "time_us");
+    time_t seconds = time_us / US_PER_S;
+    struct tm parts;
+    char when[16];
+    const char *key;
+    json_t *value;
+
+    gmtime_r(&seconds, &parts);
+    strftime(when, sizeof(when), "%H:%M:%S", &parts);
+    printf("%s.%06lld %-12s %-18s", when, time_us % US_PER_S,
+           json_string_value(json_object_get(event, "host")),
+           json_string_value(json_object_get(event, "kind")));
+    json_object_foreach((json_t *)event, key, value)
+    {
+        if (is_common_field(key)) {
+            continue;
+        }
+        if (json_is_string(value)) {
+            printf(" %s=%s", key, json_string_value(value));
+        }
+        else {
+            printf(" %s=%lld", key, (long long)json_integer_value(value));
+        }
+    }
+    putchar('\n');
+}
+
+static void
+collect(json_t *all, const pps_host_t *host,
+        const filter_t filters[FILTER_COUNT])
+{
+    json_t *answer = pps_cli_ask(host, "/events");
+    size_t index;
+    json_t *event;
+
+    if (answer == NULL) {
+        fprintf(stderr, "%s: %s\n", host->id, pps_error_last());
+        return;
+    }
+    json_array_foreach(json_object_get(answer, "events"), index, event)
+    {
+        if (passes(event, filters)) {
+            json_array_append(all, event);
+        }
+    }
+    json_decref(answer);
+}
+
+static void
+add_file(json_t *all, const char *path, const filter_t filters[FILTER_COUNT])
+{
+    json_t *saved = json_load_file(path, 0, NULL);
+    size_t index;
+    json_t *event;
+
+    json_array_foreach(json_is_array(saved) ? saved
+                                            : json_object_get(saved, "events"),
+                       index, event)
+    {
+        if (passes(event, filters)) {
+            json_array_append(all, event);
+        }
+    }
+    if (saved == NULL) {
+        fprintf(stderr, "%s: no JSON\n", path);
+    }
+    json_decref(saved);
+}
+
+static void
+print_merged(json_t *all, int as_json)
+{
+    size_t count = json_array_size(all);
+    json_t **events = calloc(count + 1, sizeof(json_t *));
+
+    if (events == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < count; i++) {
+        events[i] = json_array_get(all, i);
+    }
+    qsort(events, count, sizeof(json_t *), compare);
+    if (as_json) {
+        json_t *sorted = json_array();
+
+        for (size_t i = 0; i < count; i++) {
+            json_array_append(sorted, events[i]);
+        }
+        pps_cli_print_json(sorted);
+        json_decref(sorted);
+    }
+    for (size_t i = 0; i < count && !as_json; i++) {
+        print_event(events[i]);
+    }
+    free((void *)events);
+}
+
+int
+pps_cli_timeline(int argc, char **argv)
+{
+    struct arg_str *platform =
+        arg_str1("p", "platform", "URL", "the platform's service");
+    struct arg_str *request =
+        arg_str0(NULL, "request", "ID", "only events of this request");
+    struct arg_str *session =
+        arg_str0(NULL, "session", "ID", "only events of this session");
+    struct arg_str *note =
+        arg_str0(NULL, "note", "ID", "only events of this note");
+    struct arg_str *kind =
+        arg_str0(NULL, "kind", "KIND", "only events of this kind");
+    struct arg_file *saved = arg_filen(
+        NULL, "file", "FILE", 0, 16, "add events saved from a host that left");
+    struct arg_lit *as_json = arg_lit0(NULL, "json", "print JSON");
+    struct arg_lit *help = arg_lit0("h", "help", "show this help");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {platform, request, session, note, kind,
+                     saved,    as_json, help,    end};
+    pps_host_list_t hosts = PPS_HOST_LIST_INIT;
+    json_t *all = json_array();
+    int status = pps_cli_parse(argc, argv, table, help, end,
+                               "Merges the events of all hosts.");
+
+    if (status < 0) {
+        const filter_t filters[FILTER_COUNT] = {
+            {"request", request->count ? request->sval[0] : NULL},
+            {"session", session->count ? session->sval[0] : NULL},
+            {"note", note->count ? note->sval[0] : NULL},
+            {"kind", kind->count ? kind->sval[0] : NULL}};
+
+        status = pps_cli_hosts(&hosts, platform->sval[0]) < 0
+                     ? PPS_EXIT_FINDINGS
+                     : PPS_EXIT_OK;
+        for (size_t i = 0; i < hosts.count; i++) {
+            collect(all, &hosts.hosts[i], filters);
+        }
+        for (int i = 0; i < saved->count; i++) {
+            add_file(all, saved->filename[i], filters);
+        }
+        print_merged(all, as_json->count > 0);
+        pps_host_list_clear(&hosts);
+    }
+    json_decref(all);
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return status;
+}
--- /dev/null
+++ b/src/libpapayaswitch/router/chat.c
@@ -0,0 +1,279 @@
+/** @file chat.c @brief Completions: session, answer, whole reply. */
+#include "chat.h"
+
+#include "clock.h"
+#include "counters.h"
+#include "event.h"
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define READ_WAIT_MS 100
+#define AFFINITY_PREFIX_BYTES 256
+
+static int
+may_start(void *user)
+{
+    return pps_router_may_start(user);
+}
+
+static int
+may_retry(void *user)
+{
+    return 1;
+}
+
+static uint64_t
+affinity(const pps_chat_t *chat)
+{
+    const pps_buf_t *prompt = &chat->request.prompt;
+    size_t size = prompt->size < AFFINITY_PREFIX_BYTES ? prompt->size
+                                                       : AFFINITY_PREFIX_BYTES;
+
+    if (chat->call.session[0] != '\0') {
+        return XXH64(chat->call.session, strlen(chat->call.session), 1);
+    }
+    return XXH64(pps_buf_text(prompt), size, 2);
+}
+
+static void
+fill_options(pps_chat_t *chat, pps_answer_options_t *options)
+{
+    pps_router_t *router = chat->call.router;
+
+    options->engine = router->engine;
+    options->catalog = chat->call.catalog;
+    options->workspace = chat->call.workspace;
+    options->workers = chat->workers;
+    options->rng = &chat->call.rng;
+    options->failure_domain = router->settings.failure_domain;
+    options->request_id = chat->call.request_id;
+    options->model = chat->request.model;
+    options->kind = chat->call.kind;
+    options->pinned = chat->pinned[0] != '\0' ? chat->pinned : NULL;
+    options->prompt = pps_buf_text(&chat->request.prompt);
+    options->max_tokens = chat->request.max_tokens;
+    options->affinity = affinity(chat);
+    options->deadline_us = chat->call.deadline_us;
+    options->answer_timeout_ms = router->settings.answer_timeout_ms;
+    options->silence_timeout_ms = router->settings.silence_timeout_ms;
+    options->may_start = may_start;
+    options->may_retry = may_retry;
+    options->user = router;
+}
+
+static pps_api_error_t
+code_of(int error)
+{
+    switch (error) {
+    case PPS_ENOTFOUND:
+        return PPS_API_MODEL_NOT_FOUND;
+    case PPS_EINVALID:
+        return PPS_API_NOT_ALLOWED;
+    case PPS_EEXPIRED:
+        return PPS_API_VERSION_WITHDRAWN;
+    case PPS_ECLOSED:
+        return PPS_API_NOT_SERVING;
+    case PPS_ETIMEOUT:
+        return PPS_API_DEADLINE;
+    case PPS_EUNAVAILABLE:
+    case PPS_EREFUSED:
+    case PPS_ELIMIT:
+        return PPS_API_NO_CAPACITY;
+    default:
+        return PPS_API_INTERNAL;
+    }
+}
+
+static const char *
+message_of(int error)
+{
+    switch (error) {
+    case PPS_ENOTFOUND:
+        return "there is no such model";
+    case PPS_EINVALID:
+        return "the workspace may use no version of this model";
+    case PPS_EEXPIRED:
+        return "the session's version was withdrawn; start a new session";
+    case PPS_ECLOSED:
+        return "this host starts no work now; ask another one";
+    case PPS_ETIMEOUT:
+        return "the deadline passed before the request could start";
+    default:
+        return "no worker can take the request now";
+    }
+}
+
+/* A new session's version is proposed by the choice and pinned by the log. */
+static int
+propose_version(pps_chat_t *chat)
+{
+    pps_choice_version_input_t input = PPS_CHOICE_VERSION_INPUT_INIT;
+    pps_choice_version_t choice;
+    int error;
+
+    input.catalog = chat->call.catalog;
+    input.workspace = chat->call.workspace;
+    input.model = chat->request.model;
+    input.kind = chat->call.kind;
+    input.rng = &chat->call.rng;
+    error = pps_choice_version(&choice, &input);
+    if (error == 0) {
+        memcpy(chat->pinned, choice.version->name,
+               strlen(choice.version->name) + 1);
+    }
+    return error;
+}
+
+static int
+resolve_session(pps_chat_t *chat, struct _u_response *response)
+{
+    pps_call_t *call = &chat->call;
+    pps_journal_t *journal = call->router->journal;
+    int error;
+
+    if (call->session[0] == '\0') {
+        return PPS_OK;
+    }
+    if (pps_journal_pinned(chat->pinned, journal, call->workspace->name,
+                           call->session) == 0) {
+        pps_journal_touch(journal, call->workspace->name, call->session);
+        return PPS_OK;
+    }
+    error = propose_version(chat);
+    if (error < 0) {
+        pps_call_refuse(call, response, code_of(error), 0, message_of(error));
+        return error;
+    }
+    error = pps_journal_pin(
+        chat->pinned, journal, call->workspace->name, call->session,
+        (uint32_t)call->workspace->session_idle_s, call->deadline_us);
+    if (error < 0) {
+        pps_call_refuse(call, response, PPS_API_LOG_UNAVAILABLE, 0,
+                        "a new session cannot be pinned to a version now");
+        return error;
+    }
+    pps_event_record("session_pinned",
+                     PPS_FIELDS(PPS_STR("request", call->request_id),
+                                PPS_STR("session", call->session),
+                                PPS_STR("version", chat->pinned)));
+    return PPS_OK;
+}
+
+static int
+open_answer(pps_chat_t *chat, struct _u_response *response)
+{
+    pps_answer_options_t options = PPS_ANSWER_OPTIONS_INIT;
+    pps_answer_refusal_t refusal = {0};
+    pps_answer_usage_t usage;
+    int error;
+
+    chat->workers = pps_worker_board_acquire(chat->call.router->workers);
+    fill_options(chat, &options);
+    error = pps_answer_open(&chat->answer, &options, &refusal);
+    if (error < 0) {
+        pps_call_refuse(&chat->call, response, code_of(error),
+                        refusal.retry_after_us, message_of(error));
+        return error;
+    }
+    pps_answer_usage(chat->answer, &usage);
+    u_map_put(response->map_header, "X-Model-Version", usage.version);
+    return PPS_OK;
+}
+
+static int
+decode_body(pps_chat_t *chat, const struct _u_request *request,
+            struct _u_response *response)
+{
+    int error = pps_chat_request_decode(&chat->request, request->binary_body,
+                                        request->binary_body_length);
+
+    if (error < 0) {
+        pps_call_refuse(&chat->call, response, PPS_API_INVALID_REQUEST, 0,
+                        pps_error_last());
+        return error;
+    }
+    chat->reply.request_id = chat->call.request_id;
+    chat->reply.model = chat->request.model;
+    chat->reply.created_s = pps_clock_wall_us() / PPS_US_PER_S;
+    return PPS_OK;
+}
+
+int
+pps_chat_bill(pps_chat_t *chat, const pps_answer_usage_t *usage)
+{
+    pps_event_record(
+        "request_done",
+        PPS_FIELDS(PPS_STR("request", chat->call.request_id),
+                   PPS_STR("workspace", chat->call.workspace->name),
+                   PPS_STR("version", usage->version),
+                   PPS_INT("tokens", usage->generated_tokens),
+                   PPS_INT("attempts", usage->attempts)));
+    return PPS_OK;
+}
+
+static void
+reply_whole(pps_chat_t *chat, struct _u_response *response)
+{
+    pps_answer_usage_t usage;
+    int got;
+
+    do {
+        got = pps_answer_read(chat->answer, &chat->out, READ_WAIT_MS);
+    } while (got > 0);
+    pps_answer_usage(chat->answer, &usage);
+    if (got < 0) {
+        pps_call_refuse(&chat->call, response, PPS_API_UPSTREAM_FAILED, 0,
+                        pps_error_last());
+        return;
+    }
+    if (pps_chat_bill(chat, &usage) < 0) {
+        pps_call_refuse(&chat->call, response, PPS_API_BILL_UNSAFE, 0,
+                        "the answer's bill could not be made safe");
+        return;
+    }
+    pps_counter_add(PPS_COUNTER_REQUESTS_OK, 1);
+    pps_http_reply_json(
+        response, 200,
+        pps_chat_reply_whole(&chat->reply, pps_buf_text(&chat->out), &usage));
+}
+
+void
+pps_chat_free(pps_chat_t *chat)
+{
+    pps_answer_close(chat->answer);
+    pps_worker_view_free(chat->workers);
+    pps_chat_request_clear(&chat->request);
+    pps_buf_clear(&chat->out);
+    pps_call_end(&chat->call);
+    free(chat);
+}
+
+int
+pps_chat_handle(const struct _u_request *request, struct _u_response *response,
+                void *user)
+{
+    pps_chat_t *chat = calloc(1, sizeof(*chat));
+
+    if (chat == NULL) {
+        return U_CALLBACK_ERROR;
+    }
+    if (pps_call_begin(&chat->call, user, request, response) < 0) {
+        free(chat);
+        return U_CALLBACK_COMPLETE;
+    }
+    if (decode_body(chat, request, response) < 0 ||
+        resolve_session(chat, response) < 0 ||
+        open_answer(chat, response) < 0) {
+        pps_chat_free(chat);
+        return U_CALLBACK_COMPLETE;
+    }
+    if (chat->request.stream) {
+        return pps_chat_stream(chat, response);
+    }
+    reply_whole(chat, response);
+    pps_chat_free(chat);
+    return U_CALLBACK_COMPLETE;
+}
--- /dev/null
+++ b/src/libpapayaswitch/router/router_state.h
@@ -0,0 +1,98 @@
+/**
+ * @file router_state.h
+ * @brief The parts of one host and which thread owns them.
+ */
+#ifndef PPS_ROUTER_ROUTER_STATE_H
+#define PPS_ROUTER_ROUTER_STATE_H
+
+#include "config_feed.h"
+#include "control/mailbox.h"
+#include "http_listener.h"
+#include "papayaswitch/answer.h"
+#include "papayaswitch/journal.h"
+#include "papayaswitch/log_backend.h"
+#include "papayaswitch/peers.h"
+#include "papayaswitch/router.h"
+#include "papayaswitch/service.h"
+#include "papayaswitch/serving.h"
+#include "papayaswitch/worker_view.h"
+#include "platform_feed.h"
+#include "status.h"
+#include "timer.h"
+#include "work_feed.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <uv.h>
+
+struct pps_router {
+    pps_settings_t settings;
+    uint64_t incarnation;
+
+    /* Control thread only. */
+    uv_loop_t loop;
+    uv_timer_t tick;
+    pps_timers_t timers;
+    pps_timer_t serving_timer;
+    pps_timer_t journal_timer;
+    pps_timer_t checkpoint_timer;
+    pps_timer_t status_timer;
+    pps_peers_t *peers;
+    pps_host_list_t hosts;
+    pps_config_feed_t config;
+    pps_work_feed_t work;
+    int synced;
+    int64_t snapshot_asked_us;
+
+    /* Set before the threads start, safe from any of them. */
+    pthread_t control;
+    int control_running;
+    pps_mailbox_t mailbox;
+    pps_log_backend_t *log;
+    pps_journal_t *journal;
+    pps_engine_backend_t *engine;
+    pps_service_backend_t *service;
+    pps_worker_board_t *workers;
+    pps_platform_feed_t *platform;
+    pps_http_listener_t *callers;
+    pps_http_listener_t *operators;
+    unsigned int peer_port;
+
+    /* Shared, each with its own protection. */
+    pps_serving_t serving;
+    pthread_mutex_t catalog_lock;
+    pps_catalog_t *catalog;
+    pps_status_t status;
+    atomic_int draining;
+    atomic_int in_progress;
+};
+
+/** The catalog in force with a reference for the caller. Any thread. */
+pps_catalog_t *
+pps_router_catalog(pps_router_t *router);
+
+/** Replaces the catalog in force. Control thread. */
+void
+pps_router_set_catalog(pps_router_t *router, const pps_catalog_t *catalog);
+
+/** Whether new work may start on this host now. Any thread. */
+int
+pps_router_may_start(pps_router_t *router);
+
+/** Starts and stops the control thread (control.c). */
+int
+pps_control_start(pps_router_t *router);
+void
+pps_control_stop(pps_router_t *router);
+
+/** Evaluates the right to serve and tells the peers. Control thread. */
+void
+pps_control_evaluate(pps_router_t *router);
+
+/** Adds the endpoints of callers and operators. */
+int
+pps_caller_api_add(pps_router_t *router);
+int
+pps_operator_api_add(pps_router_t *router);
+
+#endif
--- /dev/null
+++ b/src/libpapayaswitch/router/service_call.c
@@ -0,0 +1,421 @@
+/** @file service_call.c @brief Calls of plain services, once or repeatable. */
+#include "service_call.h"
+
+#include "call.h"
+#include "clock.h"
+#include "counters.h"
+#include "event.h"
+#include "papayaswitch/choice.h"
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ATTEMPTS_MAX 4
+#define PATH_PREFIX "/v1/services/"
+
+/** One call of a plain service. */
+typedef struct {
+    pps_call_t call;
+    const pps_upstream_t *upstream;
+    pps_worker_view_t *workers;
+    pps_service_request_t request;
+    const char *tried[ATTEMPTS_MAX];
+    size_t tried_count;
+    pps_choice_worker_t choice;
+    pps_service_answer_t answer;
+} service_call_t;
+
+static int
+is_listed(const char *const *names, size_t count, const char *name)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(names[i], name) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static int
+find_upstream(service_call_t *service, const struct _u_request *request,
+              struct _u_response *response)
+{
+    const pps_workspace_t *workspace = service->call.workspace;
+    const char *name = u_map_get(request->map_url, "upstream");
+    const pps_upstream_t *upstream =
+        name ? pps_catalog_upstream(service->call.catalog, name) : NULL;
+
+    if (upstream == NULL || upstream->kind != PPS_UPSTREAM_SERVICE) {
+        pps_call_refuse(&service->call, response, PPS_API_NOT_FOUND, 0,
+                        "there is no such service");
+        return PPS_ENOTFOUND;
+    }
+    if (!is_listed(workspace->services, workspace->service_count, name)) {
+        pps_call_refuse(&service->call, response, PPS_API_NOT_ALLOWED, 0,
+                        "the workspace may not use this service");
+        return PPS_EINVALID;
+    }
+    service->upstream = upstream;
+    return PPS_OK;
+}
+
+/* The part behind `/v1/services/NAME/`, with its query, as it was sent. */
+static const char *
+service_path(const struct _u_request *request)
+{
+    const char *path = strstr(request->http_url, PATH_PREFIX);
+
+    path = path ? strchr(path + strlen(PATH_PREFIX), '/') : NULL;
+    return path ? path + 1 : "";
+}
+
+static int
+is_repeatable(const service_call_t *service)
+{
+    const pps_upstream_t *upstream = service->upstream;
+    const char *method = service->request.method;
+
+    if (strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0) {
+        return 1;
+    }
+    for (size_t i = 0; i < upstream->idempotent_count; i++) {
+        const char *prefix = upstream->idempotent[i];
+
+        prefix += prefix[0] == '/';
+        if (strncmp(service->request.path, prefix, strlen(prefix)) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static int
+choose_worker(service_call_t *service)
+{
+    pps_choice_worker_input_t input = PPS_CHOICE_WORKER_INPUT_INIT;
+
+    input.workers = service->workers;
+    input.upstream = service->upstream->name;
+    input.failure_domain = service->call.router->settings.failure_domain;
+    input.tried.names = service->tried;
+    input.tried.count = service->tried_count;
+    input.now_us = pps_clock_now_us();
+    input.rng = &service->call.rng;
+    return pps_choice_worker(&service->choice, &input);
+}
+
+static int
+time_left_ms(const service_call_t *service)
+{
+    int64_t left_ms =
+        (service->call.deadline_us - pps_clock_now_us()) / PPS_US_PER_MS;
+    int most = service->call.router->settings.answer_timeout_ms;
+
+    return left_ms < most ? (int)left_ms : most;
+}
+
+static int
+send_once(service_call_t *service)
+{
+    pps_router_t *router = service->call.router;
+    const pps_worker_t *worker = service->choice.worker;
+    pps_refusal_answer_t refusal = {PPS_REFUSAL_NONE, -1};
+    int timeout_ms = time_left_ms(service);
+    int error;
+
+    if (timeout_ms <= 0) {
+        return pps_error_set(PPS_ELIMIT, "the deadline has passed");
+    }
+    if (!pps_router_may_start(router)) {
+        return pps_error_set(PPS_ECLOSED, "this host starts no work now");
+    }
+    pps_event_record(
+        "service_called",
+        PPS_FIELDS(
+            PPS_STR("request", service->call.request_id),
+            PPS_STR("workspace", service->call.workspace->name),
+            PPS_STR("worker", worker->id),
+            PPS_STR("key", service->request.key ? service->request.key : ""),
+            PPS_INT("fencing", service->request.fencing)));
+    pps_worker_started(worker);
+    error = router->service->call(router->service, &service->answer,
+                                  worker->address, worker->port,
+                                  &service->request, timeout_ms, &refusal);
+    pps_worker_finished(worker);
+    if (error == 0) {
+        pps_worker_served(worker, NULL);
+        return PPS_OK;
+    }
+    pps_counter_add(PPS_COUNTER_WORKER_REFUSALS, 1);
+    pps_worker_refused(worker,
+                       error == PPS_EREFUSED   ? refusal.reason
+                       : error == PPS_ETIMEOUT ? PPS_REFUSAL_SILENT
+                                               : PPS_REFUSAL_BROKEN,
+                       NULL, pps_clock_now_us(), 0);
+    return error;
+}
+
+static int
+surely_not_run(int error)
+{
+    return error == PPS_EREFUSED || error == PPS_EUNAVAILABLE;
+}
+
+/*
+ * Tries workers in turn. A call that must run at most once goes on only
+ * while the last worker surely has not run it.
+ * @return 0; PPS_EUNAVAILABLE: surely not run; else it may have run
+ */
+static int
+dispatch(service_call_t *service)
+{
+    int last = PPS_EUNAVAILABLE;
+
+    while (service->tried_count < ATTEMPTS_MAX) {
+        int error = choose_worker(service);
+
+        if (error < 0) {
+            return last;
+        }
+        service->tried[service->tried_count++] = service->choice.worker->id;
+        error = send_once(service);
+        if (error == PPS_ECLOSED || error == PPS_ELIMIT) {
+            return last;
+        }
+        if (error == 0 || (service->request.once && !surely_not_run(error))) {
+            return error;
+        }
+        last = surely_not_run(error) ? last : error;
+    }
+    return last;
+}
+
+static void
+reply_answer(const service_call_t *service, struct _u_response *response)
+{
+    const pps_service_answer_t *answer = &service->answer;
+
+    pps_counter_add(PPS_COUNTER_REQUESTS_OK, 1);
+    if (answer->content_type[0] != '\0') {
+        u_map_put(response->map_header, "Content-Type", answer->content_type);
+    }
+    ulfius_set_binary_body_response(response, (unsigned int)answer->status,
+                                    answer->body ? answer->body : "",
+                                    answer->body_size);
+    pps_event_record(
+        "request_done",
+        PPS_FIELDS(PPS_STR("request", service->call.request_id),
+                   PPS_STR("workspace", service->call.workspace->name),
+                   PPS_INT("status", answer->status)));
+}
+
+static void
+reply_failure(const service_call_t *service, struct _u_response *response,
+              int error)
+{
+    if (error == PPS_EUNAVAILABLE) {
+        pps_call_refuse(&service->call, response, PPS_API_NO_CAPACITY,
+                        service->choice.retry_after_us - pps_clock_now_us(),
+                        "no worker can take the call now");
+        return;
+    }
+    pps_call_refuse(&service->call, response, PPS_API_UPSTREAM_FAILED, 0,
+                    "the service gave no whole answer");
+}
+
+static void
+run_repeatable(service_call_t *service, struct _u_response *response)
+{
+    int error = dispatch(service);
+
+    if (error == 0) {
+        reply_answer(service, response);
+    }
+    else {
+        reply_failure(service, response, error);
+    }
+}
+
+static void
+record_outcome(service_call_t *service, uint64_t fencing,
+               pps_outcome_state_t state)
+{
+    pps_outcome_t outcome = {.claim_offset = fencing, .state = state};
+    const pps_service_answer_t *answer = &service->answer;
+
+    memcpy(outcome.workspace, service->call.workspace->name,
+           strlen(service->call.workspace->name) + 1);
+    memcpy(outcome.key, service->request.key,
+           strlen(service->request.key) + 1);
+    if (state == PPS_OUTCOME_COMPLETED) {
+        outcome.status = answer->status;
+        snprintf(outcome.content_type, sizeof(outcome.content_type), "%s",
+                 answer->content_type);
+        outcome.body = answer->body;
+        outcome.body_size = answer->body_size;
+    }
+    pps_journal_outcome(service->call.router->journal, &outcome);
+    pps_event_record("outcome",
+                     PPS_FIELDS(PPS_STR("request", service->call.request_id),
+                                PPS_STR("key", service->request.key),
+                                PPS_INT("fencing", fencing),
+                                PPS_INT("state", state)));
+}
+
+/* The answer was lost: ask on a new connection what became of the call. */
+static void
+settle_lost_answer(service_call_t *service, struct _u_response *response)
+{
+    pps_router_t *router = service->call.router;
+    const pps_worker_t *worker = service->choice.worker;
+    pps_service_run_t run = PPS_SERVICE_RUN_UNKNOWN;
+
+    record_outcome(service, service->request.fencing, PPS_OUTCOME_UNKNOWN);
+    if (router->service->outcome(router->service, &run, worker->address,
+                                 worker->port, service->request.key) == 0 &&
+        run == PPS_SERVICE_RUN_DONE) {
+        pps_call_refuse(&service->call, response, PPS_API_UPSTREAM_FAILED, 0,
+                        "the service has run it, but its answer was lost");
+        return;
+    }
+    pps_call_refuse(&service->call, response, PPS_API_OUTCOME_UNKNOWN, 0,
+                    "it may have run and is never run again; ask with GET "
+                    "/v1/outcomes/KEY");
+}
+
+static void
+run_granted(service_call_t *service, struct _u_response *response)
+{
+    int error = dispatch(service);
+
+    if (error == 0) {
+        record_outcome(service, service->request.fencing,
+                       PPS_OUTCOME_COMPLETED);
+        reply_answer(service, response);
+    }
+    else if (error == PPS_EUNAVAILABLE) {
+        record_outcome(service, service->request.fencing, PPS_OUTCOME_NOT_RUN);
+        reply_failure(service, response, error);
+    }
+    else {
+        settle_lost_answer(service, response);
+    }
+}
+
+void
+pps_verdict_reply(const pps_call_t *call, struct _u_response *response,
+                  const pps_verdict_t *verdict)
+{
+    switch (verdict->kind) {
+    case PPS_VERDICT_DONE:
+        if (verdict->body == NULL && verdict->body_size > 0) {
+            pps_call_refuse(call, response, PPS_API_UPSTREAM_FAILED, 0,
+                            "it has run; its answer was too large to keep");
+            return;
+        }
+        u_map_put(response->map_header, "X-Idempotent-Replay", "true");
+        u_map_put(response->map_header, "Content-Type", verdict->content_type);
+        ulfius_set_binary_body_response(
+            response, (unsigned int)verdict->status,
+            verdict->body ? verdict->body : "", verdict->body_size);
+        return;
+    case PPS_VERDICT_MISMATCH:
+        pps_call_refuse(call, response, PPS_API_KEY_MISMATCH, 0,
+                        "the key was used with another request");
+        return;
+    case PPS_VERDICT_UNKNOWN:
+        pps_call_refuse(call, response, PPS_API_OUTCOME_UNKNOWN, 0,
+                        "it may have run and is never run again");
+        return;
+    default:
+        pps_call_refuse(call, response, PPS_API_IN_PROGRESS, 0,
+                        "a request with this key is under way");
+    }
+}
+
+/* The digest covers all that makes the request, not the body alone. */
+static void
+request_digest(const service_call_t *service,
+               uint8_t out[PPS_BODY_DIGEST_SIZE])
+{
+    pps_buf_t whole = PPS_BUF_INIT;
+
+    pps_buf_printf(&whole, "%s %s/%s\n", service->request.method,
+                   service->upstream->name, service->request.path);
+    pps_buf_append(&whole, service->request.body, service->request.body_size);
+    pps_body_digest(out, pps_buf_text(&whole), whole.size);
+    pps_buf_clear(&whole);
+}
+
+static void
+run_once(service_call_t *service, const struct _u_request *request,
+         struct _u_response *response)
+{
+    const char *key = pps_http_header(request, "Idempotency-Key");
+    uint8_t digest[PPS_BODY_DIGEST_SIZE];
+    pps_verdict_t verdict = {0};
+    int error;
+
+    if (key == NULL || !pps_call_is_token(key, PPS_WORK_KEY_MAX)) {
+        pps_call_refuse(&service->call, response, PPS_API_INVALID_REQUEST, 0,
+                        "Idempotency-Key: 1 to 255 letters, digits or ._:- "
+                        "are wanted for a call that must not be repeated");
+        return;
+    }
+    service->request.key = key;
+    service->request.once = 1;
+    request_digest(service, digest);
+    error = pps_journal_claim(
+        &verdict, service->call.router->journal, service->call.workspace->name,
+        key, digest, service->call.request_id, service->call.deadline_us);
+    if (error < 0) {
+        pps_call_refuse(&service->call, response, PPS_API_LOG_UNAVAILABLE, 0,
+                        "the log cannot grant the right to run it now");
+        return;
+    }
+    if (verdict.kind == PPS_VERDICT_GRANTED) {
+        service->request.fencing = verdict.fencing;
+        run_granted(service, response);
+    }
+    else {
+        pps_verdict_reply(&service->call, response, &verdict);
+    }
+    pps_verdict_clear(&verdict);
+}
+
+static void
+fill_request(service_call_t *service, const struct _u_request *request)
+{
+    service->request.method = request->http_verb;
+    service->request.path = service_path(request);
+    service->request.request_id = service->call.request_id;
+    service->request.content_type = pps_http_header(request, "Content-Type");
+    service->request.body = request->binary_body;
+    service->request.body_size = request->binary_body_length;
+}
+
+int
+pps_service_call_handle(const struct _u_request *request,
+                        struct _u_response *response, void *user)
+{
+    service_call_t service = {0};
+
+    if (pps_call_begin(&service.call, user, request, response) < 0) {
+        return U_CALLBACK_COMPLETE;
+    }
+    service.workers = pps_worker_board_acquire(service.call.router->workers);
+    if (find_upstream(&service, request, response) == 0) {
+        fill_request(&service, request);
+        if (is_repeatable(&service)) {
+            run_repeatable(&service, response);
+        }
+        else {
+            run_once(&service, request, response);
+        }
+    }
+    pps_service_answer_clear(&service.answer);
+    pps_worker_view_free(service.workers);
+    pps_call_end(&service.call);
+    return U_CALLBACK_COMPLETE;
+}
--- a/src/libpapayaswitch/upstream/service_http.c
+++ b/src/libpapayaswitch/upstream/service_http.c
@@ -96,7 +96,7 @@
                                .body_size = request->body_size,
                                .answer_timeout_ms = timeout_ms,
                                .fresh_connection = request->once};
-    pps_http_response_t response;
+    pps_http_response_t response = {0};
     headers_t headers;
     pps_buf_t url = PPS_BUF_INIT;
     int error;
@@ -133,7 +133,7 @@
     service_http_t *self = (service_http_t *)base;
     pps_http_request_t request = {.answer_timeout_ms = OUTCOME_TIMEOUT_MS,
                                   .fresh_connection = 1};
-    pps_http_response_t response;
+    pps_http_response_t response = {0};
     pps_buf_t url = PPS_BUF_INIT;
     json_t *body;
     const char *state;
