Config fold: verdicts, checkpoints, restore

Changed contracts: pps_note_verdict_t carries the digest of the text that was judged; pps_config_checkpoint_next(), _repeated() and _mismatches() are new; the digest of a state leaves the offset out.

msgpack_unpack_next() allocates what a header claims, up to 64 GiB for five bytes; util/msgpack_check.h refuses such bytes before they are unpacked.

--- a/include/papayaswitch/config_fold.h
+++ b/include/papayaswitch/config_fold.h
@@ -17,6 +17,7 @@
     int accepted;
     uint64_t offset;   /**< offset of the record that decided it */
     uint64_t revision; /**< when accepted, the revision that it made */
+    uint64_t digest;   /**< pps_note_digest() of the text that was judged */
     char reason[200];  /**< when rejected, why; a conflict names the winner */
 } pps_note_verdict_t;
 
@@ -30,7 +31,9 @@
 
 /**
  * Folds the record at `entry->offset`, which must be pps_config_fold_next().
- * A corrupt record or one of an unknown kind is counted and skipped.
+ * A corrupt record or one of an unknown kind is counted and skipped. A note
+ * whose id has a verdict is the same note again. A checkpoint is compared
+ * with the own state at its offset and never adopted.
  * @return 0; PPS_EINVALID when the offset is not the next one; PPS_ENOMEM
  */
 int
@@ -72,7 +75,18 @@
 pps_config_fold_restore(pps_config_fold_t **out, const void *payload,
                         size_t size);
 
-/** Digest of the state, to compare hosts. */
+/**
+ * The offset to fold on from after pps_config_fold_restore(), without
+ * restoring: a starter needs a checkpoint whose offset the log still keeps.
+ * @return 0 or PPS_ECORRUPT
+ */
+int
+pps_config_checkpoint_next(uint64_t *out, const void *payload, size_t size);
+
+/**
+ * Digest of the state, to compare hosts. The offset is no part of it: records
+ * that change nothing leave it as it is.
+ */
 uint64_t
 pps_config_fold_digest(const pps_config_fold_t *fold);
 
@@ -80,4 +94,12 @@
 uint64_t
 pps_config_fold_skipped(const pps_config_fold_t *fold);
 
+/** Notes met again after their verdict so far. */
+uint64_t
+pps_config_fold_repeated(const pps_config_fold_t *fold);
+
+/** Checkpoints so far that differed from the own state at their offset. */
+uint64_t
+pps_config_fold_mismatches(const pps_config_fold_t *fold);
+
 #endif
--- /dev/null
+++ b/model/fold.pml
@@ -0,0 +1,320 @@
+/*
+ * The config stream and the hosts that fold it.
+ *
+ * Two operators publish notes on the same object, written against the
+ * revision that they saw. An append may take effect while its answer is lost;
+ * the operator then appends the note again. Hosts fold records in the order
+ * of the log, append checkpoints, and may be replaced: a new one starts from
+ * a checkpoint that the log still keeps, or from record 0 while that is kept.
+ * The log expires records behind a checkpoint.
+ */
+/* variants: WRONG_START ADOPT_CHECKPOINT NO_REPEAT_CHECK APPLY_ALWAYS */
+/* variants: NO_CONFLICT_CHECK REJECT_EQUAL_BASE */
+
+#define HOSTS 2
+#define NOTES 2
+#define MAX_REPEATS 1
+#define MAX_CHECKPOINTS 2
+#define MAX_RESTARTS 2
+#define LOG_MAX (NOTES * (1 + MAX_REPEATS) + MAX_CHECKPOINTS)
+#define STATES (LOG_MAX + 1)
+#define NONE 255
+
+#ifdef APPLY_ALWAYS
+#define NO_REPEAT_CHECK
+#define NO_CONFLICT_CHECK
+#endif
+#ifdef REJECT_EQUAL_BASE
+#define OVERTAKEN(revision, base) ((revision) >= (base))
+#else
+#define OVERTAKEN(revision, base) ((revision) > (base))
+#endif
+
+/* The log: kind of record and what it carries. */
+mtype = { NOTE, CHECKPOINT };
+
+typedef record_t {
+    mtype kind;
+    byte id;         /* of the note */
+    byte base;       /* revision that the note was written against */
+    byte at;         /* checkpoint: offset that it stands for */
+    byte revision;   /* checkpoint: the state there */
+    byte winner;
+    bool seen[NOTES];
+};
+
+typedef host_t {
+    bool up;
+    byte next;       /* offset of the next record to fold */
+    byte revision;
+    byte winner;     /* note that last changed the object */
+    bool seen[NOTES];/* notes with a verdict */
+    byte highest;    /* highest revision that this host ever served */
+};
+
+record_t log[LOG_MAX];
+byte head = 0;
+byte first = 0;
+host_t host[HOSTS];
+byte restarts = 0;
+byte checkpoints = 0;
+byte operators_done = 0;
+
+/* What the records before an offset come to, set by the first that folds. */
+byte known_revision[STATES];
+byte known_winner[STATES];
+bool known[STATES];
+
+/* The records that accepted or rejected each note. */
+byte accepted_at[NOTES];
+byte rejected_at[NOTES];
+byte base_of[NOTES];
+
+/* Properties: equal state at equal offsets; a revision never falls. */
+inline verify_state(h)
+{
+    if
+    :: known[host[h].next] ->
+        assert(known_revision[host[h].next] == host[h].revision);
+        assert(known_winner[host[h].next] == host[h].winner)
+    :: else ->
+        known[host[h].next] = true;
+        known_revision[host[h].next] = host[h].revision;
+        known_winner[host[h].next] = host[h].winner
+    fi;
+    assert(host[h].revision >= host[h].highest);
+    host[h].highest = host[h].revision
+}
+
+/* Property: a note is accepted at most once, by one record. */
+inline verify_accepted(id, offset)
+{
+    assert(accepted_at[id] == NONE || accepted_at[id] == offset);
+    accepted_at[id] = offset;
+    /* Property: of two notes on one base at most one is accepted. */
+    assert(accepted_at[1 - id] == NONE || base_of[id] != base_of[1 - id]);
+    /* Property: a verdict, once given, stays. */
+    assert(rejected_at[id] == NONE)
+}
+
+inline verify_rejected(id, offset)
+{
+    rejected_at[id] = offset;
+    assert(accepted_at[id] == NONE)
+}
+
+inline fold_note(h)
+{
+    n = log[host[h].next].id;
+    if
+#ifndef NO_REPEAT_CHECK
+    :: host[h].seen[n] -> skip
+#endif
+#ifndef NO_CONFLICT_CHECK
+    :: OVERTAKEN(host[h].revision, log[host[h].next].base)
+#ifndef NO_REPEAT_CHECK
+       && !host[h].seen[n]
+#endif
+       ->
+        host[h].seen[n] = true;
+        verify_rejected(n, host[h].next)
+#endif
+    :: else ->
+        host[h].seen[n] = true;
+        host[h].revision++;
+        host[h].winner = n;
+        verify_accepted(n, host[h].next)
+    fi
+}
+
+inline take_checkpoint(h, offset)
+{
+    host[h].revision = log[offset].revision;
+    host[h].winner = log[offset].winner;
+    host[h].seen[0] = log[offset].seen[0];
+    host[h].seen[1] = log[offset].seen[1]
+}
+
+inline fold_checkpoint(h)
+{
+#ifdef ADOPT_CHECKPOINT
+    take_checkpoint(h, host[h].next)
+#else
+    /* Met at its own offset it is compared; otherwise it is passed over. */
+    if
+    :: log[host[h].next].at == host[h].next ->
+        assert(log[host[h].next].revision == host[h].revision);
+        assert(log[host[h].next].winner == host[h].winner)
+    :: else -> skip
+    fi
+#endif
+}
+
+inline fold_next(h)
+{
+    if
+    :: log[host[h].next].kind == NOTE -> fold_note(h)
+    :: log[host[h].next].kind == CHECKPOINT -> fold_checkpoint(h)
+    fi;
+    host[h].next++;
+    verify_state(h)
+}
+
+inline append_checkpoint(h)
+{
+    log[head].kind = CHECKPOINT;
+    log[head].at = host[h].next;
+    log[head].revision = host[h].revision;
+    log[head].winner = host[h].winner;
+    log[head].seen[0] = host[h].seen[0];
+    log[head].seen[1] = host[h].seen[1];
+    head++
+}
+
+/* A new process in the host's place: it holds nothing. */
+inline forget(h)
+{
+    host[h].next = 0;
+    host[h].revision = 0;
+    host[h].winner = NONE;
+    host[h].seen[0] = false;
+    host[h].seen[1] = false;
+    host[h].highest = 0
+}
+
+/* Chooses any kept checkpoint, or record 0 while it is kept. */
+inline start(h)
+{
+    forget(h);
+    if
+    :: first == 0 -> host[h].up = true
+    :: first > 0 -> skip
+    :: true ->
+        c = first;
+        do
+        :: c < head && log[c].kind == CHECKPOINT && log[c].at >= first ->
+            take_checkpoint(h, c);
+#ifdef WRONG_START
+            host[h].next = c + 1;
+#else
+            host[h].next = log[c].at;
+#endif
+            host[h].up = true;
+            break
+        :: c < head -> c++
+        :: c >= head -> break
+        od
+    fi;
+    if
+    :: host[h].up -> verify_state(h)
+    :: else -> skip
+    fi
+}
+
+/* Whether some kept checkpoint stands for the offset or a later one. */
+inline find_cover(offset)
+{
+    covered = false;
+    c = offset;
+    do
+    :: c < head && log[c].kind == CHECKPOINT && log[c].at >= offset ->
+        covered = true;
+        break
+    :: c < head && !(log[c].kind == CHECKPOINT && log[c].at >= offset) -> c++
+    :: c >= head -> break
+    od
+}
+
+proctype Host(byte me)
+{
+    byte n;
+    byte c;
+
+    do
+    :: atomic { host[me].up && host[me].next < head && host[me].next >= first ->
+            fold_next(me);
+            n = 0; c = 0 }
+    :: atomic { host[me].up && checkpoints < MAX_CHECKPOINTS ->
+            checkpoints++;
+            append_checkpoint(me) }
+    :: atomic { host[me].up && restarts < MAX_RESTARTS ->
+            restarts++;
+            host[me].up = false;
+            forget(me) }
+    :: atomic { !host[me].up || host[me].next < first ->
+            host[me].up = false;
+            start(me);
+            n = 0; c = 0 }
+    :: atomic { host[me].up && host[me].next == head &&
+                operators_done == NOTES && checkpoints == MAX_CHECKPOINTS ->
+            break }
+    od
+}
+
+/* Sees the revision of some host, then publishes against it. */
+proctype Operator(byte me)
+{
+    byte repeats = 0;
+
+    if
+    :: atomic { host[0].up -> base_of[me] = host[0].revision }
+    :: atomic { host[1].up -> base_of[me] = host[1].revision }
+    :: base_of[me] = 0
+    fi;
+    do
+    :: atomic { true ->
+            log[head].kind = NOTE;
+            log[head].id = me;
+            log[head].base = base_of[me];
+            head++;
+            if
+            :: repeats < MAX_REPEATS -> repeats++ /* the answer was lost */
+            :: true -> break
+            fi }
+    od;
+    operators_done++
+}
+
+/* Expires the oldest record, if a checkpoint then still gives a start. */
+proctype Retention()
+{
+    byte c;
+    bool covered;
+
+    do
+    :: atomic { first < head ->
+            find_cover(first + 1);
+            if
+            :: covered -> first++
+            :: else -> skip
+            fi;
+            c = 0; covered = false }
+    :: break
+    od
+}
+
+init
+{
+    atomic {
+        byte i = 0;
+        for (i : 0 .. NOTES - 1) {
+            accepted_at[i] = NONE;
+            rejected_at[i] = NONE;
+        }
+        for (i : 0 .. HOSTS - 1) {
+            host[i].up = true;
+            host[i].winner = NONE;
+        }
+        known[0] = true;
+        known_winner[0] = NONE;
+        run Operator(0);
+        run Operator(1);
+        run Host(0);
+        run Host(1);
+        run Retention()
+    }
+    /* Property: of two notes on one base exactly one is accepted. */
+    _nr_pr == 1;
+    assert(base_of[0] != base_of[1] || accepted_at[0] != NONE ||
+           accepted_at[1] != NONE)
+}
--- a/src/libpapayaswitch/catalog/catalog_apply.c
+++ b/src/libpapayaswitch/catalog/catalog_apply.c
@@ -14,7 +14,7 @@
     const pps_note_t *note;
     const char *file;
     pps_findings_t *findings;
-    int conflicts;
+    const pps_object_t *overtaken; /**< the first one */
     size_t changes;
 } applier_t;
 
@@ -25,7 +25,9 @@
     if (object->revision <= applier->note->base) {
         return;
     }
-    applier->conflicts++;
+    if (applier->overtaken == NULL) {
+        applier->overtaken = object;
+    }
     pps_findings_add(applier->findings, applier->file, section->line,
                      "%s %s was changed by note %s at revision %" PRIu64
                      ", after base %" PRIu64,
@@ -182,7 +184,7 @@
 check_changes(applier_t *applier)
 {
     if (applier->changes == 0 && !applier->note->faulty &&
-        applier->conflicts == 0) {
+        applier->overtaken == NULL) {
         pps_findings_add(applier->findings, applier->file, applier->note->line,
                          "the note changes nothing");
     }
@@ -202,6 +204,17 @@
     return error;
 }
 
+static int
+set_conflict(const applier_t *applier)
+{
+    const pps_object_t *object = applier->overtaken;
+
+    return pps_error_set(PPS_ECONFLICT,
+                         "%s %s was changed by note %s at revision %" PRIu64,
+                         pps_schema(object->kind)->word, object->name,
+                         object->note, object->revision);
+}
+
 int
 pps_catalog_apply(pps_catalog_t **out, const pps_catalog_t *base,
                   const pps_note_t *note, const char *file,
@@ -228,8 +241,8 @@
     if (error < 0) {
         goto done;
     }
-    if (applier.conflicts > 0) {
-        error = pps_error_set(PPS_ECONFLICT, "%s: overtaken", file);
+    if (applier.overtaken != NULL) {
+        error = set_conflict(&applier);
         goto done;
     }
     if (note->faulty || pps_findings_count(findings) > before) {
--- /dev/null
+++ b/src/util/msgpack_check.c
@@ -0,0 +1,103 @@
+/** @file msgpack_check.c @brief Walks msgpack headers without allocating. */
+#include "msgpack_check.h"
+
+#include "papayaswitch/errors.h"
+
+#include <stdint.h>
+
+/* What follows a header: a length field, bytes and further objects. */
+typedef struct {
+    unsigned int length_bytes;
+    uint64_t bytes;          /**< fixed, or extra behind the length */
+    unsigned int per_length; /**< objects for each unit of the length */
+    uint64_t objects;        /**< fixed number of objects */
+    int length_is_bytes;
+} shape_t;
+
+static shape_t
+shape_of_fixed(unsigned char tag)
+{
+    if ((tag & 0xf0) == 0x80) {
+        return (shape_t){.objects = 2 * (uint64_t)(tag & 0x0f)};
+    }
+    if ((tag & 0xf0) == 0x90) {
+        return (shape_t){.objects = tag & 0x0f};
+    }
+    if ((tag & 0xe0) == 0xa0) {
+        return (shape_t){.bytes = tag & 0x1f};
+    }
+    return (shape_t){0};
+}
+
+/* Tags 0xc0 to 0xdf, which carry their type in full. */
+static const shape_t shapes[32] = {
+    [0x04] = {.length_bytes = 1, .length_is_bytes = 1},             /* bin */
+    [0x05] = {.length_bytes = 2, .length_is_bytes = 1},             /* bin */
+    [0x06] = {.length_bytes = 4, .length_is_bytes = 1},             /* bin */
+    [0x07] = {.length_bytes = 1, .length_is_bytes = 1, .bytes = 1}, /* ext */
+    [0x08] = {.length_bytes = 2, .length_is_bytes = 1, .bytes = 1}, /* ext */
+    [0x09] = {.length_bytes = 4, .length_is_bytes = 1, .bytes = 1}, /* ext */
+    [0x0a] = {.bytes = 4},                                          /* float */
+    [0x0b] = {.bytes = 8},                                          /* float */
+    [0x0c] = {.bytes = 1},                                          /* uint */
+    [0x0d] = {.bytes = 2},                                          /* uint */
+    [0x0e] = {.bytes = 4},                                          /* uint */
+    [0x0f] = {.bytes = 8},                                          /* uint */
+    [0x10] = {.bytes = 1},                                          /* int */
+    [0x11] = {.bytes = 2},                                          /* int */
+    [0x12] = {.bytes = 4},                                          /* int */
+    [0x13] = {.bytes = 8},                                          /* int */
+    [0x14] = {.bytes = 2},                              /* fixext 1 */
+    [0x15] = {.bytes = 3},                              /* fixext 2 */
+    [0x16] = {.bytes = 5},                              /* fixext 4 */
+    [0x17] = {.bytes = 9},                              /* fixext 8 */
+    [0x18] = {.bytes = 17},                             /* fixext 16 */
+    [0x19] = {.length_bytes = 1, .length_is_bytes = 1}, /* str */
+    [0x1a] = {.length_bytes = 2, .length_is_bytes = 1}, /* str */
+    [0x1b] = {.length_bytes = 4, .length_is_bytes = 1}, /* str */
+    [0x1c] = {.length_bytes = 2, .per_length = 1},      /* array */
+    [0x1d] = {.length_bytes = 4, .per_length = 1},      /* array */
+    [0x1e] = {.length_bytes = 2, .per_length = 2},      /* map */
+    [0x1f] = {.length_bytes = 4, .per_length = 2},      /* map */
+};
+
+static shape_t
+shape_of(unsigned char tag)
+{
+    if (tag >= 0xc0 && tag <= 0xdf) {
+        return shapes[tag - 0xc0];
+    }
+    return shape_of_fixed(tag);
+}
+
+int
+pps_msgpack_check(const void *data, size_t size)
+{
+    const unsigned char *at = data;
+    const unsigned char *end = at + size;
+    uint64_t pending = 1;
+
+    while (pending > 0) {
+        uint64_t length = 0;
+        shape_t shape;
+
+        /* Each pending object takes a byte at least. */
+        if (pending > (uint64_t)(end - at)) {
+            return PPS_ECORRUPT;
+        }
+        shape = shape_of(*at++);
+        if (shape.length_bytes > (size_t)(end - at)) {
+            return PPS_ECORRUPT;
+        }
+        for (unsigned int i = 0; i < shape.length_bytes; i++) {
+            length = (length << 8) | *at++;
+        }
+        shape.bytes += shape.length_is_bytes ? length : 0;
+        if (shape.bytes > (uint64_t)(end - at)) {
+            return PPS_ECORRUPT;
+        }
+        at += shape.bytes;
+        pending += shape.objects + shape.per_length * length - 1;
+    }
+    return at == end ? PPS_OK : PPS_ECORRUPT;
+}
