Serving: evidence from before the start does not sync a host

A restarted host that took a peer's evidence from before its own start for proof of its state could count to a majority without a revision that it had acknowledged before the restart. The evaluation now gets the time of the start. A right that has lapsed no longer names the rule that gave it.

--- a/include/papayaswitch/serving.h
+++ b/include/papayaswitch/serving.h
@@ -44,6 +44,7 @@
      * evaluation, 0 at the start.
      */
     int synced;
+    int64_t started_us; /**< when this incarnation started */
     /** When the last successful read was sent, or PPS_TIME_NONE. */
     int64_t read_sent_us;
     uint64_t read_head;           /**< head of the log seen by that read */
@@ -56,8 +57,8 @@
 
 #define PPS_SERVING_INPUT_INIT                                                \
     {                                                                         \
-        .version = PPS_SERVING_INPUT_VERSION, .read_sent_us = PPS_TIME_NONE,  \
-        .window_us = PPS_SERVING_WINDOW_US                                    \
+        .version = PPS_SERVING_INPUT_VERSION, .started_us = INT64_MAX,        \
+        .read_sent_us = PPS_TIME_NONE, .window_us = PPS_SERVING_WINDOW_US     \
     }
 
 /** Outcome of an evaluation. */
--- a/src/libpapayaswitch/serving/evaluate.c
+++ b/src/libpapayaswitch/serving/evaluate.c
@@ -104,16 +104,28 @@
 }
 
 static void
-consider(pps_serving_verdict_t *out, int64_t since_us, int64_t window_us,
-         pps_serving_reason_t reason)
+consider(pps_serving_verdict_t *out, const pps_serving_input_t *input,
+         int64_t since_us, pps_serving_reason_t reason)
 {
-    if (since_us != PPS_TIME_NONE &&
-        since_us + window_us > out->valid_until_us) {
-        out->valid_until_us = since_us + window_us;
+    int64_t until_us = since_us + input->window_us;
+
+    if (since_us != PPS_TIME_NONE && until_us > input->now_us &&
+        until_us > out->valid_until_us) {
+        out->valid_until_us = until_us;
         out->reason = reason;
     }
 }
 
+/* Evidence from before the start says nothing of what this host may have
+ * acknowledged between that evidence and its restart. */
+static int
+is_synced(const pps_serving_input_t *input, int64_t own, int64_t peer,
+          int64_t majority, int behind)
+{
+    return input->synced || own != PPS_TIME_NONE || peer > input->started_us ||
+           (majority != PPS_TIME_NONE && !behind);
+}
+
 int
 pps_serving_evaluate(pps_serving_verdict_t *out,
                      const pps_serving_input_t *input)
@@ -129,18 +141,14 @@
         return error;
     }
     out->evidence_us = own > peer ? own : peer;
-    out->synced = input->synced || out->evidence_us != PPS_TIME_NONE ||
-                  (majority != PPS_TIME_NONE && !behind);
+    out->synced = is_synced(input, own, peer, majority, behind);
     out->reason = behind         ? PPS_SERVING_BEHIND
                   : !out->synced ? PPS_SERVING_NO_STATE
                                  : PPS_SERVING_ISOLATED;
-    consider(out, own, input->window_us, PPS_SERVING_OWN_EVIDENCE);
+    consider(out, input, own, PPS_SERVING_OWN_EVIDENCE);
     if (!behind) {
-        consider(out, peer, input->window_us, PPS_SERVING_PEER_EVIDENCE);
-        consider(out, majority, input->window_us, PPS_SERVING_MAJORITY);
-    }
-    if (out->valid_until_us <= input->now_us) {
-        out->valid_until_us = 0;
+        consider(out, input, peer, PPS_SERVING_PEER_EVIDENCE);
+        consider(out, input, majority, PPS_SERVING_MAJORITY);
     }
     return PPS_OK;
 }
--- /dev/null
+++ b/tests/unit/test_serving.c
@@ -0,0 +1,289 @@
+/** @file test_serving.c @brief The right to start work. */
+#include "papayaswitch/serving.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define HOSTS_MAX 5
+#define NOW 10000
+#define WINDOW 2000
+#define STARTED 9500
+#define NONE PPS_TIME_NONE
+
+/** A peer as a case gives it; echo NONE: never heard. */
+typedef struct {
+    int64_t echo;
+    uint64_t next;
+    int64_t age;
+    int unsynced;
+} peer_case_t;
+
+typedef struct {
+    const char *name;
+    size_t listed; /**< hosts in the list, self included */
+    uint64_t next;
+    int unsynced;
+    int64_t read_sent;
+    uint64_t head;
+    peer_case_t peers[HOSTS_MAX - 1];
+    int64_t valid_until;
+    int synced;
+    pps_serving_reason_t reason;
+} serving_case_t;
+
+#define NOT_HEARD                                                             \
+    {                                                                         \
+        NONE, 0, NONE, 0                                                      \
+    }
+#define NOBODY                                                                \
+    {                                                                         \
+        NOT_HEARD, NOT_HEARD, NOT_HEARD, NOT_HEARD                            \
+    }
+
+static const serving_case_t serving_cases[] = {
+    {"own read", 3, 5, 1, 9000, 5, NOBODY, 11000, 1, PPS_SERVING_OWN_EVIDENCE},
+    {"own read, state not folded yet", 3, 5, 0, 9000, 6, NOBODY, 0, 1,
+     PPS_SERVING_ISOLATED},
+    {"own read too old", 3, 5, 0, 8000, 5, NOBODY, 0, 1, PPS_SERVING_ISOLATED},
+    {"peer's read, age counts from the ping",
+     3,
+     5,
+     1,
+     NONE,
+     0,
+     {{9900, 5, 300, 0}, NOT_HEARD},
+     11600,
+     1,
+     PPS_SERVING_PEER_EVIDENCE},
+    {"peer's read of less than we hold",
+     3,
+     5,
+     0,
+     NONE,
+     0,
+     {{9900, 4, 300, 0}, NOT_HEARD},
+     11900,
+     1,
+     PPS_SERVING_MAJORITY},
+    {"peer's read of more than we hold",
+     3,
+     5,
+     0,
+     NONE,
+     0,
+     {{9900, 6, 300, 0}, NOT_HEARD},
+     0,
+     1,
+     PPS_SERVING_BEHIND},
+    {"behind, but the own read covers",
+     3,
+     5,
+     0,
+     9000,
+     5,
+     {{9900, 6, NONE, 0}, NOT_HEARD},
+     11000,
+     1,
+     PPS_SERVING_OWN_EVIDENCE},
+    {"peer's read from before the start does not sync",
+     3,
+     5,
+     1,
+     NONE,
+     0,
+     {{9900, 5, 400, 0}, NOT_HEARD},
+     11500,
+     0,
+     PPS_SERVING_PEER_EVIDENCE},
+    {"majority of three",
+     3,
+     5,
+     0,
+     NONE,
+     0,
+     {{9500, 5, NONE, 0}, NOT_HEARD},
+     11500,
+     1,
+     PPS_SERVING_MAJORITY},
+    {"majority of five takes the third newest",
+     5,
+     5,
+     0,
+     NONE,
+     0,
+     {{9900, 5, NONE, 0}, {9200, 5, NONE, 0}, {8500, 4, NONE, 0}, NOT_HEARD},
+     11200,
+     1,
+     PPS_SERVING_MAJORITY},
+    {"no majority",
+     5,
+     5,
+     0,
+     NONE,
+     0,
+     {{9900, 5, NONE, 0}, NOT_HEARD, NOT_HEARD, NOT_HEARD},
+     0,
+     1,
+     PPS_SERVING_ISOLATED},
+    {"half is no majority",
+     4,
+     5,
+     0,
+     NONE,
+     0,
+     {{9900, 5, NONE, 0}, NOT_HEARD, NOT_HEARD},
+     0,
+     1,
+     PPS_SERVING_ISOLATED},
+    {"an answer out of the window does not count",
+     3,
+     5,
+     0,
+     NONE,
+     0,
+     {{8000, 5, NONE, 0}, NOT_HEARD},
+     0,
+     1,
+     PPS_SERVING_ISOLATED},
+    {"majority, one holds more",
+     3,
+     5,
+     0,
+     NONE,
+     0,
+     {{9900, 5, NONE, 0}, {9900, 6, NONE, 0}},
+     0,
+     1,
+     PPS_SERVING_BEHIND},
+    {"an unsynced peer does not count",
+     3,
+     5,
+     0,
+     NONE,
+     0,
+     {{9900, 5, NONE, 1}, NOT_HEARD},
+     0,
+     1,
+     PPS_SERVING_ISOLATED},
+    {"unsynced self does not count",
+     3,
+     5,
+     1,
+     NONE,
+     0,
+     {{9900, 5, NONE, 0}, NOT_HEARD},
+     0,
+     0,
+     PPS_SERVING_NO_STATE},
+    {"a majority of others syncs",
+     3,
+     5,
+     1,
+     NONE,
+     0,
+     {{9900, 5, NONE, 0}, {9700, 5, NONE, 0}},
+     11700,
+     1,
+     PPS_SERVING_MAJORITY},
+    {"a majority of others, state not fetched",
+     3,
+     5,
+     1,
+     NONE,
+     0,
+     {{9900, 6, NONE, 0}, {9700, 5, NONE, 0}},
+     0,
+     0,
+     PPS_SERVING_BEHIND},
+    {"alone in the list", 1, 5, 0, NONE, 0, NOBODY, 12000, 1,
+     PPS_SERVING_MAJORITY},
+    {"alone in the list, never read the log", 1, 5, 1, NONE, 0, NOBODY, 0, 0,
+     PPS_SERVING_NO_STATE},
+    {"alone of two",
+     2,
+     5,
+     0,
+     NONE,
+     0,
+     {NOT_HEARD},
+     0,
+     1,
+     PPS_SERVING_ISOLATED},
+};
+
+static void
+fill_hosts(pps_host_t hosts[HOSTS_MAX])
+{
+    memset(hosts, 0, HOSTS_MAX * sizeof(*hosts));
+    for (int i = 0; i < HOSTS_MAX; i++) {
+        snprintf(hosts[i].id, sizeof(hosts[i].id), "h%d", i);
+    }
+}
+
+static pps_serving_verdict_t
+evaluate(const serving_case_t *c)
+{
+    pps_host_t hosts[HOSTS_MAX];
+    pps_host_report_t reports[HOSTS_MAX];
+    pps_host_list_t list = {hosts, c->listed};
+    pps_serving_input_t input = PPS_SERVING_INPUT_INIT;
+    pps_serving_verdict_t verdict;
+
+    fill_hosts(hosts);
+    memset(reports, 0, sizeof(reports));
+    for (size_t i = 0; i + 1 < c->listed; i++) {
+        const peer_case_t *peer = &c->peers[i];
+
+        strcpy(reports[i].id, hosts[i + 1].id);
+        reports[i].echo_us = peer->echo;
+        reports[i].heard_us = peer->echo;
+        reports[i].status.next_offset = peer->next;
+        reports[i].status.evidence_age_us = peer->age;
+        reports[i].status.synced = !peer->unsynced;
+    }
+    input.self_id = "h0";
+    input.next_offset = c->next;
+    input.synced = !c->unsynced;
+    input.started_us = STARTED;
+    input.read_sent_us = c->read_sent;
+    input.read_head = c->head;
+    input.hosts = &list;
+    input.reports = reports;
+    input.report_count = c->listed - 1;
+    input.window_us = WINDOW;
+    input.now_us = NOW;
+    cr_assert_eq(pps_serving_evaluate(&verdict, &input), 0);
+    return verdict;
+}
+
+Test(serving, cases)
+{
+    for (size_t i = 0; i < sizeof(serving_cases) / sizeof(serving_cases[0]);
+         i++) {
+        const serving_case_t *c = &serving_cases[i];
+        pps_serving_verdict_t verdict = evaluate(c);
+
+        cr_expect_eq(verdict.valid_until_us, c->valid_until, "%s: %ld",
+                     c->name, (long)verdict.valid_until_us);
+        cr_expect_eq(verdict.synced, c->synced, "%s", c->name);
+        cr_expect_eq(verdict.reason, c->reason, "%s: %d", c->name,
+                     verdict.reason);
+    }
+}
+
+Test(serving, the_atomic_lapses_by_itself)
+{
+    pps_serving_verdict_t verdict = {.valid_until_us = 100,
+                                     .reason = PPS_SERVING_MAJORITY};
+    pps_serving_t serving;
+
+    pps_serving_init(&serving);
+    cr_expect_not(pps_serving_may_start(&serving, 0));
+    cr_expect_str_eq(pps_serving_reason(&serving, 0), "not_started");
+    pps_serving_publish(&serving, &verdict);
+    cr_expect(pps_serving_may_start(&serving, 99));
+    cr_expect_not(pps_serving_may_start(&serving, 100));
+    cr_expect_str_eq(pps_serving_reason(&serving, 99), "majority");
+    cr_expect_str_eq(pps_serving_reason(&serving, 100), "expired");
+}
