--- a/src/libpapayaswitch/membership/host_list.c
+++ b/src/libpapayaswitch/membership/host_list.c
@@ -13,7 +13,7 @@
     if (text == NULL || text[0] == '\0' || strlen(text) > limit) {
         return pps_error_set(PPS_EINVALID, "host list: bad '%s'", key);
     }
-    strcpy(out, text);
+    memcpy(out, text, strlen(text) + 1);
     return PPS_OK;
 }
 
