--- a/src/standin/common/standin_request.c
+++ b/src/standin/common/standin_request.c
@@ -59,7 +59,7 @@
     const struct sockaddr_in *caller = (void *)request->client_address;
 
     for (int fd = FD_FIRST; caller != NULL && fd < FD_MAX; fd++) {
-        struct sockaddr_in peer;
+        struct sockaddr_in peer = {0};
         socklen_t size = sizeof(peer);
 
         if (getpeername(fd, (struct sockaddr *)&peer, &size) == 0 &&
--- a/src/standin/engine/prefix_cache.c
+++ b/src/standin/engine/prefix_cache.c
@@ -41,15 +41,19 @@
 void
 prefix_cache_clear(prefix_cache_t *cache)
 {
-    prefix_entry_t *entry;
-    prefix_entry_t *next;
+    prefix_entry_t *entry = cache->entries;
+
+    HASH_CLEAR(hh, cache->entries);
+    while (entry != NULL) {
+        prefix_entry_t *next = entry->hh.next;
 
-    cds_list_for_each_entry_safe (entry, next, &cache->recent, node) {
-        evict(cache, entry);
+        free(entry);
+        entry = next;
     }
 }
 
 static void
+/* NOLINTNEXTLINE(readability-function-size): the macro counts as text. */
 store(prefix_cache_t *cache, uint64_t hash)
 {
     prefix_entry_t *entry = calloc(1, sizeof(*entry));
--- a/src/standin/engine/prefix_cache.h
+++ b/src/standin/engine/prefix_cache.h
@@ -9,11 +9,12 @@
 #ifndef STANDIN_PREFIX_CACHE_H
 #define STANDIN_PREFIX_CACHE_H
 
+#include "hash_table.h"
+
 #include <jansson.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <urcu/list.h>
-#include <uthash.h>
 
 /** Bytes of one block of a prompt. */
 #define PREFIX_BLOCK_BYTES 64
--- a/src/standin/engine/run_log.c
+++ b/src/standin/engine/run_log.c
@@ -17,12 +17,14 @@
 void
 run_log_clear(run_log_t *log)
 {
-    run_entry_t *entry;
-    run_entry_t *next;
+    run_entry_t *entry = log->entries;
+
+    HASH_CLEAR(hh, log->entries);
+    while (entry != NULL) {
+        run_entry_t *next = entry->hh.next;
 
-    HASH_ITER (hh, log->entries, entry, next) {
-        HASH_DEL(log->entries, entry);
         entry_free(entry);
+        entry = next;
     }
 }
 
@@ -45,6 +47,7 @@
 }
 
 int
+/* NOLINTNEXTLINE(readability-function-size): the macro counts as text. */
 run_log_start(run_log_t *log, run_entry_t **out, const char *request_id,
               const char *version)
 {
--- a/src/standin/engine/run_log.h
+++ b/src/standin/engine/run_log.h
@@ -5,9 +5,10 @@
 #ifndef STANDIN_RUN_LOG_H
 #define STANDIN_RUN_LOG_H
 
+#include "hash_table.h"
+
 #include <jansson.h>
 #include <stdint.h>
-#include <uthash.h>
 
 /** State of a generation. */
 typedef enum {
--- a/src/standin/platform/log_stream.h
+++ b/src/standin/platform/log_stream.h
@@ -5,9 +5,10 @@
 #ifndef STANDIN_LOG_STREAM_H
 #define STANDIN_LOG_STREAM_H
 
+#include "hash_table.h"
+
 #include <jansson.h>
 #include <stdint.h>
-#include <uthash.h>
 
 /** Longest name of a stream, its end included. */
 #define LOG_STREAM_NAME_MAX 64
--- a/src/standin/service/call_store.h
+++ b/src/standin/service/call_store.h
@@ -5,10 +5,11 @@
 #ifndef STANDIN_CALL_STORE_H
 #define STANDIN_CALL_STORE_H
 
+#include "hash_table.h"
+
 #include <jansson.h>
 #include <pthread.h>
 #include <stdint.h>
-#include <uthash.h>
 
 /** What is known of one key. */
 typedef struct {
--- /dev/null
+++ b/src/util/hash_table.h
@@ -0,0 +1,15 @@
+/**
+ * @file hash_table.h
+ * @brief uthash with XXH64 in place of its inlined hash function.
+ */
+#ifndef PPS_UTIL_HASH_TABLE_H
+#define PPS_UTIL_HASH_TABLE_H
+
+#include <xxhash.h>
+
+#define HASH_FUNCTION(key, size, hash)                                        \
+    (hash) = (unsigned int)XXH64((key), (size), 0)
+
+#include <uthash.h>
+
+#endif
