--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -25,6 +25,8 @@
 int
 pps_cli_note_status(int argc, char **argv);
 int
+pps_cli_key_hash(int argc, char **argv);
+int
 pps_cli_settings_check(int argc, char **argv);
 int
 pps_cli_status(int argc, char **argv);
--- /dev/null
+++ b/src/cli/key_hash.c
@@ -0,0 +1,47 @@
+/** @file key_hash.c @brief `papayaswitch key hash`: hash of a bearer key. */
+#include "command.h"
+
+#include "papayaswitch/catalog.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#define KEY_BYTES_MAX 512
+
+/* The key comes on standard input, so that no list of processes shows it. */
+static int
+hash_input(void)
+{
+    char key[KEY_BYTES_MAX];
+    unsigned char hash[PPS_KEY_HASH_BYTES];
+    char text[2 * PPS_KEY_HASH_BYTES + 1];
+
+    if (fgets(key, sizeof(key), stdin) == NULL) {
+        fputs("key hash: no key on standard input\n", stderr);
+        return PPS_EXIT_FINDINGS;
+    }
+    key[strcspn(key, "\r\n")] = '\0';
+    crypto_generichash(hash, sizeof(hash), (const unsigned char *)key,
+                       strlen(key), NULL, 0);
+    sodium_memzero(key, sizeof(key));
+    puts(sodium_bin2hex(text, sizeof(text), hash, sizeof(hash)));
+    return PPS_EXIT_OK;
+}
+
+int
+pps_cli_key_hash(int argc, char **argv)
+{
+    struct arg_lit *help = arg_lit0("h", "help", "show this help");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {help, end};
+    int status = pps_cli_parse(argc, argv, table, help, end,
+                               "Reads a bearer key from standard input and "
+                               "prints the key_hash of a note.");
+
+    if (status < 0) {
+        status = hash_input();
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return status;
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -18,6 +18,7 @@
 static const command_t commands[] = {
     {{"note", "publish"}, pps_cli_note_publish, "publish a release note"},
     {{"note", "status"}, pps_cli_note_status, "what became of a note"},
+    {{"key", "hash"}, pps_cli_key_hash, "hash of a bearer key for a note"},
     {{"settings", "check"}, pps_cli_settings_check, "check a settings file"},
     {{"status"}, pps_cli_status, "the state of all hosts"},
     {{"counters"}, pps_cli_counters, "the counters of all hosts"},
--- a/src/cli/note_publish.c
+++ b/src/cli/note_publish.c
@@ -161,42 +161,60 @@
 }
 
 static void
-init_reports(publish_t *publish)
+init_report(pps_publish_report_t *report, const pps_host_t *host,
+            const publish_t *before)
 {
-    for (size_t i = 0; i < publish->hosts.count; i++) {
-        pps_publish_report_t *report = &publish->reports[i];
-
-        snprintf(report->id, sizeof(report->id), "%s",
-                 publish->hosts.hosts[i].id);
-        report->held_since_us = PPS_TIME_NONE;
-        report->asked_us = PPS_TIME_NONE;
+    snprintf(report->id, sizeof(report->id), "%s", host->id);
+    report->held_since_us = PPS_TIME_NONE;
+    report->asked_us = PPS_TIME_NONE;
+    for (size_t i = 0; i < before->hosts.count; i++) {
+        if (strcmp(before->reports[i].id, host->id) == 0) {
+            *report = before->reports[i];
+        }
     }
 }
 
+/* The list lags and changes, so it is read again on every round. */
 static int
-follow(publish_t *publish)
+refresh_hosts(publish_t *publish)
 {
-    int error = pps_cli_hosts(&publish->hosts, publish->platform);
+    pps_host_list_t hosts = PPS_HOST_LIST_INIT;
+    pps_publish_report_t *reports;
+    int error = pps_cli_hosts(&hosts, publish->platform);
 
     if (error < 0) {
         return error;
     }
-    publish->reports =
-        calloc(publish->hosts.count + 1, sizeof(*publish->reports));
-    if (publish->reports == NULL) {
+    reports = calloc(hosts.count + 1, sizeof(*reports));
+    if (reports == NULL) {
+        pps_host_list_clear(&hosts);
         return pps_error_set(PPS_ENOMEM, "publish: out of memory");
     }
-    init_reports(publish);
+    for (size_t i = 0; i < hosts.count; i++) {
+        init_report(&reports[i], &hosts.hosts[i], publish);
+    }
+    free(publish->reports);
+    pps_host_list_clear(&publish->hosts);
+    publish->hosts = hosts;
+    publish->reports = reports;
+    return PPS_OK;
+}
+
+static int
+follow(publish_t *publish)
+{
     while (pps_clock_now_us() < publish->deadline_us) {
-        if (!publish->known) {
+        int error = refresh_hosts(publish);
+
+        if (error == 0 && !publish->known) {
             find_verdict(publish);
         }
         if (publish->rejected) {
             return pps_error_set(PPS_ECONFLICT, "rejected: %s",
                                  publish->reason);
         }
-        if (publish->known && evaluate(publish, 0) == 0 &&
-            publish->stage >= publish->wanted) {
+        if (error == 0 && publish->known && publish->hosts.count > 0 &&
+            evaluate(publish, 0) == 0 && publish->stage >= publish->wanted) {
             return PPS_OK;
         }
         pps_clock_sleep_us(POLL_PAUSE_US);
--- a/src/libpapayaswitch/router/control.c
+++ b/src/libpapayaswitch/router/control.c
@@ -39,18 +39,23 @@
     pps_peers_set_status(router->peers, &status);
 }
 
+/* Which evidence carries the right changes often; having it or not does not.
+ */
 static void
-record_serving_change(pps_router_t *router, const char *before)
+record_serving_change(pps_router_t *router, int could)
 {
-    const char *after =
-        pps_serving_reason(&router->serving, pps_clock_now_us());
+    int64_t now = pps_clock_now_us();
+    int can = pps_serving_may_start(&router->serving, now);
+    const char *reason = pps_serving_reason(&router->serving, now);
 
-    if (before == after) {
+    if (could == can) {
         return;
     }
-    pps_event_record("serving", PPS_FIELDS(PPS_STR("reason", after)));
-    pps_logger_write(PPS_LOG_INFO, "serving",
-                     PPS_FIELDS(PPS_STR("reason", after)));
+    pps_event_record("serving", PPS_FIELDS(PPS_INT("allowed", can),
+                                           PPS_STR("reason", reason)));
+    pps_logger_write(
+        PPS_LOG_INFO, "serving",
+        PPS_FIELDS(PPS_INT("allowed", can), PPS_STR("reason", reason)));
 }
 
 void
@@ -60,7 +65,7 @@
     pps_serving_input_t input = PPS_SERVING_INPUT_INIT;
     pps_serving_verdict_t verdict;
     int64_t now = pps_clock_now_us();
-    const char *before = pps_serving_reason(&router->serving, now);
+    int could = router->could_serve;
 
     input.self_id = router->settings.host_id;
     input.next_offset = pps_config_fold_next(router->config.fold);
@@ -79,7 +84,9 @@
     router->synced = verdict.synced;
     pps_serving_publish(&router->serving, &verdict);
     tell_peers(router, &verdict);
-    record_serving_change(router, before);
+    record_serving_change(router, could);
+    router->could_serve =
+        pps_serving_may_start(&router->serving, pps_clock_now_us());
 }
 
 static int
--- a/src/libpapayaswitch/router/router_state.h
+++ b/src/libpapayaswitch/router/router_state.h
@@ -42,6 +42,7 @@
     pps_config_feed_t config;
     pps_work_feed_t work;
     int synced;
+    int could_serve; /**< at the last evaluation */
     int64_t snapshot_asked_us;
 
     /* Set before the threads start, safe from any of them. */
