--- /dev/null
+++ b/tests/process/harness.c
@@ -0,0 +1,272 @@
+/** @file harness.c @brief Starts, signals and ends processes. */
+#include "harness.h"
+
+#include "clock.h"
+#include "ini_lines.h"
+#include "papayaswitch/errors.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define ARGS_MAX 64
+#define SERVE_TIMEOUT_MS 10000
+#define POLL_US (5 * PPS_US_PER_MS)
+#define SIGNALLED 128
+
+extern char **environ;
+
+int
+harness_new(harness_t **out)
+{
+    harness_t *harness = calloc(1, sizeof(*harness));
+
+    if (harness == NULL) {
+        return pps_error_set(PPS_ENOMEM, "harness: out of memory");
+    }
+    snprintf(harness->folder, sizeof(harness->folder),
+             "/tmp/papayaswitch-XXXXXX");
+    if (mkdtemp(harness->folder) == NULL) {
+        free(harness);
+        return pps_error_set(PPS_EIO, "mkdtemp: %s", strerror(errno));
+    }
+    *out = harness;
+    return PPS_OK;
+}
+
+void
+harness_path(const harness_t *harness, char out[HARNESS_PATH_MAX],
+             const char *name)
+{
+    snprintf(out, HARNESS_PATH_MAX, "%.64s/%.128s", harness->folder, name);
+}
+
+int
+harness_write_file(const harness_t *harness, const char *name,
+                   const char *text)
+{
+    char path[HARNESS_PATH_MAX];
+    FILE *file;
+    int failed;
+
+    harness_path(harness, path, name);
+    file = fopen(path, "we");
+    if (file == NULL) {
+        return pps_error_set(PPS_EIO, "%s: %s", path, strerror(errno));
+    }
+    failed = fputs(text, file) < 0;
+    failed |= fclose(file) != 0;
+    return failed ? pps_error_set(PPS_EIO, "%s: not written", path) : PPS_OK;
+}
+
+static int
+spawn(harness_process_t *process, char **argv)
+{
+    posix_spawn_file_actions_t actions;
+    posix_spawnattr_t attributes;
+    sigset_t none;
+    int failed;
+
+    sigemptyset(&none);
+    posix_spawnattr_init(&attributes);
+    posix_spawnattr_setsigmask(&attributes, &none);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO,
+                                     process->stderr_file,
+                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    failed = posix_spawn(&process->pid, argv[0], &actions, &attributes, argv,
+                         environ);
+    posix_spawn_file_actions_destroy(&actions);
+    posix_spawnattr_destroy(&attributes);
+    if (failed != 0) {
+        return pps_error_set(PPS_EIO, "%s: %s", argv[0], strerror(failed));
+    }
+    process->running = 1;
+    return PPS_OK;
+}
+
+static void
+name_files(const harness_t *harness, harness_process_t *process,
+           const char *port_file)
+{
+    char name[32];
+    char path[HARNESS_PATH_MAX];
+
+    snprintf(name, sizeof(name), "stderr-%d", harness->count);
+    harness_path(harness, path, name);
+    memcpy(process->stderr_file, path, sizeof(path));
+    snprintf(name, sizeof(name), "port-%d", harness->count);
+    harness_path(harness, path, port_file == NULL ? name : port_file);
+    memcpy(process->port_file, path, sizeof(path));
+    unlink(process->port_file);
+}
+
+int
+harness_start(harness_t *harness, harness_process_t **out, const char *program,
+              const char *port_file, const char *const *args)
+{
+    harness_process_t *process = &harness->processes[harness->count];
+    const char *argv[ARGS_MAX + 4];
+    char path[HARNESS_PATH_MAX];
+    size_t count = 0;
+    int error;
+
+    if (harness->count == HARNESS_PROCESSES_MAX) {
+        return pps_error_set(PPS_ELIMIT, "harness: too many processes");
+    }
+    memset(process, 0, sizeof(*process));
+    name_files(harness, process, port_file);
+    snprintf(path, sizeof(path), "%s/%s", PPS_BIN_DIR, program);
+    argv[count++] = path;
+    for (size_t i = 0; args[i] != NULL && i < ARGS_MAX; i++) {
+        argv[count++] = args[i];
+    }
+    if (port_file == NULL) {
+        argv[count++] = "--port-file";
+        argv[count++] = process->port_file;
+    }
+    argv[count] = NULL;
+    error = spawn(process, (char **)argv);
+    if (error < 0) {
+        return error;
+    }
+    harness->count++;
+    *out = process;
+    return PPS_OK;
+}
+
+static int
+read_ports(harness_process_t *process)
+{
+    FILE *file = fopen(process->port_file, "re");
+    int port;
+
+    if (file == NULL) {
+        return 0;
+    }
+    process->port_count = 0;
+    while (process->port_count < HARNESS_PORTS_MAX &&
+           fscanf(file, "%d", &port) == 1) {
+        process->ports[process->port_count++] = port;
+    }
+    fclose(file);
+    return process->port_count > 0;
+}
+
+int
+harness_wait_ports(harness_process_t *process, int timeout_ms)
+{
+    int64_t end_us = pps_clock_now_us() + timeout_ms * PPS_US_PER_MS;
+
+    while (!read_ports(process)) {
+        if (harness_wait(process, 0) >= 0) {
+            return pps_error_set(PPS_ECLOSED, "the process has ended");
+        }
+        if (pps_clock_now_us() > end_us) {
+            return pps_error_set(PPS_ETIMEOUT, "no port file in time");
+        }
+        pps_clock_sleep_us(POLL_US);
+    }
+    return PPS_OK;
+}
+
+int
+harness_serve(harness_t *harness, harness_process_t **out, const char *program,
+              const char *const *args)
+{
+    int error = harness_start(harness, out, program, NULL, args);
+
+    if (error == 0) {
+        error = harness_wait_ports(*out, SERVE_TIMEOUT_MS);
+    }
+    return error < 0 ? error : (*out)->ports[0];
+}
+
+int
+harness_signal(const harness_process_t *process, int number)
+{
+    if (!process->running) {
+        return pps_error_set(PPS_ECLOSED, "the process has ended");
+    }
+    if (kill(process->pid, number) != 0) {
+        return pps_error_set(PPS_EIO, "kill: %s", strerror(errno));
+    }
+    return PPS_OK;
+}
+
+static int
+exit_status(const harness_process_t *process)
+{
+    if (WIFSIGNALED(process->status)) {
+        return SIGNALLED + WTERMSIG(process->status);
+    }
+    return WEXITSTATUS(process->status);
+}
+
+int
+harness_wait(harness_process_t *process, int timeout_ms)
+{
+    int64_t end_us = pps_clock_now_us() + timeout_ms * PPS_US_PER_MS;
+
+    while (process->running) {
+        if (waitpid(process->pid, &process->status, WNOHANG) == process->pid) {
+            process->running = 0;
+            break;
+        }
+        if (pps_clock_now_us() >= end_us) {
+            return -1;
+        }
+        pps_clock_sleep_us(POLL_US);
+    }
+    return exit_status(process);
+}
+
+char *
+harness_stderr(const harness_process_t *process)
+{
+    char *text = NULL;
+    size_t size;
+
+    if (pps_file_read(&text, &size, process->stderr_file) < 0) {
+        return strdup("");
+    }
+    return text;
+}
+
+static void
+remove_files(const harness_t *harness)
+{
+    char path[HARNESS_PATH_MAX];
+
+    for (int i = 0; i < harness->count; i++) {
+        unlink(harness->processes[i].port_file);
+        unlink(harness->processes[i].stderr_file);
+    }
+    snprintf(path, sizeof(path), "%s", harness->folder);
+    rmdir(path);
+}
+
+void
+harness_free(harness_t *harness)
+{
+    if (harness == NULL) {
+        return;
+    }
+    for (int i = 0; i < harness->count; i++) {
+        harness_process_t *process = &harness->processes[i];
+
+        if (process->running) {
+            kill(process->pid, SIGKILL);
+            waitpid(process->pid, &process->status, 0);
+        }
+    }
+    remove_files(harness);
+    free(harness);
+}
--- /dev/null
+++ b/tests/process/harness.h
@@ -0,0 +1,89 @@
+/**
+ * @file harness.h
+ * @brief Real processes on loopback, for tests.
+ *
+ * All that a harness started is killed, by its id, when it is freed.
+ */
+#ifndef PPS_TESTS_HARNESS_H
+#define PPS_TESTS_HARNESS_H
+
+#include <sys/types.h>
+
+/** Most processes of one harness. */
+#define HARNESS_PROCESSES_MAX 32
+
+/** Longest path, its end included. */
+#define HARNESS_PATH_MAX 256
+
+/** Most ports that a process writes to its port file. */
+#define HARNESS_PORTS_MAX 4
+
+/** A process that the harness started. */
+typedef struct {
+    pid_t pid;
+    int running;
+    int status; /**< as of waitpid(), once it has ended */
+    int ports[HARNESS_PORTS_MAX];
+    int port_count;
+    char port_file[HARNESS_PATH_MAX];
+    char stderr_file[HARNESS_PATH_MAX];
+} harness_process_t;
+
+/** A folder of temporary files and the processes started in it. */
+typedef struct {
+    char folder[HARNESS_PATH_MAX];
+    harness_process_t processes[HARNESS_PROCESSES_MAX];
+    int count;
+} harness_t;
+
+/** Makes a harness with an empty folder. @return 0 or a negative error */
+int
+harness_new(harness_t **out);
+
+/** Kills what still runs and removes the folder. NULL is allowed. */
+void
+harness_free(harness_t *harness);
+
+/** The path of a file in the harness' folder. */
+void
+harness_path(const harness_t *harness, char out[HARNESS_PATH_MAX],
+             const char *name);
+
+/** Writes a file in the folder. @return 0 or a negative error */
+int
+harness_write_file(const harness_t *harness, const char *name,
+                   const char *text);
+
+/**
+ * Starts a program of the build.
+ *
+ * @param args arguments behind the program's name, ended by NULL
+ * @param port_file name of the port file that the program's settings name;
+ *        NULL adds `--port-file` to the arguments
+ */
+int
+harness_start(harness_t *harness, harness_process_t **out, const char *program,
+              const char *port_file, const char *const *args);
+
+/** Waits for the port file. @return 0; negative when time is up or it died */
+int
+harness_wait_ports(harness_process_t *process, int timeout_ms);
+
+/** Starts a program and waits until it serves. @return its port, or < 0 */
+int
+harness_serve(harness_t *harness, harness_process_t **out, const char *program,
+              const char *const *args);
+
+/** Sends a signal. */
+int
+harness_signal(const harness_process_t *process, int number);
+
+/** Waits for the end. @return the exit status; 128 + signal; -1: runs on */
+int
+harness_wait(harness_process_t *process, int timeout_ms);
+
+/** What the process wrote to standard error; free() by the caller. */
+char *
+harness_stderr(const harness_process_t *process);
+
+#endif
