--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -5,8 +5,10 @@
 #include "ini_lines.h"
 #include "papayaswitch/errors.h"
 
+#include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <jansson.h>
 #include <signal.h>
 #include <spawn.h>
 #include <stdio.h>
@@ -142,22 +144,27 @@
     return PPS_OK;
 }
 
+static int
+object_int(const json_t *object, const char *key)
+{
+    return (int)json_integer_value(json_object_get(object, key));
+}
+
 static int
 read_ports(harness_process_t *process)
 {
-    FILE *file = fopen(process->port_file, "re");
-    int port;
+    json_t *ports = json_load_file(process->port_file, JSON_DECODE_ANY, NULL);
 
-    if (file == NULL) {
-        return 0;
+    if (json_is_integer(ports)) {
+        process->port = (int)json_integer_value(ports);
     }
-    process->port_count = 0;
-    while (process->port_count < HARNESS_PORTS_MAX &&
-           fscanf(file, "%d", &port) == 1) {
-        process->ports[process->port_count++] = port;
+    else {
+        process->port = object_int(ports, "http");
+        process->operator_port = object_int(ports, "operator");
+        process->peer_port = object_int(ports, "peer");
     }
-    fclose(file);
-    return process->port_count > 0;
+    json_decref(ports);
+    return process->port > 0;
 }
 
 int
@@ -186,7 +193,7 @@
     if (error == 0) {
         error = harness_wait_ports(*out, SERVE_TIMEOUT_MS);
     }
-    return error < 0 ? error : (*out)->ports[0];
+    return error < 0 ? error : (*out)->port;
 }
 
 int
@@ -243,14 +250,19 @@
 static void
 remove_files(const harness_t *harness)
 {
-    char path[HARNESS_PATH_MAX];
+    DIR *folder = opendir(harness->folder);
+    const struct dirent *entry;
 
-    for (int i = 0; i < harness->count; i++) {
-        unlink(harness->processes[i].port_file);
-        unlink(harness->processes[i].stderr_file);
+    while (folder != NULL && (entry = readdir(folder)) != NULL) {
+        char path[HARNESS_PATH_MAX];
+
+        harness_path(harness, path, entry->d_name);
+        unlink(path);
+    }
+    if (folder != NULL) {
+        closedir(folder);
     }
-    snprintf(path, sizeof(path), "%s", harness->folder);
-    rmdir(path);
+    rmdir(harness->folder);
 }
 
 void
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -15,16 +15,14 @@
 /** Longest path, its end included. */
 #define HARNESS_PATH_MAX 256
 
-/** Most ports that a process writes to its port file. */
-#define HARNESS_PORTS_MAX 4
-
 /** A process that the harness started. */
 typedef struct {
     pid_t pid;
     int running;
-    int status; /**< as of waitpid(), once it has ended */
-    int ports[HARNESS_PORTS_MAX];
-    int port_count;
+    int status;        /**< as of waitpid(), once it has ended */
+    int port;          /**< towards callers; 0 until it serves */
+    int operator_port; /**< of the router only */
+    int peer_port;     /**< of the router only */
     char port_file[HARNESS_PATH_MAX];
     char stderr_file[HARNESS_PATH_MAX];
 } harness_process_t;
@@ -65,7 +63,10 @@
 harness_start(harness_t *harness, harness_process_t **out, const char *program,
               const char *port_file, const char *const *args);
 
-/** Waits for the port file. @return 0; negative when time is up or it died */
+/**
+ * Waits for the port file: a number, or the router's JSON object.
+ * @return 0; negative when time is up or it died
+ */
 int
 harness_wait_ports(harness_process_t *process, int timeout_ms);
 
