papayaswitch load: open-loop callers and their account

The demo and the tests of whole answers need callers that retry what was not run, under the same id and key, and that tell whole, cut and foreign answers apart.

--- /dev/null
+++ b/src/cli/load_options.c
@@ -0,0 +1,210 @@
+/** @file load_options.c @brief Command line of `papayaswitch load`. */
+#include "load_options.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ERRORS_SHOWN_MAX 8
+
+typedef struct {
+    struct arg_str *entry;
+    struct arg_str *workspace;
+    struct arg_str *mix;
+    struct arg_dbl *rate;
+    struct arg_dbl *seconds;
+    struct arg_int *seed;
+    struct arg_file *json;
+    struct arg_int *sessions;
+    struct arg_int *threads;
+    struct arg_int *timeout;
+    struct arg_str *model;
+    struct arg_str *service;
+    struct arg_str *run_id;
+    struct arg_lit *verify;
+    struct arg_end *end;
+} load_args_t;
+
+static load_args_t
+make_args(void)
+{
+    return (load_args_t){
+        arg_strn(NULL, "entry", "ADDRESS:PORT", 1, LOAD_ENTRIES_MAX,
+                 "an entry host"),
+        arg_strn(NULL, "workspace", "NAME=KEY", 1, LOAD_WORKSPACES_MAX,
+                 "a caller's workspace"),
+        arg_str0(NULL, "mix", "KIND=SHARE,...",
+                 "captions, footnotes, commentary, lookups, releases"),
+        arg_dbl1(NULL, "rate", "N", "requests a second"),
+        arg_dbl1(NULL, "seconds", "N", "how long requests are sent"),
+        arg_int0(NULL, "seed", "N", "seed of all draws"),
+        arg_file0(NULL, "json", "FILE", "where the account goes"),
+        arg_int0(NULL, "sessions", "N", "sessions that requests belong to"),
+        arg_int0(NULL, "threads", "N", "callers at once"),
+        arg_int0(NULL, "timeout", "S", "seconds for one attempt"),
+        arg_str0(NULL, "model", "NAME", "model to ask for"),
+        arg_str0(NULL, "service", "NAME", "service to call"),
+        arg_str0(NULL, "run-id", "TEXT", "first part of the request ids"),
+        arg_lit0(NULL, "verify", "check the stand-in engine's texts"),
+        arg_end(ERRORS_SHOWN_MAX),
+    };
+}
+
+static void
+set_defaults(load_options_t *options)
+{
+    memset(options, 0, sizeof(*options));
+    options->seed = 1;
+    options->threads = 64;
+    options->timeout_s = 60;
+    snprintf(options->model, sizeof(options->model), "drafting");
+    snprintf(options->service, sizeof(options->service), "registry");
+    snprintf(options->run_id, sizeof(options->run_id), "load-%llx",
+             (unsigned long long)pps_clock_wall_us());
+}
+
+static int
+take_entries(load_options_t *options, const struct arg_str *entry)
+{
+    for (int i = 0; i < entry->count; i++) {
+        snprintf(options->entries[i], sizeof(options->entries[i]), "%s",
+                 entry->sval[i]);
+    }
+    options->entry_count = (size_t)entry->count;
+    return PPS_OK;
+}
+
+static int
+take_workspaces(load_options_t *options, const struct arg_str *workspace)
+{
+    for (int i = 0; i < workspace->count; i++) {
+        load_workspace_t *out = &options->workspaces[i];
+        const char *text = workspace->sval[i];
+        const char *equals = strchr(text, '=');
+
+        if (equals == NULL) {
+            return pps_error_set(PPS_EINVALID, "--workspace %s: no key", text);
+        }
+        snprintf(out->name, sizeof(out->name), "%.*s", (int)(equals - text),
+                 text);
+        snprintf(out->key, sizeof(out->key), "%s", equals + 1);
+    }
+    options->workspace_count = (size_t)workspace->count;
+    return PPS_OK;
+}
+
+static int
+take_mix(load_options_t *options, const char *mix)
+{
+    while (*mix != '\0') {
+        size_t length = strcspn(mix, "=");
+        int kind = load_kind_find(mix, length);
+        char *end;
+        long share;
+
+        if (kind < 0 || mix[length] != '=') {
+            return pps_error_set(PPS_EINVALID, "--mix: '%s'", mix);
+        }
+        share = strtol(mix + length + 1, &end, 10);
+        if (share < 0 || share > 1000 || (*end != '\0' && *end != ',')) {
+            return pps_error_set(PPS_EINVALID, "--mix: '%s'", mix);
+        }
+        options->weights[kind] = (int)share;
+        options->weight_sum += (int)share;
+        mix = end + (*end == ',');
+    }
+    if (options->weight_sum == 0) {
+        return pps_error_set(PPS_EINVALID, "--mix: nothing to send");
+    }
+    return PPS_OK;
+}
+
+static void
+take_text(char *out, size_t size, const struct arg_str *text)
+{
+    if (text->count > 0) {
+        snprintf(out, size, "%s", text->sval[0]);
+    }
+}
+
+static void
+take_int(int *out, const struct arg_int *number)
+{
+    if (number->count > 0) {
+        *out = number->ival[0];
+    }
+}
+
+static int
+check_ranges(const load_options_t *options)
+{
+    if (options->rate <= 0 || options->rate > LOAD_RATE_MAX ||
+        options->seconds <= 0 || options->seconds > LOAD_SECONDS_MAX ||
+        options->threads < 1 || options->threads > LOAD_THREADS_MAX ||
+        options->sessions < 0 || options->sessions > LOAD_SESSIONS_MAX ||
+        options->timeout_s < 1) {
+        return pps_error_set(PPS_EINVALID, "a number is out of range");
+    }
+    return PPS_OK;
+}
+
+static int
+take_all(load_options_t *options, const load_args_t *args)
+{
+    const char *mix = args->mix->count > 0
+                          ? args->mix->sval[0]
+                          : "captions=60,footnotes=20,lookups=15,releases=5";
+    int error = take_entries(options, args->entry);
+
+    if (error == 0) {
+        error = take_workspaces(options, args->workspace);
+    }
+    if (error == 0) {
+        error = take_mix(options, mix);
+    }
+    options->rate = args->rate->dval[0];
+    options->seconds = args->seconds->dval[0];
+    options->seed = args->seed->count > 0 ? (uint64_t)args->seed->ival[0] : 1;
+    options->verify = args->verify->count > 0;
+    take_int(&options->sessions, args->sessions);
+    take_int(&options->threads, args->threads);
+    take_int(&options->timeout_s, args->timeout);
+    take_text(options->model, sizeof(options->model), args->model);
+    take_text(options->service, sizeof(options->service), args->service);
+    take_text(options->run_id, sizeof(options->run_id), args->run_id);
+    if (args->json->count > 0) {
+        snprintf(options->json, sizeof(options->json), "%s",
+                 args->json->filename[0]);
+    }
+    return error < 0 ? error : check_ranges(options);
+}
+
+int
+load_options_parse(load_options_t *options, int argc, char **argv)
+{
+    load_args_t args = make_args();
+    void **table = (void **)&args;
+    int error;
+
+    set_defaults(options);
+    if (arg_nullcheck(table) != 0) {
+        error = pps_error_set(PPS_ENOMEM, "options: out of memory");
+    }
+    else if (arg_parse(argc, argv, table) > 0) {
+        arg_print_errors(stderr, args.end, argv[0]);
+        arg_print_glossary(stderr, table, "  %-28s %s\n");
+        error = pps_error_set(PPS_EINVALID, "malformed command line");
+    }
+    else {
+        error = take_all(options, &args);
+    }
+    if (error < 0) {
+        fprintf(stderr, "%s: %s\n", argv[0], pps_error_last());
+    }
+    arg_freetable(table, sizeof(args) / sizeof(void *));
+    return error;
+}
