Bills on the path: a second host has the bill before the last byte

The router's bills are tied to the peer links (messages go through the control thread) and to the membership (partner in another failure domain, lost hosts and earlier incarnations). Admission refuses as not run when a bill could not be kept safe. A caller who leaves is billed for what was generated. Plain services have no price in a note; their calls get a bill without cost, so that every answered request has exactly one.

--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -1,5 +1,6 @@
 /** @file main.c @brief papayaswitch: the operators' command. */
 #include "command.h"
+#include "load.h"
 
 #include <curl/curl.h>
 #include <sodium.h>
@@ -22,6 +23,7 @@
     {{"settings", "check"}, pps_cli_settings_check, "check a settings file"},
     {{"status"}, pps_cli_status, "the state of all hosts"},
     {{"counters"}, pps_cli_counters, "the counters of all hosts"},
+    {{"load"}, pps_cli_load, "send a bounded load and account for it"},
     {{"timeline"}, pps_cli_timeline, "events of all hosts in one order"},
 };
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -97,7 +97,7 @@
 static int
 run(const char *path, int check_only)
 {
-    pps_settings_t settings;
+    pps_settings_t settings = {0};
     pps_router_t *router = NULL;
     int error = load_settings(&settings, path);
 
--- a/src/libpapayaswitch/router/call.c
+++ b/src/libpapayaswitch/router/call.c
@@ -150,6 +150,11 @@
                         "this host starts no work now; ask another one");
         return PPS_ECLOSED;
     }
+    if (!pps_bills_may_accept(call->router->bills)) {
+        pps_call_refuse(call, response, PPS_API_NOT_SERVING, 0,
+                        "this host cannot keep a bill safe now");
+        return PPS_ELIMIT;
+    }
     call->workspace = find_workspace(call->catalog, request);
     if (call->workspace == NULL) {
         pps_call_refuse(call, response, PPS_API_UNAUTHORIZED, 0,
--- a/src/libpapayaswitch/router/chat.c
+++ b/src/libpapayaswitch/router/chat.c
@@ -1,6 +1,7 @@
 /** @file chat.c @brief Completions: session, answer, whole reply. */
 #include "chat.h"
 
+#include "bill_link.h"
 #include "clock.h"
 #include "counters.h"
 #include "event.h"
@@ -211,7 +212,8 @@
                    PPS_STR("version", usage->version),
                    PPS_INT("tokens", usage->generated_tokens),
                    PPS_INT("attempts", usage->attempts)));
-    return PPS_OK;
+    return pps_bill_link_bill(&chat->call, chat->request.model,
+                              usage->upstream, usage, PPS_BILL_COMPLETED);
 }
 
 static void
@@ -224,6 +226,7 @@
         got = pps_answer_read(chat->answer, &chat->out, READ_WAIT_MS);
     } while (got > 0);
     pps_answer_usage(chat->answer, &usage);
+    chat->ended = 1;
     if (got < 0) {
         pps_call_refuse(&chat->call, response, PPS_API_UPSTREAM_FAILED, 0,
                         pps_error_last());
@@ -240,9 +243,25 @@
         pps_chat_reply_whole(&chat->reply, pps_buf_text(&chat->out), &usage));
 }
 
+/* A caller who left pays for what was generated until then. */
+static void
+bill_cancelled(pps_chat_t *chat)
+{
+    pps_answer_usage_t usage;
+
+    pps_answer_usage(chat->answer, &usage);
+    if (usage.generated_tokens > 0) {
+        pps_bill_link_bill(&chat->call, chat->request.model, usage.upstream,
+                           &usage, PPS_BILL_CANCELLED);
+    }
+}
+
 void
 pps_chat_free(pps_chat_t *chat)
 {
+    if (chat->answer != NULL && !chat->ended) {
+        bill_cancelled(chat);
+    }
     pps_answer_close(chat->answer);
     pps_worker_view_free(chat->workers);
     pps_chat_request_clear(&chat->request);
--- a/src/libpapayaswitch/router/chat.h
+++ b/src/libpapayaswitch/router/chat.h
@@ -18,7 +18,7 @@
     char pinned[PPS_NAME_MAX + 1]; /**< "" without a session */
     pps_answer_t *answer;
     pps_buf_t out; /**< bytes for the caller, when streamed */
-    int ended;
+    int ended;     /**< whole or failed; else the caller has left */
 } pps_chat_t;
 
 /** Endpoint callback; `user` is the router. */
--- a/src/libpapayaswitch/router/control.c
+++ b/src/libpapayaswitch/router/control.c
@@ -1,4 +1,5 @@
 /** @file control.c @brief The control thread: loop, timers, peers, feeds. */
+#include "bill_link.h"
 #include "clock.h"
 #include "event.h"
 #include "logger.h"
@@ -12,6 +13,7 @@
 #define TICK_MS 20
 #define SERVING_PERIOD_US (50 * PPS_US_PER_MS)
 #define STATUS_PERIOD_US (100 * PPS_US_PER_MS)
+#define BILLS_PERIOD_US (100 * PPS_US_PER_MS)
 #define JOURNAL_PERIOD_US PPS_US_PER_S
 #define CHECKPOINT_PERIOD_US (5 * PPS_US_PER_S)
 #define CHECKPOINT_RECORDS 256
@@ -131,6 +133,8 @@
     uint64_t from = pps_config_fold_next(router->config.fold);
     int changed = pps_config_feed_take(&router->config, delivery->batch);
 
+    pps_bills_set_log(router->bills,
+                      delivery->batch->error != PPS_EUNAVAILABLE);
     if (changed > 0) {
         config_changed(router, from);
     }
@@ -209,7 +213,7 @@
         }
         return PPS_OK;
     default:
-        return PPS_ENOTFOUND;
+        return pps_bill_link_receive(router, from, kind, payload, size);
     }
 }
 
@@ -241,6 +245,12 @@
     pps_status_publish(user, 0);
 }
 
+static void
+fire_bills(int64_t now_us, void *user)
+{
+    pps_bill_link_tick(user);
+}
+
 static void
 fire_journal(int64_t now_us, void *user)
 {
@@ -483,6 +493,8 @@
                          CHECKPOINT_PERIOD_US, fire_checkpoint, router);
     pps_timers_subscribe(&router->timers, &router->status_timer, now,
                          STATUS_PERIOD_US, fire_status, router);
+    pps_timers_subscribe(&router->timers, &router->bills_timer, now,
+                         BILLS_PERIOD_US, fire_bills, router);
     uv_timer_start(&router->tick, on_tick, 0, TICK_MS);
     error = open_feeds(router);
     if (error < 0) {
--- a/src/libpapayaswitch/router/router.c
+++ b/src/libpapayaswitch/router/router.c
@@ -1,6 +1,7 @@
 /** @file router.c @brief Making, starting and stopping one host. */
 #include "papayaswitch/router.h"
 
+#include "bill_link.h"
 #include "clock.h"
 #include "event.h"
 #include "logger.h"
@@ -46,6 +47,9 @@
     if (error == 0) {
         error = open_journal(router);
     }
+    if (error == 0) {
+        error = pps_bill_link_open(router);
+    }
     return error;
 }
 
@@ -139,7 +143,8 @@
 pps_router_is_drained(pps_router_t *router)
 {
     return atomic_load(&router->in_progress) == 0 &&
-           pps_journal_pending(router->journal) == 0;
+           pps_journal_pending(router->journal) == 0 &&
+           pps_bills_drain(router->bills) == 0;
 }
 
 void
@@ -154,6 +159,9 @@
     if (router->journal != NULL) {
         pps_journal_free(router->journal);
     }
+    if (router->bills != NULL) {
+        pps_bills_free(router->bills);
+    }
     pps_work_feed_clear(&router->work);
     pps_config_feed_clear(&router->config);
     pps_host_list_clear(&router->hosts);
--- a/src/libpapayaswitch/router/router_state.h
+++ b/src/libpapayaswitch/router/router_state.h
@@ -9,6 +9,7 @@
 #include "control/mailbox.h"
 #include "http_listener.h"
 #include "papayaswitch/answer.h"
+#include "papayaswitch/bills.h"
 #include "papayaswitch/journal.h"
 #include "papayaswitch/log_backend.h"
 #include "papayaswitch/peers.h"
@@ -37,6 +38,7 @@
     pps_timer_t journal_timer;
     pps_timer_t checkpoint_timer;
     pps_timer_t status_timer;
+    pps_timer_t bills_timer;
     pps_peers_t *peers;
     pps_host_list_t hosts;
     pps_config_feed_t config;
@@ -51,6 +53,7 @@
     pps_mailbox_t mailbox;
     pps_log_backend_t *log;
     pps_journal_t *journal;
+    pps_bills_t *bills;
     pps_engine_backend_t *engine;
     pps_service_backend_t *service;
     pps_worker_board_t *workers;
--- a/src/libpapayaswitch/router/service_call.c
+++ b/src/libpapayaswitch/router/service_call.c
@@ -1,6 +1,7 @@
 /** @file service_call.c @brief Calls of plain services, once or repeatable. */
 #include "service_call.h"
 
+#include "bill_link.h"
 #include "call.h"
 #include "clock.h"
 #include "counters.h"
@@ -196,6 +197,13 @@
 {
     const pps_service_answer_t *answer = &service->answer;
 
+    if (pps_bill_link_bill(&service->call, "", service->upstream->name, NULL,
+                           PPS_BILL_COMPLETED) < 0) {
+        pps_call_refuse(&service->call, response, PPS_API_BILL_UNSAFE, 0,
+                        "it has run; its bill could not be made safe");
+        return;
+    }
+
     pps_counter_add(PPS_COUNTER_REQUESTS_OK, 1);
     if (answer->content_type[0] != '\0') {
         u_map_put(response->map_header, "Content-Type", answer->content_type);
--- a/src/libpapayaswitch/router/status.c
+++ b/src/libpapayaswitch/router/status.c
@@ -120,6 +120,19 @@
     return list;
 }
 
+static json_t *
+bills_json(pps_router_t *router)
+{
+    pps_bills_stats_t stats;
+
+    pps_bills_stats(router->bills, &stats);
+    return json_pack(
+        "{s:I, s:I, s:I, s:I, s:I, s:I}", "own", (json_int_t)stats.own,
+        "exposed", (json_int_t)stats.exposed, "held", (json_int_t)stats.held,
+        "recovering", (json_int_t)stats.recovering, "appended",
+        (json_int_t)stats.appended, "recovered", (json_int_t)stats.recovered);
+}
+
 json_t *
 pps_status_json(pps_router_t *router)
 {
@@ -142,6 +155,7 @@
                         copy_published(router, &router->status.config));
     json_object_set_new(status, "hosts",
                         copy_published(router, &router->status.hosts));
+    json_object_set_new(status, "bills", bills_json(router));
     json_object_set_new(status, "workers", workers_json(router));
     return status;
 }
