--- /dev/null
+++ b/tests/process/harness_standin.c
@@ -0,0 +1,27 @@
+/** @file harness_standin.c @brief Short forms for tests with stand-ins. */
+#include "harness_standin.h"
+
+#include "harness_http.h"
+
+#include <criterion/criterion.h>
+
+int
+harness_standin(harness_t *harness, const char *program, const char *option,
+                const char *value)
+{
+    const char *const args[] = {option, value, NULL};
+    harness_process_t *process;
+    int port = harness_serve(harness, &process, program, args);
+
+    cr_assert_gt(port, 0, "%s does not serve", program);
+    return port;
+}
+
+void
+harness_faults(int port, const char *faults)
+{
+    json_t *body = json_loads(faults, 0, NULL);
+
+    cr_assert_eq(harness_status("PUT", port, "/faults", body), 200, "%s",
+                 faults);
+}
