--- a/include/papayaswitch/refusal.h
+++ b/include/papayaswitch/refusal.h
@@ -21,8 +21,8 @@
 const char *
 pps_refusal_name(pps_refusal_t refusal);
 
-/** The refusal of that name; PPS_REFUSAL_BROKEN when there is none. */
-pps_refusal_t
-pps_refusal_parse(const char *name);
+/** The refusal of that name. @return 0 or PPS_ENOTFOUND; NULL is allowed */
+int
+pps_refusal_lookup(pps_refusal_t *out, const char *name);
 
 #endif
--- a/src/libpapayaswitch/upstream/refusal.c
+++ b/src/libpapayaswitch/upstream/refusal.c
@@ -1,27 +1,48 @@
 /** @file refusal.c @brief Names of the ways in which a worker says no. */
 #include "papayaswitch/refusal.h"
 
+#include "papayaswitch/errors.h"
+
 #include <string.h>
 
-static const char *const names[] = {
-    "none",   "draining",       "full",  "version_not_loaded",
-    "broken", "stale_revision", "silent"};
+typedef struct {
+    const char *name;
+    pps_refusal_t refusal;
+} name_t;
+
+/* The first name of a refusal is the one that is written. */
+static const name_t names[] = {
+    {"none", PPS_REFUSAL_NONE},
+    {"draining", PPS_REFUSAL_DRAINING},
+    {"full", PPS_REFUSAL_FULL},
+    {"version_not_loaded", PPS_REFUSAL_NOT_LOADED},
+    {"broken", PPS_REFUSAL_BROKEN},
+    {"stale_revision", PPS_REFUSAL_STALE},
+    {"stale_fencing", PPS_REFUSAL_STALE},
+    {"silent", PPS_REFUSAL_SILENT},
+};
 
 #define NAME_COUNT (sizeof(names) / sizeof(names[0]))
 
 const char *
 pps_refusal_name(pps_refusal_t refusal)
 {
-    return (size_t)refusal < NAME_COUNT ? names[refusal] : "broken";
+    for (size_t i = 0; i < NAME_COUNT; i++) {
+        if (names[i].refusal == refusal) {
+            return names[i].name;
+        }
+    }
+    return "broken";
 }
 
-pps_refusal_t
-pps_refusal_parse(const char *name)
+int
+pps_refusal_lookup(pps_refusal_t *out, const char *name)
 {
     for (size_t i = 0; name != NULL && i < NAME_COUNT; i++) {
-        if (strcmp(names[i], name) == 0) {
-            return (pps_refusal_t)i;
+        if (strcmp(names[i].name, name) == 0) {
+            *out = names[i].refusal;
+            return PPS_OK;
         }
     }
-    return PPS_REFUSAL_BROKEN;
+    return pps_error_set(PPS_ENOTFOUND, "no such refusal");
 }
--- a/src/libpapayaswitch/upstream/service_http.c
+++ b/src/libpapayaswitch/upstream/service_http.c
@@ -52,26 +52,24 @@
     }
 }
 
-/* Only the five agreed words, with an error status, mean "not run". */
+/* Only an agreed word with an error status means "not run". */
 static int
 is_refusal(const pps_http_response_t *response, pps_refusal_answer_t *refusal)
 {
     json_t *body;
-    const char *word;
+    int known;
 
     if (response->status < 400) {
         return 0;
     }
     body = json_loadb(pps_buf_text(&response->body), response->body.size, 0,
                       NULL);
-    word = json_string_value(json_object_get(body, "error"));
-    refusal->reason = pps_refusal_parse(word);
+    known = pps_refusal_lookup(
+                &refusal->reason,
+                json_string_value(json_object_get(body, "error"))) == 0;
     refusal->retry_after_s = response->retry_after_s;
-    if (word == NULL || strcmp(word, pps_refusal_name(refusal->reason)) != 0) {
-        refusal->reason = PPS_REFUSAL_NONE;
-    }
     json_decref(body);
-    return refusal->reason != PPS_REFUSAL_NONE;
+    return known;
 }
 
 static void
