Session tokens: a session keeps its version when the log cannot be asked

The reply of a session carries a sealed token; a host that does not know the pin takes the version from the caller's token, else pins through the log. The session's part and the error codes of chat.c moved to files of their own.

--- a/src/libpapayaswitch/router/chat.c
+++ b/src/libpapayaswitch/router/chat.c
@@ -2,6 +2,8 @@
 #include "chat.h"
 
 #include "bill_link.h"
+#include "chat_error.h"
+#include "chat_session.h"
 #include "clock.h"
 #include "counters.h"
 #include "event.h"
@@ -65,104 +67,6 @@
     options->user = router;
 }
 
-static pps_api_error_t
-code_of(int error)
-{
-    switch (error) {
-    case PPS_ENOTFOUND:
-        return PPS_API_MODEL_NOT_FOUND;
-    case PPS_EINVALID:
-        return PPS_API_NOT_ALLOWED;
-    case PPS_EEXPIRED:
-        return PPS_API_VERSION_WITHDRAWN;
-    case PPS_ECLOSED:
-        return PPS_API_NOT_SERVING;
-    case PPS_ETIMEOUT:
-        return PPS_API_DEADLINE;
-    case PPS_EUNAVAILABLE:
-    case PPS_EREFUSED:
-    case PPS_ELIMIT:
-        return PPS_API_NO_CAPACITY;
-    default:
-        return PPS_API_INTERNAL;
-    }
-}
-
-static const char *
-message_of(int error)
-{
-    switch (error) {
-    case PPS_ENOTFOUND:
-        return "there is no such model";
-    case PPS_EINVALID:
-        return "the workspace may use no version of this model";
-    case PPS_EEXPIRED:
-        return "the session's version was withdrawn; start a new session";
-    case PPS_ECLOSED:
-        return "this host starts no work now; ask another one";
-    case PPS_ETIMEOUT:
-        return "the deadline passed before the request could start";
-    default:
-        return "no worker can take the request now";
-    }
-}
-
-/* A new session's version is proposed by the choice and pinned by the log. */
-static int
-propose_version(pps_chat_t *chat)
-{
-    pps_choice_version_input_t input = PPS_CHOICE_VERSION_INPUT_INIT;
-    pps_choice_version_t choice;
-    int error;
-
-    input.catalog = chat->call.catalog;
-    input.workspace = chat->call.workspace;
-    input.model = chat->request.model;
-    input.kind = chat->call.kind;
-    input.rng = &chat->call.rng;
-    error = pps_choice_version(&choice, &input);
-    if (error == 0) {
-        memcpy(chat->pinned, choice.version->name,
-               strlen(choice.version->name) + 1);
-    }
-    return error;
-}
-
-static int
-resolve_session(pps_chat_t *chat, struct _u_response *response)
-{
-    pps_call_t *call = &chat->call;
-    pps_journal_t *journal = call->router->journal;
-    int error;
-
-    if (call->session[0] == '\0') {
-        return PPS_OK;
-    }
-    if (pps_journal_pinned(chat->pinned, journal, call->workspace->name,
-                           call->session) == 0) {
-        pps_journal_touch(journal, call->workspace->name, call->session);
-        return PPS_OK;
-    }
-    error = propose_version(chat);
-    if (error < 0) {
-        pps_call_refuse(call, response, code_of(error), 0, message_of(error));
-        return error;
-    }
-    error = pps_journal_pin(
-        chat->pinned, journal, call->workspace->name, call->session,
-        (uint32_t)call->workspace->session_idle_s, call->deadline_us);
-    if (error < 0) {
-        pps_call_refuse(call, response, PPS_API_LOG_UNAVAILABLE, 0,
-                        "a new session cannot be pinned to a version now");
-        return error;
-    }
-    pps_event_record("session_pinned",
-                     PPS_FIELDS(PPS_STR("request", call->request_id),
-                                PPS_STR("session", call->session),
-                                PPS_STR("version", chat->pinned)));
-    return PPS_OK;
-}
-
 static int
 open_answer(pps_chat_t *chat, struct _u_response *response)
 {
@@ -175,8 +79,8 @@
     fill_options(chat, &options);
     error = pps_answer_open(&chat->answer, &options, &refusal);
     if (error < 0) {
-        pps_call_refuse(&chat->call, response, code_of(error),
-                        refusal.retry_after_us, message_of(error));
+        pps_call_refuse(&chat->call, response, pps_chat_error_code(error),
+                        refusal.retry_after_us, pps_chat_error_message(error));
         return error;
     }
     pps_answer_usage(chat->answer, &usage);
@@ -284,7 +188,7 @@
         return U_CALLBACK_COMPLETE;
     }
     if (decode_body(chat, request, response) < 0 ||
-        resolve_session(chat, response) < 0 ||
+        pps_chat_resolve_session(chat, request, response) < 0 ||
         open_answer(chat, response) < 0) {
         pps_chat_free(chat);
         return U_CALLBACK_COMPLETE;
--- /dev/null
+++ b/src/libpapayaswitch/router/chat_session.c
@@ -0,0 +1,125 @@
+/** @file chat_session.c @brief The version that a session keeps. */
+#include "chat_session.h"
+
+#include "chat_error.h"
+#include "clock.h"
+#include "event.h"
+#include "papayaswitch/errors.h"
+#include "papayaswitch/session_token.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A new session's version is proposed by the choice and pinned by the log. */
+static int
+propose_version(pps_chat_t *chat)
+{
+    pps_choice_version_input_t input = PPS_CHOICE_VERSION_INPUT_INIT;
+    pps_choice_version_t choice;
+    int error;
+
+    input.catalog = chat->call.catalog;
+    input.workspace = chat->call.workspace;
+    input.model = chat->request.model;
+    input.kind = chat->call.kind;
+    input.rng = &chat->call.rng;
+    error = pps_choice_version(&choice, &input);
+    if (error == 0) {
+        memcpy(chat->pinned, choice.version->name,
+               strlen(choice.version->name) + 1);
+    }
+    return error;
+}
+
+/* A token lets a session keep its version when the log cannot be asked. */
+static int
+pinned_by_token(pps_chat_t *chat, const char *text)
+{
+    const pps_call_t *call = &chat->call;
+    pps_session_token_t token;
+    pps_session_key_t key;
+
+    memcpy(key.bytes, call->router->settings.token_key, sizeof(key.bytes));
+    if (text == NULL ||
+        pps_session_token_open(&token, text, call->workspace->name,
+                               pps_clock_wall_us(), &key, 1) < 0 ||
+        strcmp(token.session, call->session) != 0) {
+        return 0;
+    }
+    memcpy(chat->pinned, token.version, strlen(token.version) + 1);
+    return 1;
+}
+
+static void
+give_token(const pps_chat_t *chat, struct _u_response *response)
+{
+    const pps_call_t *call = &chat->call;
+    pps_session_token_t token = {
+        .expires_us = pps_clock_wall_us() +
+                      call->workspace->session_idle_s * PPS_US_PER_S};
+    pps_session_key_t key;
+    char *text;
+
+    memcpy(key.bytes, call->router->settings.token_key, sizeof(key.bytes));
+    snprintf(token.workspace, sizeof(token.workspace), "%s",
+             call->workspace->name);
+    snprintf(token.session, sizeof(token.session), "%s", call->session);
+    snprintf(token.version, sizeof(token.version), "%s", chat->pinned);
+    if (pps_session_token_seal(&text, &token, &key) == 0) {
+        u_map_put(response->map_header, "X-Session-Token", text);
+        free(text);
+    }
+}
+
+static int
+pin_session(pps_chat_t *chat, struct _u_response *response)
+{
+    pps_call_t *call = &chat->call;
+    int error = propose_version(chat);
+
+    if (error < 0) {
+        pps_call_refuse(call, response, pps_chat_error_code(error), 0,
+                        pps_chat_error_message(error));
+        return error;
+    }
+    error = pps_journal_pin(chat->pinned, call->router->journal,
+                            call->workspace->name, call->session,
+                            (uint32_t)call->workspace->session_idle_s,
+                            call->deadline_us);
+    if (error < 0) {
+        pps_call_refuse(call, response, PPS_API_LOG_UNAVAILABLE, 0,
+                        "a new session cannot be pinned to a version now");
+        return error;
+    }
+    pps_event_record("session_pinned",
+                     PPS_FIELDS(PPS_STR("request", call->request_id),
+                                PPS_STR("session", call->session),
+                                PPS_STR("version", chat->pinned)));
+    return PPS_OK;
+}
+
+int
+pps_chat_resolve_session(pps_chat_t *chat, const struct _u_request *request,
+                         struct _u_response *response)
+{
+    pps_call_t *call = &chat->call;
+    pps_journal_t *journal = call->router->journal;
+    int error = PPS_OK;
+
+    if (call->session[0] == '\0') {
+        return PPS_OK;
+    }
+    if (pps_journal_pinned(chat->pinned, journal, call->workspace->name,
+                           call->session) == 0) {
+        pps_journal_touch(journal, call->workspace->name, call->session);
+    }
+    else if (!pinned_by_token(chat,
+                              pps_http_header(request, "X-Session-Token"))) {
+        error = pin_session(chat, response);
+    }
+    if (error == 0) {
+        give_token(chat, response);
+    }
+    return error;
+}
--- a/src/libpapayaswitch/upstream/engine_http.c
+++ b/src/libpapayaswitch/upstream/engine_http.c
@@ -56,9 +56,8 @@
     while (pps_http_stream_read(http, &body, REFUSAL_BODY_WAIT_MS) > 0) {
     }
     answer = json_loadb(pps_buf_text(&body), body.size, 0, NULL);
-    if (pps_refusal_lookup(
-            &refusal->reason,
-            json_string_value(json_object_get(answer, "error"))) < 0) {
+    if (pps_refusal_lookup(&refusal->reason, json_string_value(json_object_get(
+                                                 answer, "error"))) < 0) {
         refusal->reason = PPS_REFUSAL_BROKEN;
     }
     refusal->retry_after_s = pps_http_stream_retry_after(http);
