--- a/src/libpapayaswitch/catalog/attribute.c
+++ b/src/libpapayaswitch/catalog/attribute.c
@@ -123,13 +123,14 @@
 };
 
 static const pps_schema_t schemas[PPS_OBJECT_KIND_COUNT] = {
-    [PPS_OBJECT_UPSTREAM] = {"upstream", pps_name_is_plain, PLAIN_FORM,
-                             upstream_attributes,
+    [PPS_OBJECT_UPSTREAM] = {"upstream", "upstreams", pps_name_is_plain,
+                             PLAIN_FORM, upstream_attributes,
                              COUNT_OF(upstream_attributes)},
-    [PPS_OBJECT_VERSION] = {"version", pps_name_is_version, VERSION_FORM,
-                            version_attributes, COUNT_OF(version_attributes)},
-    [PPS_OBJECT_WORKSPACE] = {"workspace", pps_name_is_plain, PLAIN_FORM,
-                              workspace_attributes,
+    [PPS_OBJECT_VERSION] = {"version", "versions", pps_name_is_version,
+                            VERSION_FORM, version_attributes,
+                            COUNT_OF(version_attributes)},
+    [PPS_OBJECT_WORKSPACE] = {"workspace", "workspaces", pps_name_is_plain,
+                              PLAIN_FORM, workspace_attributes,
                               COUNT_OF(workspace_attributes)},
 };
 
--- a/src/libpapayaswitch/catalog/attribute.h
+++ b/src/libpapayaswitch/catalog/attribute.h
@@ -46,7 +46,8 @@
 
 /** A kind of object. */
 typedef struct {
-    const char *word; /**< the section's first word */
+    const char *word;   /**< the section's first word */
+    const char *plural; /**< name of its table in JSON */
     int (*is_name)(const char *);
     const char *name_form;
     const pps_attribute_t *attributes;
--- a/src/libpapayaswitch/fold/config_fold.c
+++ b/src/libpapayaswitch/fold/config_fold.c
@@ -159,52 +159,70 @@
     return error;
 }
 
-/* A checkpoint is compared with the own state at its offset, never adopted. */
+/* Whether the own state at the checkpoint's offset is known and another. */
+static int
+contradicts(const pps_config_fold_t *fold,
+            const pps_config_checkpoint_t *checkpoint)
+{
+    uint64_t digest;
+
+    if (checkpoint->next > fold->next) {
+        return 1;
+    }
+    return pps_digest_history_find(&fold->history, &digest,
+                                   checkpoint->next) == PPS_OK &&
+           digest != XXH64(checkpoint->state, checkpoint->size, 0);
+}
+
+/* A checkpoint is compared, never adopted. */
 static void
 compare_checkpoint(pps_config_fold_t *fold, const pps_record_t *record)
 {
     pps_config_checkpoint_t checkpoint;
-    uint64_t digest;
 
     if (pps_config_checkpoint_open(&checkpoint, record->payload,
                                    record->size) < 0) {
         fold->skipped++;
         return;
     }
-    if (checkpoint.next > fold->next) {
-        fold->mismatches++;
-    }
-    else if (pps_digest_history_find(&fold->history, &digest,
-                                     checkpoint.next) == PPS_OK &&
-             digest != XXH64(checkpoint.state, checkpoint.size, 0)) {
+    if (contradicts(fold, &checkpoint)) {
         fold->mismatches++;
     }
     pps_config_checkpoint_close(&checkpoint);
 }
 
-int
-pps_config_fold_apply(pps_config_fold_t *fold, const pps_log_entry_t *entry)
+static int
+fold_record(pps_config_fold_t *fold, const pps_log_entry_t *entry)
 {
     pps_record_t record;
-    int error = PPS_OK;
 
-    if (entry->offset != fold->next) {
-        return pps_error_set(PPS_EINVALID, "config record %llu, expected %llu",
-                             (unsigned long long)entry->offset,
-                             (unsigned long long)fold->next);
-    }
     if (pps_record_decode(&record, entry->data, entry->size) < 0) {
         fold->skipped++;
+        return PPS_OK;
     }
-    else if (record.kind == PPS_RECORD_NOTE) {
-        error = fold_note(fold, &record, entry->offset);
-    }
-    else if (record.kind == PPS_RECORD_CONFIG_CHECKPOINT) {
+    switch (record.kind) {
+    case PPS_RECORD_NOTE:
+        return fold_note(fold, &record, entry->offset);
+    case PPS_RECORD_CONFIG_CHECKPOINT:
         compare_checkpoint(fold, &record);
-    }
-    else {
+        return PPS_OK;
+    default:
         fold->skipped++;
+        return PPS_OK;
+    }
+}
+
+int
+pps_config_fold_apply(pps_config_fold_t *fold, const pps_log_entry_t *entry)
+{
+    int error;
+
+    if (entry->offset != fold->next) {
+        return pps_error_set(PPS_EINVALID, "config record %llu, expected %llu",
+                             (unsigned long long)entry->offset,
+                             (unsigned long long)fold->next);
     }
+    error = fold_record(fold, entry);
     if (error == PPS_OK) {
         fold->next++;
     }
--- a/src/libpapayaswitch/fold/verdict_log.c
+++ b/src/libpapayaswitch/fold/verdict_log.c
@@ -33,7 +33,13 @@
     }
 }
 
+static void
 /* NOLINTNEXTLINE(readability-function-size): the macro counts as text. */
+index_entry(pps_verdict_log_t *log, pps_verdict_entry_t *entry)
+{
+    HASH_ADD_STR(log->by_id, verdict.id, entry);
+}
+
 int
 pps_verdict_log_add(pps_verdict_log_t *log, const pps_note_verdict_t *verdict)
 {
@@ -43,7 +49,7 @@
         return pps_error_set(PPS_ENOMEM, "verdicts: out of memory");
     }
     entry->verdict = *verdict;
-    HASH_ADD_STR(log->by_id, verdict.id, entry);
+    index_entry(log, entry);
     cds_list_add_tail(&entry->node, &log->entries);
     log->count++;
     if (log->count > PPS_VERDICTS_MAX) {
