Lagged values are copied for each reader

jansson's last release of a reference is no acquire, so a reader's copy and the free on another thread raced by the letter of the memory model.

--- a/src/standin/common/standin_lagged.c
+++ b/src/standin/common/standin_lagged.c
@@ -108,7 +108,7 @@
     if (entry == NULL) {
         entry = cds_list_entry(lagged->past.prev, past_value_t, node);
     }
-    value = json_incref(entry->value);
+    value = json_deep_copy(entry->value);
     pthread_mutex_unlock(&lagged->lock);
     return value;
 }
--- a/src/standin/common/standin_lagged.h
+++ b/src/standin/common/standin_lagged.h
@@ -33,7 +33,7 @@
 void
 standin_lagged_set_lag(standin_lagged_t *lagged, int64_t lag_us);
 
-/** The value as it was `lag_us` ago; a new reference, not to be changed. */
+/** A copy of the value as it was `lag_us` ago. */
 json_t *
 standin_lagged_get(standin_lagged_t *lagged);
 
