--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -21,6 +21,10 @@
 int
 pps_cli_note_check(int argc, char **argv);
 int
+pps_cli_note_diff(int argc, char **argv);
+int
+pps_cli_catalog(int argc, char **argv);
+int
 pps_cli_note_publish(int argc, char **argv);
 int
 pps_cli_note_status(int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -17,8 +17,11 @@
 } command_t;
 
 static const command_t commands[] = {
+    {{"note", "check"}, pps_cli_note_check, "print every finding of a note"},
+    {{"note", "diff"}, pps_cli_note_diff, "what a note would change"},
     {{"note", "publish"}, pps_cli_note_publish, "publish a release note"},
     {{"note", "status"}, pps_cli_note_status, "what became of a note"},
+    {{"catalog"}, pps_cli_catalog, "what is in force, as JSON"},
     {{"key", "hash"}, pps_cli_key_hash, "hash of a bearer key for a note"},
     {{"settings", "check"}, pps_cli_settings_check, "check a settings file"},
     {{"status"}, pps_cli_status, "the state of all hosts"},
--- a/src/cli/note_check.c
+++ b/src/cli/note_check.c
@@ -62,7 +62,7 @@
     struct arg_lit *help = arg_lit0("h", "help", "show this help");
     struct arg_file *in_force =
         arg_file0(NULL, "in-force", "CATALOG",
-                  "JSON from /status/catalog to check against");
+                  "JSON of 'papayaswitch catalog' to check against");
     struct arg_file *files =
         arg_filen(NULL, NULL, "FILE", 1, FILES_MAX, "notes to check");
     struct arg_end *end = arg_end(ERRORS_MAX);
--- a/src/libpapayaswitch/router/operator_api.c
+++ b/src/libpapayaswitch/router/operator_api.c
@@ -2,6 +2,7 @@
 #include "clock.h"
 #include "counters.h"
 #include "event.h"
+#include "papayaswitch/catalog_json.h"
 #include "papayaswitch/errors.h"
 #include "router_state.h"
 #include "status.h"
@@ -24,6 +25,22 @@
     return U_CALLBACK_COMPLETE;
 }
 
+static int
+handle_catalog(const struct _u_request *request, struct _u_response *response,
+               void *user)
+{
+    pps_catalog_t *catalog = pps_router_catalog(user);
+    json_t *object = NULL;
+    int error = pps_catalog_to_json(&object, catalog);
+
+    pps_catalog_free(catalog);
+    if (error < 0) {
+        return U_CALLBACK_ERROR;
+    }
+    pps_http_reply_json(response, 200, object);
+    return U_CALLBACK_COMPLETE;
+}
+
 static int
 handle_counters(const struct _u_request *request, struct _u_response *response,
                 void *user)
@@ -60,9 +77,9 @@
         const char *path;
         pps_http_handler_t handler;
     } endpoints[] = {
-        {"/status", handle_status},     {"/notes", handle_notes},
-        {"/counters", handle_counters}, {"/metrics", handle_counters},
-        {"/events", handle_events},
+        {"/status", handle_status},    {"/notes", handle_notes},
+        {"/catalog", handle_catalog},  {"/counters", handle_counters},
+        {"/metrics", handle_counters}, {"/events", handle_events},
     };
     int error = PPS_OK;
 
