--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -23,6 +23,8 @@
 int
 pps_cli_note_diff(int argc, char **argv);
 int
+pps_cli_bills(int argc, char **argv);
+int
 pps_cli_catalog(int argc, char **argv);
 int
 pps_cli_note_publish(int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -21,6 +21,7 @@
     {{"note", "diff"}, pps_cli_note_diff, "what a note would change"},
     {{"note", "publish"}, pps_cli_note_publish, "publish a release note"},
     {{"note", "status"}, pps_cli_note_status, "what became of a note"},
+    {{"bills"}, pps_cli_bills, "sums of the bills per workspace"},
     {{"catalog"}, pps_cli_catalog, "what is in force, as JSON"},
     {{"key", "hash"}, pps_cli_key_hash, "hash of a bearer key for a note"},
     {{"settings", "check"}, pps_cli_settings_check, "check a settings file"},
