--- a/src/libpapayaswitch/fold/config_fold.c
+++ b/src/libpapayaswitch/fold/config_fold.c
@@ -16,6 +16,7 @@
     pps_config_state_t state;
     uint64_t next;
     uint64_t digest;
+    int changed; /**< the digest is behind the state */
     pps_digest_history_t history;
     uint64_t skipped;
     uint64_t repeated;
@@ -29,6 +30,7 @@
 
     if (error == PPS_OK) {
         pps_digest_history_add(&fold->history, next, fold->digest);
+        fold->changed = 0;
     }
     return error;
 }
@@ -100,7 +102,8 @@
         pps_catalog_free(fold->state.catalog);
         fold->state.catalog = catalog;
     }
-    return mark_digest(fold, verdict->offset + 1);
+    fold->changed = 1;
+    return PPS_OK;
 }
 
 static int
@@ -223,6 +226,9 @@
                              (unsigned long long)fold->next);
     }
     error = fold_record(fold, entry);
+    if (error == PPS_OK && fold->changed) {
+        error = mark_digest(fold, entry->offset + 1);
+    }
     if (error == PPS_OK) {
         fold->next++;
     }
