--- /dev/null
+++ b/bench/policy_random.h
@@ -0,0 +1,52 @@
+/** @file policy_random.h @brief Distributions for the policy benches. */
+#ifndef POLICY_RANDOM_H
+#define POLICY_RANDOM_H
+
+#include "rng.h"
+
+#include <math.h>
+
+/** A standard normal number. */
+static inline double
+policy_normal(pps_rng_t *rng)
+{
+    double radius = sqrt(-2.0 * log(1.0 - pps_rng_unit(rng)));
+
+    return radius * cos(2.0 * M_PI * pps_rng_unit(rng));
+}
+
+/** An exponential number with this mean. */
+static inline double
+policy_exponential(pps_rng_t *rng, double mean)
+{
+    return -mean * log(1.0 - pps_rng_unit(rng));
+}
+
+/** Bounds a rating. */
+static inline double
+policy_clip(double value)
+{
+    return fmin(fmax(value, 0.0), 1.0);
+}
+
+/** An index drawn by weight. */
+static inline int
+policy_pick(pps_rng_t *rng, const double *weights, int count)
+{
+    double total = 0.0;
+    double draw;
+
+    for (int i = 0; i < count; i++) {
+        total += weights[i];
+    }
+    draw = pps_rng_unit(rng) * total;
+    for (int i = 0; i < count - 1; i++) {
+        draw -= weights[i];
+        if (draw < 0) {
+            return i;
+        }
+    }
+    return count - 1;
+}
+
+#endif
--- a/include/papayaswitch/choice.h
+++ b/include/papayaswitch/choice.h
@@ -8,19 +8,13 @@
 #define PAPAYASWITCH_CHOICE_H
 
 #include "papayaswitch/catalog.h"
+#include "papayaswitch/quality_price.h"
 #include "papayaswitch/worker_view.h"
 #include "rng.h"
 
 /** Versions of one model that a choice looks at. */
 #define PPS_CANDIDATES_MAX 64
 
-/** What is believed of a version's rating in a workspace. */
-typedef struct {
-    double mean;       /**< expected rating in [0, 1] */
-    double deviation;  /**< standard deviation of that mean */
-    double escalation; /**< probability that its answer is judged too low */
-} pps_quality_t;
-
 /** Source of quality estimates. Implementations embed this first. */
 typedef struct pps_quality_source {
     /** Estimates the rating of a version for a kind of request. */
@@ -56,6 +50,9 @@
     pps_name_set_t tried; /**< by this request already */
     const pps_quality_source_t *quality; /**< NULL: declared quality only */
     double caution;                      /**< see PPS_CHOICE_CAUTION */
+    double price;  /**< of quality for this request; 0: each answer by itself
+                        has to meet the target */
+    int escalated; /**< an earlier answer was judged too low */
     pps_rng_t *rng;
 } pps_choice_version_input_t;
 
@@ -69,11 +66,15 @@
     const pps_version_t *version; /**< owned by the catalog */
     pps_quality_t quality;
     int meets_target; /**< 0: the best there is, yet below the target */
+    const pps_version_t *escalate_to; /**< NULL: the answer stands */
+    double judge_below; /**< escalate when the judgement is lower */
 } pps_choice_version_t;
 
 /**
  * Chooses a version: allowed, active, not held, inside its exposure, then
  * the cheapest that meets the target, escalation included, else the best.
+ * Given a price of quality, the target is met over the workspace's requests:
+ * the version or cascade with the largest price * quality - cost.
  *
  * A pinned session gets its own version or an error, never another one.
  *
--- a/src/libpapayaswitch/choice/choice_version.c
+++ b/src/libpapayaswitch/choice/choice_version.c
@@ -8,16 +8,9 @@
 /** Slack for targets that equal a declared quality. */
 #define TARGET_SLACK 1e-9
 
-/** A version with what is believed of it. */
-typedef struct {
-    const pps_version_t *version;
-    pps_quality_t quality;
-    int meets_target;
-} candidate_t;
-
 /** Candidates that remain, by the step that a version fails at. */
 typedef struct {
-    candidate_t items[PPS_CANDIDATES_MAX];
+    pps_candidate_t items[PPS_CANDIDATES_MAX];
     size_t count;
     size_t allowed;
     size_t expired;
@@ -56,7 +49,7 @@
 }
 
 static void
-estimate(const pps_choice_version_input_t *input, candidate_t *candidate)
+estimate(const pps_choice_version_input_t *input, pps_candidate_t *candidate)
 {
     pps_quality_t *quality = &candidate->quality;
 
@@ -66,18 +59,31 @@
                                  candidate->version);
     }
     else {
-        *quality = (pps_quality_t){candidate->version->quality, 0.0, 0.0};
+        memset(quality, 0, sizeof(*quality));
+        quality->mean = candidate->version->quality;
+        quality->escalated_mean = quality->mean;
+    }
+    if (input->escalated) {
+        quality->mean = quality->escalated_mean;
     }
-    candidate->meets_target =
-        quality->mean - input->caution * quality->deviation + TARGET_SLACK >=
-        input->workspace->quality_target;
+}
+
+static int
+meets_target(const pps_choice_version_input_t *input,
+             const pps_candidate_t *candidate)
+{
+    const pps_quality_t *quality = &candidate->quality;
+
+    return quality->mean - input->caution * quality->deviation +
+               TARGET_SLACK >=
+           input->workspace->quality_target;
 }
 
 static void
 consider(candidates_t *candidates, const pps_choice_version_input_t *input,
          const pps_version_t *version)
 {
-    candidate_t *next = &candidates->items[candidates->count];
+    pps_candidate_t *next = &candidates->items[candidates->count];
 
     if (!is_allowed(input->workspace, version->name)) {
         return;
@@ -151,14 +157,16 @@
  * that meets the target.
  */
 static double
-expected_cost(const candidates_t *candidates, const candidate_t *candidate)
+expected_cost(const candidates_t *candidates,
+              const pps_choice_version_input_t *input,
+              const pps_candidate_t *candidate)
 {
     double next = 0.0;
 
     for (size_t i = 0; i < candidates->count; i++) {
-        const candidate_t *other = &candidates->items[i];
+        const pps_candidate_t *other = &candidates->items[i];
 
-        if (other->meets_target &&
+        if (meets_target(input, other) &&
             other->version->cost > candidate->version->cost &&
             (next == 0.0 || other->version->cost < next)) {
             next = other->version->cost;
@@ -168,31 +176,57 @@
 }
 
 static int
-is_better(const candidates_t *candidates, const candidate_t *a,
-          const candidate_t *b)
+is_better(const candidates_t *candidates,
+          const pps_choice_version_input_t *input, const pps_candidate_t *a,
+          const pps_candidate_t *b)
 {
-    if (a->meets_target != b->meets_target) {
-        return a->meets_target;
+    int a_meets = meets_target(input, a);
+
+    if (a_meets != meets_target(input, b)) {
+        return a_meets;
     }
-    if (!a->meets_target) {
+    if (!a_meets) {
         return a->quality.mean > b->quality.mean;
     }
-    return expected_cost(candidates, a) < expected_cost(candidates, b);
+    return expected_cost(candidates, input, a) <
+           expected_cost(candidates, input, b);
 }
 
 static void
-take_best(pps_choice_version_t *out, const candidates_t *candidates)
+take_cheapest(pps_choice_version_t *out, const candidates_t *candidates,
+              const pps_choice_version_input_t *input)
 {
-    const candidate_t *best = &candidates->items[0];
+    const pps_candidate_t *best = &candidates->items[0];
 
     for (size_t i = 1; i < candidates->count; i++) {
-        if (is_better(candidates, &candidates->items[i], best)) {
+        if (is_better(candidates, input, &candidates->items[i], best)) {
             best = &candidates->items[i];
         }
     }
     out->version = best->version;
     out->quality = best->quality;
-    out->meets_target = best->meets_target;
+    out->meets_target = meets_target(input, best);
+}
+
+static void
+take_priced(pps_choice_version_t *out, candidates_t *candidates,
+            const pps_choice_version_input_t *input)
+{
+    const pps_candidate_t *first;
+    pps_option_t option;
+
+    pps_option_best(&option, candidates->items, candidates->count,
+                    input->price);
+    first = &candidates->items[option.first];
+    out->version = first->version;
+    out->quality = first->quality;
+    out->meets_target = meets_target(input, first);
+    /* One escalation a request, and none that would move a session. */
+    if (option.second != PPS_OPTION_NONE && !input->escalated &&
+        input->pinned == NULL) {
+        out->escalate_to = candidates->items[option.second].version;
+        out->judge_below = option.judge_below;
+    }
 }
 
 int
@@ -221,6 +255,11 @@
     if (candidates.count == 0) {
         return none_left(&candidates, input->model);
     }
-    take_best(out, &candidates);
+    if (input->price > 0) {
+        take_priced(out, &candidates, input);
+    }
+    else {
+        take_cheapest(out, &candidates, input);
+    }
     return PPS_OK;
 }
--- /dev/null
+++ b/src/libpapayaswitch/choice/option.c
@@ -0,0 +1,93 @@
+/** @file option.c @brief Values single versions and cascades of two. */
+#include "papayaswitch/quality_price.h"
+
+#include <math.h>
+
+/** Spread of judged quality under which a judge tells nothing. */
+#define JUDGE_SPREAD_MIN 1e-6
+
+static double
+normal_density(double z)
+{
+    return exp(-0.5 * z * z) / sqrt(2.0 * M_PI);
+}
+
+static double
+normal_below(double z)
+{
+    return 0.5 * erfc(-z * M_SQRT1_2);
+}
+
+static double
+worth(const pps_option_t *option, double price)
+{
+    return price * option->quality - option->cost;
+}
+
+static pps_option_t
+single(const pps_candidate_t *candidates, size_t index)
+{
+    const pps_candidate_t *candidate = &candidates[index];
+
+    return (pps_option_t){index,
+                          PPS_OPTION_NONE,
+                          0.0,
+                          candidate->quality.mean,
+                          candidate->quality.deviation,
+                          candidate->version->cost};
+}
+
+/**
+ * Given the judgement, the expected rating of the first answer is normal. An
+ * answer is escalated when that expectation gains less than the second run
+ * costs at this price.
+ * @return whether the cascade is defined
+ */
+static int
+cascade(pps_option_t *out, const pps_candidate_t *candidates, size_t first,
+        size_t second, double price)
+{
+    const pps_quality_t *a = &candidates[first].quality;
+    const pps_quality_t *b = &candidates[second].quality;
+    double second_cost = candidates[second].version->cost;
+    double spread = a->judge_slope * a->judge_deviation;
+    double limit = b->escalated_mean - second_cost / price;
+    double z;
+    double share;
+
+    if (spread < JUDGE_SPREAD_MIN ||
+        second_cost <= candidates[first].version->cost) {
+        return 0;
+    }
+    z = (limit - a->mean) / spread;
+    share = normal_below(z);
+    out->first = first;
+    out->second = second;
+    out->judge_below = a->judge_mean + (limit - a->mean) / a->judge_slope;
+    out->quality = share * b->escalated_mean + (1.0 - share) * a->mean +
+                   spread * normal_density(z);
+    out->deviation = hypot(share * b->deviation, (1.0 - share) * a->deviation);
+    out->cost = candidates[first].version->cost + share * second_cost;
+    return 1;
+}
+
+void
+pps_option_best(pps_option_t *out, const pps_candidate_t *candidates,
+                size_t count, double price)
+{
+    pps_option_t option;
+
+    *out = single(candidates, 0);
+    for (size_t first = 0; first < count; first++) {
+        option = single(candidates, first);
+        if (worth(&option, price) > worth(out, price)) {
+            *out = option;
+        }
+        for (size_t second = 0; second < count; second++) {
+            if (cascade(&option, candidates, first, second, price) &&
+                worth(&option, price) > worth(out, price)) {
+                *out = option;
+            }
+        }
+    }
+}
--- a/tests/unit/test_choice_version.c
+++ b/tests/unit/test_choice_version.c
@@ -125,7 +125,7 @@
 doubtful(const pps_quality_source_t *self, pps_quality_t *out,
          const char *workspace, const char *kind, const pps_version_t *version)
 {
-    *out = (pps_quality_t){version->quality, 0.0, 0.0};
+    *out = (pps_quality_t){.mean = version->quality};
     if (strcmp(version->name, "m/a") == 0 && strcmp(kind, "noisy") == 0) {
         out->deviation = 0.2;
     }
