--- /dev/null
+++ b/src/libpapayaswitch/router/chat.c
@@ -0,0 +1,202 @@
+/** @file chat.c @brief Completions: session, answer, whole reply. */
+#include "chat.h"
+
+#include "bill_link.h"
+#include "chat_error.h"
+#include "chat_session.h"
+#include "clock.h"
+#include "counters.h"
+#include "event.h"
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define READ_WAIT_MS 100
+#define AFFINITY_PREFIX_BYTES 256
+
+static int
+may_start(void *user)
+{
+    return pps_router_may_start(user);
+}
+
+static int
+may_retry(void *user)
+{
+    return 1;
+}
+
+static uint64_t
+affinity(const pps_chat_t *chat)
+{
+    const pps_buf_t *prompt = &chat->request.prompt;
+    size_t size = prompt->size < AFFINITY_PREFIX_BYTES ? prompt->size
+                                                       : AFFINITY_PREFIX_BYTES;
+
+    if (chat->call.session[0] != '\0') {
+        return XXH64(chat->call.session, strlen(chat->call.session), 1);
+    }
+    return XXH64(pps_buf_text(prompt), size, 2);
+}
+
+static void
+fill_options(pps_chat_t *chat, pps_answer_options_t *options)
+{
+    pps_router_t *router = chat->call.router;
+
+    options->engine = router->engine;
+    options->catalog = chat->call.catalog;
+    options->workspace = chat->call.workspace;
+    options->workers = chat->workers;
+    options->rng = &chat->call.rng;
+    options->failure_domain = router->settings.failure_domain;
+    options->request_id = chat->call.request_id;
+    options->model = chat->request.model;
+    options->kind = chat->call.kind;
+    options->pinned = chat->pinned[0] != '\0' ? chat->pinned : NULL;
+    options->prompt = pps_buf_text(&chat->request.prompt);
+    options->max_tokens = chat->request.max_tokens;
+    options->affinity = affinity(chat);
+    options->deadline_us = chat->call.deadline_us;
+    options->answer_timeout_ms = router->settings.answer_timeout_ms;
+    options->silence_timeout_ms = router->settings.silence_timeout_ms;
+    options->may_start = may_start;
+    options->may_retry = may_retry;
+    options->user = router;
+}
+
+static int
+open_answer(pps_chat_t *chat, struct _u_response *response)
+{
+    pps_answer_options_t options = PPS_ANSWER_OPTIONS_INIT;
+    pps_answer_refusal_t refusal = {0};
+    pps_answer_usage_t usage;
+    int error;
+
+    chat->workers = pps_worker_board_acquire(chat->call.router->workers);
+    fill_options(chat, &options);
+    error = pps_answer_open(&chat->answer, &options, &refusal);
+    if (error < 0) {
+        pps_call_refuse(&chat->call, response, pps_chat_error_code(error),
+                        refusal.retry_after_us, pps_chat_error_message(error));
+        return error;
+    }
+    pps_answer_usage(chat->answer, &usage);
+    u_map_put(response->map_header, "X-Model-Version", usage.version);
+    return PPS_OK;
+}
+
+static int
+decode_body(pps_chat_t *chat, const struct _u_request *request,
+            struct _u_response *response)
+{
+    int error = pps_chat_request_decode(&chat->request, request->binary_body,
+                                        request->binary_body_length);
+
+    if (error < 0) {
+        pps_call_refuse(&chat->call, response, PPS_API_INVALID_REQUEST, 0,
+                        pps_error_last());
+        return error;
+    }
+    chat->reply.request_id = chat->call.request_id;
+    chat->reply.model = chat->request.model;
+    chat->reply.created_s = pps_clock_wall_us() / PPS_US_PER_S;
+    return PPS_OK;
+}
+
+int
+pps_chat_bill(pps_chat_t *chat, const pps_answer_usage_t *usage)
+{
+    pps_event_record(
+        "request_done",
+        PPS_FIELDS(PPS_STR("request", chat->call.request_id),
+                   PPS_STR("workspace", chat->call.workspace->name),
+                   PPS_STR("version", usage->version),
+                   PPS_INT("tokens", usage->generated_tokens),
+                   PPS_INT("attempts", usage->attempts)));
+    return pps_bill_link_bill(&chat->call, chat->request.model,
+                              usage->upstream, usage, PPS_BILL_COMPLETED);
+}
+
+static void
+reply_whole(pps_chat_t *chat, struct _u_response *response)
+{
+    pps_answer_usage_t usage;
+    int got;
+
+    do {
+        got = pps_answer_read(chat->answer, &chat->out, READ_WAIT_MS);
+    } while (got > 0);
+    pps_answer_usage(chat->answer, &usage);
+    chat->ended = 1;
+    if (got < 0) {
+        pps_call_refuse(&chat->call, response, PPS_API_UPSTREAM_FAILED, 0,
+                        pps_error_last());
+        return;
+    }
+    if (pps_chat_bill(chat, &usage) < 0) {
+        pps_call_refuse(&chat->call, response, PPS_API_BILL_UNSAFE, 0,
+                        "the answer's bill could not be made safe");
+        return;
+    }
+    pps_counter_add(PPS_COUNTER_REQUESTS_OK, 1);
+    pps_http_reply_json(
+        response, 200,
+        pps_chat_reply_whole(&chat->reply, pps_buf_text(&chat->out), &usage));
+}
+
+/* A caller who left pays for what was generated until then. */
+static void
+bill_cancelled(pps_chat_t *chat)
+{
+    pps_answer_usage_t usage;
+
+    pps_answer_usage(chat->answer, &usage);
+    if (usage.generated_tokens > 0) {
+        pps_bill_link_bill(&chat->call, chat->request.model, usage.upstream,
+                           &usage, PPS_BILL_CANCELLED);
+    }
+}
+
+void
+pps_chat_free(pps_chat_t *chat)
+{
+    if (chat->answer != NULL && !chat->ended) {
+        bill_cancelled(chat);
+    }
+    pps_answer_close(chat->answer);
+    pps_worker_view_free(chat->workers);
+    pps_chat_request_clear(&chat->request);
+    pps_buf_clear(&chat->out);
+    pps_call_end(&chat->call);
+    free(chat);
+}
+
+int
+pps_chat_handle(const struct _u_request *request, struct _u_response *response,
+                void *user)
+{
+    pps_chat_t *chat = calloc(1, sizeof(*chat));
+
+    if (chat == NULL) {
+        return U_CALLBACK_ERROR;
+    }
+    if (pps_call_begin(&chat->call, user, request, response) < 0) {
+        free(chat);
+        return U_CALLBACK_COMPLETE;
+    }
+    if (decode_body(chat, request, response) < 0 ||
+        pps_chat_resolve_session(chat, request, response) < 0 ||
+        open_answer(chat, response) < 0) {
+        pps_chat_free(chat);
+        return U_CALLBACK_COMPLETE;
+    }
+    if (chat->request.stream) {
+        return pps_chat_stream(chat, response);
+    }
+    reply_whole(chat, response);
+    pps_chat_free(chat);
+    return U_CALLBACK_COMPLETE;
+}
