--- a/src/libpapayaswitch/bill/bill.c
+++ b/src/libpapayaswitch/bill/bill.c
@@ -2,6 +2,7 @@
 #include "papayaswitch/bill.h"
 
 #include "commit/pack.h"
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
 
 #include <stdlib.h>
@@ -112,14 +113,10 @@
 pps_bill_batch_decode(pps_bill_batch_t *out, const void *payload, size_t size)
 {
     msgpack_unpacked unpacked;
-    size_t used = 0;
     int error = PPS_ECORRUPT;
 
     memset(out, 0, sizeof(*out));
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, payload, size, &used) ==
-            MSGPACK_UNPACK_SUCCESS &&
-        used == size) {
+    if (pps_msgpack_unpack(&unpacked, payload, size) == PPS_OK) {
         error = read_batch(out, &unpacked.data);
     }
     msgpack_unpacked_destroy(&unpacked);
--- a/src/libpapayaswitch/bill/bills_peer.c
+++ b/src/libpapayaswitch/bill/bills_peer.c
@@ -4,6 +4,7 @@
 
 #include "clock.h"
 #include "commit/pack.h"
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
 
 #include <stdlib.h>
@@ -44,13 +45,9 @@
 {
     msgpack_unpacked unpacked;
     pps_pack_cursor_t cursor;
-    size_t used = 0;
     int error = PPS_ECORRUPT;
 
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, payload, size, &used) ==
-            MSGPACK_UNPACK_SUCCESS &&
-        used == size) {
+    if (pps_msgpack_unpack(&unpacked, payload, size) == PPS_OK) {
         pps_pack_open(&cursor, &unpacked.data);
         out->incarnation = pps_pack_read_u64(&cursor);
         out->first = pps_pack_read_u64(&cursor);
--- a/src/libpapayaswitch/fold/config_checkpoint.c
+++ b/src/libpapayaswitch/fold/config_checkpoint.c
@@ -61,10 +61,7 @@
 {
     int error = PPS_ECORRUPT;
 
-    msgpack_unpacked_init(&out->unpacked);
-    if (pps_msgpack_check(payload, size) == PPS_OK &&
-        msgpack_unpack_next(&out->unpacked, payload, size, NULL) ==
-            MSGPACK_UNPACK_SUCCESS) {
+    if (pps_msgpack_unpack(&out->unpacked, payload, size) == PPS_OK) {
         error = read_fields(out, &out->unpacked.data);
     }
     if (error < 0) {
--- a/src/libpapayaswitch/fold/config_state.c
+++ b/src/libpapayaswitch/fold/config_state.c
@@ -188,10 +188,7 @@
 
     memset(out, 0, sizeof(*out));
     pps_verdict_log_init(&out->verdicts);
-    msgpack_unpacked_init(&unpacked);
-    if (pps_msgpack_check(data, size) == PPS_OK &&
-        msgpack_unpack_next(&unpacked, data, size, NULL) ==
-            MSGPACK_UNPACK_SUCCESS) {
+    if (pps_msgpack_unpack(&unpacked, data, size) == PPS_OK) {
         error = decode_fields(out, &unpacked.data);
     }
     msgpack_unpacked_destroy(&unpacked);
--- a/src/libpapayaswitch/peer/frame.c
+++ b/src/libpapayaswitch/peer/frame.c
@@ -1,8 +1,8 @@
 /** @file frame.c @brief Frames of the peer protocol. */
 #include "peer/frame.h"
 
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
-#include "peer/msgpack_guard.h"
 
 #include <sodium.h>
 #include <string.h>
--- a/src/libpapayaswitch/peer/handshake.c
+++ b/src/libpapayaswitch/peer/handshake.c
@@ -1,8 +1,8 @@
 /** @file handshake.c @brief Hellos and session keys. */
 #include "peer/handshake.h"
 
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
-#include "peer/msgpack_guard.h"
 
 #include <sodium.h>
 #include <string.h>
--- a/src/libpapayaswitch/peer/heartbeat.c
+++ b/src/libpapayaswitch/peer/heartbeat.c
@@ -1,8 +1,8 @@
 /** @file heartbeat.c @brief Payloads of ping and pong. */
 #include "peer/heartbeat.h"
 
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
-#include "peer/msgpack_guard.h"
 
 #include <string.h>
 
--- a/src/libpapayaswitch/record/record.c
+++ b/src/libpapayaswitch/record/record.c
@@ -1,6 +1,7 @@
 /** @file record.c @brief msgpack envelope with a checksum. */
 #include "papayaswitch/record.h"
 
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
 
 #include <msgpack.h>
@@ -65,13 +66,9 @@
 pps_record_decode(pps_record_t *out, const void *data, size_t size)
 {
     msgpack_unpacked unpacked;
-    size_t used = 0;
     int error = PPS_ECORRUPT;
 
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, data, size, &used) ==
-            MSGPACK_UNPACK_SUCCESS &&
-        used == size) {
+    if (pps_msgpack_unpack(&unpacked, data, size) == PPS_OK) {
         error = read_envelope(out, &unpacked.data);
     }
     msgpack_unpacked_destroy(&unpacked);
--- a/src/libpapayaswitch/session/session_token.c
+++ b/src/libpapayaswitch/session/session_token.c
@@ -2,6 +2,7 @@
 #include "papayaswitch/session_token.h"
 
 #include "commit/pack.h"
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
 
 #include <sodium.h>
@@ -73,13 +74,9 @@
 {
     msgpack_unpacked unpacked;
     pps_pack_cursor_t cursor;
-    size_t used = 0;
     int error = PPS_EREFUSED;
 
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, (const char *)data, size, &used) ==
-            MSGPACK_UNPACK_SUCCESS &&
-        used == size) {
+    if (pps_msgpack_unpack(&unpacked, data, size) == PPS_OK) {
         pps_pack_open(&cursor, &unpacked.data);
         if (pps_pack_read_u64(&cursor) == TOKEN_FORMAT) {
             pps_pack_read_text(&cursor, out->workspace,
--- a/src/libpapayaswitch/work/fold_checkpoint.c
+++ b/src/libpapayaswitch/work/fold_checkpoint.c
@@ -2,6 +2,7 @@
 #include "fold_state.h"
 
 #include "commit/pack.h"
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
 
 #include <stdlib.h>
@@ -294,17 +295,13 @@
 {
     pps_work_fold_t *fold = NULL;
     msgpack_unpacked unpacked;
-    size_t used = 0;
     int error = pps_work_fold_new(&fold, NULL);
 
     if (error < 0) {
         return error;
     }
     error = PPS_ECORRUPT;
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, data, size, &used) ==
-            MSGPACK_UNPACK_SUCCESS &&
-        used == size) {
+    if (pps_msgpack_unpack(&unpacked, data, size) == PPS_OK) {
         error = unpack_state(fold, &unpacked.data);
     }
     msgpack_unpacked_destroy(&unpacked);
--- a/src/libpapayaswitch/work/work_record.c
+++ b/src/libpapayaswitch/work/work_record.c
@@ -2,6 +2,7 @@
 #include "papayaswitch/work_record.h"
 
 #include "commit/pack.h"
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
 #include "papayaswitch/record.h"
 
@@ -116,12 +117,8 @@
 open_payload(msgpack_unpacked *unpacked, pps_pack_cursor_t *cursor,
              const void *payload, size_t size)
 {
-    size_t used = 0;
 
-    msgpack_unpacked_init(unpacked);
-    if (msgpack_unpack_next(unpacked, payload, size, &used) !=
-            MSGPACK_UNPACK_SUCCESS ||
-        used != size) {
+    if (pps_msgpack_unpack(unpacked, payload, size) < 0) {
         msgpack_unpacked_destroy(unpacked);
         return PPS_ECORRUPT;
     }
--- a/src/util/msgpack_check.c
+++ b/src/util/msgpack_check.c
@@ -101,3 +101,18 @@
     }
     return at == end ? PPS_OK : PPS_ECORRUPT;
 }
+
+int
+pps_msgpack_unpack(msgpack_unpacked *out, const void *data, size_t size)
+{
+    size_t used = 0;
+
+    msgpack_unpacked_init(out);
+    if (pps_msgpack_check(data, size) < 0 ||
+        msgpack_unpack_next(out, data, size, &used) !=
+            MSGPACK_UNPACK_SUCCESS ||
+        used != size) {
+        return PPS_ECORRUPT;
+    }
+    return PPS_OK;
+}
--- a/tests/unit/test_frame.c
+++ b/tests/unit/test_frame.c
@@ -1,10 +1,10 @@
 /** @file test_frame.c @brief Frames, handshake and heartbeat payloads. */
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
 #include "peer/dial.h"
 #include "peer/frame.h"
 #include "peer/handshake.h"
 #include "peer/heartbeat.h"
-#include "peer/msgpack_guard.h"
 
 #include <criterion/criterion.h>
 #include <string.h>
