--- /dev/null
+++ b/fuzz/fuzz_sse.c
@@ -0,0 +1,43 @@
+/** @file fuzz_sse.c @brief Server-sent events in any cut give the same. */
+#include "upstream/sse.h"
+
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void
+parse(pps_buf_t *seen, const uint8_t *data, size_t size, size_t step)
+{
+    pps_sse_t sse = {0};
+    const char *event;
+    int got = 0;
+
+    for (size_t at = 0; at < size && got >= 0; at += step) {
+        pps_buf_append(&sse.pending, data + at,
+                       size - at < step ? size - at : step);
+        while ((got = pps_sse_next(&sse, &event)) > 0) {
+            pps_buf_puts(seen, event);
+            pps_buf_append(seen, "", 1);
+        }
+    }
+    pps_sse_clear(&sse);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    pps_buf_t whole = PPS_BUF_INIT;
+    pps_buf_t cut = PPS_BUF_INIT;
+
+    parse(&whole, data, size, size + 1);
+    parse(&cut, data, size, 3);
+    if (whole.size != cut.size) {
+        abort();
+    }
+    pps_buf_clear(&whole);
+    pps_buf_clear(&cut);
+    return 0;
+}
--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -5,6 +5,7 @@
 #include "ini_lines.h"
 #include "papayaswitch/errors.h"
 
+#include <criterion/criterion.h>
 #include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -67,6 +68,15 @@
     return failed ? pps_error_set(PPS_EIO, "%s: not written", path) : PPS_OK;
 }
 
+/* The programs of another build may be put under the same tests. */
+static const char *
+program_folder(void)
+{
+    const char *folder = getenv("PPS_TEST_BIN_DIR");
+
+    return folder != NULL ? folder : PPS_BIN_DIR;
+}
+
 static int
 spawn(harness_process_t *process, char **argv)
 {
@@ -125,7 +135,7 @@
     }
     memset(process, 0, sizeof(*process));
     name_files(harness, process, port_file);
-    snprintf(path, sizeof(path), "%s/%s", PPS_BIN_DIR, program);
+    snprintf(path, sizeof(path), "%s/%s", program_folder(), program);
     argv[count++] = path;
     for (size_t i = 0; args[i] != NULL && i < ARGS_MAX; i++) {
         argv[count++] = args[i];
@@ -247,6 +257,17 @@
     return text;
 }
 
+/* What a sanitizer has to say of a program is a failure of the test. */
+static void
+check_sanitizers(const harness_process_t *process)
+{
+    char *text = harness_stderr(process);
+
+    cr_expect_null(strstr(text, "Sanitizer:"), "%s", text);
+    cr_expect_null(strstr(text, "runtime error:"), "%s", text);
+    free(text);
+}
+
 static void
 remove_files(const harness_t *harness)
 {
@@ -278,6 +299,7 @@
             kill(process->pid, SIGKILL);
             waitpid(process->pid, &process->status, 0);
         }
+        check_sanitizers(process);
     }
     remove_files(harness);
     free(harness);
