--- a/src/libpapayaswitch/serving/evaluate.c
+++ b/src/libpapayaswitch/serving/evaluate.c
@@ -145,6 +145,9 @@
     out->reason = behind         ? PPS_SERVING_BEHIND
                   : !out->synced ? PPS_SERVING_NO_STATE
                                  : PPS_SERVING_ISOLATED;
+    if (!out->synced) {
+        return PPS_OK;
+    }
     consider(out, input, own, PPS_SERVING_OWN_EVIDENCE);
     if (!behind) {
         consider(out, input, peer, PPS_SERVING_PEER_EVIDENCE);
