--- a/src/libpapayaswitch/router/control.c
+++ b/src/libpapayaswitch/router/control.c
@@ -412,6 +412,7 @@
 {
     pps_router_t *router = user;
 
+    pthread_setname_np(pthread_self(), "pps-control");
     uv_run(&router->loop, UV_RUN_DEFAULT);
     return NULL;
 }
--- a/src/util/http_client.c
+++ b/src/util/http_client.c
@@ -367,8 +367,16 @@
 int
 pps_http_stream_read(pps_http_stream_t *stream, pps_buf_t *out, int wait_ms)
 {
-    if (stream->received.size == 0 && !stream->finished) {
-        drive(stream, wait_ms);
+    int64_t deadline = pps_clock_now_us() + wait_ms * PPS_US_PER_MS;
+    int64_t left_ms = wait_ms;
+
+    /* libcurl also wakes for its own timers, without anything to read. */
+    while (stream->received.size == 0 && !stream->finished && left_ms >= 0) {
+        drive(stream, (int)left_ms);
+        left_ms = (deadline - pps_clock_now_us()) / PPS_US_PER_MS;
+        if (left_ms == 0) {
+            break;
+        }
     }
     if (stream->received.size > 0) {
         int error =
