--- a/bench/bench_relay.c
+++ b/bench/bench_relay.c
@@ -31,10 +31,11 @@
 static void
 engine_body(char *out, size_t size, int id, int tokens, int stream)
 {
-    snprintf(out, size,
-             "{\"request_id\":\"b%d\",\"version\":\"drafting/small-1\","
-             "\"prompt\":\"bench %d\",\"max_tokens\":%d,\"stream\":%s}",
-             id, id, tokens, stream ? "true" : "false");
+    snprintf(
+        out, size,
+        "{\"request_id\":\"b%d\",\"version\":\"drafting/small-1\","
+        "\"prompt\":\"bench %d length=%d\",\"max_tokens\":%d,\"stream\":%s}",
+        id, id, tokens, tokens, stream ? "true" : "false");
 }
 
 static void
@@ -42,8 +43,9 @@
 {
     snprintf(out, size,
              "{\"model\":\"drafting\",\"messages\":[{\"role\":\"user\","
-             "\"content\":\"bench %d\"}],\"max_tokens\":%d,\"stream\":%s}",
-             id, tokens, stream ? "true" : "false");
+             "\"content\":\"bench %d "
+             "length=%d\"}],\"max_tokens\":%d,\"stream\":%s}",
+             id, tokens, tokens, stream ? "true" : "false");
 }
 
 static const target_t engine = {"/generate", "X-Bench: 1", engine_body};
--- a/src/standin/common/standin_text.c
+++ b/src/standin/common/standin_text.c
@@ -1,9 +1,11 @@
 /** @file standin_text.c @brief Words drawn from hashes. */
 #include "standin_text.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
+#define LENGTH_WORD "length="
 #define SYLLABLE_COUNT 32
 #define SYLLABLES_MAX 4
 #define LENGTH_MIN 16
@@ -43,8 +45,11 @@
 uint64_t
 standin_text_length(const char *prompt, uint64_t max_tokens)
 {
+    const char *told = strstr(prompt, LENGTH_WORD);
     uint64_t wanted =
-        LENGTH_MIN + XXH64(prompt, strlen(prompt), 0) % LENGTH_SPREAD;
+        told != NULL
+            ? strtoull(told + strlen(LENGTH_WORD), NULL, 10)
+            : LENGTH_MIN + XXH64(prompt, strlen(prompt), 0) % LENGTH_SPREAD;
 
     return wanted < max_tokens ? wanted : max_tokens;
 }
