--- a/model/serving.pml
+++ b/model/serving.pml
@@ -180,7 +180,7 @@
     peer_next[PAIR(h, 2)] = 0
 }
 
-/* The log's read is sent and served. */
+/* The log's read (pps_log_backend_t) is sent and served. */
 inline read_send(h)
 {
     flying[h] = 1; flying_age[h] = 0; flying_head[h] = head
--- a/tests/unit/test_publish.c
+++ b/tests/unit/test_publish.c
@@ -26,74 +26,47 @@
     int64_t asked;
 } report_case_t;
 
-static const struct {
+typedef struct {
     const char *name;
     size_t listed;
     size_t reported;
     report_case_t reports[HOSTS_MAX];
     pps_publish_stage_t stage;
     size_t missing;
-} publish_cases[] = {
-    {"held by the publisher only",
-     3,
-     3,
-     {{9000, 10000}, {NONE, 9900}, {NONE, 9900}},
-     PPS_PUBLISH_PUBLISHED,
-     2},
-    {"held by a majority",
-     3,
-     3,
-     {{9000, 10000}, {9100, 9900}, {NONE, 9900}},
-     PPS_PUBLISH_ACCEPTED,
-     1},
-    {"held by all",
-     3,
-     3,
-     {{9000, 10000}, {9100, 9900}, {9200, 9900}},
-     PPS_PUBLISH_IN_FORCE,
-     0},
-    {"majority for long enough",
-     3,
-     2,
-     {{7000, 10000}, {7799, 9900}},
-     PPS_PUBLISH_IN_FORCE,
-     1},
-    {"majority for the window and the margin only",
-     3,
-     2,
-     {{7000, 10000}, {7800, 9900}},
-     PPS_PUBLISH_ACCEPTED,
-     1},
-    {"majority never held it together",
-     3,
-     2,
-     {{9000, 10000}, {7000, 8000}},
-     PPS_PUBLISH_PUBLISHED,
-     1},
-    {"an answer from before the acceptance",
-     3,
-     3,
-     {{9000, 10000}, {9500, 9900}, {8900, 8950}},
-     PPS_PUBLISH_ACCEPTED,
-     1},
-    {"an unlisted host lacks it",
-     3,
-     4,
-     {{9000, 10000}, {9100, 9900}, {9200, 9900}, {NONE, 9900}},
-     PPS_PUBLISH_ACCEPTED,
-     1},
-    {"an unlisted host left long ago",
-     3,
-     4,
-     {{9000, 10000}, {9100, 9900}, {9200, 9900}, {NONE, 7000}},
-     PPS_PUBLISH_IN_FORCE,
-     0},
-    {"unlisted hosts make no majority",
-     3,
-     4,
-     {{7000, 10000}, {NONE, 9900}, {NONE, 9900}, {7000, 9900}},
-     PPS_PUBLISH_PUBLISHED,
-     2},
+} publish_case_t;
+
+#define CASE(name, listed, reported, stage, missing, ...)                     \
+    {                                                                         \
+        name, listed, reported, {__VA_ARGS__}, PPS_PUBLISH_##stage, missing   \
+    }
+#define REPORT(since, asked)                                                  \
+    {                                                                         \
+        since, asked                                                          \
+    }
+
+static const publish_case_t publish_cases[] = {
+    CASE("held by the publisher only", 3, 3, PUBLISHED, 2, REPORT(9000, 10000),
+         REPORT(NONE, 9900), REPORT(NONE, 9900)),
+    CASE("held by a majority", 3, 3, ACCEPTED, 1, REPORT(9000, 10000),
+         REPORT(9100, 9900), REPORT(NONE, 9900)),
+    CASE("held by all", 3, 3, IN_FORCE, 0, REPORT(9000, 10000),
+         REPORT(9100, 9900), REPORT(9200, 9900)),
+    CASE("majority for long enough", 3, 2, IN_FORCE, 1, REPORT(7000, 10000),
+         REPORT(7799, 9900)),
+    CASE("majority for the window and the margin only", 3, 2, ACCEPTED, 1,
+         REPORT(7000, 10000), REPORT(7800, 9900)),
+    CASE("majority never held it together", 3, 2, PUBLISHED, 1,
+         REPORT(9000, 10000), REPORT(7000, 8000)),
+    CASE("an answer from before the acceptance", 3, 3, ACCEPTED, 1,
+         REPORT(9000, 10000), REPORT(9500, 9900), REPORT(8900, 8950)),
+    CASE("an unlisted host lacks it", 3, 4, ACCEPTED, 1, REPORT(9000, 10000),
+         REPORT(9100, 9900), REPORT(9200, 9900), REPORT(NONE, 9900)),
+    CASE("an unlisted host left long ago", 3, 4, IN_FORCE, 0,
+         REPORT(9000, 10000), REPORT(9100, 9900), REPORT(9200, 9900),
+         REPORT(NONE, 7000)),
+    CASE("unlisted hosts make no majority", 3, 4, PUBLISHED, 2,
+         REPORT(7000, 10000), REPORT(NONE, 9900), REPORT(NONE, 9900),
+         REPORT(7000, 9900)),
 };
 
 Test(publish, cases)
