Peer links: entries leave at the tick only

A report callback that takes a new list could free the entry that the tick's walk goes to next. A delisted host is hung up on at once and its entry removed at the next tick, unless it still dials us.

--- a/include/papayaswitch/peers.h
+++ b/include/papayaswitch/peers.h
@@ -71,7 +71,8 @@
 /** The links of one host. */
 typedef struct pps_peers pps_peers_t;
 
-/** Listens and starts the heartbeat. */
+/** Listens and starts the heartbeat. After an error the loop must run once
+ * more to free what was begun. */
 int
 pps_peers_new(pps_peers_t **out, const pps_peers_options_t *options);
 
--- a/src/libpapayaswitch/peer/peers.c
+++ b/src/libpapayaswitch/peer/peers.c
@@ -32,25 +32,27 @@
 }
 
 static void
-remove_peer(pps_peers_t *peers, pps_peer_t *peer)
+free_all(pps_peers_t *peers)
 {
-    HASH_DEL(peers->by_id, peer);
-    free(peer);
+    pps_peer_t *peer = peers->by_id;
+
+    HASH_CLEAR(hh, peers->by_id);
+    while (peer != NULL) {
+        pps_peer_t *next = peer->hh.next;
+
+        free(peer);
+        peer = next;
+    }
 }
 
 void
 pps_peers_handle_closed(pps_peers_t *peers)
 {
-    pps_peer_t *peer;
-    pps_peer_t *next;
-
     peers->handles--;
     if (!peers->closing || peers->handles > 0) {
         return;
     }
-    HASH_ITER (hh, peers->by_id, peer, next) {
-        remove_peer(peers, peer);
-    }
+    free_all(peers);
     if (peers->closed != NULL) {
         peers->closed(peers->closed_user);
     }
@@ -186,23 +188,18 @@
     return PPS_OK;
 }
 
-/* A host that still dials us may be listed again: it is kept unlisted. */
+/* The tick removes the entries: a callback that it makes may have led here.
+ * A host that still dials us is kept unlisted. */
 static void
-remove_unlisted(pps_peers_t *peers)
+hang_up_unlisted(pps_peers_t *peers)
 {
     pps_peer_t *peer;
     pps_peer_t *next;
 
     HASH_ITER (hh, peers->by_id, peer, next) {
-        if (peer->listed) {
-            continue;
-        }
-        if (peer->dialled != NULL) {
+        if (!peer->listed && peer->dialled != NULL) {
             pps_peers_drop_link(peers, peer->dialled);
         }
-        if (peer->taken == NULL) {
-            remove_peer(peers, peer);
-        }
     }
 }
 
@@ -221,7 +218,7 @@
             error = take_host(peers, &hosts->hosts[i]);
         }
     }
-    remove_unlisted(peers);
+    hang_up_unlisted(peers);
     return error;
 }
 
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -216,3 +216,23 @@
     cr_expect_eq(error, PPS_ELIMIT);
     cr_expect_eq(pps_counter_sum(PPS_COUNTER_PEER_LINKS_OVERFLOWED), 1);
 }
+
+static int
+two_forgotten(void)
+{
+    return pps_peers_find(nodes[0].peers, "h2") == NULL;
+}
+
+Test(peers, a_host_off_the_list_is_forgotten_once_it_hangs_up)
+{
+    for (size_t i = 0; i < HOSTS; i++) {
+        start_node(i, 7);
+    }
+    list_all(HOSTS);
+    cr_assert(run_until(all_heard));
+    list_all(2);
+    cr_expect_not(two_forgotten());
+    stop_node(2);
+    cr_assert(run_until(two_forgotten));
+    cr_expect_eq(pps_peers_broadcast(nodes[0].peers, KIND, "", 0), 1);
+}
