Relay: wait before work in libcurl, one frame for all deltas of a stream

Cause (perf, 400 streams): a tenth of the time in malloc for building each delta as JSON, and a poll more a token than needed. Each delta's frame is made once and only its text is encoded; libcurl is asked to work after the wait, not before.

--- a/src/libpapayaswitch/api/chat_reply.c
+++ b/src/libpapayaswitch/api/chat_reply.c
@@ -4,6 +4,7 @@
 #include "papayaswitch/errors.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 static json_t *
 usage_json(const pps_answer_usage_t *usage)
@@ -52,14 +53,55 @@
     return error;
 }
 
-int
-pps_chat_reply_delta(const pps_chat_reply_t *reply, pps_buf_t *out,
-                     const char *text)
+/* All deltas of a stream are alike but for their text. */
+static int
+make_delta_frame(pps_chat_reply_t *reply)
 {
+    static const char mark[] = "\"content\":";
     json_t *choice = json_pack("{s:i, s:{s:s}, s:n}", "index", 0, "delta",
-                               "content", text, "finish_reason");
+                               "content", "", "finish_reason");
+    json_t *event = frame(reply, "chat.completion.chunk", choice);
+    char *text = json_dumps(event, JSON_COMPACT);
+    char *place = text ? strstr(text, mark) : NULL;
 
-    return append_event(out, frame(reply, "chat.completion.chunk", choice));
+    json_decref(event);
+    if (place == NULL) {
+        free(text);
+        return pps_error_set(PPS_ENOMEM, "event: out of memory");
+    }
+    place += strlen(mark);
+    reply->tail = strdup(place + strlen("\"\""));
+    *place = '\0';
+    reply->head = text;
+    return reply->tail ? PPS_OK : PPS_ENOMEM;
+}
+
+void
+pps_chat_reply_clear(pps_chat_reply_t *reply)
+{
+    free(reply->head);
+    free(reply->tail);
+    reply->head = NULL;
+    reply->tail = NULL;
+}
+
+int
+pps_chat_reply_delta(pps_chat_reply_t *reply, pps_buf_t *out, const char *text)
+{
+    json_t *content = json_string(text);
+    char *quoted = json_dumps(content, JSON_COMPACT | JSON_ENCODE_ANY);
+    int error = reply->head ? PPS_OK : make_delta_frame(reply);
+
+    json_decref(content);
+    if (error == 0 && quoted == NULL) {
+        error = pps_error_set(PPS_ENOMEM, "event: out of memory");
+    }
+    if (error == 0) {
+        error = pps_buf_printf(out, "data: %s%s%s\n\n", reply->head, quoted,
+                               reply->tail);
+    }
+    free(quoted);
+    return error;
 }
 
 int
--- a/src/libpapayaswitch/api/chat_reply.h
+++ b/src/libpapayaswitch/api/chat_reply.h
@@ -15,6 +15,8 @@
     const char *request_id;
     const char *model;
     int64_t created_s;
+    char *head; /**< of every delta event, up to its text; made once */
+    char *tail; /**< behind the text */
 } pps_chat_reply_t;
 
 /** The object of an answer that is not streamed. */
@@ -22,9 +24,13 @@
 pps_chat_reply_whole(const pps_chat_reply_t *reply, const char *text,
                      const pps_answer_usage_t *usage);
 
+/** Frees what the events of a stream share. */
+void
+pps_chat_reply_clear(pps_chat_reply_t *reply);
+
 /** Appends a server-sent event with some text. */
 int
-pps_chat_reply_delta(const pps_chat_reply_t *reply, pps_buf_t *out,
+pps_chat_reply_delta(pps_chat_reply_t *reply, pps_buf_t *out,
                      const char *text);
 
 /** Appends the last events of a whole answer, `[DONE]` included. */
--- a/src/libpapayaswitch/router/chat.c
+++ b/src/libpapayaswitch/router/chat.c
@@ -169,6 +169,7 @@
     pps_answer_close(chat->answer);
     pps_worker_view_free(chat->workers);
     pps_chat_request_clear(&chat->request);
+    pps_chat_reply_clear(&chat->reply);
     pps_buf_clear(&chat->out);
     pps_call_end(&chat->call);
     free(chat);
--- a/src/util/http_client.c
+++ b/src/util/http_client.c
@@ -35,6 +35,7 @@
     pps_buf_t received;
     int status;
     int retry_after_s;
+    int begun; /* libcurl has worked on it once */
     int headers_done;
     int finished;
     CURLcode result;
@@ -212,6 +213,7 @@
     curl_easy_reset(easy);
     stream->status = 0;
     stream->retry_after_s = -1;
+    stream->begun = 0;
     stream->headers_done = 0;
     stream->finished = 0;
     stream->result = CURLE_OK;
@@ -238,7 +240,10 @@
     return add_headers(stream, request);
 }
 
-/* Lets libcurl work once, waiting up to `wait_ms` for the socket. */
+/*
+ * Lets libcurl work once, waiting up to `wait_ms` for the socket first. What
+ * the last call left behind was nothing, so to wait comes before to work.
+ */
 static void
 drive(pps_http_stream_t *stream, int wait_ms)
 {
@@ -246,12 +251,11 @@
     int running = 0;
     int left = 0;
 
-    curl_multi_perform(stream->multi, &running);
-    if (running > 0 && wait_ms > 0 &&
-        (!stream->headers_done || stream->received.size == 0)) {
+    if (stream->begun && wait_ms > 0) {
         curl_multi_poll(stream->multi, NULL, 0, wait_ms, NULL);
-        curl_multi_perform(stream->multi, &running);
     }
+    stream->begun = 1;
+    curl_multi_perform(stream->multi, &running);
     while ((message = curl_multi_info_read(stream->multi, &left)) != NULL) {
         if (message->msg == CURLMSG_DONE) {
             stream->finished = 1;
