--- a/bench/bench_claims.c
+++ b/bench/bench_claims.c
@@ -171,7 +171,9 @@
     host_count = argc > 1 ? atoi(argv[1]) : host_count;
     rate = argc > 2 ? atoi(argv[2]) : rate;
     seconds = argc > 3 ? atoi(argv[3]) : seconds;
-    if (host_count < 1 || host_count > HOSTS_MAX) {
+    if (host_count < 1 || host_count > HOSTS_MAX ||
+        rate * seconds < host_count * CALLERS) {
+        fprintf(stderr, "fewer claims than callers, or too many hosts\n");
         return 2;
     }
     fake_log_init(&logged);
