--- a/bench/bench_policy_exposure.c
+++ b/bench/bench_policy_exposure.c
@@ -3,13 +3,13 @@
  * @brief Requests that a version answers after turning bad; false holds.
  *
  * bench_policy_exposure [SEEDS [CLEAN]]: seeds 1 to SEEDS (30), and CLEAN
- * (2,000,000) ratings without a fault. One host restarts each minute.
+ * (1,500,000) ratings without a fault. One host restarts each minute.
  */
 #include "policy_exposure_detectors.h"
 #include "policy_random.h"
 
 #define SEEDS 30
-#define CLEAN_RATINGS 2000000
+#define CLEAN_RATINGS 1500000
 
 #define WORKSPACES 10
 #define WORKERS 20
--- a/bench/policy_exposure_detectors.h
+++ b/bench/policy_exposure_detectors.h
@@ -38,6 +38,7 @@
     uint64_t incarnation;
     pps_health_t *health[HOSTS];
     double window[WINDOW];
+    double window_sum;
     int rated;
     int held[HOSTS];
     pps_health_verdict_t verdict;
@@ -200,13 +201,13 @@
 static void
 window_rate(detector_t *self, const arrival_t *arrival)
 {
-    double sum = 0.0;
+    double *slot = &self->window[self->rated++ % WINDOW];
+    double shortfall = arrival->expected - arrival->rating;
 
-    self->window[self->rated++ % WINDOW] = arrival->expected - arrival->rating;
-    for (int i = 0; i < WINDOW; i++) {
-        sum += self->window[i];
-    }
-    if (self->rated >= WINDOW && sum / WINDOW > WINDOW_SHORTFALL) {
+    self->window_sum += shortfall - *slot;
+    *slot = shortfall;
+    if (self->rated >= WINDOW &&
+        self->window_sum / WINDOW > WINDOW_SHORTFALL) {
         hold_all(self);
     }
 }
--- a/include/papayaswitch/choice.h
+++ b/include/papayaswitch/choice.h
@@ -106,9 +106,12 @@
     const char *failure_domain; /**< of this host; "" for none */
     uint64_t affinity;          /**< hash of prompt prefix or session, or 0 */
     pps_name_set_t tried;       /**< ids of workers */
-    double affinity_excess;     /**< load over the better choice it may cost */
-    double domain_excess;       /**< likewise for the own failure domain */
-    double slow_factor;         /**< of the pool's median: put aside */
+    size_t choices;             /**< workers compared */
+    int64_t memory_us;      /**< a report this old tells little of its worker
+                                 beyond the pool's mean */
+    double affinity_excess; /**< load over the better choice it may cost */
+    double domain_excess;   /**< likewise for the own failure domain */
+    double slow_factor;     /**< of the pool's median: put aside */
     int64_t now_us;
     pps_rng_t *rng;
 } pps_choice_worker_input_t;
@@ -116,7 +119,8 @@
 #define PPS_CHOICE_WORKER_INPUT_INIT                                          \
     {                                                                         \
         .version = PPS_CHOICE_WORKER_VERSION, .failure_domain = "",           \
-        .affinity_excess = 0.25, .domain_excess = 0.05, .slow_factor = 4.0    \
+        .choices = 8, .memory_us = 30000, .affinity_excess = 0.125,           \
+        .domain_excess = 0.05, .slow_factor = 4.0                             \
     }
 
 /** The worker chosen. */
--- a/include/papayaswitch/worker_view.h
+++ b/include/papayaswitch/worker_view.h
@@ -52,6 +52,7 @@
     const char *const *versions; /**< versions that it holds, or NULL */
     size_t version_count;
     int64_t measured_at_us; /**< time of the measurement on our clock */
+    int64_t received_at_us; /**< 0: right after the measurement */
 } pps_worker_report_t;
 
 /** An immutable list of workers. */
@@ -127,7 +128,10 @@
 void
 pps_worker_first_token(const pps_worker_t *worker, int64_t elapsed_us);
 
-/** Takes in a report; one older than the last is dropped. */
+/**
+ * Takes in a report; one older than the last is dropped. The reports of one
+ * worker are taken in by one thread at a time.
+ */
 void
 pps_worker_reported(const pps_worker_t *worker,
                     const pps_worker_report_t *report);
@@ -154,6 +158,10 @@
 double
 pps_worker_load(const pps_worker_t *worker);
 
+/** The part of the load that other hosts sent, as of the last report. */
+double
+pps_worker_others(const pps_worker_t *worker);
+
 /** Runs at a time, by report or list; 0 when unknown. */
 unsigned int
 pps_worker_slots(const pps_worker_t *worker);
--- a/src/libpapayaswitch/choice/choice_worker.c
+++ b/src/libpapayaswitch/choice/choice_worker.c
@@ -1,7 +1,8 @@
-/** @file choice_worker.c @brief Two choices on locally corrected load. */
+/** @file choice_worker.c @brief Few choices on locally corrected load. */
 #include "papayaswitch/choice.h"
 #include "papayaswitch/errors.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -16,6 +17,7 @@
 typedef struct {
     const pps_worker_t *items[WORKERS_MAX];
     size_t count;
+    double others_mean;
 } pool_t;
 
 /** What became of the workers that may not. */
@@ -100,7 +102,7 @@
     double limit = median_first_token(pool) * factor;
     size_t kept = 0;
 
-    if (limit <= 0) {
+    if (!(limit > 0)) {
         return;
     }
     for (size_t i = 0; i < pool->count; i++) {
@@ -111,43 +113,81 @@
     pool->count = kept;
 }
 
-/** Load in relation to the slots, so that unlike workers compare. */
 static double
-relative_load(const pps_worker_t *worker)
+slots(const pps_worker_t *worker)
 {
-    unsigned int slots = pps_worker_slots(worker);
+    unsigned int known = pps_worker_slots(worker);
 
-    return pps_worker_load(worker) / (slots > 0 ? slots : 1);
+    return known > 0 ? known : 1.0;
 }
 
-static const pps_worker_t *
-less_loaded(const pps_choice_worker_input_t *input, const pps_worker_t *a,
-            const pps_worker_t *b)
+/** Load that other hosts put on the pool, for one slot. */
+static double
+others_mean(const pool_t *pool)
+{
+    double others = 0.0;
+    double total = 0.0;
+
+    for (size_t i = 0; i < pool->count; i++) {
+        others += pps_worker_others(pool->items[i]);
+        total += slots(pool->items[i]);
+    }
+    return total > 0 ? others / total : 0.0;
+}
+
+/**
+ * Load in relation to the slots, so that unlike workers compare. What this
+ * host sent is known; what others sent is known as of the last report, and
+ * is drawn towards the pool's mean as the report grows old.
+ */
+static double
+relative_load(const pps_choice_worker_input_t *input, const pool_t *pool,
+              const pps_worker_t *worker)
 {
-    double load_a = relative_load(a);
-    double load_b = relative_load(b);
+    int64_t reported_at_us = pps_worker_reported_at_us(worker);
+    double others = pps_worker_others(worker) / slots(worker);
+    double trust = 0.0;
 
-    if (strcmp(a->failure_domain, input->failure_domain) != 0) {
-        load_a += input->domain_excess;
+    if (reported_at_us != INT64_MIN && input->memory_us > 0) {
+        trust = exp(-(double)(input->now_us - reported_at_us) /
+                    (double)input->memory_us);
     }
-    if (strcmp(b->failure_domain, input->failure_domain) != 0) {
-        load_b += input->domain_excess;
+    return (double)pps_worker_in_flight(worker) / slots(worker) +
+           pool->others_mean + trust * (others - pool->others_mean);
+}
+
+static double
+handicapped_load(const pps_choice_worker_input_t *input, const pool_t *pool,
+                 const pps_worker_t *worker)
+{
+    double load = relative_load(input, pool, worker);
+
+    if (strcmp(worker->failure_domain, input->failure_domain) != 0) {
+        load += input->domain_excess;
     }
-    return load_a <= load_b ? a : b;
+    return load;
 }
 
+/** The least loaded of a few random ones, drawn without repetition. */
 static const pps_worker_t *
-two_choices(const pps_choice_worker_input_t *input, const pool_t *pool)
+least_of_few(const pps_choice_worker_input_t *input, pool_t *pool)
 {
-    size_t first = pps_rng_below(input->rng, pool->count);
-    size_t second;
+    const pps_worker_t *best = NULL;
+    double best_load = 0.0;
+
+    for (size_t i = 0; i < input->choices && i < pool->count; i++) {
+        size_t other = i + pps_rng_below(input->rng, pool->count - i);
+        const pps_worker_t *drawn = pool->items[other];
+        double load = handicapped_load(input, pool, drawn);
 
-    if (pool->count == 1) {
-        return pool->items[0];
+        pool->items[other] = pool->items[i];
+        pool->items[i] = drawn;
+        if (best == NULL || load < best_load) {
+            best = drawn;
+            best_load = load;
+        }
     }
-    second = pps_rng_below(input->rng, pool->count - 1);
-    second += second >= first;
-    return less_loaded(input, pool->items[first], pool->items[second]);
+    return best;
 }
 
 /** The rendezvous winner: hosts agree on it without a word. */
@@ -170,16 +210,17 @@
 }
 
 static const pps_worker_t *
-pick(const pps_choice_worker_input_t *input, const pool_t *pool)
+pick(const pps_choice_worker_input_t *input, pool_t *pool)
 {
-    const pps_worker_t *light = two_choices(input, pool);
+    const pps_worker_t *light = least_of_few(input, pool);
     const pps_worker_t *warm;
 
     if (input->affinity == 0) {
         return light;
     }
     warm = affine(pool, input->affinity);
-    if (relative_load(warm) <= relative_load(light) + input->affinity_excess) {
+    if (relative_load(input, pool, warm) <=
+        relative_load(input, pool, light) + input->affinity_excess) {
         return warm;
     }
     return light;
@@ -196,6 +237,7 @@
     gather(&pool, &misses, input);
     if (pool.count > 0) {
         put_slow_aside(&pool, input->slow_factor);
+        pool.others_mean = others_mean(&pool);
         out->worker = pick(input, &pool);
         return PPS_OK;
     }
--- a/src/libpapayaswitch/worker/worker_cell.c
+++ b/src/libpapayaswitch/worker/worker_cell.c
@@ -164,17 +164,55 @@
     }
 }
 
+/**
+ * A report tells of the past. What this host had under way then is in it;
+ * what it sent or finished since is not.
+ */
+static int64_t
+in_flight_at(const pps_worker_cell_t *cell, int64_t measured_at_us)
+{
+    int64_t in_flight = atomic_load(&cell->in_flight);
+    size_t oldest = cell->sample_count > PPS_CELL_SAMPLES
+                        ? cell->sample_count - PPS_CELL_SAMPLES
+                        : 0;
+
+    for (size_t i = cell->sample_count; i > oldest; i--) {
+        const pps_cell_sample_t *sample =
+            &cell->samples[(i - 1) % PPS_CELL_SAMPLES];
+
+        in_flight = sample->in_flight;
+        if (sample->at_us <= measured_at_us) {
+            break;
+        }
+    }
+    return in_flight;
+}
+
+static void
+sample(pps_worker_cell_t *cell, int64_t now_us)
+{
+    pps_cell_sample_t *next =
+        &cell->samples[cell->sample_count % PPS_CELL_SAMPLES];
+
+    next->at_us = now_us;
+    next->in_flight = atomic_load(&cell->in_flight);
+    cell->sample_count++;
+}
+
 void
 pps_worker_reported(const pps_worker_t *worker,
                     const pps_worker_report_t *report)
 {
     pps_worker_cell_t *cell = worker->cell;
     int64_t load = (int64_t)report->running + report->queued;
-    int64_t others = load - atomic_load(&cell->in_flight);
+    int64_t others;
 
     if (!report_is_newer(cell, report->measured_at_us)) {
         return;
     }
+    sample(cell, report->received_at_us > 0 ? report->received_at_us
+                                            : report->measured_at_us);
+    others = load - in_flight_at(cell, report->measured_at_us);
     atomic_store(&cell->others, others > 0 ? others : 0);
     if (report->slots > 0) {
         atomic_store(&cell->slots, report->slots);
@@ -227,6 +265,12 @@
                     atomic_load(&worker->cell->in_flight));
 }
 
+double
+pps_worker_others(const pps_worker_t *worker)
+{
+    return (double)atomic_load(&worker->cell->others);
+}
+
 unsigned int
 pps_worker_slots(const pps_worker_t *worker)
 {
--- a/src/libpapayaswitch/worker/worker_cell.h
+++ b/src/libpapayaswitch/worker/worker_cell.h
@@ -9,6 +9,15 @@
 /** Versions whose loading is remembered for a worker. */
 #define PPS_CELL_VERSIONS 32
 
+/** Moments at which the own load is remembered. */
+#define PPS_CELL_SAMPLES 16
+
+/** This host's requests under way at a moment. */
+typedef struct {
+    int64_t at_us;
+    int64_t in_flight;
+} pps_cell_sample_t;
+
 /** What is known of one version at a worker. */
 typedef struct {
     _Atomic uint64_t hash;        /**< of the version's name; 0: free */
@@ -23,6 +32,9 @@
     _Atomic unsigned int slots;
     _Atomic int64_t first_token_us;
     _Atomic int64_t closed_until_us[PPS_REFUSAL_COUNT];
+    /** Used by the thread that takes in reports only. */
+    pps_cell_sample_t samples[PPS_CELL_SAMPLES];
+    size_t sample_count;
     pps_cell_version_t versions[PPS_CELL_VERSIONS];
 };
 
--- a/tests/unit/test_choice_worker.c
+++ b/tests/unit/test_choice_worker.c
@@ -49,7 +49,7 @@
 static void
 suffer(const pps_worker_t *worker, fate_t fate)
 {
-    pps_worker_report_t busy = {8, 30, 8, NULL, 0, NOW_US};
+    pps_worker_report_t busy = {8, 30, 8, NULL, 0, NOW_US, 0};
 
     pps_worker_first_token(worker, fate == SLOW ? 5000 : 100);
     if (fate == FULL) {
@@ -150,6 +150,7 @@
         input.workers = view;
         input.upstream = "drafting";
         input.affinity = 42;
+        input.affinity_excess = 0.25;
         input.now_us = NOW_US;
         input.rng = &rng;
         cr_assert_eq(pps_choice_worker(&warm, &input), 0);
@@ -164,25 +165,68 @@
 
 Test(choice_worker, own_failure_domain_wins_ties)
 {
+    /* Two of four are near: a pair has none of them one time in six. */
+    static const struct {
+        size_t choices;
+        double share;
+    } cases[] = {{1, 0.5}, {2, 5.0 / 6.0}, {8, 1.0}};
     static const fate_t fates[WORKERS] = {FINE, FINE, FINE, FINE};
-    pps_choice_worker_input_t input = PPS_CHOICE_WORKER_INPUT_INIT;
-    pps_worker_view_t *view = make(fates);
-    size_t own = 0;
     pps_rng_t rng;
 
     pps_rng_init(&rng, 6);
-    input.workers = view;
-    input.upstream = "drafting";
-    input.failure_domain = "b";
-    input.now_us = NOW_US;
-    input.rng = &rng;
-    for (int draw = 0; draw < DRAWS; draw++) {
-        pps_choice_worker_t out;
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        pps_choice_worker_input_t input = PPS_CHOICE_WORKER_INPUT_INIT;
+        pps_worker_view_t *view = make(fates);
+        size_t own = 0;
 
-        cr_assert_eq(pps_choice_worker(&out, &input), 0);
-        own += strcmp(out.worker->failure_domain, "b") == 0;
+        input.workers = view;
+        input.upstream = "drafting";
+        input.failure_domain = "b";
+        input.choices = cases[i].choices;
+        input.now_us = NOW_US;
+        input.rng = &rng;
+        for (int draw = 0; draw < DRAWS; draw++) {
+            pps_choice_worker_t out;
+
+            cr_assert_eq(pps_choice_worker(&out, &input), 0);
+            own += strcmp(out.worker->failure_domain, "b") == 0;
+        }
+        cr_expect_float_eq((double)own / DRAWS, cases[i].share, 0.04,
+                           "%zu choices", cases[i].choices);
+        pps_worker_view_free(view);
+    }
+}
+
+Test(choice_worker, old_reports_count_little)
+{
+    static const struct {
+        int64_t age_us;
+        int avoided; /**< the worker that others had loaded */
+    } cases[] = {{0, 1}, {10000, 1}, {10000000, 0}};
+    static const fate_t fates[WORKERS] = {FINE, FINE, FINE, FINE};
+    pps_rng_t rng;
+
+    pps_rng_init(&rng, 8);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        pps_choice_worker_input_t input = PPS_CHOICE_WORKER_INPUT_INIT;
+        pps_worker_view_t *view = make(fates);
+        pps_worker_report_t report = {
+            8, 0, 8, NULL, 0, NOW_US - cases[i].age_us, NOW_US};
+        int hits = 0;
+
+        pps_worker_reported(pps_worker_view_at(view, 0), &report);
+        input.workers = view;
+        input.upstream = "drafting";
+        input.now_us = NOW_US;
+        input.rng = &rng;
+        input.domain_excess = 0.0;
+        for (int draw = 0; draw < DRAWS; draw++) {
+            pps_choice_worker_t out;
+
+            cr_assert_eq(pps_choice_worker(&out, &input), 0);
+            hits += out.worker == pps_worker_view_at(view, 0);
+        }
+        cr_expect_eq(hits == 0, cases[i].avoided, "case %zu", i);
+        pps_worker_view_free(view);
     }
-    /* Two of four are near: a pair has none of them one time in six. */
-    cr_expect_float_eq((double)own / DRAWS, 5.0 / 6.0, 0.04);
-    pps_worker_view_free(view);
 }
--- a/tests/unit/test_worker_view.c
+++ b/tests/unit/test_worker_view.c
@@ -138,8 +138,8 @@
     pps_worker_view_t *view = decode("[" WORKER("w", "1", "live") "]", NULL);
     const pps_worker_t *worker = pps_worker_view_at(view, 0);
     const char *versions[] = {"m/1"};
-    pps_worker_report_t report = {3, 2, 8, versions, 1, 100};
-    pps_worker_report_t late = {90, 0, 1, NULL, 0, 50};
+    pps_worker_report_t report = {3, 2, 8, versions, 1, 100, 0};
+    pps_worker_report_t late = {90, 0, 1, NULL, 0, 50, 0};
 
     pps_worker_started(worker);
     pps_worker_reported(worker, &report);
@@ -157,6 +157,29 @@
     pps_worker_view_free(view);
 }
 
+Test(worker_view, a_late_report_is_set_against_the_past_in_flight)
+{
+    pps_worker_view_t *view = decode("[" WORKER("w", "1", "live") "]", NULL);
+    const pps_worker_t *worker = pps_worker_view_at(view, 0);
+    pps_worker_report_t report = {3, 0, 8, NULL, 0, 100, 100};
+
+    pps_worker_started(worker);
+    pps_worker_started(worker);
+    pps_worker_started(worker);
+    pps_worker_reported(worker, &report);
+    cr_expect_float_eq(pps_worker_others(worker), 0.0, 1e-9);
+    pps_worker_finished(worker);
+    pps_worker_finished(worker);
+    pps_worker_finished(worker);
+    /* Measured while the three were under way, received after them. */
+    report.measured_at_us = 150;
+    report.received_at_us = 200;
+    pps_worker_reported(worker, &report);
+    cr_expect_float_eq(pps_worker_others(worker), 0.0, 1e-9);
+    cr_expect_float_eq(pps_worker_load(worker), 0.0, 1e-9);
+    pps_worker_view_free(view);
+}
+
 static void *
 traffic(void *user)
 {
