At most once, proved under failure; keys of workspaces kept apart

Found by them and mended: - A service saw the caller's bare key, so the same key of two workspaces was one key to it. Seen: with one service that checks fencing numbers, the claim of office (lower offset, sent first, slow) was refused as stale once ministry had run its own (no_capacity). A lost answer could also be settled by another workspace's run. The service is now given WORKSPACE:KEY. - Records trimmed without a checkpoint left a fresh host without claims and pins until the next periodic one (log_unavailable for more than 20 s; 10 minutes by the settings). Refused, never run twice: an outage, not a double. A checkpoint is now due as soon as the log's first kept offset has passed the last one. - GET /v1/outcomes/KEY said not_found, run=no, from a fold that might be behind. It now waits for a read of the head that began after the question, else says outcome_unknown. - Retry-After of no_capacity took a time span for a point in time. service_call.c is split: choice and sending are in service_dispatch.c.

--- a/include/papayaswitch/journal.h
+++ b/include/papayaswitch/journal.h
@@ -96,7 +96,13 @@
 int
 pps_journal_outcome(pps_journal_t *journal, const pps_outcome_t *outcome);
 
-/** What is known of a key, without claiming. @return 0 or PPS_ENOTFOUND */
+/**
+ * What is known of a key, without claiming. Before it says that nothing is,
+ * it waits for a read of the log's head that began after this call, at most
+ * for twice the bound of a decision.
+ * @return 0; PPS_ENOTFOUND: no claim held it at the start of this call;
+ *         PPS_EUNKNOWN: the log could not be read; PPS_ENOMEM
+ */
 int
 pps_journal_lookup(pps_verdict_t *out, pps_journal_t *journal,
                    const char *workspace, const char *key);
@@ -132,6 +138,16 @@
 uint64_t
 pps_journal_next(pps_journal_t *journal);
 
+/**
+ * Tells what a read of the log has shown, after its entries were folded.
+ * @param first first offset that the log keeps
+ * @param head offset behind the last record at `read_us`
+ * @param read_us when the read was sent
+ */
+void
+pps_journal_seen(pps_journal_t *journal, uint64_t first, uint64_t head,
+                 int64_t read_us);
+
 /** Replaces the state by a restored one, which is taken over. */
 void
 pps_journal_restore(pps_journal_t *journal, pps_work_fold_t *fold);
--- a/include/papayaswitch/service.h
+++ b/include/papayaswitch/service.h
@@ -23,7 +23,7 @@
     const char *content_type; /**< of the body, or NULL */
     const void *body;
     size_t body_size;
-    const char *key;  /**< idempotency key, or NULL */
+    const char *key;  /**< `WORKSPACE:KEY` to run once, or NULL */
     uint64_t fencing; /**< fencing number, with a key */
     int once;         /**< must not be sent twice */
 } pps_service_request_t;
--- a/src/libpapayaswitch/router/caller_api.c
+++ b/src/libpapayaswitch/router/caller_api.c
@@ -70,18 +70,25 @@
     const char *key = u_map_get(request->map_url, "key");
     pps_verdict_t verdict = {0};
     pps_call_t call;
+    int error;
 
     if (pps_call_begin(&call, user, request, response) < 0) {
         return U_CALLBACK_COMPLETE;
     }
-    if (key == NULL || pps_journal_lookup(&verdict, call.router->journal,
-                                          call.workspace->name, key) < 0) {
+    error = key == NULL ? PPS_ENOTFOUND
+                        : pps_journal_lookup(&verdict, call.router->journal,
+                                             call.workspace->name, key);
+    if (error == 0) {
+        pps_verdict_reply(&call, response, &verdict);
+        pps_verdict_clear(&verdict);
+    }
+    else if (error == PPS_ENOTFOUND) {
         pps_call_refuse(&call, response, PPS_API_NOT_FOUND, 0,
                         "nothing is known of this key");
     }
     else {
-        pps_verdict_reply(&call, response, &verdict);
-        pps_verdict_clear(&verdict);
+        pps_call_refuse(&call, response, PPS_API_OUTCOME_UNKNOWN, 0,
+                        "the log cannot be asked for this key now");
     }
     pps_call_end(&call);
     return U_CALLBACK_COMPLETE;
--- a/src/libpapayaswitch/router/service_call.c
+++ b/src/libpapayaswitch/router/service_call.c
@@ -2,31 +2,18 @@
 #include "service_call.h"
 
 #include "bill_link.h"
-#include "call.h"
 #include "clock.h"
 #include "counters.h"
 #include "event.h"
-#include "papayaswitch/choice.h"
 #include "papayaswitch/errors.h"
+#include "service_dispatch.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define ATTEMPTS_MAX 4
 #define PATH_PREFIX "/v1/services/"
 
-/** One call of a plain service. */
-typedef struct {
-    pps_call_t call;
-    const pps_upstream_t *upstream;
-    pps_worker_view_t *workers;
-    pps_service_request_t request;
-    const char *tried[ATTEMPTS_MAX];
-    size_t tried_count;
-    pps_choice_worker_t choice;
-    pps_service_answer_t answer;
-} service_call_t;
-
 static int
 is_listed(const char *const *names, size_t count, const char *name)
 {
@@ -39,7 +26,7 @@
 }
 
 static int
-find_upstream(service_call_t *service, const struct _u_request *request,
+find_upstream(pps_service_call_t *service, const struct _u_request *request,
               struct _u_response *response)
 {
     const pps_workspace_t *workspace = service->call.workspace;
@@ -72,7 +59,7 @@
 }
 
 static int
-is_repeatable(const service_call_t *service)
+is_repeatable(const pps_service_call_t *service)
 {
     const pps_upstream_t *upstream = service->upstream;
     const char *method = service->request.method;
@@ -91,109 +78,8 @@
     return 0;
 }
 
-static int
-choose_worker(service_call_t *service)
-{
-    pps_choice_worker_input_t input = PPS_CHOICE_WORKER_INPUT_INIT;
-
-    input.workers = service->workers;
-    input.upstream = service->upstream->name;
-    input.failure_domain = service->call.router->settings.failure_domain;
-    input.tried.names = service->tried;
-    input.tried.count = service->tried_count;
-    input.now_us = pps_clock_now_us();
-    input.rng = &service->call.rng;
-    return pps_choice_worker(&service->choice, &input);
-}
-
-static int
-time_left_ms(const service_call_t *service)
-{
-    int64_t left_ms =
-        (service->call.deadline_us - pps_clock_now_us()) / PPS_US_PER_MS;
-    int most = service->call.router->settings.answer_timeout_ms;
-
-    return left_ms < most ? (int)left_ms : most;
-}
-
-static int
-send_once(service_call_t *service)
-{
-    pps_router_t *router = service->call.router;
-    const pps_worker_t *worker = service->choice.worker;
-    pps_refusal_answer_t refusal = {PPS_REFUSAL_NONE, -1};
-    int timeout_ms = time_left_ms(service);
-    int error;
-
-    if (timeout_ms <= 0) {
-        return pps_error_set(PPS_ELIMIT, "the deadline has passed");
-    }
-    if (!pps_router_may_start(router)) {
-        return pps_error_set(PPS_ECLOSED, "this host starts no work now");
-    }
-    pps_event_record(
-        "service_called",
-        PPS_FIELDS(
-            PPS_STR("request", service->call.request_id),
-            PPS_STR("workspace", service->call.workspace->name),
-            PPS_STR("worker", worker->id),
-            PPS_STR("key", service->request.key ? service->request.key : ""),
-            PPS_INT("fencing", service->request.fencing)));
-    pps_worker_started(worker);
-    error = router->service->call(router->service, &service->answer,
-                                  worker->address, worker->port,
-                                  &service->request, timeout_ms, &refusal);
-    pps_worker_finished(worker);
-    if (error == 0) {
-        pps_worker_served(worker, NULL);
-        return PPS_OK;
-    }
-    pps_counter_add(PPS_COUNTER_WORKER_REFUSALS, 1);
-    pps_worker_refused(worker,
-                       error == PPS_EREFUSED   ? refusal.reason
-                       : error == PPS_ETIMEOUT ? PPS_REFUSAL_SILENT
-                                               : PPS_REFUSAL_BROKEN,
-                       NULL, pps_clock_now_us(), 0);
-    return error;
-}
-
-static int
-surely_not_run(int error)
-{
-    return error == PPS_EREFUSED || error == PPS_EUNAVAILABLE;
-}
-
-/*
- * Tries workers in turn. A call that must run at most once goes on only
- * while the last worker surely has not run it.
- * @return 0; PPS_EUNAVAILABLE: surely not run; else it may have run
- */
-static int
-dispatch(service_call_t *service)
-{
-    int last = PPS_EUNAVAILABLE;
-
-    while (service->tried_count < ATTEMPTS_MAX) {
-        int error = choose_worker(service);
-
-        if (error < 0) {
-            return last;
-        }
-        service->tried[service->tried_count++] = service->choice.worker->id;
-        error = send_once(service);
-        if (error == PPS_ECLOSED || error == PPS_ELIMIT) {
-            return last;
-        }
-        if (error == 0 || (service->request.once && !surely_not_run(error))) {
-            return error;
-        }
-        last = surely_not_run(error) ? last : error;
-    }
-    return last;
-}
-
 static void
-reply_answer(const service_call_t *service, struct _u_response *response)
+reply_answer(const pps_service_call_t *service, struct _u_response *response)
 {
     const pps_service_answer_t *answer = &service->answer;
 
@@ -219,12 +105,12 @@
 }
 
 static void
-reply_failure(const service_call_t *service, struct _u_response *response,
+reply_failure(const pps_service_call_t *service, struct _u_response *response,
               int error)
 {
     if (error == PPS_EUNAVAILABLE) {
         pps_call_refuse(&service->call, response, PPS_API_NO_CAPACITY,
-                        service->choice.retry_after_us - pps_clock_now_us(),
+                        service->choice.retry_after_us,
                         "no worker can take the call now");
         return;
     }
@@ -233,9 +119,9 @@
 }
 
 static void
-run_repeatable(service_call_t *service, struct _u_response *response)
+run_repeatable(pps_service_call_t *service, struct _u_response *response)
 {
-    int error = dispatch(service);
+    int error = pps_service_dispatch(service);
 
     if (error == 0) {
         reply_answer(service, response);
@@ -246,7 +132,7 @@
 }
 
 static void
-record_outcome(service_call_t *service, uint64_t fencing,
+record_outcome(pps_service_call_t *service, uint64_t fencing,
                pps_outcome_state_t state)
 {
     pps_outcome_t outcome = {.claim_offset = fencing, .state = state};
@@ -254,8 +140,7 @@
 
     memcpy(outcome.workspace, service->call.workspace->name,
            strlen(service->call.workspace->name) + 1);
-    memcpy(outcome.key, service->request.key,
-           strlen(service->request.key) + 1);
+    memcpy(outcome.key, service->key, strlen(service->key) + 1);
     if (state == PPS_OUTCOME_COMPLETED) {
         outcome.status = answer->status;
         snprintf(outcome.content_type, sizeof(outcome.content_type), "%s",
@@ -266,14 +151,14 @@
     pps_journal_outcome(service->call.router->journal, &outcome);
     pps_event_record("outcome",
                      PPS_FIELDS(PPS_STR("request", service->call.request_id),
-                                PPS_STR("key", service->request.key),
+                                PPS_STR("key", service->key),
                                 PPS_INT("fencing", fencing),
                                 PPS_INT("state", state)));
 }
 
 /* The answer was lost: ask on a new connection what became of the call. */
 static void
-settle_lost_answer(service_call_t *service, struct _u_response *response)
+settle_lost_answer(pps_service_call_t *service, struct _u_response *response)
 {
     pps_router_t *router = service->call.router;
     const pps_worker_t *worker = service->choice.worker;
@@ -293,9 +178,9 @@
 }
 
 static void
-run_granted(service_call_t *service, struct _u_response *response)
+run_granted(pps_service_call_t *service, struct _u_response *response)
 {
-    int error = dispatch(service);
+    int error = pps_service_dispatch(service);
 
     if (error == 0) {
         record_outcome(service, service->request.fencing,
@@ -344,7 +229,7 @@
 
 /* The digest covers all that makes the request, not the body alone. */
 static void
-request_digest(const service_call_t *service,
+request_digest(const pps_service_call_t *service,
                uint8_t out[PPS_BODY_DIGEST_SIZE])
 {
     pps_buf_t whole = PPS_BUF_INIT;
@@ -356,8 +241,19 @@
     pps_buf_clear(&whole);
 }
 
+/* Keys of two workspaces must not meet at the service either. */
+static void
+set_key(pps_service_call_t *service, const char *key)
+{
+    snprintf(service->upstream_key, sizeof(service->upstream_key), "%s:%s",
+             service->call.workspace->name, key);
+    service->key = key;
+    service->request.key = service->upstream_key;
+    service->request.once = 1;
+}
+
 static void
-run_once(service_call_t *service, const struct _u_request *request,
+run_once(pps_service_call_t *service, const struct _u_request *request,
          struct _u_response *response)
 {
     const char *key = pps_http_header(request, "Idempotency-Key");
@@ -371,8 +267,7 @@
                         "are wanted for a call that must not be repeated");
         return;
     }
-    service->request.key = key;
-    service->request.once = 1;
+    set_key(service, key);
     request_digest(service, digest);
     error = pps_journal_claim(
         &verdict, service->call.router->journal, service->call.workspace->name,
@@ -393,7 +288,7 @@
 }
 
 static void
-fill_request(service_call_t *service, const struct _u_request *request)
+fill_request(pps_service_call_t *service, const struct _u_request *request)
 {
     service->request.method = request->http_verb;
     service->request.path = service_path(request);
@@ -407,7 +302,7 @@
 pps_service_call_handle(const struct _u_request *request,
                         struct _u_response *response, void *user)
 {
-    service_call_t service = {0};
+    pps_service_call_t service = {0};
 
     if (pps_call_begin(&service.call, user, request, response) < 0) {
         return U_CALLBACK_COMPLETE;
--- a/src/libpapayaswitch/router/work_feed.c
+++ b/src/libpapayaswitch/router/work_feed.c
@@ -51,22 +51,13 @@
     return PPS_OK;
 }
 
-int
-pps_work_feed_take(pps_work_feed_t *feed, const pps_log_batch_t *batch)
+/* Folds what is new to the journal; a gap makes the reader go back. */
+static int
+fold_batch(pps_work_feed_t *feed, const pps_log_batch_t *batch)
 {
     uint64_t next = pps_journal_next(feed->journal);
     size_t skip = 0;
 
-    if (batch->error == PPS_EEXPIRED) {
-        return begin_search(feed, batch->range.first);
-    }
-    if (batch->error < 0) {
-        pps_counter_add(PPS_COUNTER_LOG_READS_FAILED, 1);
-        return PPS_OK;
-    }
-    if (feed->restorer != NULL) {
-        return search(feed, batch);
-    }
     while (skip < batch->count && batch->entries[skip].offset < next) {
         skip++;
     }
@@ -80,3 +71,24 @@
     return pps_journal_fold(feed->journal, batch->entries + skip,
                             batch->count - skip);
 }
+
+int
+pps_work_feed_take(pps_work_feed_t *feed, const pps_log_batch_t *batch)
+{
+    int error;
+
+    if (batch->error == PPS_EEXPIRED) {
+        return begin_search(feed, batch->range.first);
+    }
+    if (batch->error < 0) {
+        pps_counter_add(PPS_COUNTER_LOG_READS_FAILED, 1);
+        return PPS_OK;
+    }
+    if (feed->restorer != NULL) {
+        return search(feed, batch);
+    }
+    error = fold_batch(feed, batch);
+    pps_journal_seen(feed->journal, batch->range.first, batch->range.head,
+                     batch->sent_us);
+    return error;
+}
--- a/src/libpapayaswitch/work/journal.c
+++ b/src/libpapayaswitch/work/journal.c
@@ -2,6 +2,7 @@
 #include "papayaswitch/journal.h"
 
 #include "clock.h"
+#include "commit/wait.h"
 #include "journal_state.h"
 #include "papayaswitch/errors.h"
 #include "papayaswitch/record.h"
@@ -47,6 +48,7 @@
     stagger(journal);
     journal->checkpoint_seen_us = pps_clock_now_us();
     pthread_mutex_init(&journal->mutex, NULL);
+    pps_wait_cond_init(&journal->head_read);
     error = pps_work_fold_new(&journal->fold, &options->fold);
     if (error == 0) {
         error = pps_appender_new(&journal->appender, backend, PPS_STREAM_WORK,
@@ -70,6 +72,7 @@
     pps_pending_clear(journal);
     pps_uses_clear(journal);
     pps_work_fold_free(journal->fold);
+    pthread_cond_destroy(&journal->head_read);
     pthread_mutex_destroy(&journal->mutex);
     free(journal);
 }
@@ -210,6 +213,19 @@
     return next;
 }
 
+void
+pps_journal_seen(pps_journal_t *journal, uint64_t first, uint64_t head,
+                 int64_t read_us)
+{
+    pthread_mutex_lock(&journal->mutex);
+    journal->log_first = first;
+    if (pps_work_fold_next(journal->fold) >= head) {
+        journal->head_read_us = read_us;
+        pthread_cond_broadcast(&journal->head_read);
+    }
+    pthread_mutex_unlock(&journal->mutex);
+}
+
 /* Claims that the restored state shows without their records having been
  * folded here are settled by their attempt: one with a waiter is granted. */
 static void
--- a/src/libpapayaswitch/work/journal_checkpoint.c
+++ b/src/libpapayaswitch/work/journal_checkpoint.c
@@ -7,6 +7,15 @@
 
 #include <stdlib.h>
 
+/* The log has dropped records that no checkpoint seen here stands for. */
+static int
+is_exposed(const pps_journal_t *journal)
+{
+    return journal->log_first >
+               pps_work_fold_checkpointed(journal->fold, NULL) &&
+           pps_work_fold_next(journal->fold) >= journal->log_first;
+}
+
 int
 pps_journal_checkpoint_due(pps_journal_t *journal)
 {
@@ -20,7 +29,8 @@
               pps_work_fold_checkpointed(journal->fold, NULL);
     age_us = pps_clock_now_us() - journal->checkpoint_seen_us;
     due = records > 0 && journal->checkpoint_queued == 0 &&
-          (age_us > (int64_t)options->checkpoint_s * PPS_US_PER_S +
+          (is_exposed(journal) ||
+           age_us > (int64_t)options->checkpoint_s * PPS_US_PER_S +
                         journal->stagger_us ||
            records > options->checkpoint_records + journal->stagger_records);
     pthread_mutex_unlock(&journal->mutex);
--- a/src/libpapayaswitch/work/journal_claim.c
+++ b/src/libpapayaswitch/work/journal_claim.c
@@ -8,6 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/** A lookup may wait for one long read to end and for the next one. */
+#define LOOKUP_BOUNDS 2
+
 /** Links the appender's answer to a waiter that may be gone by then. */
 typedef struct {
     pps_journal_t *journal;
@@ -200,6 +203,28 @@
     return error;
 }
 
+/* Mutex held. Looks again until a read of the log's head that began after
+ * `since_us` was folded. */
+static int
+look_up_fresh(pps_held_claim_t *held, pps_journal_t *journal,
+              const char *workspace, const char *key, int64_t since_us)
+{
+    int64_t until_us = since_us + LOOKUP_BOUNDS * journal->options.decide_us;
+    int waited = 0;
+
+    while (pps_work_fold_claim(journal->fold, held, workspace, key) < 0) {
+        if (journal->head_read_us >= since_us) {
+            return PPS_ENOTFOUND;
+        }
+        if (waited < 0) {
+            return pps_error_set(PPS_EUNKNOWN, "the log cannot be read now");
+        }
+        waited =
+            pps_wait_until(&journal->head_read, &journal->mutex, until_us);
+    }
+    return PPS_OK;
+}
+
 int
 pps_journal_lookup(pps_verdict_t *out, pps_journal_t *journal,
                    const char *workspace, const char *key)
@@ -208,7 +233,7 @@
     int error;
 
     pthread_mutex_lock(&journal->mutex);
-    error = pps_work_fold_claim(journal->fold, &held, workspace, key);
+    error = look_up_fresh(&held, journal, workspace, key, pps_clock_now_us());
     if (error == 0) {
         error = pps_verdict_copy(out, &held, NULL);
     }
--- a/src/libpapayaswitch/work/journal_state.h
+++ b/src/libpapayaswitch/work/journal_state.h
@@ -57,6 +57,7 @@
 
 struct pps_journal {
     pthread_mutex_t mutex;
+    pthread_cond_t head_read; /**< of lookups that wait for a read */
     pps_journal_options_t options;
     char host[PPS_NAME_MAX + 1];
     pps_appender_t *appender;
@@ -70,6 +71,8 @@
     struct cds_list_head use_list;
     int checkpoint_queued;      /**< parts on their way to the log */
     int64_t checkpoint_seen_us; /**< own clock */
+    uint64_t log_first;         /**< first offset that the log keeps */
+    int64_t head_read_us;       /**< newest read that was folded to the head */
     int64_t stagger_us;
     uint64_t stagger_records;
 };
--- a/tests/process/harness_calls.c
+++ b/tests/process/harness_calls.c
@@ -117,7 +117,9 @@
 cluster_runs(cluster_t *cluster, const char *key)
 {
     json_int_t runs = 0;
+    char name[HEADER_BYTES];
 
+    snprintf(name, sizeof(name), "office:%s", key);
     for (int i = 0; i < CLUSTER_WORKERS_MAX; i++) {
         harness_reply_t reply;
 
@@ -126,7 +128,7 @@
         }
         harness_json(&reply, "GET", cluster->services[i]->port, "/runs", NULL);
         runs += json_integer_value(
-            json_object_get(json_object_get(reply.json, "runs"), key));
+            json_object_get(json_object_get(reply.json, "runs"), name));
         harness_reply_clear(&reply);
     }
     return runs;
--- a/tests/process/harness_cluster.h
+++ b/tests/process/harness_cluster.h
@@ -123,7 +123,7 @@
 char *
 cluster_header(const harness_reply_t *reply, const char *name);
 
-/** How often an act was run, over all services. */
+/** How often an act of `office` was run, over all services. */
 json_int_t
 cluster_runs(cluster_t *cluster, const char *key);
 
--- /dev/null
+++ b/tests/process/test_claims_hosts.c
@@ -0,0 +1,174 @@
+/** @file test_claims_hosts.c @brief At most once while hosts are lost. */
+#include "harness_act.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <unistd.h>
+
+static cluster_t *cluster;
+
+static void
+set_up(void)
+{
+    const cluster_options_t options = {.routers = 3};
+
+    cr_assert_eq(cluster_new(&cluster, &options), 0);
+}
+
+static void
+tear_down(void)
+{
+    cluster_free(cluster);
+}
+
+TestSuite(claims_hosts, .init = set_up, .fini = tear_down);
+
+static void
+kill_router(int router)
+{
+    harness_signal(cluster->routers[router], SIGKILL);
+    harness_wait(cluster->routers[router], CLUSTER_WAIT_MS);
+}
+
+static void
+start_router(int router)
+{
+    cr_assert_gt(cluster_start_router(cluster, router), -1);
+    cluster_put_hosts(cluster);
+    cr_assert(cluster_wait_serves(cluster, router, 1));
+}
+
+/* Starts a request that its service holds for so long, and waits until the
+ * router has sent it. */
+static void
+start_held(act_t *act, int router, const char *key, const char *faults)
+{
+    act_fault_services(cluster, faults);
+    *act = (act_t){.cluster = cluster, .router = router, .key = key};
+    act_start(act);
+    cr_assert(act_wait_sent(cluster, router, key));
+}
+
+static int
+holds_one_run(cluster_t *system, void *user)
+{
+    return cluster_runs(system, user) >= 1;
+}
+
+Test(claims_hosts, a_host_killed_after_dispatch_leaves_no_second_run)
+{
+    static char key[] = "killed";
+    act_t first;
+    act_t later;
+
+    start_held(&first, 0, key, "{\"delay_ms\": 700}");
+    kill_router(0);
+    act_join(&first);
+    cr_expect_eq(first.result.status, 0);
+    act_call_key(&later, cluster, 1, key);
+    cr_expect(act_is_open(&later), "%s", later.result.code);
+    cr_assert(cluster_wait(cluster, holds_one_run, key));
+    start_router(0);
+    for (int router = 0; router < 3; router++) {
+        act_call_key(&later, cluster, router, key);
+        cr_expect(act_is_open(&later), "%s", later.result.code);
+        later.ask = 1;
+        act_call(&later);
+        cr_expect(act_is_open(&later), "asked: %s", later.result.code);
+    }
+    cr_expect_eq(cluster_runs(cluster, key), 1);
+}
+
+Test(claims_hosts, a_host_stopped_in_dispatch_ends_its_one_run)
+{
+    static char key[] = "stopped";
+    act_t first;
+    act_t later;
+
+    start_held(&first, 0, key, "{\"delay_ms\": 300}");
+    harness_signal(cluster->routers[0], SIGSTOP);
+    cr_assert(cluster_wait(cluster, holds_one_run, key));
+    for (int router = 1; router < 3; router++) {
+        act_call_key(&later, cluster, router, key);
+        cr_expect(act_is_open(&later), "%s", later.result.code);
+    }
+    harness_signal(cluster->routers[0], SIGCONT);
+    act_join(&first);
+    cr_expect_eq(first.result.status, 200);
+    act_settle_key(&later, cluster, 2, key);
+    cr_expect_eq(later.result.status, 200);
+    cr_expect_eq(later.result.replayed, 1);
+    cr_expect_eq(cluster_runs(cluster, key), 1);
+}
+
+/* The log's answers are slow, so that the stop falls between the claim's
+ * append and its grant. */
+Test(claims_hosts,
+     a_host_stopped_between_claim_and_dispatch_does_not_run_twice)
+{
+    static char key[] = "paused";
+    act_t first = {.cluster = cluster, .router = 0, .key = key};
+    act_t later;
+
+    cluster_fault(cluster->platform, "{\"log\": \"slow\", \"slow_ms\": 300}");
+    act_start(&first);
+    usleep(100 * 1000);
+    harness_signal(cluster->routers[0], SIGSTOP);
+    act_heal(cluster);
+    for (int router = 1; router < 3; router++) {
+        act_call_key(&later, cluster, router, key);
+        cr_expect(act_is_open(&later) || later.result.status == 200, "%s",
+                  later.result.code);
+    }
+    usleep(3000 * 1000);
+    harness_signal(cluster->routers[0], SIGCONT);
+    act_join(&first);
+    for (int router = 0; router < 3; router++) {
+        act_settle_key(&later, cluster, router, key);
+        cr_expect_eq(later.result.status, 200, "%s", later.result.code);
+        cr_expect_eq(later.result.ran, 1);
+    }
+    cr_expect_eq(cluster_runs(cluster, key), 1);
+}
+
+/* A host that has not read the log yet must not deny a run. */
+Test(claims_hosts, a_fresh_host_in_a_log_outage_denies_no_run)
+{
+    act_t act;
+
+    act_call_key(&act, cluster, 0, "before");
+    cr_expect_eq(act.result.status, 200);
+    cluster_fault(cluster->platform, "{\"log\": \"down\"}");
+    kill_router(1);
+    start_router(1);
+    act = (act_t){.cluster = cluster, .router = 1, .key = "before"};
+    act_call_served(&act);
+    cr_expect_str_eq(act.result.code, "log_unavailable");
+    act.ask = 1;
+    act_call_served(&act);
+    cr_expect_str_eq(act.result.code, "outcome_unknown");
+    act_heal(cluster);
+    act_settle_key(&act, cluster, 1, "before");
+    cr_expect_eq(act.result.replayed, 1);
+    cr_expect_eq(cluster_runs(cluster, "before"), 1);
+}
+
+/* The claims' records are gone from the log; checkpoints hold them. */
+Test(claims_hosts, trimmed_records_forget_no_claim)
+{
+    act_t act;
+
+    act_call_key(&act, cluster, 0, "trimmed");
+    cr_expect_eq(act.result.status, 200);
+    act_call_key(&act, cluster, 1, "after");
+    cr_assert_eq(cluster_fault(cluster->platform, "{\"retain\": 1}"), 200);
+    kill_router(2);
+    start_router(2);
+    act_settle_key(&act, cluster, 2, "trimmed");
+    cr_expect_eq(act.result.status, 200, "%s", act.result.code);
+    cr_expect_eq(act.result.replayed, 1);
+    act_settle_key(&act, cluster, 2, "new");
+    cr_expect_eq(act.result.status, 200, "%s", act.result.code);
+    cr_expect_eq(cluster_runs(cluster, "trimmed"), 1);
+    cr_expect_eq(cluster_runs(cluster, "new"), 1);
+}
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -29,6 +29,7 @@
             pps_journal_fold(journals[i], &logged.entries[next],
                              logged.count - next);
         }
+        pps_journal_seen(journals[i], 0, logged.count, pps_clock_now_us());
         pthread_mutex_unlock(&logged.mutex);
         pps_journal_tick(journals[i]);
     }
@@ -334,6 +335,25 @@
     stop();
 }
 
+Test(journal, a_checkpoint_is_due_once_the_log_has_dropped_records)
+{
+    pps_journal_options_t options = PPS_JOURNAL_OPTIONS_INIT;
+    pps_journal_t *journal;
+
+    fake_log_init(&logged);
+    options.host = "a";
+    cr_assert_eq(pps_journal_new(&journal, &logged.base, &options), 0);
+    pps_journal_seen(journal, 1, 2, 0);
+    cr_expect_not(pps_journal_checkpoint_due(journal), "it is behind");
+    for (int i = 0; i < 2; i++) {
+        fake_log_store(&logged, "junk", 4);
+    }
+    pps_journal_fold(journal, logged.entries, logged.count);
+    cr_expect(pps_journal_checkpoint_due(journal));
+    pps_journal_free(journal);
+    fake_log_clear(&logged);
+}
+
 Test(journal, a_checkpoint_is_due_after_so_many_records)
 {
     pps_journal_options_t options = PPS_JOURNAL_OPTIONS_INIT;
