Ratings steer the choice: estimates, fleet-wide counters, held versions

The host that gave an answer counts its rating (bounded memory by request id); counters are merged over peer links, so that each rating counts once in the fleet. Estimates feed the choice; a version that fails the health test is held from new work on every host, with its evidence on the time line. test_ratings: 240 good ratings keep the cheap version, 240 bad ones hold it on all three hosts. First try of the test failed and was wrong: all ratings came from one workspace, and one workspace by itself does not condemn a version.

--- a/include/papayaswitch/answer.h
+++ b/include/papayaswitch/answer.h
@@ -68,7 +68,9 @@
 typedef struct {
     const char *version; /**< owned by the catalog */
     const char *upstream;
-    double cost; /**< price of 1,000 generated tokens */
+    const char *worker; /**< that gave its end; owned by the view */
+    double expected;    /**< rating expected when it was chosen */
+    double cost;        /**< price of 1,000 generated tokens */
     uint64_t prompt_tokens;
     uint64_t generated_tokens;
     const char *finish_reason;
--- /dev/null
+++ b/src/libpapayaswitch/quality/answer_memory.c
@@ -0,0 +1,91 @@
+/** @file answer_memory.c @brief Hash of answers with an order of age. */
+#include "answer_memory.h"
+
+#include "papayaswitch/errors.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+void
+pps_answer_memory_init(pps_answer_memory_t *memory)
+{
+    memset(memory, 0, sizeof(*memory));
+    CDS_INIT_LIST_HEAD(&memory->order);
+}
+
+/* NOLINTNEXTLINE(readability-function-size): hash macros */
+static void
+detach(pps_answer_memory_t *memory, pps_remembered_t *answer)
+{
+    HASH_DELETE(hh, memory->by_id, answer);
+    cds_list_del(&answer->node);
+    memory->count--;
+}
+
+/* NOLINTNEXTLINE(readability-function-size): hash macros */
+static void
+attach(pps_answer_memory_t *memory, pps_remembered_t *answer)
+{
+    HASH_ADD_STR(memory->by_id, request_id, answer);
+    cds_list_add_tail(&answer->node, &memory->order);
+    memory->count++;
+}
+
+/* NOLINTNEXTLINE(readability-function-size): hash macros */
+pps_remembered_t *
+pps_answer_memory_take(pps_answer_memory_t *memory, const char *request_id)
+{
+    pps_remembered_t *answer;
+
+    HASH_FIND_STR(memory->by_id, request_id, answer);
+    if (answer != NULL) {
+        detach(memory, answer);
+    }
+    return answer;
+}
+
+static void
+copy(char *out, size_t size, const char *text)
+{
+    snprintf(out, size, "%s", text[0] != '\0' ? text : "-");
+}
+
+int
+pps_answer_memory_add(pps_answer_memory_t *memory,
+                      const pps_quality_answer_t *answer)
+{
+    pps_remembered_t *kept = calloc(1, sizeof(*kept));
+
+    if (kept == NULL) {
+        return pps_error_set(PPS_ENOMEM, "answers: out of memory");
+    }
+    copy(kept->request_id, sizeof(kept->request_id), answer->request_id);
+    copy(kept->workspace, sizeof(kept->workspace), answer->workspace);
+    copy(kept->kind, sizeof(kept->kind), answer->kind);
+    copy(kept->version, sizeof(kept->version), answer->version);
+    copy(kept->worker, sizeof(kept->worker), answer->worker);
+    kept->expected = answer->expected;
+    free(pps_answer_memory_take(memory, kept->request_id));
+    if (memory->count >= PPS_QUALITY_ANSWERS_MAX) {
+        pps_remembered_t *oldest =
+            cds_list_first_entry(&memory->order, pps_remembered_t, node);
+
+        detach(memory, oldest);
+        free(oldest);
+    }
+    attach(memory, kept);
+    return PPS_OK;
+}
+
+void
+pps_answer_memory_clear(pps_answer_memory_t *memory)
+{
+    pps_remembered_t *answer;
+    pps_remembered_t *next;
+
+    cds_list_for_each_entry_safe (answer, next, &memory->order, node) {
+        detach(memory, answer);
+        free(answer);
+    }
+}
--- a/src/libpapayaswitch/router/chat.c
+++ b/src/libpapayaswitch/router/chat.c
@@ -51,6 +51,9 @@
     options->workspace = chat->call.workspace;
     options->workers = chat->workers;
     options->rng = &chat->call.rng;
+    options->quality = pps_quality_board_source(router->quality);
+    pps_quality_board_held(router->quality, &chat->held);
+    options->held = (pps_name_set_t){chat->held.list, chat->held.count};
     options->failure_domain = router->settings.failure_domain;
     options->request_id = chat->call.request_id;
     options->model = chat->request.model;
@@ -106,6 +109,20 @@
     return PPS_OK;
 }
 
+static void
+remember_for_rating(const pps_chat_t *chat, const pps_answer_usage_t *usage)
+{
+    const pps_quality_answer_t answer = {.request_id = chat->call.request_id,
+                                         .workspace =
+                                             chat->call.workspace->name,
+                                         .kind = chat->call.kind,
+                                         .version = usage->version,
+                                         .worker = usage->worker,
+                                         .expected = usage->expected};
+
+    pps_quality_board_answered(chat->call.router->quality, &answer);
+}
+
 int
 pps_chat_bill(pps_chat_t *chat, const pps_answer_usage_t *usage)
 {
@@ -116,6 +133,7 @@
                    PPS_STR("version", usage->version),
                    PPS_INT("tokens", usage->generated_tokens),
                    PPS_INT("attempts", usage->attempts)));
+    remember_for_rating(chat, usage);
     return pps_bill_link_bill(&chat->call, chat->request.model,
                               usage->upstream, usage, PPS_BILL_COMPLETED);
 }
--- a/src/libpapayaswitch/router/chat.h
+++ b/src/libpapayaswitch/router/chat.h
@@ -16,6 +16,7 @@
     pps_chat_reply_t reply;
     pps_worker_view_t *workers;
     char pinned[PPS_NAME_MAX + 1]; /**< "" without a session */
+    pps_quality_held_t held;
     pps_answer_t *answer;
     pps_buf_t out; /**< bytes for the caller, when streamed */
     int ended;     /**< whole or failed; else the caller has left */
--- a/src/libpapayaswitch/router/chat_session.c
+++ b/src/libpapayaswitch/router/chat_session.c
@@ -24,6 +24,9 @@
     input.model = chat->request.model;
     input.kind = chat->call.kind;
     input.rng = &chat->call.rng;
+    input.quality = pps_quality_board_source(chat->call.router->quality);
+    pps_quality_board_held(chat->call.router->quality, &chat->held);
+    input.held = (pps_name_set_t){chat->held.list, chat->held.count};
     error = pps_choice_version(&choice, &input);
     if (error == 0) {
         memcpy(chat->pinned, choice.version->name,
--- a/src/libpapayaswitch/router/control.c
+++ b/src/libpapayaswitch/router/control.c
@@ -5,6 +5,7 @@
 #include "logger.h"
 #include "papayaswitch/errors.h"
 #include "papayaswitch/record.h"
+#include "rating_link.h"
 #include "router_state.h"
 
 #include <stdlib.h>
@@ -14,6 +15,7 @@
 #define SERVING_PERIOD_US (50 * PPS_US_PER_MS)
 #define STATUS_PERIOD_US (100 * PPS_US_PER_MS)
 #define BILLS_PERIOD_US (100 * PPS_US_PER_MS)
+#define RATINGS_PERIOD_US (500 * PPS_US_PER_MS)
 #define JOURNAL_PERIOD_US PPS_US_PER_S
 #define CHECKPOINT_PERIOD_US (5 * PPS_US_PER_S)
 #define CHECKPOINT_RECORDS 256
@@ -213,7 +215,9 @@
         }
         return PPS_OK;
     default:
-        return pps_bill_link_receive(router, from, kind, payload, size);
+        return pps_bill_link_receive(router, from, kind, payload, size) == 0
+                   ? PPS_OK
+                   : pps_rating_link_receive(router, kind, payload, size);
     }
 }
 
@@ -251,6 +255,12 @@
     pps_bill_link_tick(user);
 }
 
+static void
+fire_ratings(int64_t now_us, void *user)
+{
+    pps_rating_link_tick(user);
+}
+
 static void
 fire_journal(int64_t now_us, void *user)
 {
@@ -399,6 +409,12 @@
     json_decref(list);
 }
 
+static void
+deliver_ratings(const json_t *ratings, void *user)
+{
+    pps_rating_link_take(user, ratings);
+}
+
 static void
 on_tick(uv_timer_t *tick)
 {
@@ -449,6 +465,7 @@
                                                 router->settings.platform_url,
                                             .workers = router->workers,
                                             .deliver = deliver_list,
+                                            .ratings = deliver_ratings,
                                             .user = router};
     int error;
 
@@ -494,6 +511,8 @@
                          CHECKPOINT_PERIOD_US, fire_checkpoint, router);
     pps_timers_subscribe(&router->timers, &router->status_timer, now,
                          STATUS_PERIOD_US, fire_status, router);
+    pps_timers_subscribe(&router->timers, &router->rating_timer, now,
+                         RATINGS_PERIOD_US, fire_ratings, router);
     pps_timers_subscribe(&router->timers, &router->bills_timer, now,
                          BILLS_PERIOD_US, fire_bills, router);
     uv_timer_start(&router->tick, on_tick, 0, TICK_MS);
--- a/src/libpapayaswitch/router/platform_feed.c
+++ b/src/libpapayaswitch/router/platform_feed.c
@@ -6,6 +6,7 @@
 #include "http_client.h"
 #include "papayaswitch/errors.h"
 
+#include <inttypes.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -17,6 +18,7 @@
 #define LOAD_TIMEOUT_MS 200
 #define VERSIONS_MAX 64
 #define URL_BYTES 256
+#define RATINGS_LIMIT 500
 #define HTTP_OK 200
 
 struct pps_platform_feed {
@@ -25,6 +27,7 @@
     pthread_t list_thread;
     pthread_t load_thread;
     atomic_int stopping;
+    uint64_t next_rating;
 };
 
 static json_t *
@@ -53,6 +56,32 @@
     }
 }
 
+/* Asks until the rater has no more; an unknown head ends it as well. */
+static void
+poll_ratings(pps_platform_feed_t *feed)
+{
+    char url[URL_BYTES];
+    size_t count;
+
+    do {
+        json_t *answer;
+        const json_t *ratings;
+
+        snprintf(url, sizeof(url), "%s/ratings?from=%" PRIu64 "&limit=%d",
+                 feed->options.url, feed->next_rating, RATINGS_LIMIT);
+        answer = get_json(feed, url, LIST_TIMEOUT_MS);
+        ratings = json_object_get(answer, "ratings");
+        count = json_array_size(ratings);
+        if (count > 0) {
+            feed->options.ratings(ratings, feed->options.user);
+            feed->next_rating =
+                1 + (uint64_t)json_integer_value(json_object_get(
+                        json_array_get(ratings, count - 1), "offset"));
+        }
+        json_decref(answer);
+    } while (count == RATINGS_LIMIT && !atomic_load(&feed->stopping));
+}
+
 static void *
 poll_list(void *user)
 {
@@ -70,6 +99,7 @@
         else {
             pps_counter_add(PPS_COUNTER_LIST_READS_FAILED, 1);
         }
+        poll_ratings(feed);
         pause_until(feed, next);
     }
     return NULL;
--- a/src/libpapayaswitch/router/platform_feed.h
+++ b/src/libpapayaswitch/router/platform_feed.h
@@ -15,6 +15,8 @@
     pps_worker_board_t *workers;
     /** Called on the feed's thread with a new list; takes the reference. */
     void (*deliver)(json_t *list, void *user);
+    /** Called on the feed's thread with new ratings, a JSON array. */
+    void (*ratings)(const json_t *ratings, void *user);
     void *user;
 } pps_platform_feed_options_t;
 
--- /dev/null
+++ b/src/libpapayaswitch/router/rating_link.c
@@ -0,0 +1,105 @@
+/** @file rating_link.c @brief Ratings in, counters out, holds on the line. */
+#include "rating_link.h"
+
+#include "counters.h"
+#include "event.h"
+#include "logger.h"
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+
+/** Ticks between two tellings of everything, for hosts that came late. */
+#define TICKS_PER_WHOLE 20
+
+#define PER_MILLE 1000.0
+
+void
+pps_rating_link_take(pps_router_t *router, const json_t *ratings)
+{
+    size_t index;
+    json_t *rating;
+
+    json_array_foreach(ratings, index, rating)
+    {
+        const char *id =
+            json_string_value(json_object_get(rating, "request_id"));
+        const json_t *score = json_object_get(rating, "score");
+
+        if (id != NULL && json_is_number(score) &&
+            pps_quality_board_rated(router->quality, id,
+                                    json_number_value(score)) == 0) {
+            pps_counter_add(PPS_COUNTER_RATINGS, 1);
+        }
+    }
+}
+
+static const char *
+finding_name(pps_health_finding_t finding)
+{
+    static const char *const names[] = {
+        [PPS_HEALTH_FINE] = "fine",
+        [PPS_HEALTH_HOLD_VERSION] = "version_held",
+        [PPS_HEALTH_HOLD_WORKSPACE] = "workspace_bad",
+        [PPS_HEALTH_AVOID_WORKER] = "worker_bad",
+    };
+
+    return names[finding];
+}
+
+static void
+found(const char *version, const pps_health_verdict_t *verdict, void *user)
+{
+    const char *event = finding_name(verdict->finding);
+    const pps_field_t fields[] = {
+        PPS_STR("version", version),
+        PPS_STR("name", verdict->name),
+        PPS_INT("ratings", verdict->ratings),
+        PPS_INT("drop_per_mille", verdict->drop * PER_MILLE),
+        PPS_INT("evidence_per_mille", verdict->log_evidence * PER_MILLE),
+        PPS_INT("threshold_per_mille", verdict->threshold * PER_MILLE),
+    };
+
+    pps_event_record(event, fields, sizeof(fields) / sizeof(fields[0]));
+    pps_logger_write(PPS_LOG_WARN, event, fields,
+                     sizeof(fields) / sizeof(fields[0]));
+    pps_counter_add(PPS_COUNTER_HEALTH_FINDINGS, 1);
+}
+
+static void
+tell_peers(pps_router_t *router)
+{
+    void *payload = NULL;
+    size_t size = 0;
+    int whole = router->rating_ticks++ % TICKS_PER_WHOLE == 0;
+    int error =
+        whole ? pps_quality_board_encode_all(router->quality, &payload, &size)
+              : pps_quality_board_encode(router->quality, &payload, &size);
+
+    if (error == 0 && size > 0) {
+        pps_peers_broadcast(router->peers, PPS_RATING_LINK_KIND, payload,
+                            size);
+    }
+    free(payload);
+}
+
+void
+pps_rating_link_tick(pps_router_t *router)
+{
+    tell_peers(router);
+    pps_quality_board_step(router->quality,
+                           pps_config_fold_catalog(router->config.fold), found,
+                           router);
+}
+
+int
+pps_rating_link_receive(pps_router_t *router, uint32_t kind,
+                        const void *payload, size_t size)
+{
+    if (kind != PPS_RATING_LINK_KIND) {
+        return PPS_ENOTFOUND;
+    }
+    if (pps_quality_board_merge(router->quality, payload, size) < 0) {
+        pps_counter_add(PPS_COUNTER_TALLIES_CORRUPT, 1);
+    }
+    return PPS_OK;
+}
--- a/src/libpapayaswitch/router/router.c
+++ b/src/libpapayaswitch/router/router.c
@@ -50,6 +50,10 @@
     if (error == 0) {
         error = pps_bill_link_open(router);
     }
+    if (error == 0) {
+        error = pps_quality_board_new(
+            &router->quality, router->settings.host_id, router->incarnation);
+    }
     return error;
 }
 
@@ -162,6 +166,7 @@
     if (router->bills != NULL) {
         pps_bills_free(router->bills);
     }
+    pps_quality_board_free(router->quality);
     pps_work_feed_clear(&router->work);
     pps_config_feed_clear(&router->config);
     pps_host_list_clear(&router->hosts);
--- a/src/libpapayaswitch/router/router_state.h
+++ b/src/libpapayaswitch/router/router_state.h
@@ -13,6 +13,7 @@
 #include "papayaswitch/journal.h"
 #include "papayaswitch/log_backend.h"
 #include "papayaswitch/peers.h"
+#include "papayaswitch/quality_board.h"
 #include "papayaswitch/router.h"
 #include "papayaswitch/service.h"
 #include "papayaswitch/serving.h"
@@ -39,6 +40,8 @@
     pps_timer_t checkpoint_timer;
     pps_timer_t status_timer;
     pps_timer_t bills_timer;
+    pps_timer_t rating_timer;
+    unsigned int rating_ticks;
     pps_peers_t *peers;
     pps_host_list_t hosts;
     pps_config_feed_t config;
@@ -54,6 +57,7 @@
     pps_log_backend_t *log;
     pps_journal_t *journal;
     pps_bills_t *bills;
+    pps_quality_board_t *quality;
     pps_engine_backend_t *engine;
     pps_service_backend_t *service;
     pps_worker_board_t *workers;
--- a/tests/process/harness_cluster.c
+++ b/tests/process/harness_cluster.c
@@ -177,8 +177,8 @@
                : -1;
 }
 
-static void
-hash_key(char out[65], const char *key)
+void
+cluster_hash_key(char out[65], const char *key)
 {
     unsigned char hash[32];
 
@@ -194,8 +194,8 @@
     char office[65];
     char body[TEXT_BYTES];
 
-    hash_key(ministry, "ministry-key");
-    hash_key(office, "office-key");
+    cluster_hash_key(ministry, "ministry-key");
+    cluster_hash_key(office, "office-key");
     snprintf(body, sizeof(body), first_note,
              cluster->options.checks_fencing ? "checks_fencing = yes\n" : "",
              ministry, office);
--- a/tests/process/harness_cluster.h
+++ b/tests/process/harness_cluster.h
@@ -63,6 +63,10 @@
 void
 cluster_free(cluster_t *cluster);
 
+/** The `key_hash` of a bearer key, as hexadecimal text. */
+void
+cluster_hash_key(char out[65], const char *key);
+
 /** Writes the platform's list from the listings. */
 int
 cluster_put_hosts(cluster_t *cluster);
