--- a/src/libpapayaswitch/commit/pack.c
+++ b/src/libpapayaswitch/commit/pack.c
@@ -46,7 +46,7 @@
     const msgpack_object *object = take(cursor, MSGPACK_OBJECT_STR);
 
     out[0] = '\0';
-    if (object == NULL) {
+    if (object == NULL || object->via.str.size == 0) {
         return;
     }
     if (object->via.str.size >= capacity ||
@@ -63,7 +63,8 @@
 {
     const msgpack_object *object = take(cursor, MSGPACK_OBJECT_BIN);
 
-    *out = object ? object->via.bin.ptr : NULL;
+    /* The decoder leaves NULL for no bytes, which memcpy() must not get. */
+    *out = object && object->via.bin.size > 0 ? object->via.bin.ptr : "";
     *size = object ? object->via.bin.size : 0;
 }
 
@@ -74,7 +75,7 @@
     size_t found;
 
     pps_pack_read_bytes(cursor, &data, &found);
-    if (data == NULL || found != size) {
+    if (found != size) {
         cursor->failed = 1;
         memset(out, 0, size);
         return;
