--- a/src/libpapayaswitch/bill/bills_log.c
+++ b/src/libpapayaswitch/bill/bills_log.c
@@ -2,6 +2,7 @@
 #include "bills_state.h"
 
 #include "clock.h"
+#include "counters.h"
 #include "papayaswitch/errors.h"
 #include "papayaswitch/record.h"
 
@@ -85,10 +86,12 @@
     else if (ticket->own) {
         bills->own_count -= settled;
         bills->appended += settled;
+        pps_counter_add(PPS_COUNTER_BILLS_APPENDED, settled);
     }
     else {
         bills->held_count -= settled;
         bills->recovered += settled;
+        pps_counter_add(PPS_COUNTER_BILLS_RECOVERED, settled);
     }
     pthread_cond_broadcast(&bills->changed);
     pthread_mutex_unlock(&bills->mutex);
--- a/src/libpapayaswitch/work/journal.c
+++ b/src/libpapayaswitch/work/journal.c
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "commit/wait.h"
+#include "counters.h"
 #include "journal_state.h"
 #include "papayaswitch/errors.h"
 #include "papayaswitch/record.h"
@@ -102,6 +103,7 @@
     memcpy(outcome.workspace, claim->workspace, sizeof(outcome.workspace));
     memcpy(outcome.key, claim->key, sizeof(outcome.key));
     pps_pending_add(journal, &outcome);
+    pps_counter_add(PPS_COUNTER_CLAIMS_RELEASED, 1);
 }
 
 static void
@@ -110,6 +112,8 @@
 {
     pps_held_claim_t held;
 
+    pps_counter_add(won ? PPS_COUNTER_CLAIMS_GRANTED : PPS_COUNTER_CLAIMS_LOST,
+                    1);
     if (won) {
         memset(waiter->verdict, 0, sizeof(*waiter->verdict));
         waiter->verdict->kind = PPS_VERDICT_GRANTED;
