--- a/src/libpapayaswitch/router/control.c
+++ b/src/libpapayaswitch/router/control.c
@@ -10,6 +10,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define TICK_MS 20
 #define SERVING_PERIOD_US (50 * PPS_US_PER_MS)
@@ -365,6 +366,17 @@
     json_t *list;
 } list_delivery_t;
 
+/* Most readings of the list bring what the last one did. */
+static int
+is_new_list(pps_router_t *router, const char *workers)
+{
+    uint64_t digest = XXH64(workers, strlen(workers), 0);
+    int is_new = digest != router->workers_digest;
+
+    router->workers_digest = digest;
+    return is_new;
+}
+
 static void
 take_list(void *user)
 {
@@ -376,7 +388,7 @@
     pps_host_list_t hosts;
     char *workers = json_dumps(json_object_get(list, "workers"), 0);
 
-    if (workers != NULL &&
+    if (workers != NULL && is_new_list(router, workers) &&
         pps_worker_view_decode(&view, before, workers, strlen(workers)) == 0) {
         pps_worker_board_replace(router->workers, view);
     }
--- a/src/libpapayaswitch/router/router_state.h
+++ b/src/libpapayaswitch/router/router_state.h
@@ -44,6 +44,7 @@
     unsigned int rating_ticks;
     pps_peers_t *peers;
     pps_host_list_t hosts;
+    uint64_t workers_digest; /**< of the last list of workers */
     pps_config_feed_t config;
     pps_work_feed_t work;
     int synced;
--- a/src/libpapayaswitch/worker/worker_view.c
+++ b/src/libpapayaswitch/worker/worker_view.c
@@ -8,6 +8,7 @@
 struct pps_worker_view {
     _Atomic int references;
     size_t count;
+    const pps_worker_t **by_id; /**< sorted, once the view is whole */
     pps_worker_t workers[];
 };
 
@@ -27,6 +28,7 @@
     for (size_t i = 0; i < view->count; i++) {
         worker_clear(&view->workers[i]);
     }
+    free((void *)view->by_id);
     free(view);
 }
 
@@ -70,6 +72,35 @@
     return cell_attach(out, previous);
 }
 
+static int
+compare_ids(const void *left, const void *right)
+{
+    const pps_worker_t *a = *(const pps_worker_t *const *)left;
+    const pps_worker_t *b = *(const pps_worker_t *const *)right;
+
+    return strcmp(a->id, b->id);
+}
+
+static int
+index_ids(pps_worker_view_t *view)
+{
+    view->by_id = calloc(view->count + 1, sizeof(*view->by_id));
+    if (view->by_id == NULL) {
+        return pps_error_set(PPS_ENOMEM, "workers: out of memory");
+    }
+    for (size_t i = 0; i < view->count; i++) {
+        view->by_id[i] = &view->workers[i];
+    }
+    qsort((void *)view->by_id, view->count, sizeof(*view->by_id), compare_ids);
+    for (size_t i = 1; i < view->count; i++) {
+        if (strcmp(view->by_id[i - 1]->id, view->by_id[i]->id) == 0) {
+            return pps_error_set(PPS_EEXISTS, "worker %s is listed twice",
+                                 view->by_id[i]->id);
+        }
+    }
+    return PPS_OK;
+}
+
 int
 pps_worker_view_new(pps_worker_view_t **out, const pps_worker_view_t *previous,
                     const pps_worker_t *workers, size_t count)
@@ -84,14 +115,12 @@
     }
     atomic_init(&view->references, 1);
     for (size_t i = 0; i < count && error == PPS_OK; i++) {
-        if (pps_worker_view_find(view, workers[i].id) != NULL) {
-            error = pps_error_set(PPS_EEXISTS, "worker %s is listed twice",
-                                  workers[i].id);
-            break;
-        }
         error = worker_copy(&view->workers[i], &workers[i], previous);
         view->count++;
     }
+    if (error == PPS_OK) {
+        error = index_ids(view);
+    }
     if (error < 0) {
         view_destroy(view);
         return error;
@@ -130,10 +159,11 @@
 const pps_worker_t *
 pps_worker_view_find(const pps_worker_view_t *view, const char *id)
 {
-    for (size_t i = 0; i < view->count; i++) {
-        if (strcmp(view->workers[i].id, id) == 0) {
-            return &view->workers[i];
-        }
-    }
-    return NULL;
+    const pps_worker_t wanted = {.id = id};
+    const pps_worker_t *key = &wanted;
+    const pps_worker_t *const *found =
+        bsearch(&key, (const void *)view->by_id, view->count,
+                sizeof(*view->by_id), compare_ids);
+
+    return found != NULL ? *found : NULL;
 }
