--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -374,3 +374,25 @@
     cr_expect_eq(logged.count, 4);
     fake_log_clear(&logged);
 }
+
+Test(journal, a_session_in_use_is_touched_once_in_a_while)
+{
+    char version[PPS_NAME_MAX + 1] = "v1";
+    uint64_t head;
+
+    start(WAIT_US);
+    cr_assert_eq(
+        pps_journal_pin(version, journals[0], "ministry", "s", 600, later()),
+        0);
+    head = log_head();
+    cr_assert_eq(pps_journal_touch(journals[0], "ministry", "s"), 0);
+    while (log_head() == head) {
+        pps_clock_sleep_us(NAP_US);
+    }
+    for (int i = 0; i < 20; i++) {
+        pps_journal_touch(journals[0], "ministry", "s");
+        pps_clock_sleep_us(NAP_US);
+    }
+    cr_expect_eq(log_head(), head + 1);
+    stop();
+}
