--- a/tests/unit/test_work_fold.c
+++ b/tests/unit/test_work_fold.c
@@ -1,15 +1,12 @@
 /** @file test_work_fold.c @brief First claim wins, on every host alike. */
-#include "fake_log.h"
 #include "papayaswitch/record.h"
-#include "papayaswitch/work_fold.h"
+#include "work_records.h"
 
 #include <criterion/criterion.h>
 #include <stdio.h>
 
 #define HOUR_US (3600 * PPS_US_PER_S)
 
-static fake_log_t logged;
-
 static void
 setup(void)
 {
@@ -24,83 +21,6 @@
 
 TestSuite(work_fold, .init = setup, .fini = teardown);
 
-static uint64_t
-store(int error, void *data, size_t size)
-{
-    cr_assert_eq(error, 0);
-    fake_log_store(&logged, data, size);
-    free(data);
-    return logged.count - 1;
-}
-
-static uint64_t
-put_claim(const char *key, const char *host, uint64_t incarnation,
-          uint64_t attempt)
-{
-    pps_claim_t claim = {.workspace = "ministry",
-                         .incarnation = incarnation,
-                         .attempt = attempt,
-                         .request_id = "r"};
-    void *data;
-    size_t size;
-    int error;
-
-    strcpy(claim.key, key);
-    strcpy(claim.host, host);
-    error = pps_claim_encode(&data, &size, &claim);
-    return store(error, data, size);
-}
-
-static uint64_t
-put_outcome(const char *key, uint64_t offset, pps_outcome_state_t state,
-            size_t body_size)
-{
-    pps_outcome_t outcome = {.workspace = "ministry",
-                             .claim_offset = offset,
-                             .state = state,
-                             .status = 200,
-                             .content_type = "text/plain"};
-    char *body = calloc(1, body_size + 1);
-    void *data;
-    size_t size;
-    int error;
-
-    memset(body, 'x', body_size);
-    outcome.body = body;
-    outcome.body_size = body_size;
-    strcpy(outcome.key, key);
-    error = pps_outcome_encode(&data, &size, &outcome);
-    free(body);
-    return store(error, data, size);
-}
-
-static uint64_t
-put_pin(const char *session, const char *version, uint32_t idle_s)
-{
-    pps_pin_t pin = {.workspace = "ministry", .host = "a", .idle_s = idle_s};
-    void *data;
-    size_t size;
-    int error;
-
-    strcpy(pin.session, session);
-    strcpy(pin.version, version);
-    error = pps_pin_encode(&data, &size, &pin);
-    return store(error, data, size);
-}
-
-static void
-put_touch(const char *session)
-{
-    pps_touch_t touch = {.workspace = "ministry"};
-    void *data;
-    size_t size;
-    int error;
-
-    strcpy(touch.session, session);
-    error = pps_touch_encode(&data, &size, &touch, 1);
-    store(error, data, size);
-}
-
 static void
 fold_rest(pps_work_fold_t *fold)
 {
