--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -7,6 +7,7 @@
  */
 #include "buf.h"
 #include "clock.h"
+#include "papayaswitch/bill.h"
 #include "papayaswitch/config_fold.h"
 #include "papayaswitch/membership.h"
 #include "papayaswitch/record.h"
@@ -266,6 +267,38 @@
     pps_tally_free(other);
 }
 
+static void
+measure_bills(point_t *out, size_t size)
+{
+    pps_bill_t *bills = calloc(size, sizeof(*bills));
+    void *data = NULL;
+    size_t bytes = 0;
+    int64_t start;
+
+    for (size_t i = 0; i < size; i++) {
+        snprintf(bills[i].request_id, sizeof(bills[i].request_id),
+                 "0123456789abcdef0123456789%06zu", i);
+        snprintf(bills[i].workspace, sizeof(bills[i].workspace), "office");
+        snprintf(bills[i].model, sizeof(bills[i].model), "drafting");
+        snprintf(bills[i].version, sizeof(bills[i].version),
+                 "drafting/small-1");
+        snprintf(bills[i].upstream, sizeof(bills[i].upstream), "drafting");
+        snprintf(bills[i].host, sizeof(bills[i].host), "host-1");
+        bills[i].kind = PPS_BILL_COMPLETED;
+        bills[i].generated_tokens = 400;
+        bills[i].cost_micros = 60000;
+        bills[i].incarnation = 1;
+        bills[i].sequence = i + 1;
+    }
+    start = pps_clock_now_us();
+    if (pps_bill_batch_encode(&data, &bytes, bills, size) == 0) {
+        out->us = (double)(pps_clock_now_us() - start);
+    }
+    out->bytes = (double)bytes;
+    free(data);
+    free(bills);
+}
+
 static const row_t rows[] = {
     {"right to serve, evaluated",
      "host",
@@ -297,6 +330,11 @@
      "message",
      {100, 400, 1600, 6400},
      measure_tally},
+    {"batch of bills encoded",
+     "bill",
+     "record",
+     {10, 100, 400, 1000},
+     measure_bills},
 };
 
 static double
