Hash table of embedded items moves to util; quality and workers lint clean

clang-tidy reported use after free and a null dereference where uthash's macros expand, and a size of pointers in the workers' index. The table that the work fold already used serves the quality board too; the index has a type of its own.

--- a/src/libpapayaswitch/bill/bill_reader.c
+++ b/src/libpapayaswitch/bill/bill_reader.c
@@ -1,10 +1,10 @@
 /** @file bill_reader.c @brief Sums over the stream `bills`. */
 #include "papayaswitch/bill_reader.h"
 
-#include "commit/table.h"
 #include "papayaswitch/errors.h"
 #include "papayaswitch/record.h"
 #include "spans.h"
+#include "table.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/libpapayaswitch/quality/answer_memory.c
+++ b/src/libpapayaswitch/quality/answer_memory.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <urcu/compiler.h>
 
 void
 pps_answer_memory_init(pps_answer_memory_t *memory)
@@ -14,34 +15,35 @@
     CDS_INIT_LIST_HEAD(&memory->order);
 }
 
-/* NOLINTNEXTLINE(readability-function-size): hash macros */
 static void
 detach(pps_answer_memory_t *memory, pps_remembered_t *answer)
 {
-    HASH_DELETE(hh, memory->by_id, answer);
+    pps_table_remove(&memory->by_id, &answer->item);
     cds_list_del(&answer->node);
     memory->count--;
 }
 
-/* NOLINTNEXTLINE(readability-function-size): hash macros */
 static void
 attach(pps_answer_memory_t *memory, pps_remembered_t *answer)
 {
-    HASH_ADD_STR(memory->by_id, request_id, answer);
+    pps_table_add(&memory->by_id, &answer->item, answer->request_id,
+                  strlen(answer->request_id));
     cds_list_add_tail(&answer->node, &memory->order);
     memory->count++;
 }
 
-/* NOLINTNEXTLINE(readability-function-size): hash macros */
 pps_remembered_t *
 pps_answer_memory_take(pps_answer_memory_t *memory, const char *request_id)
 {
+    pps_table_item_t *item =
+        pps_table_find(&memory->by_id, request_id, strlen(request_id));
     pps_remembered_t *answer;
 
-    HASH_FIND_STR(memory->by_id, request_id, answer);
-    if (answer != NULL) {
-        detach(memory, answer);
+    if (item == NULL) {
+        return NULL;
     }
+    answer = caa_container_of(item, pps_remembered_t, item);
+    detach(memory, answer);
     return answer;
 }
 
--- a/src/libpapayaswitch/quality/answer_memory.h
+++ b/src/libpapayaswitch/quality/answer_memory.h
@@ -7,13 +7,13 @@
 
 #include "papayaswitch/quality_board.h"
 
-#include "hash_table.h"
+#include "table.h"
 
 #include <urcu/list.h>
 
 /** What is kept of an answer. */
 typedef struct {
-    UT_hash_handle hh;
+    pps_table_item_t item;
     struct cds_list_head node; /**< oldest first */
     char request_id[PPS_REQUEST_ID_MAX + 1];
     char workspace[PPS_NAME_MAX + 1];
@@ -25,7 +25,7 @@
 
 /** The memory; zero-initialise, then pps_answer_memory_init(). */
 typedef struct {
-    pps_remembered_t *by_id;
+    pps_table_t by_id;
     struct cds_list_head order;
     size_t count;
 } pps_answer_memory_t;
--- a/src/libpapayaswitch/quality/quality_board.c
+++ b/src/libpapayaswitch/quality/quality_board.c
@@ -9,10 +9,12 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <urcu/compiler.h>
 
 /** The health test of one version. */
 typedef struct {
-    UT_hash_handle hh;
+    pps_table_item_t item;
+    struct cds_list_head node;
     char version[PPS_NAME_MAX + 1];
     pps_health_t *health;
     int held;
@@ -25,7 +27,8 @@
     pps_evidence_t evidence;
     pps_answer_memory_t answers;
     uint64_t encoded; /* last change that was told to the others */
-    watch_t *watches;
+    pps_table_t by_version;
+    struct cds_list_head watches;
 };
 
 static void
@@ -58,20 +61,20 @@
     board->source.estimate = estimate;
     pps_evidence_init(&board->evidence, board->tally);
     pps_answer_memory_init(&board->answers);
+    CDS_INIT_LIST_HEAD(&board->watches);
     pthread_rwlock_init(&board->lock, NULL);
     *out = board;
     return PPS_OK;
 }
 
-/* NOLINTNEXTLINE(readability-function-size): hash macros */
 static void
 free_watches(pps_quality_board_t *board)
 {
     watch_t *watch;
     watch_t *next;
 
-    HASH_ITER (hh, board->watches, watch, next) {
-        HASH_DELETE(hh, board->watches, watch);
+    cds_list_for_each_entry_safe (watch, next, &board->watches, node) {
+        pps_table_remove(&board->by_version, &watch->item);
         pps_health_free(watch->health);
         free(watch);
     }
@@ -180,24 +183,36 @@
     return error;
 }
 
-/* NOLINTNEXTLINE(readability-function-size): hash macros */
 static watch_t *
-watch_of(pps_quality_board_t *board, const char *version)
+watch_new(const char *version)
 {
     const pps_health_options_t options = PPS_HEALTH_OPTIONS_INIT;
-    watch_t *watch;
+    watch_t *watch = calloc(1, sizeof(*watch));
 
-    HASH_FIND_STR(board->watches, version, watch);
-    if (watch != NULL) {
-        return watch;
-    }
-    watch = calloc(1, sizeof(*watch));
     if (watch == NULL || pps_health_new(&watch->health, &options) < 0) {
         free(watch);
         return NULL;
     }
     memcpy(watch->version, version, strlen(version) + 1);
-    HASH_ADD_STR(board->watches, version, watch);
+    return watch;
+}
+
+static watch_t *
+watch_of(pps_quality_board_t *board, const char *version)
+{
+    pps_table_item_t *item =
+        pps_table_find(&board->by_version, version, strlen(version));
+    watch_t *watch;
+
+    if (item != NULL) {
+        return caa_container_of(item, watch_t, item);
+    }
+    watch = watch_new(version);
+    if (watch != NULL) {
+        pps_table_add(&board->by_version, &watch->item, watch->version,
+                      strlen(watch->version));
+        cds_list_add_tail(&watch->node, &board->watches);
+    }
     return watch;
 }
 
@@ -244,16 +259,14 @@
     pthread_rwlock_unlock(&board->lock);
 }
 
-/* NOLINTNEXTLINE(readability-function-size): hash macros */
 void
 pps_quality_board_held(pps_quality_board_t *board, pps_quality_held_t *out)
 {
-    watch_t *watch;
-    watch_t *next;
+    const watch_t *watch;
 
     out->count = 0;
     pthread_rwlock_rdlock(&board->lock);
-    HASH_ITER (hh, board->watches, watch, next) {
+    cds_list_for_each_entry (watch, &board->watches, node) {
         if (watch->held && out->count < PPS_QUALITY_HELD_MAX) {
             memcpy(out->names[out->count], watch->version,
                    sizeof(watch->version));
--- a/src/libpapayaswitch/work/fold_state.h
+++ b/src/libpapayaswitch/work/fold_state.h
@@ -9,8 +9,8 @@
 #ifndef PPS_WORK_FOLD_STATE_H
 #define PPS_WORK_FOLD_STATE_H
 
-#include "commit/table.h"
 #include "papayaswitch/work_fold.h"
+#include "table.h"
 
 #include <urcu/list.h>
 
--- a/src/libpapayaswitch/worker/worker_view.c
+++ b/src/libpapayaswitch/worker/worker_view.c
@@ -5,10 +5,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+/** An entry of the index by id. */
+typedef struct {
+    const pps_worker_t *worker;
+} entry_t;
+
 struct pps_worker_view {
     _Atomic int references;
     size_t count;
-    const pps_worker_t **by_id; /**< sorted, once the view is whole */
+    entry_t *by_id; /**< sorted, once the view is whole */
     pps_worker_t workers[];
 };
 
@@ -28,7 +33,7 @@
     for (size_t i = 0; i < view->count; i++) {
         worker_clear(&view->workers[i]);
     }
-    free((void *)view->by_id);
+    free(view->by_id);
     free(view);
 }
 
@@ -75,10 +80,10 @@
 static int
 compare_ids(const void *left, const void *right)
 {
-    const pps_worker_t *a = *(const pps_worker_t *const *)left;
-    const pps_worker_t *b = *(const pps_worker_t *const *)right;
+    const entry_t *a = left;
+    const entry_t *b = right;
 
-    return strcmp(a->id, b->id);
+    return strcmp(a->worker->id, b->worker->id);
 }
 
 static int
@@ -89,13 +94,13 @@
         return pps_error_set(PPS_ENOMEM, "workers: out of memory");
     }
     for (size_t i = 0; i < view->count; i++) {
-        view->by_id[i] = &view->workers[i];
+        view->by_id[i].worker = &view->workers[i];
     }
-    qsort((void *)view->by_id, view->count, sizeof(*view->by_id), compare_ids);
+    qsort(view->by_id, view->count, sizeof(*view->by_id), compare_ids);
     for (size_t i = 1; i < view->count; i++) {
-        if (strcmp(view->by_id[i - 1]->id, view->by_id[i]->id) == 0) {
+        if (compare_ids(&view->by_id[i - 1], &view->by_id[i]) == 0) {
             return pps_error_set(PPS_EEXISTS, "worker %s is listed twice",
-                                 view->by_id[i]->id);
+                                 view->by_id[i].worker->id);
         }
     }
     return PPS_OK;
@@ -160,10 +165,9 @@
 pps_worker_view_find(const pps_worker_view_t *view, const char *id)
 {
     const pps_worker_t wanted = {.id = id};
-    const pps_worker_t *key = &wanted;
-    const pps_worker_t *const *found =
-        bsearch(&key, (const void *)view->by_id, view->count,
-                sizeof(*view->by_id), compare_ids);
+    const entry_t key = {&wanted};
+    const entry_t *found = bsearch(&key, view->by_id, view->count,
+                                   sizeof(*view->by_id), compare_ids);
 
-    return found != NULL ? *found : NULL;
+    return found != NULL ? found->worker : NULL;
 }
--- a/src/libpapayaswitch/commit/table.h
+++ b/src/util/table.h
@@ -5,8 +5,8 @@
  * The hash's seed is the process's own, so that callers, who choose keys,
  * cannot aim at one bucket.
  */
-#ifndef PPS_COMMIT_TABLE_H
-#define PPS_COMMIT_TABLE_H
+#ifndef PPS_UTIL_TABLE_H
+#define PPS_UTIL_TABLE_H
 
 #include <stddef.h>
 #include <uthash.h>
