--- a/bench/bench_policy_fairness.c
+++ b/bench/bench_policy_fairness.c
@@ -78,6 +78,7 @@
     {"one asks for all, total 5", 0.60, 4.40, 0, 0, 1.0},
     {"half of the pool lost", 0.72, 0.08, 15000000, 45000000, 0.5},
     {"outage of 5 s", 0.72, 0.08, 20000000, 25000000, 0.0},
+    {"outage of 15 s, load 0.9", 0.85, 0.05, 15000000, 30000000, 0.0},
 };
 
 #define COUNT(array) (sizeof(array) / sizeof((array)[0]))
--- a/bench/policy_heap.h
+++ b/bench/policy_heap.h
@@ -5,7 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define HEAP_MAX 65536
+#define HEAP_MAX 1048576
 
 /** Something that happens at a time. */
 typedef struct {
--- a/bench/policy_overload.h
+++ b/bench/policy_overload.h
@@ -59,6 +59,7 @@
     int kind;
     int host;
     int tries;
+    int finished;
     int next; /**< in the pool's queue */
 } request_t;
 
@@ -99,7 +100,7 @@
     void (*leave)(overload_t *model, const request_t *request);
 } policy_t;
 
-enum { ARRIVAL, FINISH, RETRY, GOSSIP, CUT, RESTORED };
+enum { ARRIVAL, FINISH, RETRY, GIVE_UP, GOSSIP, CUT, RESTORED };
 
 static void
 pool_serve(overload_t *model)
@@ -141,6 +142,9 @@
     int64_t retry_after_us = CLIENT_RETRY_US;
 
     if (policy->enter(model, request, &retry_after_us) == 0) {
+        heap_push(&model->heap,
+                  (event_t){model->now_us + kinds[request->kind].deadline_us,
+                            GIVE_UP, index, 0});
         pool_queue(model, index);
     }
     else if (++request->tries < TRIES) {
@@ -149,6 +153,24 @@
     }
 }
 
+/** A caller asks anew; the pool still runs what it asked before. */
+static void
+give_up(overload_t *model, const policy_t *policy, int index)
+{
+    const request_t *request = &model->requests[index];
+    int again = model->request_count;
+
+    if (request->finished || request->tries + 1 >= TRIES ||
+        again >= REQUESTS_MAX - 1) {
+        return;
+    }
+    model->request_count++;
+    model->requests[again] = *request;
+    model->requests[again].tries++;
+    model->requests[again].arrived_us = model->now_us;
+    try_once(model, policy, again);
+}
+
 static void
 arrive(overload_t *model, const policy_t *policy, int workspace)
 {
@@ -188,6 +210,7 @@
     int64_t elapsed = model->now_us - request->arrived_us;
     tally_t *tally = &model->tallies[request->workspace];
 
+    model->requests[index].finished = 1;
     model->running--;
     policy->leave(model, request);
     pool_serve(model);
@@ -245,6 +268,9 @@
     case RETRY:
         try_once(model, policy, event.index);
         break;
+    case GIVE_UP:
+        give_up(model, policy, event.index);
+        break;
     case GOSSIP:
         gossip(model);
         break;
@@ -279,7 +305,7 @@
         heap_push(&model->heap,
                   (event_t){scenario->restored_us, RESTORED, 0, 0});
     }
-    while (model->now_us < RUN_US && model->request_count < REQUESTS_MAX) {
+    while (model->now_us < RUN_US && model->request_count < REQUESTS_MAX - 1) {
         event_t event = heap_pop(&model->heap);
 
         model->now_us = event.at_us;
