--- a/src/libpapayaswitch/router/control.c
+++ b/src/libpapayaswitch/router/control.c
@@ -5,15 +5,18 @@
 #include "logger.h"
 #include "papayaswitch/errors.h"
 #include "papayaswitch/record.h"
+#include "rating_link.h"
 #include "router_state.h"
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define TICK_MS 20
 #define SERVING_PERIOD_US (50 * PPS_US_PER_MS)
 #define STATUS_PERIOD_US (100 * PPS_US_PER_MS)
 #define BILLS_PERIOD_US (100 * PPS_US_PER_MS)
+#define RATINGS_PERIOD_US (500 * PPS_US_PER_MS)
 #define JOURNAL_PERIOD_US PPS_US_PER_S
 #define CHECKPOINT_PERIOD_US (5 * PPS_US_PER_S)
 #define CHECKPOINT_RECORDS 256
@@ -213,7 +216,9 @@
         }
         return PPS_OK;
     default:
-        return pps_bill_link_receive(router, from, kind, payload, size);
+        return pps_bill_link_receive(router, from, kind, payload, size) == 0
+                   ? PPS_OK
+                   : pps_rating_link_receive(router, kind, payload, size);
     }
 }
 
@@ -251,6 +256,12 @@
     pps_bill_link_tick(user);
 }
 
+static void
+fire_ratings(int64_t now_us, void *user)
+{
+    pps_rating_link_tick(user);
+}
+
 static void
 fire_journal(int64_t now_us, void *user)
 {
@@ -355,6 +366,17 @@
     json_t *list;
 } list_delivery_t;
 
+/* Most readings of the list bring what the last one did. */
+static int
+is_new_list(pps_router_t *router, const char *workers)
+{
+    uint64_t digest = XXH64(workers, strlen(workers), 0);
+    int is_new = digest != router->workers_digest;
+
+    router->workers_digest = digest;
+    return is_new;
+}
+
 static void
 take_list(void *user)
 {
@@ -366,7 +388,7 @@
     pps_host_list_t hosts;
     char *workers = json_dumps(json_object_get(list, "workers"), 0);
 
-    if (workers != NULL &&
+    if (workers != NULL && is_new_list(router, workers) &&
         pps_worker_view_decode(&view, before, workers, strlen(workers)) == 0) {
         pps_worker_board_replace(router->workers, view);
     }
@@ -399,6 +421,12 @@
     json_decref(list);
 }
 
+static void
+deliver_ratings(const json_t *ratings, void *user)
+{
+    pps_rating_link_take(user, ratings);
+}
+
 static void
 on_tick(uv_timer_t *tick)
 {
@@ -412,6 +440,7 @@
 {
     pps_router_t *router = user;
 
+    pthread_setname_np(pthread_self(), "pps-control");
     uv_run(&router->loop, UV_RUN_DEFAULT);
     return NULL;
 }
@@ -448,6 +477,7 @@
                                                 router->settings.platform_url,
                                             .workers = router->workers,
                                             .deliver = deliver_list,
+                                            .ratings = deliver_ratings,
                                             .user = router};
     int error;
 
@@ -493,6 +523,8 @@
                          CHECKPOINT_PERIOD_US, fire_checkpoint, router);
     pps_timers_subscribe(&router->timers, &router->status_timer, now,
                          STATUS_PERIOD_US, fire_status, router);
+    pps_timers_subscribe(&router->timers, &router->rating_timer, now,
+                         RATINGS_PERIOD_US, fire_ratings, router);
     pps_timers_subscribe(&router->timers, &router->bills_timer, now,
                          BILLS_PERIOD_US, fire_bills, router);
     uv_timer_start(&router->tick, on_tick, 0, TICK_MS);
--- a/src/libpapayaswitch/work/journal.c
+++ b/src/libpapayaswitch/work/journal.c
@@ -2,6 +2,8 @@
 #include "papayaswitch/journal.h"
 
 #include "clock.h"
+#include "commit/wait.h"
+#include "counters.h"
 #include "journal_state.h"
 #include "papayaswitch/errors.h"
 #include "papayaswitch/record.h"
@@ -47,6 +49,7 @@
     stagger(journal);
     journal->checkpoint_seen_us = pps_clock_now_us();
     pthread_mutex_init(&journal->mutex, NULL);
+    pps_wait_cond_init(&journal->head_read);
     error = pps_work_fold_new(&journal->fold, &options->fold);
     if (error == 0) {
         error = pps_appender_new(&journal->appender, backend, PPS_STREAM_WORK,
@@ -70,6 +73,7 @@
     pps_pending_clear(journal);
     pps_uses_clear(journal);
     pps_work_fold_free(journal->fold);
+    pthread_cond_destroy(&journal->head_read);
     pthread_mutex_destroy(&journal->mutex);
     free(journal);
 }
@@ -99,6 +103,7 @@
     memcpy(outcome.workspace, claim->workspace, sizeof(outcome.workspace));
     memcpy(outcome.key, claim->key, sizeof(outcome.key));
     pps_pending_add(journal, &outcome);
+    pps_counter_add(PPS_COUNTER_CLAIMS_RELEASED, 1);
 }
 
 static void
@@ -107,6 +112,8 @@
 {
     pps_held_claim_t held;
 
+    pps_counter_add(won ? PPS_COUNTER_CLAIMS_GRANTED : PPS_COUNTER_CLAIMS_LOST,
+                    1);
     if (won) {
         memset(waiter->verdict, 0, sizeof(*waiter->verdict));
         waiter->verdict->kind = PPS_VERDICT_GRANTED;
@@ -210,6 +217,19 @@
     return next;
 }
 
+void
+pps_journal_seen(pps_journal_t *journal, uint64_t first, uint64_t head,
+                 int64_t read_us)
+{
+    pthread_mutex_lock(&journal->mutex);
+    journal->log_first = first;
+    if (pps_work_fold_next(journal->fold) >= head) {
+        journal->head_read_us = read_us;
+        pthread_cond_broadcast(&journal->head_read);
+    }
+    pthread_mutex_unlock(&journal->mutex);
+}
+
 /* Claims that the restored state shows without their records having been
  * folded here are settled by their attempt: one with a waiter is granted. */
 static void
