Usage codec: what hosts tell each other of their load

A run of scalars, as in the tally: no header can announce memory. Round trip, every cut, containers and impossible amounts in test_usage_codec.

--- a/include/papayaswitch/admission.h
+++ b/include/papayaswitch/admission.h
@@ -78,6 +78,16 @@
 pps_admission_usage(pps_admission_t *admission, pps_usage_t *out,
                     size_t capacity);
 
+/** Encodes usage for peer links. The caller frees `*out` with free(). */
+int
+pps_usage_encode(void **out, size_t *size, const pps_usage_t *usage,
+                 size_t count);
+
+/** Decodes usage. @return 0; PPS_ECORRUPT, with a count of 0 */
+int
+pps_usage_decode(pps_usage_t *out, size_t *count, size_t capacity,
+                 const void *data, size_t size);
+
 /** Takes in another host's usage; it is forgotten when not renewed. */
 int
 pps_admission_peer(pps_admission_t *admission, const char *host,
--- /dev/null
+++ b/tests/unit/test_usage_codec.c
@@ -0,0 +1,73 @@
+/** @file test_usage_codec.c @brief Usage on peer links. */
+#include "papayaswitch/admission.h"
+#include "papayaswitch/errors.h"
+
+#include <criterion/criterion.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CAPACITY 4
+
+Test(usage_codec, round_trip)
+{
+    static const pps_usage_t usage[] = {{"dirk", 3, 4.5}, {"", 0, 0}};
+    pps_usage_t out[CAPACITY];
+    size_t count;
+    void *data;
+    size_t size;
+
+    cr_assert_eq(pps_usage_encode(&data, &size, usage, 2), 0);
+    cr_assert_eq(pps_usage_decode(out, &count, CAPACITY, data, size), 0);
+    cr_assert_eq(count, 2);
+    for (size_t i = 0; i < count; i++) {
+        cr_expect_str_eq(out[i].workspace, usage[i].workspace);
+        cr_expect_float_eq(out[i].in_flight, usage[i].in_flight, 1e-9);
+        cr_expect_float_eq(out[i].demand, usage[i].demand, 1e-9);
+    }
+    cr_expect_eq(pps_usage_decode(out, &count, 1, data, size), PPS_ECORRUPT);
+    cr_expect_eq(count, 0);
+    free(data);
+}
+
+Test(usage_codec, what_does_not_hold_is_refused)
+{
+    static const struct {
+        double in_flight;
+        double demand;
+    } amounts[] = {{-1, 0}, {0, -1}, {NAN, 0}, {0, INFINITY}};
+    pps_usage_t out[CAPACITY];
+    size_t count;
+
+    for (size_t i = 0; i < sizeof(amounts) / sizeof(amounts[0]); i++) {
+        pps_usage_t usage = {"w", amounts[i].in_flight, amounts[i].demand};
+        unsigned char *data;
+        size_t size;
+
+        cr_assert_eq(pps_usage_encode((void **)&data, &size, &usage, 1), 0);
+        cr_expect_eq(pps_usage_decode(out, &count, CAPACITY, data, size),
+                     PPS_ECORRUPT, "case %zu", i);
+        free(data);
+    }
+}
+
+Test(usage_codec, every_cut_and_container_is_refused)
+{
+    pps_usage_t usage = {"workspace", 1, 2};
+    pps_usage_t out[CAPACITY];
+    unsigned char *data;
+    size_t count;
+    size_t size;
+
+    cr_assert_eq(pps_usage_encode((void **)&data, &size, &usage, 1), 0);
+    for (size_t cut = 1; cut < size; cut++) {
+        cr_expect_eq(pps_usage_decode(out, &count, CAPACITY, data, cut),
+                     PPS_ECORRUPT, "%zu", cut);
+    }
+    for (int first = 0x80; first <= 0x9f; first++) {
+        data[0] = (unsigned char)first;
+        cr_expect_eq(pps_usage_decode(out, &count, CAPACITY, data, size),
+                     PPS_ECORRUPT);
+    }
+    free(data);
+}
