--- a/bench/bench_policy_exposure.c
+++ b/bench/bench_policy_exposure.c
@@ -2,14 +2,14 @@
  * @file bench_policy_exposure.c
  * @brief Requests that a version answers after turning bad; false holds.
  *
- * bench_policy_exposure [SEEDS [CLEAN]]: seeds 1 to SEEDS (30), and CLEAN
- * (1,500,000) ratings without a fault. One host restarts each minute.
+ * bench_policy_exposure [SEEDS [CLEAN]]: seeds 1 to SEEDS (10), and CLEAN
+ * (500,000) ratings without a fault. One host restarts each minute.
  */
 #include "policy_exposure_detectors.h"
 #include "policy_random.h"
 
-#define SEEDS 30
-#define CLEAN_RATINGS 1500000
+#define SEEDS 10
+#define CLEAN_RATINGS 500000
 
 #define WORKSPACES 10
 #define WORKERS 20
@@ -28,8 +28,8 @@
 #define EXPECTATION_ERROR 0.01
 #define QUALITY 0.75
 
-#define WARM_UP_S 3000
-#define RUN_MAX_S 400000
+#define WARM_UP_S 15000
+#define RUN_MAX_S 60000
 #define RESTART_S 60
 
 /** What goes wrong. */
--- a/bench/policy_exposure_detectors.h
+++ b/bench/policy_exposure_detectors.h
@@ -6,6 +6,7 @@
 #define POLICY_EXPOSURE_DETECTORS_H
 
 #include "papayaswitch/health.h"
+#include "papayaswitch/reference.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,6 +21,9 @@
 /** Standard deviation of a rating, as the evidence shows it after a while. */
 #define DEVIATION 0.18
 
+/** Ratings that a declared quality is worth. */
+#define PRIOR_RATINGS 20.0
+
 /** A rating as it reaches a host. */
 typedef struct {
     int host;
@@ -43,6 +47,9 @@
     int held[HOSTS];
     pps_health_verdict_t verdict;
     int other_finding;
+    double believed[2]; /**< sum and count of ratings taken in */
+    double staged[2];   /**< likewise, to be taken in next */
+    double waiting[2];  /**< likewise, newest */
 } detector_t;
 
 /** How a detector works. */
@@ -97,6 +104,28 @@
                     arrival->rating, arrival->expected);
 }
 
+/** Expectations learnt from the ratings themselves, the drop included. */
+static void
+following_rate(detector_t *self, const arrival_t *arrival)
+{
+    arrival_t learnt = *arrival;
+
+    learnt.expected = (self->believed[0] + PRIOR_RATINGS * arrival->expected) /
+                      (self->believed[1] + PRIOR_RATINGS);
+    fleet_rate(self, &learnt);
+    self->waiting[0] += arrival->rating;
+    self->waiting[1]++;
+}
+
+static void
+take_in(detector_t *self)
+{
+    for (int i = 0; i < 2; i++) {
+        self->believed[i] += self->waiting[i];
+        self->waiting[i] = 0.0;
+    }
+}
+
 static void
 fleet_gossip(detector_t *self, int host)
 {
@@ -142,6 +171,29 @@
     }
 }
 
+static void
+following_tick(detector_t *self)
+{
+    fleet_tick(self);
+    take_in(self);
+}
+
+/** Expectations lag, and wait while anything speaks for a drop. */
+static void
+lagging_tick(detector_t *self)
+{
+    fleet_tick(self);
+    if (!pps_health_calm(self->health[0]) ||
+        self->waiting[1] < PPS_REFERENCE_LAG) {
+        return;
+    }
+    for (int i = 0; i < 2; i++) {
+        self->believed[i] += self->staged[i];
+        self->staged[i] = self->waiting[i];
+        self->waiting[i] = 0.0;
+    }
+}
+
 static void
 fleet_clear(detector_t *self)
 {
@@ -223,7 +275,10 @@
 }
 
 static const detector_kind_t detector_kinds[] = {
-    {"fleet, one test", fleet_start, fleet_rate, fleet_tick, fleet_clear},
+    {"true expectation", fleet_start, fleet_rate, fleet_tick, fleet_clear},
+    {"following", fleet_start, following_rate, following_tick, fleet_clear},
+    {"lagging, if calm", fleet_start, following_rate, lagging_tick,
+     fleet_clear},
     {"each host alone", alone_start, alone_rate, alone_tick, alone_clear},
     {"window threshold", window_start, window_rate, window_tick, window_clear},
 };
--- a/include/papayaswitch/health.h
+++ b/include/papayaswitch/health.h
@@ -69,6 +69,13 @@
 void
 pps_health_step(pps_health_t *health, pps_health_verdict_t *out);
 
+/**
+ * Whether nothing speaks for a drop at present. Expectations should take in
+ * new ratings only then, else they follow a version that turns bad.
+ */
+int
+pps_health_calm(const pps_health_t *health);
+
 /** Counts a rating of an answer in the tally that the hosts share. */
 int
 pps_health_rate(pps_tally_t *tally, const char *version, const char *workspace,
--- a/src/libpapayaswitch/evidence/health.c
+++ b/src/libpapayaswitch/evidence/health.c
@@ -13,6 +13,9 @@
  */
 #define REST_THRESHOLD 10.0
 
+/** Log evidence under which a test is calm. */
+#define CALM 2.0
+
 /** Drops looked for, in rating. */
 static const double drops[PPS_HEALTH_DROPS] = {0.05, 0.10, 0.20, 0.30};
 
@@ -252,3 +255,9 @@
     judge(health);
     *out = health->verdict;
 }
+
+int
+pps_health_calm(const pps_health_t *health)
+{
+    return health->all.sum[cusum_peak(&health->all)] < CALM;
+}
