--- a/src/libpapayaswitch/work/fold_pins.c
+++ b/src/libpapayaswitch/work/fold_pins.c
@@ -13,16 +13,25 @@
     return (int64_t)pin->idle_s * PPS_US_PER_S;
 }
 
+/* Uses reach the log coarsely: the last one written may be older than the last
+ * use by a part of the idle time and by the delay of writing. */
+static int64_t
+kept_us(const pps_fold_pin_t *pin)
+{
+    return idle_us(pin) + idle_us(pin) / PPS_TOUCH_DIVISOR +
+           PPS_TOUCH_DELAY_US;
+}
+
 int
 pps_fold_pin_ended(const pps_fold_pin_t *pin, int64_t log_time_us)
 {
-    return log_time_us - pin->time_us > idle_us(pin);
+    return log_time_us - pin->time_us > kept_us(pin);
 }
 
 int
 pps_fold_pin_gone(const pps_work_fold_t *fold, const pps_fold_pin_t *pin)
 {
-    return fold->log_time_us - pin->time_us > idle_us(pin) + fold->keep_us;
+    return fold->log_time_us - pin->time_us > kept_us(pin) + fold->keep_us;
 }
 
 static pps_fold_pin_t *
--- a/src/libpapayaswitch/work/fold_state.h
+++ b/src/libpapayaswitch/work/fold_state.h
@@ -9,11 +9,17 @@
 #ifndef PPS_WORK_FOLD_STATE_H
 #define PPS_WORK_FOLD_STATE_H
 
+#include "clock.h"
 #include "commit/table.h"
 #include "papayaswitch/work_fold.h"
 
 #include <urcu/list.h>
 
+/** A session is touched in the log once in this part of its idle time. */
+#define PPS_TOUCH_DIVISOR 4
+/** Longest usual delay of a touch on its way to the log. */
+#define PPS_TOUCH_DELAY_US (2 * PPS_US_PER_S)
+
 /** Longest name in a table: workspace, zero byte, key, zero byte. */
 #define PPS_FOLD_NAME_MAX (PPS_NAME_MAX + PPS_WORK_KEY_MAX + 2)
 
--- a/src/libpapayaswitch/work/journal_touch.c
+++ b/src/libpapayaswitch/work/journal_touch.c
@@ -8,8 +8,6 @@
 #include <string.h>
 
 #define TOUCHES_MAX 1000
-/** A session is touched in the log once in this part of its idle time. */
-#define TOUCH_DIVISOR 4
 
 /** Touches on their way into one record. */
 typedef struct {
@@ -67,7 +65,7 @@
     }
     use->idle_us = (int64_t)pin->idle_s * PPS_US_PER_S;
     if (use->sent_us == 0 ||
-        now_us - use->sent_us >= use->idle_us / TOUCH_DIVISOR) {
+        now_us - use->sent_us >= use->idle_us / PPS_TOUCH_DIVISOR) {
         use->queued = 1;
     }
     return PPS_OK;
