--- a/src/libpapayaswitch/work/fold_state.h
+++ b/src/libpapayaswitch/work/fold_state.h
@@ -10,8 +10,8 @@
 #define PPS_WORK_FOLD_STATE_H
 
 #include "clock.h"
-#include "commit/table.h"
 #include "papayaswitch/work_fold.h"
+#include "table.h"
 
 #include <urcu/list.h>
 
--- a/src/libpapayaswitch/worker/worker_view.c
+++ b/src/libpapayaswitch/worker/worker_view.c
@@ -5,9 +5,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+/** An entry of the index by id. */
+typedef struct {
+    const pps_worker_t *worker;
+} entry_t;
+
 struct pps_worker_view {
     _Atomic int references;
     size_t count;
+    entry_t *by_id; /**< sorted, once the view is whole */
     pps_worker_t workers[];
 };
 
@@ -27,6 +33,7 @@
     for (size_t i = 0; i < view->count; i++) {
         worker_clear(&view->workers[i]);
     }
+    free(view->by_id);
     free(view);
 }
 
@@ -70,6 +77,35 @@
     return cell_attach(out, previous);
 }
 
+static int
+compare_ids(const void *left, const void *right)
+{
+    const entry_t *a = left;
+    const entry_t *b = right;
+
+    return strcmp(a->worker->id, b->worker->id);
+}
+
+static int
+index_ids(pps_worker_view_t *view)
+{
+    view->by_id = calloc(view->count + 1, sizeof(*view->by_id));
+    if (view->by_id == NULL) {
+        return pps_error_set(PPS_ENOMEM, "workers: out of memory");
+    }
+    for (size_t i = 0; i < view->count; i++) {
+        view->by_id[i].worker = &view->workers[i];
+    }
+    qsort(view->by_id, view->count, sizeof(*view->by_id), compare_ids);
+    for (size_t i = 1; i < view->count; i++) {
+        if (compare_ids(&view->by_id[i - 1], &view->by_id[i]) == 0) {
+            return pps_error_set(PPS_EEXISTS, "worker %s is listed twice",
+                                 view->by_id[i].worker->id);
+        }
+    }
+    return PPS_OK;
+}
+
 int
 pps_worker_view_new(pps_worker_view_t **out, const pps_worker_view_t *previous,
                     const pps_worker_t *workers, size_t count)
@@ -84,14 +120,12 @@
     }
     atomic_init(&view->references, 1);
     for (size_t i = 0; i < count && error == PPS_OK; i++) {
-        if (pps_worker_view_find(view, workers[i].id) != NULL) {
-            error = pps_error_set(PPS_EEXISTS, "worker %s is listed twice",
-                                  workers[i].id);
-            break;
-        }
         error = worker_copy(&view->workers[i], &workers[i], previous);
         view->count++;
     }
+    if (error == PPS_OK) {
+        error = index_ids(view);
+    }
     if (error < 0) {
         view_destroy(view);
         return error;
@@ -130,10 +164,10 @@
 const pps_worker_t *
 pps_worker_view_find(const pps_worker_view_t *view, const char *id)
 {
-    for (size_t i = 0; i < view->count; i++) {
-        if (strcmp(view->workers[i].id, id) == 0) {
-            return &view->workers[i];
-        }
-    }
-    return NULL;
+    const pps_worker_t wanted = {.id = id};
+    const entry_t key = {&wanted};
+    const entry_t *found = bsearch(&key, view->by_id, view->count,
+                                   sizeof(*view->by_id), compare_ids);
+
+    return found != NULL ? found->worker : NULL;
 }
