A claim of a lost host is told as outcome_unknown, not as in_progress

Never a second run, but never an end either. Members that are not listed any more, that a fresh connection does not reach, or that have started again are no longer waited for; what is told changes, who may run it does not.

--- a/include/papayaswitch/journal.h
+++ b/include/papayaswitch/journal.h
@@ -56,6 +56,12 @@
     size_t body_size;
 } pps_verdict_t;
 
+/** A host that may still finish what it has claimed. */
+typedef struct {
+    const char *name;
+    uint64_t incarnation; /**< the one that was heard; 0: none */
+} pps_journal_host_t;
+
 /** The stream `work` as this host sees and writes it. */
 typedef struct pps_journal pps_journal_t;
 
@@ -148,6 +154,17 @@
 pps_journal_seen(pps_journal_t *journal, uint64_t first, uint64_t head,
                  int64_t read_us);
 
+/**
+ * Tells which hosts are present. Callers who ask for a claim of any other
+ * host, or of an earlier incarnation, learn PPS_VERDICT_UNKNOWN in place of
+ * PPS_VERDICT_IN_PROGRESS; who may run it does not depend on it. Until the
+ * first call all are taken to be present.
+ * @return 0 or PPS_ENOMEM
+ */
+int
+pps_journal_present(pps_journal_t *journal, const pps_journal_host_t *hosts,
+                    size_t count);
+
 /** Replaces the state by a restored one, which is taken over. */
 void
 pps_journal_restore(pps_journal_t *journal, pps_work_fold_t *fold);
--- a/src/libpapayaswitch/router/control.c
+++ b/src/libpapayaswitch/router/control.c
@@ -2,6 +2,7 @@
 #include "bill_link.h"
 #include "clock.h"
 #include "event.h"
+#include "journal_link.h"
 #include "logger.h"
 #include "papayaswitch/errors.h"
 #include "papayaswitch/record.h"
@@ -267,7 +268,7 @@
 {
     pps_router_t *router = user;
 
-    pps_journal_tick(router->journal);
+    pps_journal_link_tick(router);
     if (pps_journal_checkpoint_due(router->journal)) {
         pps_journal_checkpoint(router->journal);
     }
--- /dev/null
+++ b/src/libpapayaswitch/router/journal_link.c
@@ -0,0 +1,51 @@
+/** @file journal_link.c @brief Who may finish a claim, and periodic work. */
+#include "journal_link.h"
+
+#include "papayaswitch/membership.h"
+
+#include <stdlib.h>
+
+/* A host that no fresh connection reaches is not waited for. */
+static int
+is_present(const pps_member_t *member)
+{
+    return member->state != PPS_MEMBER_SUSPECTED;
+}
+
+static void
+tell_present(pps_router_t *router, const pps_membership_t *membership)
+{
+    pps_journal_host_t *hosts = calloc(membership->count + 1, sizeof(*hosts));
+    size_t count = 0;
+
+    for (size_t i = 0; hosts != NULL && i < membership->count; i++) {
+        const pps_member_t *member = &membership->members[i];
+
+        if (is_present(member)) {
+            hosts[count].name = member->host.id;
+            hosts[count].incarnation = member->incarnation;
+            count++;
+        }
+    }
+    if (hosts != NULL) {
+        pps_journal_present(router->journal, hosts, count);
+    }
+    free(hosts);
+}
+
+void
+pps_journal_link_tick(pps_router_t *router)
+{
+    static pps_host_report_t reports[PPS_HOSTS_MAX];
+    pps_membership_t membership = PPS_MEMBERSHIP_INIT;
+    size_t count = pps_peers_reports(router->peers, reports, PPS_HOSTS_MAX);
+
+    if (router->hosts.count > 0 &&
+        pps_membership_build(&membership, router->settings.host_id,
+                             router->incarnation, &router->hosts, reports,
+                             count) == 0) {
+        tell_present(router, &membership);
+    }
+    pps_membership_clear(&membership);
+    pps_journal_tick(router->journal);
+}
--- a/src/libpapayaswitch/work/journal.c
+++ b/src/libpapayaswitch/work/journal.c
@@ -73,6 +73,7 @@
     pps_pending_clear(journal);
     pps_uses_clear(journal);
     pps_work_fold_free(journal->fold);
+    free(journal->present);
     pthread_cond_destroy(&journal->head_read);
     pthread_mutex_destroy(&journal->mutex);
     free(journal);
@@ -127,7 +128,8 @@
         decide(waiter, PPS_EUNAVAILABLE);
         return;
     }
-    decide(waiter, pps_verdict_copy(waiter->verdict, &held, waiter->digest));
+    decide(waiter,
+           pps_verdict_copy(waiter->verdict, journal, &held, waiter->digest));
 }
 
 static void
--- a/src/libpapayaswitch/work/journal_claim.c
+++ b/src/libpapayaswitch/work/journal_claim.c
@@ -25,8 +25,8 @@
 }
 
 int
-pps_verdict_copy(pps_verdict_t *out, const pps_held_claim_t *held,
-                 const uint8_t *digest)
+pps_verdict_copy(pps_verdict_t *out, const pps_journal_t *journal,
+                 const pps_held_claim_t *held, const uint8_t *digest)
 {
     static const pps_verdict_kind_t kinds[] = {
         [PPS_CLAIM_IN_PROGRESS] = PPS_VERDICT_IN_PROGRESS,
@@ -36,6 +36,10 @@
 
     memset(out, 0, sizeof(*out));
     out->kind = kinds[held->state];
+    if (out->kind == PPS_VERDICT_IN_PROGRESS &&
+        !pps_holder_is_present(journal, held)) {
+        out->kind = PPS_VERDICT_UNKNOWN;
+    }
     out->fencing = held->offset;
     if (digest != NULL &&
         memcmp(digest, held->digest, PPS_BODY_DIGEST_SIZE) != 0) {
@@ -189,7 +193,7 @@
     }
     pthread_mutex_lock(&journal->mutex);
     if (pps_work_fold_claim(journal->fold, &held, workspace, key) == 0) {
-        error = pps_verdict_copy(out, &held, digest);
+        error = pps_verdict_copy(out, journal, &held, digest);
         goto done;
     }
     claim.attempt = waiter.attempt = ++journal->last_attempt;
@@ -235,7 +239,7 @@
     pthread_mutex_lock(&journal->mutex);
     error = look_up_fresh(&held, journal, workspace, key, pps_clock_now_us());
     if (error == 0) {
-        error = pps_verdict_copy(out, &held, NULL);
+        error = pps_verdict_copy(out, journal, &held, NULL);
     }
     pthread_mutex_unlock(&journal->mutex);
     return error;
--- a/src/libpapayaswitch/work/journal_state.h
+++ b/src/libpapayaswitch/work/journal_state.h
@@ -55,6 +55,12 @@
     char name[];
 } pps_session_use_t;
 
+/** A copy of pps_journal_host_t. */
+typedef struct {
+    char name[PPS_NAME_MAX + 1];
+    uint64_t incarnation;
+} pps_present_t;
+
 struct pps_journal {
     pthread_mutex_t mutex;
     pthread_cond_t head_read; /**< of lookups that wait for a read */
@@ -69,6 +75,8 @@
     size_t pending_count;
     pps_table_t uses;
     struct cds_list_head use_list;
+    pps_present_t *present; /**< NULL: not told yet */
+    size_t present_count;
     int checkpoint_queued;      /**< parts on their way to the log */
     int64_t checkpoint_seen_us; /**< own clock */
     uint64_t log_first;         /**< first offset that the log keeps */
@@ -92,9 +100,14 @@
 void
 pps_uses_clear(pps_journal_t *journal);
 
-/** Copies what the fold says of a key. @return 0 or PPS_ENOMEM */
+/** Whether the incarnation that holds a claim may still finish it. */
+int
+pps_holder_is_present(const pps_journal_t *journal,
+                      const pps_held_claim_t *held);
+
+/** Copies what is known of a held key. @return 0 or PPS_ENOMEM */
 int
-pps_verdict_copy(pps_verdict_t *out, const pps_held_claim_t *held,
-                 const uint8_t *digest);
+pps_verdict_copy(pps_verdict_t *out, const pps_journal_t *journal,
+                 const pps_held_claim_t *held, const uint8_t *digest);
 
 #endif
--- a/tests/process/test_claims_hosts.c
+++ b/tests/process/test_claims_hosts.c
@@ -68,6 +68,8 @@
     act_call_key(&later, cluster, 1, key);
     cr_expect(act_is_open(&later), "%s", later.result.code);
     cr_assert(cluster_wait(cluster, holds_one_run, key));
+    act_settle_key(&later, cluster, 2, key);
+    cr_expect(act_is_code(&later, "outcome_unknown"), "%s", later.result.code);
     start_router(0);
     for (int router = 0; router < 3; router++) {
         act_call_key(&later, cluster, router, key);
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -335,6 +335,39 @@
     stop();
 }
 
+/** What another host is told of a claim by incarnation 1 of host "a". */
+typedef struct {
+    const char *name;
+    pps_journal_host_t hosts[2];
+    size_t count;
+    pps_verdict_kind_t kind;
+} present_case_t;
+
+Test(journal, a_claim_of_a_lost_host_is_not_said_to_be_under_way)
+{
+    static const present_case_t cases[] = {
+        {"present", {{"b", 1}, {"a", 1}}, 2, PPS_VERDICT_IN_PROGRESS},
+        {"never heard", {{"a", 0}}, 1, PPS_VERDICT_IN_PROGRESS},
+        {"started again", {{"a", 2}, {"b", 1}}, 2, PPS_VERDICT_UNKNOWN},
+        {"not listed", {{"b", 1}}, 1, PPS_VERDICT_UNKNOWN},
+    };
+    pps_verdict_t verdict;
+
+    start(WAIT_US);
+    cr_assert_eq(claim(&verdict, 0, "k"), 0);
+    settle();
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        cr_assert_eq(
+            pps_journal_present(journals[1], cases[i].hosts, cases[i].count),
+            0);
+        cr_assert_eq(claim(&verdict, 1, "k"), 0);
+        cr_expect_eq(verdict.kind, cases[i].kind, "%s", cases[i].name);
+    }
+    cr_assert_eq(claim(&verdict, 0, "k"), 0);
+    cr_expect_eq(verdict.kind, PPS_VERDICT_IN_PROGRESS, "the holder itself");
+    stop();
+}
+
 Test(journal, a_checkpoint_is_due_once_the_log_has_dropped_records)
 {
     pps_journal_options_t options = PPS_JOURNAL_OPTIONS_INIT;
