--- a/tests/process/harness_cluster.c
+++ b/tests/process/harness_cluster.c
@@ -79,6 +79,57 @@
                          "standin-service", args);
 }
 
+void
+cluster_part(cluster_t *cluster, int router, int other, cut_mode_t mode)
+{
+    cut_set_host(cluster->peer_cuts[router], other, mode);
+    cut_set_host(cluster->peer_cuts[other], router, mode);
+}
+
+void
+cluster_isolate(cluster_t *cluster, int router, cut_mode_t mode)
+{
+    cut_set(cluster->log_cuts[router], mode);
+    for (int i = 0; i < cluster->options.routers; i++) {
+        if (i != router) {
+            cluster_part(cluster, router, i, mode);
+        }
+    }
+}
+
+static int
+start_cuts(cluster_t *cluster, int index)
+{
+    if (!cluster->options.cuts || cluster->log_cuts[index] != NULL) {
+        return 0;
+    }
+    if (cut_new(&cluster->log_cuts[index], cluster->platform->port) < 0 ||
+        cut_new(&cluster->peer_cuts[index], 0) < 0) {
+        return -1;
+    }
+    cluster->shown_peer_port[index] = cut_port(cluster->peer_cuts[index]);
+    return 0;
+}
+
+static int
+platform_port(const cluster_t *cluster, int index)
+{
+    return cluster->log_cuts[index] ? cut_port(cluster->log_cuts[index])
+                                    : cluster->platform->port;
+}
+
+static int
+wait_router(cluster_t *cluster, int index)
+{
+    harness_process_t *router = cluster->routers[index];
+    int error = harness_wait_ports(router, CLUSTER_WAIT_MS);
+
+    if (error == 0 && cluster->peer_cuts[index] != NULL) {
+        cut_set_target(cluster->peer_cuts[index], router->peer_port);
+    }
+    return error;
+}
+
 int
 cluster_start_router(cluster_t *cluster, int index)
 {
@@ -89,26 +140,30 @@
     char path[HARNESS_PATH_MAX];
     const char *const args[] = {"--settings", path, NULL};
 
+    if (start_cuts(cluster, index) < 0) {
+        return -1;
+    }
     cluster->router_starts[index]++;
     snprintf(name, sizeof(name), "e%d.ini", index);
     snprintf(port_name, sizeof(port_name), "e%d-%d.port", index,
              cluster->router_starts[index]);
     harness_path(cluster->harness, port_path, port_name);
     harness_path(cluster->harness, path, name);
-    snprintf(
-        settings, sizeof(settings),
-        "[host]\nid = e%d\nfailure_domain = %s\nport_file = %s\n"
-        "[platform]\nurl = http://127.0.0.1:%d\n[peers]\nkey = %064d\n"
-        "[sessions]\ntoken_key = %064d\n%s",
-        index, domains[index % 4], port_path, cluster->platform->port, 1, 2,
-        cluster->options.router_settings ? cluster->options.router_settings
-                                         : "");
+    snprintf(settings, sizeof(settings),
+             "[host]\nid = e%d\nfailure_domain = %s\nport_file = %s\n"
+             "[platform]\nurl = http://127.0.0.1:%d\n[peers]\nkey = %064d\n"
+             "[sessions]\ntoken_key = %064d\n%s",
+             index, domains[index % 4], port_path,
+             platform_port(cluster, index), 1, 2,
+             cluster->options.router_settings
+                 ? cluster->options.router_settings
+                 : "");
     if (harness_write_file(cluster->harness, name, settings) < 0 ||
         harness_start(cluster->harness, &cluster->routers[index],
                       "papayaswitchd", port_name, args) < 0) {
         return -1;
     }
-    return harness_wait_ports(cluster->routers[index], CLUSTER_WAIT_MS);
+    return wait_router(cluster, index);
 }
 
 static const char *
@@ -271,6 +326,10 @@
         return;
     }
     harness_free(cluster->harness);
+    for (int i = 0; i < CLUSTER_ROUTERS_MAX; i++) {
+        cut_free(cluster->peer_cuts[i]);
+        cut_free(cluster->log_cuts[i]);
+    }
     free(cluster);
 }
 
@@ -284,9 +343,16 @@
     char path[HARNESS_PATH_MAX];
     char platform[64];
     const char *const args[] = {
-        "note",   "publish",   path, "--platform",
-        platform, "--timeout", "20", stage ? "--wait" : NULL,
-        stage,    NULL};
+        "note",
+        "publish",
+        path,
+        "--platform",
+        platform,
+        "--timeout",
+        cluster->publish_timeout_s ? cluster->publish_timeout_s : "20",
+        stage ? "--wait" : NULL,
+        stage,
+        NULL};
 
     snprintf(name, sizeof(name), "%s.note", id);
     snprintf(text, sizeof(text), "[note]\nid = %s\nbase = %d\n%s", id, base,
--- a/tests/process/harness_cluster.h
+++ b/tests/process/harness_cluster.h
@@ -11,6 +11,7 @@
 #define PPS_TESTS_HARNESS_CLUSTER_H
 
 #include "harness.h"
+#include "harness_cut.h"
 #include "harness_http.h"
 #include "papayaswitch/bill_reader.h"
 
@@ -29,6 +30,7 @@
     const char *router_settings; /**< more lines, sections included, or NULL */
     const char *platform_args[6]; /**< more arguments, ended by NULL */
     int checks_fencing;           /**< of the services */
+    int cuts; /**< forwarders before peer ports and the platform */
 } cluster_options_t;
 
 /** Whether a process stands in the platform's list, and how. */
@@ -52,7 +54,10 @@
     cluster_listing_t engine_listing[CLUSTER_WORKERS_MAX];
     harness_process_t *services[CLUSTER_WORKERS_MAX]; /**< ids o0, o1, ... */
     cluster_listing_t service_listing[CLUSTER_WORKERS_MAX];
-    int notes; /**< published through cluster_publish() */
+    int notes;                     /**< published through cluster_publish() */
+    const char *publish_timeout_s; /**< of the command; "20" */
+    cut_t *peer_cuts[CLUSTER_ROUTERS_MAX]; /**< with `cuts` */
+    cut_t *log_cuts[CLUSTER_ROUTERS_MAX];  /**< each router's platform */
 } cluster_t;
 
 /** Starts all of it and waits until every router serves the first note. */
@@ -67,6 +72,14 @@
 int
 cluster_put_hosts(cluster_t *cluster);
 
+/** Sets what happens on all links between two routers. */
+void
+cluster_part(cluster_t *cluster, int router, int other, cut_mode_t mode);
+
+/** Parts a router from the platform and from all other routers. */
+void
+cluster_isolate(cluster_t *cluster, int router, cut_mode_t mode);
+
 /** Starts a router (again); the list is not changed. */
 int
 cluster_start_router(cluster_t *cluster, int index);
