--- a/src/cli/note_publish.c
+++ b/src/cli/note_publish.c
@@ -151,11 +151,12 @@
         publish->stage = status.stage;
         printf("%s: %s\n", publish->note_id,
                pps_publish_stage_name(status.stage));
-        fflush(stdout);
+        last |= status.stage == PPS_PUBLISH_IN_FORCE;
     }
-    if (last) {
+    if (error == 0 && last) {
         print_missing(&status);
     }
+    fflush(stdout);
     pps_publish_status_clear(&status);
     return error;
 }
--- a/src/libpapayaswitch/router/status.c
+++ b/src/libpapayaswitch/router/status.c
@@ -137,18 +137,19 @@
 pps_status_json(pps_router_t *router)
 {
     int64_t now = pps_clock_now_us();
+    /* Read first, so that a right is never shown beside an older revision. */
+    int serving = pps_serving_may_start(&router->serving, now);
     pps_catalog_t *catalog = pps_router_catalog(router);
-    json_t *status =
-        json_pack("{s:s, s:s, s:s, s:I, s:I, s:b, s:s, s:b, s:i, s:I}",
-                  "version", PPS_VERSION, "host", router->settings.host_id,
-                  "failure_domain", router->settings.failure_domain,
-                  "incarnation", (json_int_t)router->incarnation, "revision",
-                  (json_int_t)pps_catalog_revision(catalog), "serving",
-                  pps_serving_may_start(&router->serving, now),
-                  "serving_reason", pps_serving_reason(&router->serving, now),
-                  "draining", atomic_load(&router->draining), "in_progress",
-                  atomic_load(&router->in_progress), "outcomes_pending",
-                  (json_int_t)pps_journal_pending(router->journal));
+    json_t *status = json_pack(
+        "{s:s, s:s, s:s, s:I, s:I, s:b, s:s, s:b, s:i, s:I}", "version",
+        PPS_VERSION, "host", router->settings.host_id, "failure_domain",
+        router->settings.failure_domain, "incarnation",
+        (json_int_t)router->incarnation, "revision",
+        (json_int_t)pps_catalog_revision(catalog), "serving", serving,
+        "serving_reason", pps_serving_reason(&router->serving, now),
+        "draining", atomic_load(&router->draining), "in_progress",
+        atomic_load(&router->in_progress), "outcomes_pending",
+        (json_int_t)pps_journal_pending(router->journal));
 
     pps_catalog_free(catalog);
     json_object_set_new(status, "config",
--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -93,6 +93,7 @@
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO,
                                      process->stderr_file,
                                      O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
     failed = posix_spawn(&process->pid, argv[0], &actions, &attributes, argv,
                          environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -83,7 +83,7 @@
 int
 harness_wait(harness_process_t *process, int timeout_ms);
 
-/** What the process wrote to standard error; free() by the caller. */
+/** What the process wrote to both of its outputs; free() by the caller. */
 char *
 harness_stderr(const harness_process_t *process);
 
--- a/tests/process/harness_cluster.c
+++ b/tests/process/harness_cluster.c
@@ -365,6 +365,7 @@
                       args) < 0) {
         return -1;
     }
+    cluster->last_command = command;
     return harness_wait(command, COMMAND_TIMEOUT_MS);
 }
 
--- a/tests/process/harness_cluster.h
+++ b/tests/process/harness_cluster.h
@@ -56,6 +56,7 @@
     cluster_listing_t service_listing[CLUSTER_WORKERS_MAX];
     int notes;                     /**< published through cluster_publish() */
     const char *publish_timeout_s; /**< of the command; "20" */
+    harness_process_t *last_command;       /**< that published last */
     cut_t *peer_cuts[CLUSTER_ROUTERS_MAX]; /**< with `cuts` */
     cut_t *log_cuts[CLUSTER_ROUTERS_MAX];  /**< each router's platform */
 } cluster_t;
