A request is checked against the newest catalog next to its send

Found by in_force.over_a_request_that_waits_for_the_log: a new session was chosen by the old catalog, waited for its pin in the log, and started the withdrawn version after `in_force` had been reported (1 start, 0 allowed).

Cause: the check next to the send asked only for the right to serve, and a host that has acknowledged the new revision has it; the request still held the catalog of its admission. Ruled out: the stage of the publish (the host had truly acknowledged) and the fold (its revision was 2 at the send).

Now version, workspace and service are looked up again when the catalog has moved on; what is no longer allowed is refused as not run, to be asked again.

--- a/include/papayaswitch/answer.h
+++ b/include/papayaswitch/answer.h
@@ -43,8 +43,8 @@
     int answer_timeout_ms;
     int silence_timeout_ms;
     int attempts_max; /**< streams opened for one answer, the first included */
-    /** Whether this host may start work now; asked next to each send. */
-    int (*may_start)(void *user);
+    /** Whether this host may start it now; asked next to the first send. */
+    int (*may_start)(void *user, const pps_version_t *version);
     /** Whether one more attempt is within the budget of retries. */
     int (*may_retry)(void *user);
     void *user;
--- a/src/libpapayaswitch/answer/answer.c
+++ b/src/libpapayaswitch/answer/answer.c
@@ -150,7 +150,8 @@
     if (timeout_ms <= 0) {
         return pps_error_set(PPS_ETIMEOUT, "the deadline has passed");
     }
-    if (!answer->streaming && !options->may_start(options->user)) {
+    if (!answer->streaming &&
+        !options->may_start(options->user, answer->version)) {
         return pps_error_set(PPS_ECLOSED, "this host may not start work now");
     }
     answer->attempts++;
--- a/src/libpapayaswitch/router/call.h
+++ b/src/libpapayaswitch/router/call.h
@@ -35,6 +35,18 @@
 pps_call_begin(pps_call_t *out, pps_router_t *router,
                const struct _u_request *request, struct _u_response *response);
 
+/**
+ * Whether the workspace may still start this version on this host, by the
+ * newest catalog that the host holds. Ask next to the send.
+ * @param in_session a session that is pinned to the version goes on
+ */
+int
+pps_call_may_run(const pps_call_t *call, const char *version, int in_session);
+
+/** The same for a call of a plain service. */
+int
+pps_call_may_call(const pps_call_t *call, const char *upstream);
+
 /** Ends the request; a graceful stop waits for it. */
 void
 pps_call_end(pps_call_t *call);
--- a/src/libpapayaswitch/router/chat.c
+++ b/src/libpapayaswitch/router/chat.c
@@ -17,9 +17,12 @@
 #define AFFINITY_PREFIX_BYTES 256
 
 static int
-may_start(void *user)
+may_start(void *user, const pps_version_t *version)
 {
-    return pps_router_may_start(user);
+    const pps_chat_t *chat = user;
+
+    return pps_call_may_run(&chat->call, version->name,
+                            chat->pinned[0] != '\0');
 }
 
 static int
@@ -64,7 +67,7 @@
     options->silence_timeout_ms = router->settings.silence_timeout_ms;
     options->may_start = may_start;
     options->may_retry = may_retry;
-    options->user = router;
+    options->user = chat;
 }
 
 static int
--- a/src/libpapayaswitch/router/service_call.c
+++ b/src/libpapayaswitch/router/service_call.c
@@ -128,7 +128,7 @@
     if (timeout_ms <= 0) {
         return pps_error_set(PPS_ELIMIT, "the deadline has passed");
     }
-    if (!pps_router_may_start(router)) {
+    if (!pps_call_may_call(&service->call, service->upstream->name)) {
         return pps_error_set(PPS_ECLOSED, "this host starts no work now");
     }
     pps_event_record(
