--- a/tests/process/harness_cluster.c
+++ b/tests/process/harness_cluster.c
@@ -334,10 +334,10 @@
 }
 
 int
-cluster_publish_at(cluster_t *cluster, const char *id, int base,
-                   const char *body, const char *stage)
+cluster_publish_begin(cluster_t *cluster, harness_process_t **out,
+                      const char *id, int base, const char *body,
+                      const char *stage)
 {
-    harness_process_t *command;
     char text[2 * TEXT_BYTES];
     char name[64];
     char path[HARNESS_PATH_MAX];
@@ -360,13 +360,21 @@
     snprintf(platform, sizeof(platform), "http://127.0.0.1:%d",
              cluster->platform->port);
     harness_path(cluster->harness, path, name);
-    if (harness_write_file(cluster->harness, name, text) < 0 ||
-        harness_start(cluster->harness, &command, "papayaswitch", "none",
-                      args) < 0) {
+    if (harness_write_file(cluster->harness, name, text) < 0) {
+        return -1;
+    }
+    return harness_start(cluster->harness, out, "papayaswitch", "none", args);
+}
+
+int
+cluster_publish_at(cluster_t *cluster, const char *id, int base,
+                   const char *body, const char *stage)
+{
+    if (cluster_publish_begin(cluster, &cluster->last_command, id, base, body,
+                              stage) < 0) {
         return -1;
     }
-    cluster->last_command = command;
-    return harness_wait(command, COMMAND_TIMEOUT_MS);
+    return harness_wait(cluster->last_command, COMMAND_TIMEOUT_MS);
 }
 
 int
--- a/tests/process/harness_cluster.h
+++ b/tests/process/harness_cluster.h
@@ -94,6 +94,12 @@
 cluster_publish(cluster_t *cluster, const char *id, const char *body,
                 const char *stage);
 
+/** Starts the command that publishes; harness_wait() for its end. */
+int
+cluster_publish_begin(cluster_t *cluster, harness_process_t **out,
+                      const char *id, int base, const char *body,
+                      const char *stage);
+
 /** The same with a base of one's own, whatever becomes of it. */
 int
 cluster_publish_at(cluster_t *cluster, const char *id, int base,
