--- /dev/null
+++ b/tests/process/test_peer_frames.c
@@ -0,0 +1,214 @@
+/**
+ * @file test_peer_frames.c
+ * @brief Bad bytes at a router's peer port: refused, counted, no change.
+ */
+#include "harness_watch.h"
+
+#include "peer/frame.h"
+#include "peer/handshake.h"
+#include "peer/link.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ROUTERS 3
+/** The incarnation that a forged hello claims. */
+#define FORGED_INCARNATION 1
+
+static cluster_t *cluster;
+
+static void
+set_up(void)
+{
+    const cluster_options_t options = {.routers = ROUTERS};
+
+    cr_assert_eq(cluster_new(&cluster, &options), 0);
+}
+
+static void
+tear_down(void)
+{
+    cluster_free(cluster);
+}
+
+TestSuite(peer_frames, .init = set_up, .fini = tear_down);
+
+static int
+dial_peer_port(void)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)cluster->routers[0]->peer_port)};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    cr_assert_eq(connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+    return fd;
+}
+
+/* The key of the harness' settings, its last digit 1, or another one. */
+static void
+hello_key(unsigned char out[PPS_FRAME_KEY_BYTES], int wrong)
+{
+    unsigned char shared[PPS_FRAME_KEY_BYTES] = {0};
+
+    shared[PPS_FRAME_KEY_BYTES - 1] = wrong ? 9 : 1;
+    pps_peer_hello_key(out, shared);
+}
+
+static void
+add_hello(pps_buf_t *out, const char *id, uint32_t version, int wrong_key)
+{
+    unsigned char key[PPS_FRAME_KEY_BYTES];
+    pps_buf_t payload = PPS_BUF_INIT;
+    pps_peer_hello_t hello;
+
+    hello_key(key, wrong_key);
+    pps_peer_hello_init(&hello, id, FORGED_INCARNATION);
+    hello.version = version;
+    pps_peer_hello_encode(&payload, &hello);
+    pps_frame_encode(out, key, PPS_FRAME_HELLO, 0, payload.data, payload.size);
+    pps_buf_clear(&payload);
+}
+
+static void
+wrong_key(pps_buf_t *out)
+{
+    add_hello(out, "e1", PPS_PEER_PROTOCOL_VERSION, 1);
+}
+
+static void
+own_id(pps_buf_t *out)
+{
+    add_hello(out, "e0", PPS_PEER_PROTOCOL_VERSION, 0);
+}
+
+static void
+other_version(pps_buf_t *out)
+{
+    add_hello(out, "e1", PPS_PEER_PROTOCOL_VERSION + 1, 0);
+}
+
+static void
+truncated(pps_buf_t *out)
+{
+    add_hello(out, "e1", PPS_PEER_PROTOCOL_VERSION, 0);
+    out->size -= 7;
+}
+
+static void
+altered(pps_buf_t *out)
+{
+    add_hello(out, "e1", PPS_PEER_PROTOCOL_VERSION, 0);
+    out->data[out->size / 2] ^= 1;
+}
+
+static void
+too_long(pps_buf_t *out)
+{
+    pps_buf_append(out, "\x7f\xff\xff\xff", 4);
+}
+
+static void
+no_hello(pps_buf_t *out)
+{
+    unsigned char key[PPS_FRAME_KEY_BYTES];
+
+    hello_key(key, 0);
+    pps_frame_encode(out, key, PPS_FRAME_PING, 0, "", 0);
+}
+
+/* A recorded hello opens nothing: its sender has no session key. */
+static void
+replayed(pps_buf_t *out)
+{
+    unsigned char key[PPS_FRAME_KEY_BYTES];
+
+    hello_key(key, 0);
+    add_hello(out, "e1", PPS_PEER_PROTOCOL_VERSION, 0);
+    pps_frame_encode(out, key, PPS_FRAME_CONFIRM, 1, "", 0);
+}
+
+static const struct {
+    const char *name;
+    void (*make)(pps_buf_t *out);
+    const char *counter; /**< NULL: just closed */
+} cases[] = {
+    {"wrong key", wrong_key, "peer_hellos_bad_key_total"},
+    {"own id", own_id, "peer_hellos_bad_id_total"},
+    {"other version", other_version, "peer_hellos_bad_version_total"},
+    {"altered", altered, "peer_hellos_bad_key_total"},
+    {"too long", too_long, "peer_frames_bad_length_total"},
+    {"no hello", no_hello, "peer_frames_malformed_total"},
+    {"replayed hello", replayed, "peer_hellos_bad_key_total"},
+    {"truncated", truncated, NULL},
+};
+
+/* Sends and waits for the other side to close. */
+static void
+inject(const pps_buf_t *bytes, int half)
+{
+    int fd = dial_peer_port();
+    char buffer[512];
+
+    cr_assert_eq(send(fd, bytes->data, bytes->size, MSG_NOSIGNAL),
+                 (ssize_t)bytes->size);
+    if (half) {
+        shutdown(fd, SHUT_WR);
+    }
+    while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+    }
+    close(fd);
+}
+
+/* What the router knows of the other hosts, ages left out. */
+static char *
+known_hosts(void)
+{
+    json_t *status = cluster_status(cluster, 0);
+    json_t *hosts = json_object_get(status, "hosts");
+    size_t index;
+    json_t *host;
+    char *text;
+
+    json_array_foreach(hosts, index, host)
+    {
+        json_object_del(host, "heard_ms_ago");
+    }
+    text = json_dumps(hosts, JSON_SORT_KEYS);
+    json_decref(status);
+    return text;
+}
+
+Test(peer_frames, are_refused_and_counted_and_change_nothing)
+{
+    long opened = cluster_counter(cluster, 0, "peer_links_opened_total");
+    char *before = known_hosts();
+    char *after;
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        const char *counter = cases[i].counter;
+        long count = counter ? cluster_counter(cluster, 0, counter) : 0;
+        pps_buf_t bytes = PPS_BUF_INIT;
+
+        cases[i].make(&bytes);
+        inject(&bytes, counter == NULL);
+        pps_buf_clear(&bytes);
+        if (counter != NULL) {
+            cr_expect_eq(cluster_counter(cluster, 0, counter), count + 1, "%s",
+                         cases[i].name);
+        }
+    }
+    after = known_hosts();
+    cr_expect_str_eq(after, before);
+    cr_expect_eq(cluster_counter(cluster, 0, "peer_links_opened_total"),
+                 opened);
+    cr_expect(cluster_serves(cluster, 0));
+    cr_expect_eq(cluster_revision(cluster, 0), 1);
+    free(before);
+    free(after);
+}
