Bills of a host that left the list at once are appended by its partner

Found by graceful_stop.hands_its_bills_over_in_an_outage: a host stopped in order during a log outage (status 0, ten bills held by its partner); the platform dropped it from the list, and its bills were never in the log once that was back (0 of 10 in 20 s, 3 runs of 3).

Cause: the links forget a host that is neither listed nor connected, so that no report of it was left from which the partner could find it lost; a host is suspected only while it is listed. Ruled out: the drain (the partner held all ten) and the append (it worked for hosts that stayed listed).

Now the partner also looks at the hosts whose copies it holds: one that is neither listed nor reported is lost. A copy of a host that lives after all is harmless: readers drop the repeat.

--- a/include/papayaswitch/bills.h
+++ b/include/papayaswitch/bills.h
@@ -104,6 +104,17 @@
 pps_bills_receive(pps_bills_t *bills, const char *from,
                   pps_bills_message_t kind, const void *payload, size_t size);
 
+/** A host whose copies are held here. */
+typedef struct {
+    char host[PPS_NAME_MAX + 1];
+    uint64_t incarnation;
+} pps_bills_origin_id_t;
+
+/** Writes the hosts of held copies, lost ones left out. @return how many */
+size_t
+pps_bills_origins(pps_bills_t *bills, pps_bills_origin_id_t *out,
+                  size_t limit);
+
 /** Appends the copies of a lost host, up to that incarnation. */
 void
 pps_bills_host_lost(pps_bills_t *bills, const char *host,
--- a/src/libpapayaswitch/bill/bills_held.c
+++ b/src/libpapayaswitch/bill/bills_held.c
@@ -177,6 +177,25 @@
     pthread_mutex_unlock(&bills->mutex);
 }
 
+size_t
+pps_bills_origins(pps_bills_t *bills, pps_bills_origin_id_t *out, size_t limit)
+{
+    pps_bill_origin_t *origin;
+    size_t count = 0;
+
+    pthread_mutex_lock(&bills->mutex);
+    cds_list_for_each_entry (origin, &bills->origins, node) {
+        if (origin->lost_us != 0 || cds_list_empty(&origin->items) ||
+            count == limit) {
+            continue;
+        }
+        memcpy(out[count].host, origin->host, sizeof(out[count].host));
+        out[count++].incarnation = origin->incarnation;
+    }
+    pthread_mutex_unlock(&bills->mutex);
+    return count;
+}
+
 void
 pps_bills_origins_prune(pps_bills_t *bills, int64_t now_us)
 {
--- a/src/libpapayaswitch/router/bill_link.c
+++ b/src/libpapayaswitch/router/bill_link.c
@@ -113,6 +113,36 @@
     }
 }
 
+static int
+is_reported(const pps_host_report_t *reports, size_t count, const char *id)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(reports[i].id, id) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* A host that ended in order and left the list at once is never suspected:
+ * the links forget it. What it handed over is appended here. */
+static void
+find_forgotten_hosts(pps_router_t *router, const pps_host_report_t *reports,
+                     size_t count)
+{
+    static pps_bills_origin_id_t origins[REPORTS_MAX];
+    size_t held = pps_bills_origins(router->bills, origins, REPORTS_MAX);
+
+    for (size_t i = 0; i < held; i++) {
+        const char *id = origins[i].host;
+
+        if (pps_host_list_find(&router->hosts, id) == NULL &&
+            !is_reported(reports, count, id)) {
+            pps_bills_host_lost(router->bills, id, origins[i].incarnation);
+        }
+    }
+}
+
 static void
 choose_partner(pps_router_t *router, const pps_host_report_t *reports,
                size_t count)
@@ -141,6 +171,7 @@
 
     choose_partner(router, reports, count);
     find_lost_hosts(router, reports, count);
+    find_forgotten_hosts(router, reports, count);
     pps_bills_tick(router->bills);
 }
 
--- /dev/null
+++ b/tests/process/test_graceful_stop.c
@@ -0,0 +1,281 @@
+/**
+ * @file test_graceful_stop.c
+ * @brief A stop cuts nothing and loses no bill and no outcome.
+ */
+#include "harness_watch.h"
+
+#include <criterion/criterion.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ROUTERS 3
+#define EXIT_FORCED 1
+
+static cluster_t *cluster;
+
+static void
+set_up(void)
+{
+    const cluster_options_t options = {.routers = ROUTERS};
+
+    cr_assert_eq(cluster_new(&cluster, &options), 0);
+}
+
+static void
+tear_down(void)
+{
+    cluster_free(cluster);
+}
+
+TestSuite(graceful_stop, .init = set_up, .fini = tear_down);
+
+static void
+begin_load(harness_process_t **out, const char *account)
+{
+    char entries[ROUTERS][32];
+    const char *const args[] = {
+        "load",
+        "--entry",
+        entries[0],
+        "--entry",
+        entries[1],
+        "--entry",
+        entries[2],
+        "--workspace",
+        "office=office-key",
+        "--mix",
+        "captions=50,footnotes=20,lookups=15,releases=15",
+        "--rate",
+        "60",
+        "--seconds",
+        "4",
+        "--seed",
+        "11",
+        "--sessions",
+        "8",
+        "--verify",
+        "--json",
+        account,
+        NULL};
+
+    for (int i = 0; i < ROUTERS; i++) {
+        snprintf(entries[i], sizeof(entries[i]), "127.0.0.1:%d",
+                 cluster->routers[i]->port);
+    }
+    cr_assert_eq(
+        harness_start(cluster->harness, out, "papayaswitch", "none", args), 0);
+}
+
+static void
+stop_router(int router, int status)
+{
+    harness_signal(cluster->routers[router], SIGTERM);
+    cr_expect_eq(harness_wait(cluster->routers[router], CLUSTER_WAIT_MS),
+                 status);
+}
+
+static void
+expect_bills(json_int_t bills)
+{
+    pps_bill_reading_t reading;
+
+    cr_expect(cluster_wait_bills(cluster, bills));
+    cr_assert_eq(cluster_bills(cluster, &reading), 0);
+    cr_expect_eq((json_int_t)reading.bills, bills);
+}
+
+static void
+expect_account(const char *path)
+{
+    static const char *const none[] = {"error",     "cut",
+                                       "no_answer", "wrong",
+                                       "ran_twice", "session_version_changes"};
+    json_t *account = json_load_file(path, 0, NULL);
+    json_t *failures = json_object_get(account, "failures");
+    char *text = json_dumps(failures, JSON_COMPACT | JSON_ENCODE_ANY);
+
+    cr_expect_eq(json_integer_value(json_object_get(account, "whole")),
+                 json_integer_value(json_object_get(account, "sent")), "%s",
+                 text);
+    for (size_t i = 0; i < sizeof(none) / sizeof(none[0]); i++) {
+        cr_expect_eq(json_integer_value(json_object_get(account, none[i])), 0,
+                     "%s: %s", none[i], text);
+    }
+    free(text);
+    expect_bills(json_integer_value(json_object_get(account, "whole")));
+    json_decref(account);
+}
+
+Test(graceful_stop, under_load_cuts_nothing_and_bills_all)
+{
+    harness_process_t *load;
+    char path[HARNESS_PATH_MAX];
+
+    harness_path(cluster->harness, path, "account.json");
+    begin_load(&load, path);
+    usleep(1500 * 1000);
+    stop_router(1, 0);
+    cr_expect_eq(harness_wait(load, CLUSTER_WAIT_MS), 0);
+    expect_account(path);
+}
+
+typedef struct {
+    const char *key; /**< of an act; NULL: a streamed chat */
+    int router;
+    harness_reply_t reply;
+    pthread_t thread;
+} background_t;
+
+static void *
+run_background(void *user)
+{
+    background_t *background = user;
+    const cluster_chat_t chat = {
+        .router = background->router, .stream = 1, .max_tokens = 700};
+
+    if (background->key != NULL) {
+        cluster_release(&background->reply, cluster, background->router,
+                        background->key, NULL);
+    }
+    else {
+        cluster_chat(&background->reply, cluster, &chat);
+    }
+    return NULL;
+}
+
+static json_int_t
+status_of(int router, const char *name)
+{
+    json_t *status = cluster_status(cluster, router);
+    json_int_t value = json_integer_value(json_object_get(status, name));
+
+    json_decref(status);
+    return value;
+}
+
+static int
+is_in_progress(cluster_t *unused, void *user)
+{
+    const background_t *background = user;
+
+    return status_of(background->router, "in_progress") > 0;
+}
+
+static void
+start_background(background_t *background)
+{
+    cr_assert_eq(
+        pthread_create(&background->thread, NULL, run_background, background),
+        0);
+    cr_assert(cluster_wait(cluster, is_in_progress, background));
+}
+
+Test(graceful_stop, waits_for_a_stream_under_way)
+{
+    background_t stream = {NULL, 1};
+
+    start_background(&stream);
+    stop_router(1, 0);
+    pthread_join(stream.thread, NULL);
+    cr_expect_eq(stream.reply.status, 200);
+    cr_expect_not_null(
+        strstr(pps_buf_text(&stream.reply.text), "data: [DONE]"));
+    harness_reply_clear(&stream.reply);
+    expect_bills(1);
+}
+
+static int
+is_draining(cluster_t *unused, void *user)
+{
+    const int *router = user;
+    json_t *status = cluster_status(cluster, *router);
+    int draining = json_is_true(json_object_get(status, "draining"));
+
+    json_decref(status);
+    return draining;
+}
+
+Test(graceful_stop, is_forced_by_a_second_signal)
+{
+    background_t stream = {NULL, 1};
+
+    start_background(&stream);
+    harness_signal(cluster->routers[1], SIGTERM);
+    cr_assert(cluster_wait(cluster, is_draining, &stream.router));
+    stop_router(1, EXIT_FORCED);
+    pthread_join(stream.thread, NULL);
+    cr_expect_null(strstr(pps_buf_text(&stream.reply.text), "data: [DONE]"));
+    harness_reply_clear(&stream.reply);
+}
+
+static int
+answers_without_log(cluster_t *unused, void *user)
+{
+    const int *router = user;
+    harness_reply_t reply;
+    int whole;
+
+    cluster_chat(&reply, cluster, &(cluster_chat_t){.router = *router});
+    whole = reply.status == 200;
+    harness_reply_clear(&reply);
+    return whole;
+}
+
+/* The partner has the bills and appends them once the log is back. */
+Test(graceful_stop, hands_its_bills_over_in_an_outage)
+{
+    int router = 1;
+
+    cluster_fault(cluster->platform, "{\"log\":\"down\"}");
+    cr_assert(cluster_wait(cluster, answers_without_log, &router));
+    for (int i = 1; i < 10; i++) {
+        cr_expect(answers_without_log(NULL, &router));
+    }
+    stop_router(1, 0);
+    cluster_fault(cluster->platform, "{\"log\":\"up\"}");
+    cluster->router_listing[1] = CLUSTER_UNLISTED;
+    cr_assert_eq(cluster_put_hosts(cluster), 0);
+    expect_bills(10);
+}
+
+/* Dispatched, so that its claim stands in the log. */
+static int
+is_dispatched(cluster_t *unused, void *user)
+{
+    const background_t *act = user;
+    json_t *events = cluster_events(cluster, act->router, "service_called");
+    size_t count = json_array_size(events);
+
+    json_decref(events);
+    return count > 0;
+}
+
+/* The claim was granted before the outage; the stop waits for the log. */
+Test(graceful_stop, waits_with_an_outcome_for_the_log)
+{
+    background_t act = {"act-1", 1};
+    harness_reply_t reply;
+
+    for (int i = 0; i < 2; i++) {
+        cluster_fault(cluster->services[i], "{\"delay_ms\":600}");
+    }
+    start_background(&act);
+    cr_assert(cluster_wait(cluster, is_dispatched, &act));
+    cluster_fault(cluster->platform, "{\"log\":\"down\"}");
+    pthread_join(act.thread, NULL);
+    cr_expect_eq(act.reply.status, 200, "%s", pps_buf_text(&act.reply.text));
+    harness_reply_clear(&act.reply);
+    harness_signal(cluster->routers[1], SIGTERM);
+    cr_assert(cluster_wait(cluster, is_draining, &act.router));
+    cr_expect_gt(status_of(1, "outcomes_pending"), 0);
+    cr_expect_eq(harness_wait(cluster->routers[1], 1000), -1, "it waits");
+    cluster_fault(cluster->platform, "{\"log\":\"up\"}");
+    cr_expect_eq(harness_wait(cluster->routers[1], CLUSTER_WAIT_MS), 0);
+    cluster_release(&reply, cluster, 2, act.key, NULL);
+    cr_expect_eq(reply.status, 200, "%s", pps_buf_text(&reply.text));
+    cr_expect_eq(harness_reply_int(&reply, "run"), 1);
+    harness_reply_clear(&reply);
+    cr_expect_eq(cluster_runs(cluster, act.key), 1);
+}
