A checkpoint of the config stream follows every note, one host at a time

Found by kept.when_records_expire_*: records expired under a stopped host, and all hosts restarted after it. A checkpoint was appended only after 256 records, each host counting for itself, so that notes written rarely expired with no checkpoint behind them: a host that may ask no peer stayed without state, and a restart of all lost the catalog.

Now a checkpoint is due a second after a note that none covers, at once when none is left in the log, when the newest one stands in the older half of what the log keeps, and after ten minutes.

Not shown to bite: the turns (an economy, no promise) and the check of a checkpoint against the first kept record (evidence of the head keeps such a host from serving as well).

--- a/src/libpapayaswitch/router/config_feed.c
+++ b/src/libpapayaswitch/router/config_feed.c
@@ -2,8 +2,10 @@
  */
 #include "config_feed.h"
 
+#include "clock.h"
 #include "counters.h"
 #include "event.h"
+#include "fold/config_checkpoint.h"
 #include "logger.h"
 #include "papayaswitch/errors.h"
 #include "papayaswitch/host.h"
@@ -16,6 +18,7 @@
 {
     memset(feed, 0, sizeof(*feed));
     feed->read_sent_us = PPS_TIME_NONE;
+    feed->checkpoint_us = PPS_TIME_NONE;
     return pps_config_fold_new(&feed->fold);
 }
 
@@ -26,9 +29,53 @@
     feed->fold = NULL;
 }
 
+static void
+note_checkpoint(pps_config_feed_t *feed, const pps_record_t *record,
+                uint64_t offset)
+{
+    pps_config_checkpoint_t checkpoint;
+
+    if (pps_config_checkpoint_open(&checkpoint, record->payload,
+                                   record->size) < 0) {
+        return;
+    }
+    if (checkpoint.next >= feed->checkpoint_at) {
+        feed->checkpoint_at = checkpoint.next;
+        feed->checkpoint_offset = offset;
+        feed->checkpoint_us = pps_clock_now_us();
+    }
+    pps_config_checkpoint_close(&checkpoint);
+}
+
+/* Remembers what checkpoints the log has and what they do not cover. */
+static void
+note_entry(pps_config_feed_t *feed, const pps_log_entry_t *entry)
+{
+    pps_record_t record;
+
+    if (pps_record_decode(&record, entry->data, entry->size) < 0) {
+        return;
+    }
+    if (record.kind == PPS_RECORD_CONFIG_CHECKPOINT) {
+        note_checkpoint(feed, &record, entry->offset);
+    }
+    else if (entry->offset >= feed->changed_at) {
+        feed->changed_at = entry->offset + 1;
+    }
+}
+
+/* A host that is ahead of what expired, by a peer's state, reads on. */
 static void
 search_checkpoint(pps_config_feed_t *feed, uint64_t first)
 {
+    uint64_t next = pps_config_fold_next(feed->fold);
+
+    feed->first = first;
+    if (next >= first && next > 0) {
+        feed->searching = 0;
+        pps_log_reader_seek(feed->reader, next);
+        return;
+    }
     if (!feed->searching) {
         pps_logger_write(PPS_LOG_WARN, "config_records_expired",
                          PPS_FIELDS(PPS_INT("first_kept", first)));
@@ -47,7 +94,7 @@
     }
     pps_config_fold_free(feed->fold);
     feed->fold = fold;
-    feed->checkpoint_at = pps_config_fold_next(fold);
+    feed->changed_at = pps_config_fold_next(fold);
     return 1;
 }
 
@@ -67,7 +114,11 @@
         pps_config_fold_free(fold);
         return 0;
     }
-    return replace_fold(feed, fold);
+    if (!replace_fold(feed, fold)) {
+        return 0;
+    }
+    note_checkpoint(feed, &record, entry->offset);
+    return 1;
 }
 
 static int
@@ -98,6 +149,7 @@
         int error;
 
         if (entry->offset < next) {
+            note_entry(feed, entry);
             continue;
         }
         if (entry->offset > next) {
@@ -108,6 +160,7 @@
         if (error < 0) {
             return error;
         }
+        note_entry(feed, entry);
         pps_counter_add(PPS_COUNTER_CONFIG_RECORDS, 1);
         changed = 1;
     }
@@ -151,7 +204,9 @@
     if (!replace_fold(feed, fold)) {
         return 0;
     }
-    feed->searching = 0;
-    pps_log_reader_seek(feed->reader, pps_config_fold_next(feed->fold));
+    if (feed->searching) {
+        feed->searching = 0;
+        pps_log_reader_seek(feed->reader, pps_config_fold_next(feed->fold));
+    }
     return 1;
 }
--- a/src/libpapayaswitch/router/config_feed.h
+++ b/src/libpapayaswitch/router/config_feed.h
@@ -15,8 +15,12 @@
     int searching;        /**< records expired: looking for a checkpoint */
     int64_t read_sent_us; /**< last successful read, or PPS_TIME_NONE */
     uint64_t read_head;
-    uint64_t first;         /**< oldest record that the log still keeps */
-    uint64_t checkpoint_at; /**< next record that the last checkpoint knew */
+    uint64_t first;             /**< oldest record that the log still keeps */
+    uint64_t changed_at;        /**< behind the last record but checkpoints */
+    uint64_t checkpoint_at;     /**< next record that the newest checkpoint
+                                     in the log knew */
+    uint64_t checkpoint_offset; /**< where that checkpoint stands */
+    int64_t checkpoint_us;      /**< when it was read, or PPS_TIME_NONE */
 } pps_config_feed_t;
 
 /** Starts with an empty fold. */
--- a/src/libpapayaswitch/router/control.c
+++ b/src/libpapayaswitch/router/control.c
@@ -1,5 +1,6 @@
 /** @file control.c @brief The control thread: loop, timers, peers, feeds. */
 #include "bill_link.h"
+#include "checkpoint.h"
 #include "clock.h"
 #include "event.h"
 #include "logger.h"
@@ -15,11 +16,9 @@
 #define STATUS_PERIOD_US (100 * PPS_US_PER_MS)
 #define BILLS_PERIOD_US (100 * PPS_US_PER_MS)
 #define JOURNAL_PERIOD_US PPS_US_PER_S
-#define CHECKPOINT_PERIOD_US (5 * PPS_US_PER_S)
-#define CHECKPOINT_RECORDS 256
+#define CHECKPOINT_PERIOD_US (250 * PPS_US_PER_MS)
 #define SNAPSHOT_PAUSE_US (200 * PPS_US_PER_MS)
 #define REPORTS_MAX PPS_HOSTS_MAX
-#define LOG_WAIT_MS 500
 
 /** Kinds of message between routers. */
 enum {
@@ -72,6 +71,7 @@
     input.self_id = router->settings.host_id;
     input.next_offset = pps_config_fold_next(router->config.fold);
     input.synced = router->synced;
+    input.started_us = router->started_us;
     input.read_sent_us = router->config.read_sent_us;
     input.read_head = router->config.read_head;
     input.hosts = &router->hosts;
@@ -91,97 +91,6 @@
         pps_serving_may_start(&router->serving, pps_clock_now_us());
 }
 
-static int
-log_verdict(const pps_note_verdict_t *verdict, void *user)
-{
-    const uint64_t *from = user;
-
-    if (verdict->offset < *from) {
-        return 0;
-    }
-    pps_event_record(verdict->accepted ? "note_accepted" : "note_rejected",
-                     PPS_FIELDS(PPS_STR("note", verdict->id),
-                                PPS_INT("offset", verdict->offset),
-                                PPS_INT("revision", verdict->revision),
-                                PPS_STR("reason", verdict->reason)));
-    pps_logger_write(PPS_LOG_INFO,
-                     verdict->accepted ? "note_accepted" : "note_rejected",
-                     PPS_FIELDS(PPS_STR("note", verdict->id),
-                                PPS_INT("revision", verdict->revision)));
-    return 0;
-}
-
-static void
-config_changed(pps_router_t *router, uint64_t from)
-{
-    pps_config_fold_verdict_foreach(router->config.fold, log_verdict, &from);
-    pps_router_set_catalog(router,
-                           pps_config_fold_catalog(router->config.fold));
-    pps_status_publish(router, 1);
-}
-
-typedef struct {
-    pps_router_t *router;
-    pps_log_batch_t *batch;
-} delivery_t;
-
-static void
-take_config(void *user)
-{
-    delivery_t *delivery = user;
-    pps_router_t *router = delivery->router;
-    uint64_t from = pps_config_fold_next(router->config.fold);
-    int changed = pps_config_feed_take(&router->config, delivery->batch);
-
-    pps_bills_set_log(router->bills,
-                      delivery->batch->error != PPS_EUNAVAILABLE);
-    if (changed > 0) {
-        config_changed(router, from);
-    }
-    pps_control_evaluate(router);
-    pps_log_batch_free(delivery->batch);
-    free(delivery);
-}
-
-static void
-take_work(void *user)
-{
-    delivery_t *delivery = user;
-
-    pps_work_feed_take(&delivery->router->work, delivery->batch);
-    pps_log_batch_free(delivery->batch);
-    free(delivery);
-}
-
-static void
-deliver(pps_router_t *router, pps_log_batch_t *batch, void (*take)(void *))
-{
-    delivery_t *delivery = malloc(sizeof(*delivery));
-
-    if (delivery == NULL) {
-        pps_log_batch_free(batch);
-        return;
-    }
-    delivery->router = router;
-    delivery->batch = batch;
-    if (pps_mailbox_post(&router->mailbox, take, delivery) < 0) {
-        pps_log_batch_free(batch);
-        free(delivery);
-    }
-}
-
-static void
-deliver_config(pps_log_batch_t *batch, void *user)
-{
-    deliver(user, batch, take_config);
-}
-
-static void
-deliver_work(pps_log_batch_t *batch, void *user)
-{
-    deliver(user, batch, take_work);
-}
-
 static void
 answer_snapshot(pps_router_t *router, const char *to)
 {
@@ -208,7 +117,7 @@
         return PPS_OK;
     case KIND_SNAPSHOT:
         if (pps_config_feed_adopt(&router->config, payload, size) > 0) {
-            config_changed(router, offset);
+            pps_control_config_changed(router, offset);
             pps_control_evaluate(router);
         }
         return PPS_OK;
@@ -262,141 +171,10 @@
     }
 }
 
-typedef struct {
-    pps_router_t *router;
-    void *record;
-    size_t size;
-} append_job_t;
-
-static void
-append_checkpoint(uv_work_t *work)
-{
-    append_job_t *job = work->data;
-    pps_log_blob_t blob = {job->record, job->size};
-    uint64_t offset;
-
-    job->router->log->append(job->router->log, PPS_STREAM_CONFIG, &blob, 1,
-                             &offset);
-}
-
-static void
-checkpoint_appended(uv_work_t *work, int status)
-{
-    append_job_t *job = work->data;
-
-    free(job->record);
-    free(job);
-    free(work);
-}
-
-/*
- * Checkpoints by more than one host are harmless but not free: the host
- * whose turn it is by offset goes first, the others follow a period later.
- */
-static int
-checkpoint_due(const pps_router_t *router)
-{
-    uint64_t next = pps_config_fold_next(router->config.fold);
-
-    return !router->config.searching && next > router->config.checkpoint_at &&
-           next - router->config.checkpoint_at >= CHECKPOINT_RECORDS;
-}
-
-static int
-encode_checkpoint(append_job_t *job)
-{
-    void *payload;
-    size_t size;
-    int error =
-        pps_config_fold_checkpoint(job->router->config.fold, &payload, &size);
-
-    if (error == 0) {
-        error = pps_record_encode(&job->record, &job->size,
-                                  PPS_RECORD_CONFIG_CHECKPOINT, payload, size);
-        free(payload);
-    }
-    return error;
-}
-
 static void
 fire_checkpoint(int64_t now_us, void *user)
 {
-    pps_router_t *router = user;
-    append_job_t *job;
-    uv_work_t *work;
-
-    if (!checkpoint_due(router)) {
-        return;
-    }
-    job = calloc(1, sizeof(*job));
-    work = calloc(1, sizeof(*work));
-    if (job == NULL || work == NULL) {
-        goto failed;
-    }
-    job->router = router;
-    work->data = job;
-    if (encode_checkpoint(job) < 0) {
-        goto failed;
-    }
-    router->config.checkpoint_at = pps_config_fold_next(router->config.fold);
-    if (uv_queue_work(&router->loop, work, append_checkpoint,
-                      checkpoint_appended) == 0) {
-        return;
-    }
-    free(job->record);
-
-failed:
-    free(job);
-    free(work);
-}
-
-typedef struct {
-    pps_router_t *router;
-    json_t *list;
-} list_delivery_t;
-
-static void
-take_list(void *user)
-{
-    list_delivery_t *delivery = user;
-    json_t *list = delivery->list;
-    pps_router_t *router = delivery->router;
-    pps_worker_view_t *before = pps_worker_board_acquire(router->workers);
-    pps_worker_view_t *view;
-    pps_host_list_t hosts;
-    char *workers = json_dumps(json_object_get(list, "workers"), 0);
-
-    if (workers != NULL &&
-        pps_worker_view_decode(&view, before, workers, strlen(workers)) == 0) {
-        pps_worker_board_replace(router->workers, view);
-    }
-    if (pps_host_list_from_json(&hosts, json_object_get(list, "entries")) ==
-        0) {
-        pps_host_list_clear(&router->hosts);
-        router->hosts = hosts;
-        pps_peers_set_hosts(router->peers, &router->hosts);
-    }
-    free(workers);
-    pps_worker_view_free(before);
-    json_decref(list);
-    free(delivery);
-}
-
-static void
-deliver_list(json_t *list, void *user)
-{
-    pps_router_t *router = user;
-    list_delivery_t *delivery = malloc(sizeof(*delivery));
-
-    if (delivery != NULL) {
-        delivery->router = router;
-        delivery->list = list;
-        if (pps_mailbox_post(&router->mailbox, take_list, delivery) == 0) {
-            return;
-        }
-        free(delivery);
-    }
-    json_decref(list);
+    pps_checkpoint_tick(user, now_us);
 }
 
 static void
@@ -441,40 +219,13 @@
     return error;
 }
 
-static int
-open_feeds(pps_router_t *router)
-{
-    pps_log_reader_options_t reader = PPS_LOG_READER_OPTIONS_INIT;
-    pps_platform_feed_options_t platform = {.url =
-                                                router->settings.platform_url,
-                                            .workers = router->workers,
-                                            .deliver = deliver_list,
-                                            .user = router};
-    int error;
-
-    reader.backend = router->log;
-    reader.wait_ms = LOG_WAIT_MS;
-    reader.user = router;
-    reader.stream = PPS_STREAM_CONFIG;
-    reader.deliver = deliver_config;
-    error = pps_log_reader_new(&router->config.reader, &reader);
-    if (error == 0) {
-        reader.stream = PPS_STREAM_WORK;
-        reader.deliver = deliver_work;
-        error = pps_log_reader_new(&router->work.reader, &reader);
-    }
-    if (error == 0) {
-        error = pps_platform_feed_new(&router->platform, &platform);
-    }
-    return error;
-}
-
 int
 pps_control_start(pps_router_t *router)
 {
     int64_t now = pps_clock_now_us();
     int error;
 
+    router->started_us = now;
     uv_loop_init(&router->loop);
     uv_timer_init(&router->loop, &router->tick);
     router->tick.data = router;
@@ -497,7 +248,7 @@
     pps_timers_subscribe(&router->timers, &router->bills_timer, now,
                          BILLS_PERIOD_US, fire_bills, router);
     uv_timer_start(&router->tick, on_tick, 0, TICK_MS);
-    error = open_feeds(router);
+    error = pps_control_open_feeds(router);
     if (error < 0) {
         return error;
     }
--- /dev/null
+++ b/src/libpapayaswitch/router/control_feeds.c
@@ -0,0 +1,180 @@
+/** @file control_feeds.c @brief What the reading threads bring in. */
+#include "clock.h"
+#include "event.h"
+#include "logger.h"
+#include "papayaswitch/errors.h"
+#include "papayaswitch/record.h"
+#include "router_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_WAIT_MS 500
+
+static int
+log_verdict(const pps_note_verdict_t *verdict, void *user)
+{
+    const uint64_t *from = user;
+
+    if (verdict->offset < *from) {
+        return 0;
+    }
+    pps_event_record(verdict->accepted ? "note_accepted" : "note_rejected",
+                     PPS_FIELDS(PPS_STR("note", verdict->id),
+                                PPS_INT("offset", verdict->offset),
+                                PPS_INT("revision", verdict->revision),
+                                PPS_STR("reason", verdict->reason)));
+    pps_logger_write(PPS_LOG_INFO,
+                     verdict->accepted ? "note_accepted" : "note_rejected",
+                     PPS_FIELDS(PPS_STR("note", verdict->id),
+                                PPS_INT("revision", verdict->revision)));
+    return 0;
+}
+
+void
+pps_control_config_changed(pps_router_t *router, uint64_t from)
+{
+    pps_config_fold_verdict_foreach(router->config.fold, log_verdict, &from);
+    pps_router_set_catalog(router,
+                           pps_config_fold_catalog(router->config.fold));
+    pps_status_publish(router, 1);
+}
+
+typedef struct {
+    pps_router_t *router;
+    pps_log_batch_t *batch;
+} delivery_t;
+
+static void
+take_config(void *user)
+{
+    delivery_t *delivery = user;
+    pps_router_t *router = delivery->router;
+    uint64_t from = pps_config_fold_next(router->config.fold);
+    int changed = pps_config_feed_take(&router->config, delivery->batch);
+
+    pps_bills_set_log(router->bills,
+                      delivery->batch->error != PPS_EUNAVAILABLE);
+    if (changed > 0) {
+        pps_control_config_changed(router, from);
+    }
+    pps_control_evaluate(router);
+    pps_log_batch_free(delivery->batch);
+    free(delivery);
+}
+
+static void
+take_work(void *user)
+{
+    delivery_t *delivery = user;
+
+    pps_work_feed_take(&delivery->router->work, delivery->batch);
+    pps_log_batch_free(delivery->batch);
+    free(delivery);
+}
+
+static void
+deliver(pps_router_t *router, pps_log_batch_t *batch, void (*take)(void *))
+{
+    delivery_t *delivery = malloc(sizeof(*delivery));
+
+    if (delivery == NULL) {
+        pps_log_batch_free(batch);
+        return;
+    }
+    delivery->router = router;
+    delivery->batch = batch;
+    if (pps_mailbox_post(&router->mailbox, take, delivery) < 0) {
+        pps_log_batch_free(batch);
+        free(delivery);
+    }
+}
+
+static void
+deliver_config(pps_log_batch_t *batch, void *user)
+{
+    deliver(user, batch, take_config);
+}
+
+static void
+deliver_work(pps_log_batch_t *batch, void *user)
+{
+    deliver(user, batch, take_work);
+}
+
+typedef struct {
+    pps_router_t *router;
+    json_t *list;
+} list_delivery_t;
+
+static void
+take_list(void *user)
+{
+    list_delivery_t *delivery = user;
+    json_t *list = delivery->list;
+    pps_router_t *router = delivery->router;
+    pps_worker_view_t *before = pps_worker_board_acquire(router->workers);
+    pps_worker_view_t *view;
+    pps_host_list_t hosts;
+    char *workers = json_dumps(json_object_get(list, "workers"), 0);
+
+    if (workers != NULL &&
+        pps_worker_view_decode(&view, before, workers, strlen(workers)) == 0) {
+        pps_worker_board_replace(router->workers, view);
+    }
+    if (pps_host_list_from_json(&hosts, json_object_get(list, "entries")) ==
+        0) {
+        pps_host_list_clear(&router->hosts);
+        router->hosts = hosts;
+        pps_peers_set_hosts(router->peers, &router->hosts);
+    }
+    free(workers);
+    pps_worker_view_free(before);
+    json_decref(list);
+    free(delivery);
+}
+
+static void
+deliver_list(json_t *list, void *user)
+{
+    pps_router_t *router = user;
+    list_delivery_t *delivery = malloc(sizeof(*delivery));
+
+    if (delivery != NULL) {
+        delivery->router = router;
+        delivery->list = list;
+        if (pps_mailbox_post(&router->mailbox, take_list, delivery) == 0) {
+            return;
+        }
+        free(delivery);
+    }
+    json_decref(list);
+}
+
+int
+pps_control_open_feeds(pps_router_t *router)
+{
+    pps_log_reader_options_t reader = PPS_LOG_READER_OPTIONS_INIT;
+    pps_platform_feed_options_t platform = {.url =
+                                                router->settings.platform_url,
+                                            .workers = router->workers,
+                                            .deliver = deliver_list,
+                                            .user = router};
+    int error;
+
+    reader.backend = router->log;
+    reader.wait_ms = LOG_WAIT_MS;
+    reader.user = router;
+    reader.stream = PPS_STREAM_CONFIG;
+    reader.deliver = deliver_config;
+    error = pps_log_reader_new(&router->config.reader, &reader);
+    if (error == 0) {
+        reader.stream = PPS_STREAM_WORK;
+        reader.deliver = deliver_work;
+        error = pps_log_reader_new(&router->work.reader, &reader);
+    }
+    if (error == 0) {
+        error = pps_platform_feed_new(&router->platform, &platform);
+    }
+    return error;
+}
--- a/src/libpapayaswitch/router/router_state.h
+++ b/src/libpapayaswitch/router/router_state.h
@@ -43,9 +43,11 @@
     pps_host_list_t hosts;
     pps_config_feed_t config;
     pps_work_feed_t work;
+    int64_t started_us;
     int synced;
     int could_serve; /**< at the last evaluation */
     int64_t snapshot_asked_us;
+    int64_t checkpoint_due_us; /**< when one fell due, or PPS_TIME_NONE */
 
     /* Set before the threads start, safe from any of them. */
     pthread_t control;
@@ -93,6 +95,14 @@
 void
 pps_control_evaluate(pps_router_t *router);
 
+/** Starts what reads the log and the platform (control_feeds.c). */
+int
+pps_control_open_feeds(pps_router_t *router);
+
+/** Puts the fold's catalog in force, and tells of the notes from an offset. */
+void
+pps_control_config_changed(pps_router_t *router, uint64_t from);
+
 /** Adds the endpoints of callers and operators. */
 int
 pps_caller_api_add(pps_router_t *router);
