--- a/tests/process/test_membership.c
+++ b/tests/process/test_membership.c
@@ -54,7 +54,7 @@
     harness_reply_clear(&reply);
 }
 
-/** Work that a worker was given, by the routers' events. */
+/** Work that a worker was given or asked to take, by the routers' events. */
 typedef struct {
     int before; /**< at or before a time */
     int after;
@@ -93,6 +93,7 @@
     for (int i = 0; i < ROUTERS; i++) {
         count_events(&work, i, "request_started", worker, time_us);
         count_events(&work, i, "service_called", worker, time_us);
+        count_events(&work, i, "worker_refused", worker, time_us);
     }
     return work;
 }
