--- a/src/libpapayaswitch/router/control_feeds.c
+++ b/src/libpapayaswitch/router/control_feeds.c
@@ -4,10 +4,12 @@
 #include "logger.h"
 #include "papayaswitch/errors.h"
 #include "papayaswitch/record.h"
+#include "rating_link.h"
 #include "router_state.h"
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define LOG_WAIT_MS 500
 
@@ -107,6 +109,17 @@
     json_t *list;
 } list_delivery_t;
 
+/* Most readings of the list bring what the last one did. */
+static int
+is_new_list(pps_router_t *router, const char *workers)
+{
+    uint64_t digest = XXH64(workers, strlen(workers), 0);
+    int is_new = digest != router->workers_digest;
+
+    router->workers_digest = digest;
+    return is_new;
+}
+
 static void
 take_list(void *user)
 {
@@ -118,7 +131,7 @@
     pps_host_list_t hosts;
     char *workers = json_dumps(json_object_get(list, "workers"), 0);
 
-    if (workers != NULL &&
+    if (workers != NULL && is_new_list(router, workers) &&
         pps_worker_view_decode(&view, before, workers, strlen(workers)) == 0) {
         pps_worker_board_replace(router->workers, view);
     }
@@ -151,6 +164,12 @@
     json_decref(list);
 }
 
+static void
+deliver_ratings(const json_t *ratings, void *user)
+{
+    pps_rating_link_take(user, ratings);
+}
+
 int
 pps_control_open_feeds(pps_router_t *router)
 {
@@ -159,6 +178,7 @@
                                                 router->settings.platform_url,
                                             .workers = router->workers,
                                             .deliver = deliver_list,
+                                            .ratings = deliver_ratings,
                                             .user = router};
     int error;
 
