Codecs refuse empty names

msgpack hands out an empty string as a null pointer, on which memchr is undefined: found by the undefined-behaviour sanitizer in test_usage_codec, the same code stood in the tally's codec.

--- a/src/libpapayaswitch/admission/usage_codec.c
+++ b/src/libpapayaswitch/admission/usage_codec.c
@@ -71,7 +71,7 @@
 
     memset(out, 0, sizeof(*out));
     if (scalar_read(unpacked, data, size, at) < 0 ||
-        unpacked->data.type != MSGPACK_OBJECT_STR ||
+        unpacked->data.type != MSGPACK_OBJECT_STR || name->size == 0 ||
         name->size > PPS_NAME_MAX ||
         memchr(name->ptr, '\0', name->size) != NULL) {
         return PPS_ECORRUPT;
--- a/src/libpapayaswitch/evidence/tally_codec.c
+++ b/src/libpapayaswitch/evidence/tally_codec.c
@@ -86,7 +86,7 @@
     const msgpack_object *object;
 
     if (scalar_read(reader, &object) < 0 ||
-        object->type != MSGPACK_OBJECT_STR ||
+        object->type != MSGPACK_OBJECT_STR || object->via.str.size == 0 ||
         object->via.str.size >= capacity ||
         memchr(object->via.str.ptr, '\0', object->via.str.size) != NULL) {
         return PPS_ECORRUPT;
--- a/tests/unit/test_tally.c
+++ b/tests/unit/test_tally.c
@@ -131,6 +131,8 @@
         cr_expect_eq(pps_tally_merge(sink, data, cut), PPS_ECORRUPT, "%zu",
                      cut);
     }
+    data[0] = 0xa0; /* a host without a name */
+    cr_expect_eq(pps_tally_merge(sink, data, size), PPS_ECORRUPT);
     for (int container = 0x80; container <= 0x9f; container++) {
         data[0] = (unsigned char)container;
         cr_expect_eq(pps_tally_merge(sink, data, size), PPS_ECORRUPT);
