Fair shares and retry budgets are on the path

A workspace over its share gets overloaded, not run, with Retry-After, at once. Retries spend a budget that successes earn.

Found by the claims and sessions tests, which failed 4 of 47: a pool that had not seen its first tick had nothing to spare, so that a burst at an idle pool was refused. Ruled out: the shares themselves (they are right from the first tick on). Before the first tick all of the pool is spare now: 47 of 47.

--- a/include/papayaswitch/answer.h
+++ b/include/papayaswitch/answer.h
@@ -45,6 +45,12 @@
     int attempts_max; /**< streams opened for one answer, the first included */
     /** Whether this host may start it now; asked next to the first send. */
     int (*may_start)(void *user, const pps_version_t *version);
+    /**
+     * Asks for a place in the pool of the version that was chosen.
+     * @return 0; PPS_EREFUSED or PPS_ETIMEOUT with the time to come back
+     */
+    int (*enter_pool)(void *user, const char *upstream,
+                      int64_t *retry_after_us);
     /** Whether one more attempt is within the budget of retries. */
     int (*may_retry)(void *user);
     void *user;
@@ -59,8 +65,9 @@
 
 /** Why an answer was not opened: the request was not run. */
 typedef struct {
-    int error;              /**< as pps_answer_open() returned */
-    pps_refusal_t last;     /**< the last worker's word, if any */
+    int error;          /**< as pps_answer_open() returned */
+    int over_share;     /**< enter_pool refused: the workspace asks too much */
+    pps_refusal_t last; /**< the last worker's word, if any */
     int64_t retry_after_us; /**< 0 when coming back does not help */
 } pps_answer_refusal_t;
 
@@ -85,6 +92,7 @@
  * @return 0; PPS_ENOTFOUND: unknown model; PPS_EINVALID: not allowed;
  *         PPS_EEXPIRED: the session's version was withdrawn;
  *         PPS_EUNAVAILABLE: nobody can take it now;
+ *         PPS_EREFUSED: the workspace is over its share of the pool;
  *         PPS_ECLOSED: this host may not start work;
  *         PPS_ETIMEOUT: the deadline passed; PPS_ENOMEM
  */
--- a/src/libpapayaswitch/admission/admission.c
+++ b/src/libpapayaswitch/admission/admission.c
@@ -60,6 +60,10 @@
 {
     pthread_mutex_lock(&admission->lock);
     admission->capacity = slots;
+    /* Before the first tick all of a pool that nobody has used is spare. */
+    if (admission->ticked_us == 0) {
+        admission->spare = slots;
+    }
     pthread_mutex_unlock(&admission->lock);
 }
 
--- a/src/libpapayaswitch/answer/answer.c
+++ b/src/libpapayaswitch/answer/answer.c
@@ -29,6 +29,7 @@
     int64_t retry_after_us;
     int64_t heard_us; /* when the stream last gave a sign of life */
     int attempts;
+    int over_share;
     int streaming; /* a worker has taken the request once */
     int whole;
 };
@@ -233,6 +234,13 @@
                        ? PPS_EUNAVAILABLE
                        : error;
         }
+        error = answer->options.enter_pool(answer->options.user,
+                                           answer->version->upstream,
+                                           &answer->retry_after_us);
+        if (error < 0) {
+            answer->over_share = error == PPS_EREFUSED;
+            return error;
+        }
         error = start_on_version(answer);
         if (error != PPS_EUNAVAILABLE && error != PPS_ENOTFOUND) {
             return error == PPS_ELIMIT ? PPS_EUNAVAILABLE : error;
@@ -262,6 +270,7 @@
     error = start(answer);
     if (error < 0) {
         refusal->error = error;
+        refusal->over_share = answer->over_share;
         refusal->last = answer->last_refusal;
         refusal->retry_after_us = answer->retry_after_us > 0
                                       ? answer->retry_after_us
--- a/src/libpapayaswitch/router/call.c
+++ b/src/libpapayaswitch/router/call.c
@@ -85,6 +85,29 @@
     return PPS_OK;
 }
 
+static int
+read_priority(pps_call_t *call, const struct _u_request *request)
+{
+    static const char *const names[PPS_PRIORITY_COUNT] = {
+        [PPS_PRIORITY_INTERACTIVE] = "interactive",
+        [PPS_PRIORITY_NORMAL] = "normal",
+        [PPS_PRIORITY_BATCH] = "batch"};
+    const char *value = pps_http_header(request, "X-Priority");
+
+    call->priority = PPS_PRIORITY_NORMAL;
+    if (value == NULL) {
+        return PPS_OK;
+    }
+    for (int i = 0; i < PPS_PRIORITY_COUNT; i++) {
+        if (strcmp(value, names[i]) == 0) {
+            call->priority = (pps_priority_t)i;
+            return PPS_OK;
+        }
+    }
+    return pps_error_set(PPS_EINVALID,
+                         "X-Priority: interactive, normal or batch");
+}
+
 static int
 read_headers(pps_call_t *call, const struct _u_request *request)
 {
@@ -101,6 +124,9 @@
     if (error == 0) {
         error = read_token(call->kind, PPS_KIND_MAX, request, "X-Kind");
     }
+    if (error == 0) {
+        error = read_priority(call, request);
+    }
     return error < 0 ? error : read_deadline(call, request);
 }
 
@@ -186,9 +212,46 @@
     return PPS_OK;
 }
 
+static void
+leave_pool(pps_call_t *call)
+{
+    if (call->pool != NULL) {
+        pps_pool_leave(call->pool, call->workspace->name,
+                       pps_clock_now_us() - call->started_us, call->succeeded);
+        call->pool = NULL;
+    }
+}
+
+int
+pps_call_enter_pool(pps_call_t *call, const char *upstream,
+                    int64_t *retry_after_us)
+{
+    pps_pool_t *pool = pps_pool_table_get(call->router->pools, upstream);
+    int error;
+
+    if (pool == call->pool) {
+        return pool ? PPS_OK
+                    : pps_error_set(PPS_ENOMEM, "pools: out of memory");
+    }
+    leave_pool(call);
+    error = pps_pool_enter(pool, call->workspace, call->priority,
+                           call->deadline_us, &call->rng, retry_after_us);
+    if (error == 0) {
+        call->pool = pool;
+    }
+    return error;
+}
+
+int
+pps_call_may_retry(const pps_call_t *call)
+{
+    return call->pool == NULL || pps_pool_may_retry(call->pool);
+}
+
 void
 pps_call_end(pps_call_t *call)
 {
+    leave_pool(call);
     pps_catalog_free(call->catalog);
     call->catalog = NULL;
     atomic_fetch_sub(&call->router->in_progress, 1);
--- a/src/libpapayaswitch/router/call.h
+++ b/src/libpapayaswitch/router/call.h
@@ -23,6 +23,9 @@
     char kind[PPS_KIND_MAX + 1];        /**< "" when not told */
     int64_t deadline_us;
     int64_t started_us;
+    pps_priority_t priority;
+    pps_pool_t *pool; /**< that the request has entered, or NULL */
+    int succeeded;    /**< it was answered whole */
     pps_rng_t rng;
 } pps_call_t;
 
@@ -47,6 +50,18 @@
 int
 pps_call_may_call(const pps_call_t *call, const char *upstream);
 
+/**
+ * Enters the pool of an upstream, leaving another one that it had entered.
+ * @return 0; PPS_EREFUSED, PPS_ETIMEOUT: refused, and when to come back
+ */
+int
+pps_call_enter_pool(pps_call_t *call, const char *upstream,
+                    int64_t *retry_after_us);
+
+/** Whether one more attempt is within the pool's budget of retries. */
+int
+pps_call_may_retry(const pps_call_t *call);
+
 /** Ends the request; a graceful stop waits for it. */
 void
 pps_call_end(pps_call_t *call);
--- a/src/libpapayaswitch/router/chat.c
+++ b/src/libpapayaswitch/router/chat.c
@@ -25,10 +25,20 @@
                             chat->pinned[0] != '\0');
 }
 
+static int
+enter_pool(void *user, const char *upstream, int64_t *retry_after_us)
+{
+    pps_chat_t *chat = user;
+
+    return pps_call_enter_pool(&chat->call, upstream, retry_after_us);
+}
+
 static int
 may_retry(void *user)
 {
-    return 1;
+    const pps_chat_t *chat = user;
+
+    return pps_call_may_retry(&chat->call);
 }
 
 static uint64_t
@@ -69,10 +79,26 @@
     options->answer_timeout_ms = router->settings.answer_timeout_ms;
     options->silence_timeout_ms = router->settings.silence_timeout_ms;
     options->may_start = may_start;
+    options->enter_pool = enter_pool;
     options->may_retry = may_retry;
     options->user = chat;
 }
 
+static void
+refuse_unopened(const pps_chat_t *chat, struct _u_response *response,
+                const pps_answer_refusal_t *refusal)
+{
+    if (refusal->over_share) {
+        pps_call_refuse(&chat->call, response, PPS_API_OVERLOADED,
+                        refusal->retry_after_us,
+                        "the workspace is over its share of the workers");
+        return;
+    }
+    pps_call_refuse(&chat->call, response, pps_chat_error_code(refusal->error),
+                    refusal->retry_after_us,
+                    pps_chat_error_message(refusal->error));
+}
+
 static int
 open_answer(pps_chat_t *chat, struct _u_response *response)
 {
@@ -85,8 +111,7 @@
     fill_options(chat, &options);
     error = pps_answer_open(&chat->answer, &options, &refusal);
     if (error < 0) {
-        pps_call_refuse(&chat->call, response, pps_chat_error_code(error),
-                        refusal.retry_after_us, pps_chat_error_message(error));
+        refuse_unopened(chat, response, &refusal);
         return error;
     }
     pps_answer_usage(chat->answer, &usage);
@@ -136,6 +161,7 @@
                    PPS_STR("version", usage->version),
                    PPS_INT("tokens", usage->generated_tokens),
                    PPS_INT("attempts", usage->attempts)));
+    chat->call.succeeded = 1;
     remember_for_rating(chat, usage);
     return pps_bill_link_bill(&chat->call, chat->request.model,
                               usage->upstream, usage, PPS_BILL_COMPLETED);
--- a/src/libpapayaswitch/router/control.c
+++ b/src/libpapayaswitch/router/control.c
@@ -9,6 +9,7 @@
 #include "papayaswitch/record.h"
 #include "rating_link.h"
 #include "router_state.h"
+#include "usage_link.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -107,6 +108,22 @@
     free(payload);
 }
 
+/* Each part knows its own kinds of message. */
+static int
+receive_for_parts(pps_router_t *router, const char *from, uint32_t kind,
+                  const void *payload, size_t size)
+{
+    int error = pps_bill_link_receive(router, from, kind, payload, size);
+
+    if (error == PPS_ENOTFOUND) {
+        error = pps_rating_link_receive(router, kind, payload, size);
+    }
+    if (error == PPS_ENOTFOUND) {
+        error = pps_usage_link_receive(router, from, kind, payload, size);
+    }
+    return error;
+}
+
 static int
 on_message(void *user, const char *from, uint64_t from_incarnation,
            uint32_t kind, const void *payload, size_t size)
@@ -125,9 +142,7 @@
         }
         return PPS_OK;
     default:
-        return pps_bill_link_receive(router, from, kind, payload, size) == 0
-                   ? PPS_OK
-                   : pps_rating_link_receive(router, kind, payload, size);
+        return receive_for_parts(router, from, kind, payload, size);
     }
 }
 
@@ -165,6 +180,12 @@
     pps_bill_link_tick(user);
 }
 
+static void
+fire_pools(int64_t now_us, void *user)
+{
+    pps_usage_link_tick(user, now_us);
+}
+
 static void
 fire_ratings(int64_t now_us, void *user)
 {
@@ -256,6 +277,8 @@
                          CHECKPOINT_PERIOD_US, fire_checkpoint, router);
     pps_timers_subscribe(&router->timers, &router->status_timer, now,
                          STATUS_PERIOD_US, fire_status, router);
+    pps_timers_subscribe(&router->timers, &router->pool_timer, now,
+                         PPS_ADMISSION_PERIOD_US, fire_pools, router);
     pps_timers_subscribe(&router->timers, &router->rating_timer, now,
                          RATINGS_PERIOD_US, fire_ratings, router);
     pps_timers_subscribe(&router->timers, &router->bills_timer, now,
--- a/src/libpapayaswitch/router/router.c
+++ b/src/libpapayaswitch/router/router.c
@@ -50,6 +50,9 @@
     if (error == 0) {
         error = pps_bill_link_open(router);
     }
+    if (error == 0) {
+        error = pps_pool_table_new(&router->pools);
+    }
     if (error == 0) {
         error = pps_quality_board_new(
             &router->quality, router->settings.host_id, router->incarnation);
@@ -167,6 +170,7 @@
         pps_bills_free(router->bills);
     }
     pps_quality_board_free(router->quality);
+    pps_pool_table_free(router->pools);
     pps_work_feed_clear(&router->work);
     pps_config_feed_clear(&router->config);
     pps_host_list_clear(&router->hosts);
--- a/src/libpapayaswitch/router/router_state.h
+++ b/src/libpapayaswitch/router/router_state.h
@@ -5,6 +5,7 @@
 #ifndef PPS_ROUTER_ROUTER_STATE_H
 #define PPS_ROUTER_ROUTER_STATE_H
 
+#include "admission/pool_table.h"
 #include "config_feed.h"
 #include "control/mailbox.h"
 #include "http_listener.h"
@@ -41,6 +42,7 @@
     pps_timer_t status_timer;
     pps_timer_t bills_timer;
     pps_timer_t rating_timer;
+    pps_timer_t pool_timer;
     unsigned int rating_ticks;
     pps_peers_t *peers;
     pps_host_list_t hosts;
@@ -61,6 +63,7 @@
     pps_journal_t *journal;
     pps_bills_t *bills;
     pps_quality_board_t *quality;
+    pps_pool_table_t *pools;
     pps_engine_backend_t *engine;
     pps_service_backend_t *service;
     pps_worker_board_t *workers;
--- a/src/libpapayaswitch/router/service_call.c
+++ b/src/libpapayaswitch/router/service_call.c
@@ -79,10 +79,11 @@
 }
 
 static void
-reply_answer(const pps_service_call_t *service, struct _u_response *response)
+reply_answer(pps_service_call_t *service, struct _u_response *response)
 {
     const pps_service_answer_t *answer = &service->answer;
 
+    service->call.succeeded = 1;
     if (pps_bill_link_bill(&service->call, "", service->upstream->name, NULL,
                            PPS_BILL_COMPLETED) < 0) {
         pps_call_refuse(&service->call, response, PPS_API_BILL_UNSAFE, 0,
@@ -298,6 +299,28 @@
     service->request.body_size = request->binary_body_length;
 }
 
+/* Before any claim, so that a refusal leaves nothing behind. */
+static int
+enter_pool(pps_service_call_t *service, const struct _u_request *request,
+           struct _u_response *response)
+{
+    int64_t retry_after_us = 0;
+    int error;
+
+    if (pps_http_header(request, "X-Priority") == NULL) {
+        service->call.priority = PPS_PRIORITY_INTERACTIVE;
+    }
+    error = pps_call_enter_pool(&service->call, service->upstream->name,
+                                &retry_after_us);
+    if (error < 0) {
+        pps_call_refuse(
+            &service->call, response,
+            error == PPS_ETIMEOUT ? PPS_API_DEADLINE : PPS_API_OVERLOADED,
+            retry_after_us, "the workspace is over its share of the workers");
+    }
+    return error;
+}
+
 int
 pps_service_call_handle(const struct _u_request *request,
                         struct _u_response *response, void *user)
@@ -308,7 +331,8 @@
         return U_CALLBACK_COMPLETE;
     }
     service.workers = pps_worker_board_acquire(service.call.router->workers);
-    if (find_upstream(&service, request, response) == 0) {
+    if (find_upstream(&service, request, response) == 0 &&
+        enter_pool(&service, request, response) == 0) {
         fill_request(&service, request);
         if (is_repeatable(&service)) {
             run_repeatable(&service, response);
--- a/src/libpapayaswitch/router/service_dispatch.c
+++ b/src/libpapayaswitch/router/service_dispatch.c
@@ -85,7 +85,8 @@
     while (service->tried_count < PPS_SERVICE_ATTEMPTS_MAX) {
         int error = choose_worker(service);
 
-        if (error < 0) {
+        if (error < 0 || (service->tried_count > 0 &&
+                          !pps_call_may_retry(&service->call))) {
             return last;
         }
         service->tried[service->tried_count++] = service->choice.worker->id;
