--- a/tests/process/harness_watch.c
+++ b/tests/process/harness_watch.c
@@ -115,6 +115,9 @@
     else if (strcmp(cluster_error_run(reply), "no") == 0) {
         account->refused++;
     }
+    else if (strstr(pps_buf_text(&reply->text), "\"bill_not_safe\"")) {
+        account->withheld++;
+    }
     else if (account->other++ == 0) {
         snprintf(account->first_other, sizeof(account->first_other),
                  "%d %.400s", reply->status, pps_buf_text(&reply->text));
--- a/tests/process/harness_watch.h
+++ b/tests/process/harness_watch.h
@@ -25,8 +25,9 @@
 /** What steady callers met. */
 typedef struct {
     int whole;
-    int refused; /**< with `run: no` */
-    int other;   /**< anything else */
+    int refused;  /**< with `run: no` */
+    int withheld; /**< `bill_not_safe`: no second host and no log for long */
+    int other;    /**< anything else */
     char first_other[512];
 } callers_account_t;
 
--- a/tests/process/test_membership.c
+++ b/tests/process/test_membership.c
@@ -268,5 +268,6 @@
     callers_stop(callers, &account);
     cr_expect_eq(account.other, 0, "%s", account.first_other);
     cr_expect_eq(account.refused, 0, "%d refused", account.refused);
+    cr_expect_eq(account.withheld, 0, "%d withheld", account.withheld);
     cr_expect_eq(sum_counter("peer_suspicions_total"), 0);
 }
