--- a/tests/process/test_graceful_stop.c
+++ b/tests/process/test_graceful_stop.c
@@ -12,6 +12,8 @@
 
 #define ROUTERS 3
 #define EXIT_FORCED 1
+/** Requests in progress when a busy host is stopped. */
+#define BUSY 4
 
 static cluster_t *cluster;
 
@@ -108,14 +110,43 @@
     json_decref(account);
 }
 
+static json_int_t
+status_of(int router, const char *name)
+{
+    json_t *status = cluster_status(cluster, router);
+    json_int_t value = json_integer_value(json_object_get(status, name));
+
+    json_decref(status);
+    return value;
+}
+
+/* So that many requests are in progress at any moment. */
+static void
+slow_engines(double factor)
+{
+    for (int i = 0; i < 2; i++) {
+        char fault[32];
+
+        snprintf(fault, sizeof(fault), "{\"slow_factor\":%.1f}", factor);
+        cr_assert_eq(cluster_fault(cluster->engines[i], fault), 200);
+    }
+}
+
+static int
+is_busy(cluster_t *unused, void *user)
+{
+    return status_of(1, "in_progress") >= BUSY;
+}
+
 Test(graceful_stop, under_load_cuts_nothing_and_bills_all)
 {
     harness_process_t *load;
     char path[HARNESS_PATH_MAX];
 
     harness_path(cluster->harness, path, "account.json");
+    slow_engines(6);
     begin_load(&load, path);
-    usleep(1500 * 1000);
+    cr_assert(cluster_wait(cluster, is_busy, NULL));
     stop_router(1, 0);
     cr_expect_eq(harness_wait(load, CLUSTER_WAIT_MS), 0);
     expect_account(path);
@@ -147,16 +178,6 @@
     return NULL;
 }
 
-static json_int_t
-status_of(int router, const char *name)
-{
-    json_t *status = cluster_status(cluster, router);
-    json_int_t value = json_integer_value(json_object_get(status, name));
-
-    json_decref(status);
-    return value;
-}
-
 static int
 is_in_progress(cluster_t *unused, void *user)
 {
@@ -203,9 +224,7 @@
 {
     background_t stream = {NULL, 1, 700};
 
-    for (int i = 0; i < 2; i++) {
-        cluster_fault(cluster->engines[i], "{\"slow_factor\":20}");
-    }
+    slow_engines(20);
     start_background(&stream);
     harness_signal(cluster->routers[1], SIGTERM);
     cr_assert(cluster_wait(cluster, is_draining, &stream.router));
