--- /dev/null
+++ b/tests/process/harness_answer.c
@@ -0,0 +1,185 @@
+/** @file harness_answer.c @brief Reading answers of chats. */
+#include "harness_answer.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DATA "data: "
+
+static void
+copy_name(char out[ANSWER_NAME_MAX], const char *text)
+{
+    snprintf(out, ANSWER_NAME_MAX, "%s", text ? text : "");
+}
+
+static void
+take_error(answer_result_t *result, const json_t *error)
+{
+    copy_name(result->code, json_string_value(json_object_get(error, "code")));
+    copy_name(result->run, json_string_value(json_object_get(error, "run")));
+}
+
+/* @return whether it is the last part of an answer */
+static int
+take_part(answer_result_t *result, const json_t *part, const char *request_id)
+{
+    const json_t *choice = json_array_get(json_object_get(part, "choices"), 0);
+    const json_t *delta = json_object_get(choice, "delta");
+    const char *id = json_string_value(json_object_get(part, "id"));
+    const char *text;
+    char expected[ANSWER_NAME_MAX];
+
+    if (json_object_get(part, "error") != NULL) {
+        take_error(result, json_object_get(part, "error"));
+        return 0;
+    }
+    if (delta == NULL) {
+        delta = json_object_get(choice, "message");
+    }
+    text = json_string_value(json_object_get(delta, "content"));
+    pps_buf_puts(&result->text, text ? text : "");
+    snprintf(expected, sizeof(expected), "chatcmpl-%s", request_id);
+    result->foreign += id == NULL || strcmp(id, expected) != 0;
+    return json_is_string(json_object_get(choice, "finish_reason"));
+}
+
+/* @return whether the last part and the end mark came */
+static int
+take_stream(answer_result_t *result, char *text, const char *request_id)
+{
+    int finished = 0;
+    int done = 0;
+    char *rest = NULL;
+
+    for (char *line = strtok_r(text, "\n", &rest); line != NULL;
+         line = strtok_r(NULL, "\n", &rest)) {
+        json_t *part;
+
+        if (strncmp(line, DATA, strlen(DATA)) != 0) {
+            continue;
+        }
+        line += strlen(DATA);
+        if (strcmp(line, "[DONE]") == 0) {
+            done = 1;
+            continue;
+        }
+        part = json_loads(line, 0, NULL);
+        finished |= take_part(result, part, request_id);
+        json_decref(part);
+    }
+    return finished && done;
+}
+
+static void
+read_answer(answer_result_t *result, const harness_reply_t *reply,
+            const cluster_chat_t *chat)
+{
+    char *version = cluster_header(reply, "X-Model-Version");
+    int whole;
+
+    memset(result, 0, sizeof(*result));
+    copy_name(result->version, version);
+    free(version);
+    if (chat->stream && reply->json == NULL) {
+        char *text = strdup(pps_buf_text(&reply->text));
+
+        whole = take_stream(result, text, chat->request_id);
+        free(text);
+    }
+    else {
+        whole = take_part(result, reply->json, chat->request_id);
+    }
+    if (whole && !reply->broken && reply->status == 200 &&
+        result->code[0] == '\0') {
+        result->end = ANSWER_WHOLE;
+    }
+    else if (!whole && result->code[0] != '\0') {
+        result->end = ANSWER_ERROR;
+    }
+}
+
+void
+answer_call(answer_call_t *call)
+{
+    harness_reply_t reply;
+
+    cluster_chat(&reply, call->cluster, &call->chat);
+    read_answer(&call->result, &reply, &call->chat);
+    harness_reply_clear(&reply);
+}
+
+static void *
+run(void *user)
+{
+    answer_call(user);
+    return NULL;
+}
+
+void
+answer_start(answer_call_t *call)
+{
+    pthread_create(&call->thread, NULL, run, call);
+}
+
+void
+answer_join(answer_call_t *call)
+{
+    pthread_join(call->thread, NULL);
+}
+
+void
+answer_clear(answer_call_t *call)
+{
+    pps_buf_clear(&call->result.text);
+}
+
+void
+answer_outcome(cluster_t *cluster, int engine, const char *request_id,
+               char state[ANSWER_NAME_MAX], json_int_t *tokens)
+{
+    harness_reply_t reply;
+    char path[2 * ANSWER_NAME_MAX];
+
+    snprintf(path, sizeof(path), "/outcome/%s", request_id);
+    harness_json(&reply, "GET", cluster->engines[engine]->port, path, NULL);
+    copy_name(state, harness_reply_text(&reply, "state"));
+    if (tokens != NULL) {
+        *tokens = harness_reply_int(&reply, "generated_tokens");
+    }
+    harness_reply_clear(&reply);
+}
+
+typedef struct {
+    const char *request_id;
+    json_int_t tokens;
+    int engine;
+} progress_t;
+
+static int
+holds_progress(cluster_t *cluster, void *user)
+{
+    progress_t *progress = user;
+
+    for (int i = 0; i < cluster->options.engines; i++) {
+        char state[ANSWER_NAME_MAX];
+        json_int_t tokens;
+
+        answer_outcome(cluster, i, progress->request_id, state, &tokens);
+        if (strcmp(state, "running") == 0 && tokens >= progress->tokens) {
+            progress->engine = i;
+            return 1;
+        }
+    }
+    return 0;
+}
+
+int
+answer_wait_tokens(cluster_t *cluster, const char *request_id,
+                   json_int_t tokens)
+{
+    progress_t progress = {request_id, tokens, -1};
+
+    cluster_wait(cluster, holds_progress, &progress);
+    return progress.engine;
+}
--- /dev/null
+++ b/tests/process/harness_answer.h
@@ -0,0 +1,69 @@
+/**
+ * @file harness_answer.h
+ * @brief Answers of chats, as a caller reads them.
+ */
+#ifndef PPS_TESTS_HARNESS_ANSWER_H
+#define PPS_TESTS_HARNESS_ANSWER_H
+
+#include "harness_cluster.h"
+
+#include <pthread.h>
+
+/** Longest name in an answer, its end included. */
+#define ANSWER_NAME_MAX 80
+
+/** How an answer ended. */
+typedef enum {
+    ANSWER_CUT,   /**< neither of the others */
+    ANSWER_WHOLE, /**< finish and end mark came, and no error */
+    ANSWER_ERROR, /**< an error object came, and no end mark */
+} answer_end_t;
+
+/** What a caller got. */
+typedef struct {
+    answer_end_t end;
+    pps_buf_t text;
+    int foreign; /**< parts that name another request */
+    char version[ANSWER_NAME_MAX];
+    char code[ANSWER_NAME_MAX]; /**< of the error */
+    char run[ANSWER_NAME_MAX];
+} answer_result_t;
+
+/** A chat on a thread of its own. */
+typedef struct {
+    cluster_t *cluster;
+    cluster_chat_t chat; /**< with a request id */
+    answer_result_t result;
+    pthread_t thread;
+} answer_call_t;
+
+/** Makes the chat and reads its answer. */
+void
+answer_call(answer_call_t *call);
+
+/** The same on a thread of its own. */
+void
+answer_start(answer_call_t *call);
+
+/** Waits for answer_start(). */
+void
+answer_join(answer_call_t *call);
+
+void
+answer_clear(answer_call_t *call);
+
+/**
+ * Waits until an engine has generated so many tokens of a request.
+ * @return the engine's index, or -1
+ */
+int
+answer_wait_tokens(cluster_t *cluster, const char *request_id,
+                   json_int_t tokens);
+
+/** State of a request at an engine (`running`, `done`, ...); `tokens` may be
+ * NULL. */
+void
+answer_outcome(cluster_t *cluster, int engine, const char *request_id,
+               char state[ANSWER_NAME_MAX], json_int_t *tokens);
+
+#endif
--- a/tests/process/harness_calls.c
+++ b/tests/process/harness_calls.c
@@ -34,6 +34,7 @@
         .path = "/v1/chat/completions",
         .body = text,
         .timeout_ms = CLUSTER_WAIT_MS,
+        .leave_bytes = chat->leave_bytes,
     };
     int count = 0;
 
@@ -175,31 +176,66 @@
     return cluster_wait(cluster, holds_serves, &wanted);
 }
 
-int
-cluster_bills(cluster_t *cluster, pps_bill_reading_t *out)
+/* Reads all bills of the log; to be freed, also after an error. */
+static int
+read_bills(cluster_t *cluster, pps_bill_reader_t **out)
 {
     pps_log_backend_t *log = NULL;
-    pps_bill_reader_t *reader = NULL;
     char url[64];
     int error;
 
+    *out = NULL;
     snprintf(url, sizeof(url), "http://127.0.0.1:%d", cluster->platform->port);
     error = pps_log_http_new(&log, url);
     if (error == 0) {
-        error = pps_bill_reader_new(&reader);
+        error = pps_bill_reader_new(out);
     }
     if (error == 0) {
-        error = pps_bill_reader_read(reader, log);
+        error = pps_bill_reader_read(*out, log);
     }
+    if (log != NULL) {
+        log->free(log);
+    }
+    return error;
+}
+
+int
+cluster_bills(cluster_t *cluster, pps_bill_reading_t *out)
+{
+    pps_bill_reader_t *reader;
+    int error = read_bills(cluster, &reader);
+
     if (error == 0) {
         pps_bill_reader_reading(reader, out);
     }
-    if (reader != NULL) {
-        pps_bill_reader_free(reader);
+    pps_bill_reader_free(reader);
+    return error;
+}
+
+static int
+take_sum(const pps_bill_sum_t *sum, void *user)
+{
+    pps_bill_sum_t *out = user;
+
+    if (strcmp(sum->workspace, out->workspace) == 0) {
+        *out = *sum;
     }
-    if (log != NULL) {
-        log->free(log);
+    return 0;
+}
+
+int
+cluster_bill_sum(cluster_t *cluster, const char *workspace,
+                 pps_bill_sum_t *out)
+{
+    pps_bill_reader_t *reader;
+    int error = read_bills(cluster, &reader);
+
+    memset(out, 0, sizeof(*out));
+    snprintf(out->workspace, sizeof(out->workspace), "%s", workspace);
+    if (error == 0) {
+        pps_bill_reader_sum_foreach(reader, take_sum, out);
     }
+    pps_bill_reader_free(reader);
     return error;
 }
 
--- a/tests/process/harness_cluster.h
+++ b/tests/process/harness_cluster.h
@@ -99,6 +99,7 @@
     int stream;
     int max_tokens; /**< 0: 8 */
     const char *prompt;
+    size_t leave_bytes; /**< 0, or: leaves once so much of the body came */
 } cluster_chat_t;
 
 /** Sends a chat and waits for its end. */
@@ -139,6 +140,11 @@
 int
 cluster_bills(cluster_t *cluster, pps_bill_reading_t *out);
 
+/** Sums the bills of a workspace; zeros when it has none. */
+int
+cluster_bill_sum(cluster_t *cluster, const char *workspace,
+                 pps_bill_sum_t *out);
+
 /** Events of a kind on a router, as a JSON array. */
 json_t *
 cluster_events(cluster_t *cluster, int router, const char *kind);
--- a/tests/process/harness_http.c
+++ b/tests/process/harness_http.c
@@ -16,6 +16,24 @@
     return size * count;
 }
 
+/** A body on its way. */
+typedef struct {
+    pps_buf_t *text;
+    size_t leave_bytes;
+} body_t;
+
+static size_t
+append_body(char *data, size_t size, size_t count, void *user)
+{
+    body_t *body = user;
+
+    append(data, size, count, body->text);
+    if (body->leave_bytes > 0 && body->text->size >= body->leave_bytes) {
+        return 0;
+    }
+    return size * count;
+}
+
 static struct curl_slist *
 make_headers(const harness_call_t *call)
 {
@@ -29,14 +47,15 @@
 }
 
 static void
-perform(CURL *curl, harness_reply_t *reply)
+perform(CURL *curl, harness_reply_t *reply, size_t leave_bytes)
 {
+    body_t body = {&reply->text, leave_bytes};
     long status = 0;
 
     curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, append);
     curl_easy_setopt(curl, CURLOPT_HEADERDATA, &reply->headers);
-    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append);
-    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply->text);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_body);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &body);
     reply->broken = curl_easy_perform(curl) != CURLE_OK;
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
     reply->status = (int)status;
@@ -64,7 +83,7 @@
         curl_easy_setopt(curl, CURLOPT_POSTFIELDS, call->body);
     }
     curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, call->method);
-    perform(curl, reply);
+    perform(curl, reply, call->leave_bytes);
     curl_slist_free_all(headers);
     curl_easy_cleanup(curl);
 }
