Bills: holding one takes the same time whatever waits in memory

In an outage of the log own bills stay in memory. Each acknowledgement of the partner was looked for from the oldest bill on, each tick went over all bills twice, and each full batch was handed to the appender at once, though the log was down (one batch an interval is what docs/design/bills.md says). All of it under the lock that every ending answer takes.

The status tells the partner.

--- a/include/papayaswitch/bills.h
+++ b/include/papayaswitch/bills.h
@@ -65,6 +65,7 @@
     size_t recovering;  /**< copies of lost hosts, being appended */
     uint64_t appended;  /**< bills that the log took */
     uint64_t recovered; /**< of lost hosts, that the log took */
+    char partner[PPS_NAME_MAX + 1]; /**< "": none, or none that answers */
 } pps_bills_stats_t;
 
 /** Bills of this host, and copies of others'. Any thread. */
--- a/src/libpapayaswitch/bill/bills.c
+++ b/src/libpapayaswitch/bill/bills.c
@@ -86,6 +86,7 @@
     item->bill.sequence = *sequence = ++bills->last_sequence;
     cds_list_add_tail(&item->node, &bills->own);
     bills->own_count++;
+    bills->exposed++;
     bills->fresh++;
     pps_bills_send_hold(bills, item, pps_clock_now_us());
     return PPS_OK;
@@ -174,9 +175,10 @@
     out->appended = bills->appended;
     out->recovered = bills->recovered;
     out->held = bills->held_count;
-    cds_list_for_each_entry (item, &bills->own, node) {
-        out->own++;
-        out->exposed += !item->partner_has;
+    out->own = bills->own_count;
+    out->exposed = bills->exposed;
+    if (!bills->partner_silent) {
+        memcpy(out->partner, bills->partner, sizeof(out->partner));
     }
     cds_list_for_each_entry (origin, &bills->origins, node) {
         if (origin->lost_us == 0) {
--- a/src/libpapayaswitch/bill/bills_log.c
+++ b/src/libpapayaswitch/bill/bills_log.c
@@ -38,7 +38,8 @@
 
 /* Both the list and the ticket are in order of sequence. */
 static size_t
-settle_items(struct cds_list_head *items, const ticket_t *ticket, int logged)
+settle_items(struct cds_list_head *items, const ticket_t *ticket, int logged,
+             size_t *exposed)
 {
     pps_bill_item_t *item;
     pps_bill_item_t *following;
@@ -59,6 +60,7 @@
         item->in_flight = 0;
         settled++;
         if (logged) {
+            *exposed += !item->partner_has;
             cds_list_del(&item->node);
             free(item);
         }
@@ -72,12 +74,13 @@
     ticket_t *ticket = user;
     pps_bills_t *bills = ticket->bills;
     struct cds_list_head *items;
+    size_t exposed = 0;
     size_t settled = 0;
 
     pthread_mutex_lock(&bills->mutex);
     items = items_of(bills, ticket);
     if (items != NULL) {
-        settled = settle_items(items, ticket, result == 0);
+        settled = settle_items(items, ticket, result == 0, &exposed);
     }
     bills->log_up = result == 0;
     if (result < 0) {
@@ -85,6 +88,7 @@
     }
     else if (ticket->own) {
         bills->own_count -= settled;
+        bills->exposed -= exposed;
         bills->appended += settled;
         pps_counter_add(PPS_COUNTER_BILLS_APPENDED, settled);
     }
@@ -147,7 +151,10 @@
     pps_bill_item_t *item;
 
     cds_list_for_each_entry (item, items, node) {
-        if (item->bill.sequence >= first && item->bill.sequence <= last) {
+        if (item->bill.sequence > last) {
+            break;
+        }
+        if (item->bill.sequence >= first) {
             item->in_flight = 1;
         }
     }
@@ -187,14 +194,23 @@
     return sent;
 }
 
+/* A full batch is due at once, but not while the log is down. */
+static int
+is_due(const pps_bills_t *bills, int64_t now_us)
+{
+    if (bills->log_up && bills->fresh >= bills->options.batch_max) {
+        return 1;
+    }
+    return now_us - bills->flushed_us >= bills->options.append_interval_us;
+}
+
 void
 pps_bills_flush(pps_bills_t *bills, int64_t now_us, int now)
 {
     pps_bill_origin_t *origin;
     size_t sent;
 
-    if (!now && bills->fresh < bills->options.batch_max &&
-        now_us - bills->flushed_us < bills->options.append_interval_us) {
+    if (!now && !is_due(bills, now_us)) {
         return;
     }
     bills->flushed_us = now_us;
--- a/src/libpapayaswitch/bill/bills_peer.c
+++ b/src/libpapayaswitch/bill/bills_peer.c
@@ -160,8 +160,10 @@
 pps_bills_resend(pps_bills_t *bills, int64_t now_us)
 {
     if (bills->partner[0] != '\0') {
-        resend_holds(bills, now_us);
-        bills->partner_silent = is_silent(bills, now_us);
+        if (bills->exposed > 0) {
+            resend_holds(bills, now_us);
+        }
+        bills->partner_silent = bills->exposed > 0 && is_silent(bills, now_us);
     }
     tell_releases(bills, now_us);
 }
@@ -203,6 +205,7 @@
         item->sent = 0;
         item->partner_has = 0;
     }
+    bills->exposed = bills->own_count;
     if (host[0] != '\0') {
         remember_partner(bills, host);
         resend_holds(bills, now_us);
@@ -236,21 +239,33 @@
     return error;
 }
 
+static void
+take_ack(pps_bills_t *bills, pps_bill_item_t *item, int is_partner)
+{
+    item->acked = 1;
+    if (is_partner && !item->partner_has) {
+        item->partner_has = 1;
+        bills->exposed--;
+    }
+}
+
 static int
 on_ack(pps_bills_t *bills, const char *from, const span_t *span)
 {
+    int is_partner = strcmp(from, bills->partner) == 0;
     pps_bill_item_t *item;
 
     if (span->incarnation != bills->options.incarnation) {
         return PPS_OK;
     }
-    cds_list_for_each_entry (item, &bills->own, node) {
-        if (item->bill.sequence > span->last) {
+    /* Mostly the newest bill is meant: the search starts at the end. */
+    cds_list_for_each_entry_reverse(item, &bills->own, node)
+    {
+        if (item->bill.sequence < span->first) {
             break;
         }
-        if (item->bill.sequence >= span->first) {
-            item->acked = 1;
-            item->partner_has |= strcmp(from, bills->partner) == 0;
+        if (item->bill.sequence <= span->last) {
+            take_ack(bills, item, is_partner);
         }
     }
     pthread_cond_broadcast(&bills->changed);
--- a/src/libpapayaswitch/bill/bills_state.h
+++ b/src/libpapayaswitch/bill/bills_state.h
@@ -50,7 +50,8 @@
     uint64_t last_sequence;
     struct cds_list_head own;
     size_t own_count;
-    size_t fresh; /**< own bills that no append carries yet */
+    size_t exposed; /**< own bills that the partner of now does not hold */
+    size_t fresh;   /**< own bills that no append carries yet */
     struct cds_list_head origins;
     size_t held_count;
     char partner[PPS_NAME_MAX + 1]; /**< "": none */
--- a/src/libpapayaswitch/router/status.c
+++ b/src/libpapayaswitch/router/status.c
@@ -126,11 +126,12 @@
     pps_bills_stats_t stats;
 
     pps_bills_stats(router->bills, &stats);
-    return json_pack(
-        "{s:I, s:I, s:I, s:I, s:I, s:I}", "own", (json_int_t)stats.own,
-        "exposed", (json_int_t)stats.exposed, "held", (json_int_t)stats.held,
-        "recovering", (json_int_t)stats.recovering, "appended",
-        (json_int_t)stats.appended, "recovered", (json_int_t)stats.recovered);
+    return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:s}", "own",
+                     (json_int_t)stats.own, "exposed",
+                     (json_int_t)stats.exposed, "held", (json_int_t)stats.held,
+                     "recovering", (json_int_t)stats.recovering, "appended",
+                     (json_int_t)stats.appended, "recovered",
+                     (json_int_t)stats.recovered, "partner", stats.partner);
 }
 
 json_t *
