Bills: a graceful stop has the partner confirm what it holds

A host that stopped in an outage of the log counted its bills as handed over when its partner had once acknowledged them.

--- a/include/papayaswitch/bills.h
+++ b/include/papayaswitch/bills.h
@@ -119,7 +119,8 @@
 pps_bills_may_accept(pps_bills_t *bills);
 
 /**
- * Appends without waiting for the interval. Call it, and
+ * Appends without waiting for the interval, and has the partner confirm anew
+ * what it holds: it may have died unnoticed. Call it, and
  * pps_bills_receive(), until it returns 0.
  * @return own bills that neither the log nor a partner has, plus the copies
  *         of lost hosts that the log does not have
--- a/src/libpapayaswitch/bill/bills.c
+++ b/src/libpapayaswitch/bill/bills.c
@@ -197,6 +197,11 @@
     pps_bills_stats_t stats;
 
     pthread_mutex_lock(&bills->mutex);
+    if (!bills->draining) {
+        /* The partner may have died unnoticed since it took its copies. */
+        bills->draining = 1;
+        pps_bills_ask_again(bills);
+    }
     pps_bills_flush(bills, now_us, 1);
     pps_bills_resend(bills, now_us);
     count(bills, &stats);
--- a/src/libpapayaswitch/bill/bills_peer.c
+++ b/src/libpapayaswitch/bill/bills_peer.c
@@ -188,12 +188,23 @@
     bills->partners[bills->partner_count++] = partner;
 }
 
+void
+pps_bills_ask_again(pps_bills_t *bills)
+{
+    pps_bill_item_t *item;
+
+    cds_list_for_each_entry (item, &bills->own, node) {
+        item->sent = 0;
+        item->partner_has = 0;
+    }
+    bills->exposed = bills->own_count;
+}
+
 void
 pps_bills_set_partner(pps_bills_t *bills, const char *host_id)
 {
     const char *host = host_id ? host_id : "";
     int64_t now_us = pps_clock_now_us();
-    pps_bill_item_t *item;
 
     pthread_mutex_lock(&bills->mutex);
     if (strlen(host) > PPS_NAME_MAX || strcmp(host, bills->partner) == 0) {
@@ -201,11 +212,7 @@
     }
     memcpy(bills->partner, host, strlen(host) + 1);
     bills->partner_silent = 0;
-    cds_list_for_each_entry (item, &bills->own, node) {
-        item->sent = 0;
-        item->partner_has = 0;
-    }
-    bills->exposed = bills->own_count;
+    pps_bills_ask_again(bills);
     if (host[0] != '\0') {
         remember_partner(bills, host);
         resend_holds(bills, now_us);
--- a/src/libpapayaswitch/bill/bills_state.h
+++ b/src/libpapayaswitch/bill/bills_state.h
@@ -58,6 +58,7 @@
     pps_bill_partner_t partners[PPS_BILLS_PARTNERS_MAX];
     size_t partner_count;
     int partner_silent;
+    int draining;
     int log_up;
     int64_t flushed_us;
     uint64_t appended;
@@ -72,6 +73,9 @@
 /** Highest sequence such that the log has all up to it. */
 uint64_t
 pps_bills_logged_up_to(pps_bills_t *bills);
+/** Has the partner confirm anew all copies that it holds. */
+void
+pps_bills_ask_again(pps_bills_t *bills);
 /** Sends one own bill to the partner. */
 void
 pps_bills_send_hold(pps_bills_t *bills, pps_bill_item_t *item, int64_t now_us);
