--- a/include/papayaswitch/settings.h
+++ b/include/papayaswitch/settings.h
@@ -43,6 +43,7 @@
     int drain_seconds_max;
     int answer_timeout_ms;  /**< until an upstream's first byte */
     int silence_timeout_ms; /**< between two tokens */
+    int bills_max; /**< own bills in memory before requests are refused */
 } pps_settings_t;
 
 /**
--- a/src/libpapayaswitch/router/bill_link.c
+++ b/src/libpapayaswitch/router/bill_link.c
@@ -66,6 +66,7 @@
 
     options.host = router->settings.host_id;
     options.incarnation = router->incarnation;
+    options.bills_max = (size_t)router->settings.bills_max;
     return pps_bills_new(&router->bills, router->log, &transport, &options);
 }
 
--- a/src/libpapayaswitch/settings/settings.c
+++ b/src/libpapayaswitch/settings/settings.c
@@ -57,6 +57,7 @@
      "30000", 100, HOUR_MS},
     {"limits", "silence_timeout_ms", KIND_NUMBER, AT(silence_timeout_ms),
      "5000", 100, HOUR_MS},
+    {"limits", "bills_max", KIND_NUMBER, AT(bills_max), "100000", 1, 1000000},
 };
 
 #define SETTING_COUNT (sizeof(settings) / sizeof(settings[0]))
--- a/tests/process/test_answers.c
+++ b/tests/process/test_answers.c
@@ -42,6 +42,7 @@
     const char *faults;
     answer_end_t end;
     const char *run; /**< of the error */
+    int borne;       /**< no worker is given up for it */
 } fault_case_t;
 
 #define REFUSE(kind) "{\"refuse\": \"" kind "\", \"count\": 1}"
@@ -62,8 +63,9 @@
      ANSWER_WHOLE, ""},
     {"silent always from the first", 2, 2, "{\"silent_after\": 0}",
      ANSWER_ERROR, "yes"},
-    {"foreign id", 3, 2, "{\"foreign_id\": true}", ANSWER_WHOLE, ""},
-    {"out of order", 2, 2, "{\"out_of_order\": true}", ANSWER_WHOLE, ""},
+    {"foreign id", 3, 3, "{\"foreign_id\": true, \"count\": 2}", ANSWER_WHOLE,
+     ""},
+    {"out of order", 2, 2, "{\"out_of_order\": true}", ANSWER_WHOLE, "", 1},
     {"truncated", 3, 3, "{\"truncate_without_done\": true, \"count\": 1}",
      ANSWER_WHOLE, ""},
     {"truncated always", 2, 2, "{\"truncate_without_done\": true}",
@@ -110,14 +112,45 @@
     }
 }
 
+/* The engine that requests with the reference's prompt are sent to first. */
+static int
+first_engine(void)
+{
+    char state[ANSWER_NAME_MAX];
+
+    for (int i = 0; i < cluster->options.engines; i++) {
+        answer_outcome(cluster, i, "reference", state, NULL);
+        if (strcmp(state, "done") == 0) {
+            return i;
+        }
+    }
+    cr_assert_fail("no engine has answered the reference");
+    return 0;
+}
+
 static void
 fault_engines(int engines, const char *faults)
 {
+    int first = first_engine();
+
     for (int i = 0; i < engines; i++) {
-        cr_assert_eq(cluster_fault(cluster->engines[i], faults), 200);
+        int engine = (first + i) % cluster->options.engines;
+
+        cr_assert_eq(cluster_fault(cluster->engines[engine], faults), 200);
     }
 }
 
+/* The fault was met, not by-passed. */
+static void
+expect_given_up(int router, const fault_case_t *fault)
+{
+    json_t *events = cluster_events(cluster, router, "worker_refused");
+
+    cr_expect_eq(json_array_size(events) > 0, !fault->borne,
+                 "%s: %zu given up", fault->name, json_array_size(events));
+    json_decref(events);
+}
+
 /* Whole answers are billed once each, others not at all. */
 static void
 expect_bills(uint64_t wanted, const char *name)
@@ -147,6 +180,7 @@
     fault_engines(fault->faulty, "{\"reset\": true}");
     cr_expect_eq(call.result.end, fault->end, "%s, %s: %d %s", fault->name,
                  way, (int)call.result.end, call.result.code);
+    expect_given_up(stream, fault);
     cr_expect_str_eq(call.result.run, fault->run, "%s, %s", fault->name, way);
     if (strcmp(fault->run, "no") != 0) {
         expect_same(&call, reference, fault->name);
