Health tests expect what lagging evidence says, note by note

Cause: the board took a rating's expectation from live evidence, which follows a slow drop; a hold never ended, whatever the notes said; a worker found bad was told and used on.

The expectation now comes from pps_reference_tally(), stepped while the test is calm, and the deviation of a rating from the evidence over it. Test counters are kept by version and the revision that last changed it. Ruled out: a fresh test that skips what the tally holds, since a host that comes later would learn the old ratings at once and hold alone.

A workspace found bad is told, not held there.

--- a/include/papayaswitch/answer.h
+++ b/include/papayaswitch/answer.h
@@ -69,7 +69,6 @@
     const char *version; /**< owned by the catalog */
     const char *upstream;
     const char *worker; /**< that gave its end; owned by the view */
-    double expected;    /**< rating expected when it was chosen */
     double cost;        /**< price of 1,000 generated tokens */
     uint64_t prompt_tokens;
     uint64_t generated_tokens;
--- a/include/papayaswitch/health.h
+++ b/include/papayaswitch/health.h
@@ -57,6 +57,10 @@
 void
 pps_health_free(pps_health_t *health);
 
+/** Sets the deviation of one rating for the steps to come. */
+void
+pps_health_set_deviation(pps_health_t *health, double deviation);
+
 /** Adds ratings to the step; `shortfall` is expected less rated, summed. */
 int
 pps_health_add(pps_health_t *health, const char *workspace, const char *worker,
--- a/include/papayaswitch/quality_board.h
+++ b/include/papayaswitch/quality_board.h
@@ -25,9 +25,8 @@
     const char *request_id;
     const char *workspace;
     const char *kind;
-    const char *version;
+    const pps_version_t *version;
     const char *worker;
-    double expected; /**< rating that was expected when it was chosen */
 } pps_quality_answer_t;
 
 /** Versions held, as of one moment. */
@@ -49,7 +48,10 @@
 void
 pps_quality_board_free(pps_quality_board_t *board);
 
-/** Remembers an answer of this host; the oldest is forgotten. */
+/**
+ * Remembers an answer of this host and the rating that lagging evidence leads
+ * to expect of it; the oldest is forgotten.
+ */
 int
 pps_quality_board_answered(pps_quality_board_t *board,
                            const pps_quality_answer_t *answer);
@@ -77,8 +79,10 @@
                         size_t size);
 
 /**
- * Takes a step of the health test of every version.
- * @param found called for each finding, with the version's name
+ * Takes a step of the health test of every version. A version that a note
+ * has changed starts its test anew, and its hold ends.
+ * @param found called for each finding, with the version's name; a hold that
+ *        ended is told as PPS_HEALTH_FINE
  */
 void
 pps_quality_board_step(pps_quality_board_t *board,
--- a/include/papayaswitch/refusal.h
+++ b/include/papayaswitch/refusal.h
@@ -14,6 +14,7 @@
     PPS_REFUSAL_BROKEN,     /**< it answered with a fault */
     PPS_REFUSAL_STALE,      /**< the order carried an old revision */
     PPS_REFUSAL_SILENT,     /**< it gave no sign of life */
+    PPS_REFUSAL_UNFIT,      /**< the ratings of its answers fell */
     PPS_REFUSAL_COUNT
 } pps_refusal_t;
 
--- a/src/libpapayaswitch/answer/answer.c
+++ b/src/libpapayaswitch/answer/answer.c
@@ -18,7 +18,6 @@
     pps_answer_options_t options;
     pps_assembler_t assembler;
     const pps_version_t *version;
-    double expected;
     const pps_worker_t *worker;
     pps_engine_stream_t *stream;
     const char *tried_workers[TRIED_MAX];
@@ -54,7 +53,6 @@
     error = pps_choice_version(&choice, &input);
     if (error == 0) {
         answer->version = choice.version;
-        answer->expected = choice.quality.mean;
     }
     return error;
 }
@@ -369,7 +367,6 @@
     out->version = answer->version->name;
     out->upstream = answer->version->upstream;
     out->worker = answer->worker->id;
-    out->expected = answer->expected;
     out->cost = answer->version->cost;
     out->prompt_tokens = answer->assembler.prompt_tokens;
     out->generated_tokens = answer->assembler.next;
--- a/src/libpapayaswitch/evidence/health.c
+++ b/src/libpapayaswitch/evidence/health.c
@@ -57,6 +57,12 @@
     free(health);
 }
 
+void
+pps_health_set_deviation(pps_health_t *health, double deviation)
+{
+    health->options.deviation = deviation;
+}
+
 static pps_health_cluster_t *
 cluster_get(pps_health_t *health, const char *name,
             pps_health_finding_t finding)
--- a/src/libpapayaswitch/quality/answer_memory.c
+++ b/src/libpapayaswitch/quality/answer_memory.c
@@ -55,7 +55,7 @@
 
 int
 pps_answer_memory_add(pps_answer_memory_t *memory,
-                      const pps_quality_answer_t *answer)
+                      const pps_quality_answer_t *answer, double expected)
 {
     pps_remembered_t *kept = calloc(1, sizeof(*kept));
 
@@ -65,9 +65,10 @@
     copy(kept->request_id, sizeof(kept->request_id), answer->request_id);
     copy(kept->workspace, sizeof(kept->workspace), answer->workspace);
     copy(kept->kind, sizeof(kept->kind), answer->kind);
-    copy(kept->version, sizeof(kept->version), answer->version);
+    copy(kept->version, sizeof(kept->version), answer->version->name);
     copy(kept->worker, sizeof(kept->worker), answer->worker);
-    kept->expected = answer->expected;
+    kept->revision = answer->version->revision;
+    kept->expected = expected;
     free(pps_answer_memory_take(memory, kept->request_id));
     if (memory->count >= PPS_QUALITY_ANSWERS_MAX) {
         pps_remembered_t *oldest =
--- a/src/libpapayaswitch/quality/answer_memory.h
+++ b/src/libpapayaswitch/quality/answer_memory.h
@@ -19,6 +19,7 @@
     char workspace[PPS_NAME_MAX + 1];
     char kind[PPS_NAME_MAX + 1];
     char version[PPS_NAME_MAX + 1];
+    uint64_t revision; /**< of the version */
     char worker[PPS_NAME_MAX + 1];
     double expected;
 } pps_remembered_t;
@@ -36,7 +37,7 @@
 /** Keeps an answer; one of the same request is replaced. */
 int
 pps_answer_memory_add(pps_answer_memory_t *memory,
-                      const pps_quality_answer_t *answer);
+                      const pps_quality_answer_t *answer, double expected);
 
 /** Takes an answer out; the caller frees it. NULL: not kept. */
 pps_remembered_t *
--- a/src/libpapayaswitch/quality/quality_board.c
+++ b/src/libpapayaswitch/quality/quality_board.c
@@ -1,35 +1,9 @@
-/** @file quality_board.c @brief Tally, estimates and health under one lock. */
-#include "papayaswitch/quality_board.h"
-
-#include "answer_memory.h"
+/** @file quality_board.c @brief Tally and estimates under one lock. */
+#include "board_state.h"
 #include "papayaswitch/errors.h"
-#include "papayaswitch/evidence.h"
-#include "papayaswitch/tally.h"
 
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <urcu/compiler.h>
-
-/** The health test of one version. */
-typedef struct {
-    pps_table_item_t item;
-    struct cds_list_head node;
-    char version[PPS_NAME_MAX + 1];
-    pps_health_t *health;
-    int held;
-} watch_t;
-
-struct pps_quality_board {
-    pps_quality_source_t source; /* first: the choice gets its address */
-    pthread_rwlock_t lock;
-    pps_tally_t *tally;
-    pps_evidence_t evidence;
-    pps_answer_memory_t answers;
-    uint64_t encoded; /* last change that was told to the others */
-    pps_table_t by_version;
-    struct cds_list_head watches;
-};
 
 static void
 estimate(const pps_quality_source_t *self, pps_quality_t *out,
@@ -39,7 +13,7 @@
 
     pthread_rwlock_rdlock(&board->lock);
     board->evidence.source.estimate(&board->evidence.source, out, workspace,
-                                    kind[0] != '\0' ? kind : "-", version);
+                                    pps_quality_kind(kind), version);
     pthread_rwlock_unlock(&board->lock);
 }
 
@@ -54,12 +28,18 @@
         return pps_error_set(PPS_ENOMEM, "quality: out of memory");
     }
     error = pps_tally_new(&board->tally, host, incarnation);
+    if (error == 0) {
+        error = pps_reference_new(&board->reference);
+    }
     if (error < 0) {
+        pps_tally_free(board->tally);
         free(board);
         return error;
     }
     board->source.estimate = estimate;
     pps_evidence_init(&board->evidence, board->tally);
+    pps_evidence_init(&board->expectation,
+                      pps_reference_tally(board->reference));
     pps_answer_memory_init(&board->answers);
     CDS_INIT_LIST_HEAD(&board->watches);
     pthread_rwlock_init(&board->lock, NULL);
@@ -67,32 +47,32 @@
     return PPS_OK;
 }
 
-static void
-free_watches(pps_quality_board_t *board)
-{
-    watch_t *watch;
-    watch_t *next;
-
-    cds_list_for_each_entry_safe (watch, next, &board->watches, node) {
-        pps_table_remove(&board->by_version, &watch->item);
-        pps_health_free(watch->health);
-        free(watch);
-    }
-}
-
 void
 pps_quality_board_free(pps_quality_board_t *board)
 {
     if (board == NULL) {
         return;
     }
-    free_watches(board);
+    pps_quality_watches_clear(board);
     pps_answer_memory_clear(&board->answers);
+    pps_reference_free(board->reference);
     pps_tally_free(board->tally);
     pthread_rwlock_destroy(&board->lock);
     free(board);
 }
 
+static double
+expected_rating(const pps_quality_board_t *board,
+                const pps_quality_answer_t *answer)
+{
+    const pps_quality_source_t *source = &board->expectation.source;
+    pps_quality_t quality;
+
+    source->estimate(source, &quality, answer->workspace,
+                     pps_quality_kind(answer->kind), answer->version);
+    return quality.mean < 0 ? 0 : quality.mean > 1 ? 1 : quality.mean;
+}
+
 int
 pps_quality_board_answered(pps_quality_board_t *board,
                            const pps_quality_answer_t *answer)
@@ -100,7 +80,8 @@
     int error;
 
     pthread_rwlock_wrlock(&board->lock);
-    error = pps_answer_memory_add(&board->answers, answer);
+    error = pps_answer_memory_add(&board->answers, answer,
+                                  expected_rating(board, answer));
     pthread_rwlock_unlock(&board->lock);
     return error;
 }
@@ -114,12 +95,13 @@
                                 .version = answer->version,
                                 .rating = rating,
                                 .judgement = -1};
+    char subject[PPS_HEALTH_SUBJECT_MAX + 1];
     int error = pps_evidence_rate(board->tally, &rated);
 
     if (error == 0) {
-        error =
-            pps_health_rate(board->tally, answer->version, answer->workspace,
-                            answer->worker, rating, answer->expected);
+        pps_health_subject(subject, answer->version, answer->revision);
+        error = pps_health_rate(board->tally, subject, answer->workspace,
+                                answer->worker, rating, answer->expected);
     }
     return error;
 }
@@ -183,100 +165,6 @@
     return error;
 }
 
-static watch_t *
-watch_new(const char *version)
-{
-    const pps_health_options_t options = PPS_HEALTH_OPTIONS_INIT;
-    watch_t *watch = calloc(1, sizeof(*watch));
-
-    if (watch == NULL || pps_health_new(&watch->health, &options) < 0) {
-        free(watch);
-        return NULL;
-    }
-    memcpy(watch->version, version, strlen(version) + 1);
-    return watch;
-}
-
-static watch_t *
-watch_of(pps_quality_board_t *board, const char *version)
-{
-    pps_table_item_t *item =
-        pps_table_find(&board->by_version, version, strlen(version));
-    watch_t *watch;
-
-    if (item != NULL) {
-        return caa_container_of(item, watch_t, item);
-    }
-    watch = watch_new(version);
-    if (watch != NULL) {
-        pps_table_add(&board->by_version, &watch->item, watch->version,
-                      strlen(watch->version));
-        cds_list_add_tail(&watch->node, &board->watches);
-    }
-    return watch;
-}
-
-typedef struct {
-    pps_quality_board_t *board;
-    void (*found)(const char *version, const pps_health_verdict_t *verdict,
-                  void *user);
-    void *user;
-} step_t;
-
-static int
-step_version(const pps_version_t *version, void *user)
-{
-    const step_t *step = user;
-    watch_t *watch = watch_of(step->board, version->name);
-    pps_health_verdict_t verdict = {PPS_HEALTH_FINE};
-
-    if (watch == NULL || pps_health_observe(watch->health, step->board->tally,
-                                            version->name) < 0) {
-        return 0;
-    }
-    pps_health_step(watch->health, &verdict);
-    if (verdict.finding == PPS_HEALTH_FINE ||
-        (verdict.finding == PPS_HEALTH_HOLD_VERSION && watch->held)) {
-        return 0;
-    }
-    watch->held |= verdict.finding == PPS_HEALTH_HOLD_VERSION;
-    step->found(version->name, &verdict, step->user);
-    return 0;
-}
-
-void
-pps_quality_board_step(pps_quality_board_t *board,
-                       const pps_catalog_t *catalog,
-                       void (*found)(const char *version,
-                                     const pps_health_verdict_t *verdict,
-                                     void *user),
-                       void *user)
-{
-    step_t step = {board, found, user};
-
-    pthread_rwlock_wrlock(&board->lock);
-    pps_catalog_version_foreach(catalog, step_version, &step);
-    pthread_rwlock_unlock(&board->lock);
-}
-
-void
-pps_quality_board_held(pps_quality_board_t *board, pps_quality_held_t *out)
-{
-    const watch_t *watch;
-
-    out->count = 0;
-    pthread_rwlock_rdlock(&board->lock);
-    cds_list_for_each_entry (watch, &board->watches, node) {
-        if (watch->held && out->count < PPS_QUALITY_HELD_MAX) {
-            memcpy(out->names[out->count], watch->version,
-                   sizeof(watch->version));
-            out->list[out->count] = out->names[out->count];
-            out->count++;
-        }
-    }
-    pthread_rwlock_unlock(&board->lock);
-}
-
 const pps_quality_source_t *
 pps_quality_board_source(const pps_quality_board_t *board)
 {
--- a/src/libpapayaswitch/router/chat.c
+++ b/src/libpapayaswitch/router/chat.c
@@ -115,13 +115,12 @@
 static void
 remember_for_rating(const pps_chat_t *chat, const pps_answer_usage_t *usage)
 {
-    const pps_quality_answer_t answer = {.request_id = chat->call.request_id,
-                                         .workspace =
-                                             chat->call.workspace->name,
-                                         .kind = chat->call.kind,
-                                         .version = usage->version,
-                                         .worker = usage->worker,
-                                         .expected = usage->expected};
+    const pps_quality_answer_t answer = {
+        .request_id = chat->call.request_id,
+        .workspace = chat->call.workspace->name,
+        .kind = chat->call.kind,
+        .version = pps_catalog_version(chat->call.catalog, usage->version),
+        .worker = usage->worker};
 
     pps_quality_board_answered(chat->call.router->quality, &answer);
 }
--- a/src/libpapayaswitch/router/rating_link.c
+++ b/src/libpapayaswitch/router/rating_link.c
@@ -1,12 +1,14 @@
 /** @file rating_link.c @brief Ratings in, counters out, holds on the line. */
 #include "rating_link.h"
 
+#include "clock.h"
 #include "counters.h"
 #include "event.h"
 #include "logger.h"
 #include "papayaswitch/errors.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /** Ticks between two tellings of everything, for hosts that came late. */
 #define TICKS_PER_WHOLE 20
@@ -37,7 +39,7 @@
 finding_name(pps_health_finding_t finding)
 {
     static const char *const names[] = {
-        [PPS_HEALTH_FINE] = "fine",
+        [PPS_HEALTH_FINE] = "version_hold_ended",
         [PPS_HEALTH_HOLD_VERSION] = "version_held",
         [PPS_HEALTH_HOLD_WORKSPACE] = "workspace_bad",
         [PPS_HEALTH_AVOID_WORKER] = "worker_bad",
@@ -46,6 +48,36 @@
     return names[finding];
 }
 
+static int
+has_other(const pps_worker_view_t *view, const pps_worker_t *worker,
+          int64_t now_us)
+{
+    for (size_t i = 0; i < pps_worker_view_count(view); i++) {
+        const pps_worker_t *other = pps_worker_view_at(view, i);
+
+        if (other != worker &&
+            strcmp(other->upstream, worker->upstream) == 0 &&
+            pps_worker_is_open(other, now_us)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* The last open worker of an upstream serves on: bad answers beat none. */
+static void
+avoid_worker(pps_router_t *router, const char *id)
+{
+    pps_worker_view_t *view = pps_worker_board_acquire(router->workers);
+    const pps_worker_t *worker = pps_worker_view_find(view, id);
+    int64_t now_us = pps_clock_now_us();
+
+    if (worker != NULL && has_other(view, worker, now_us)) {
+        pps_worker_refused(worker, PPS_REFUSAL_UNFIT, NULL, now_us, 0);
+    }
+    pps_worker_view_free(view);
+}
+
 static void
 found(const char *version, const pps_health_verdict_t *verdict, void *user)
 {
@@ -62,7 +94,11 @@
     pps_event_record(event, fields, sizeof(fields) / sizeof(fields[0]));
     pps_logger_write(PPS_LOG_WARN, event, fields,
                      sizeof(fields) / sizeof(fields[0]));
-    pps_counter_add(PPS_COUNTER_HEALTH_FINDINGS, 1);
+    pps_counter_add(PPS_COUNTER_HEALTH_FINDINGS,
+                    verdict->finding != PPS_HEALTH_FINE);
+    if (verdict->finding == PPS_HEALTH_AVOID_WORKER) {
+        avoid_worker(user, verdict->name);
+    }
 }
 
 static void
--- a/src/libpapayaswitch/upstream/refusal.c
+++ b/src/libpapayaswitch/upstream/refusal.c
@@ -20,6 +20,7 @@
     {"stale_revision", PPS_REFUSAL_STALE},
     {"stale_fencing", PPS_REFUSAL_STALE},
     {"silent", PPS_REFUSAL_SILENT},
+    {"unfit", PPS_REFUSAL_UNFIT},
 };
 
 #define NAME_COUNT (sizeof(names) / sizeof(names[0]))
--- a/src/libpapayaswitch/worker/worker_cell.c
+++ b/src/libpapayaswitch/worker/worker_cell.c
@@ -16,6 +16,8 @@
     [PPS_REFUSAL_NOT_LOADED] = 2 * PPS_US_PER_S,
     [PPS_REFUSAL_BROKEN] = 2 * PPS_US_PER_S,
     [PPS_REFUSAL_SILENT] = 5 * PPS_US_PER_S,
+    /* Time to replace it; its health test names it once only. */
+    [PPS_REFUSAL_UNFIT] = 24 * 3600 * PPS_US_PER_S,
 };
 
 /** Weight of a new sample in the smoothed time is 1 / 2^shift. */
--- /dev/null
+++ b/tests/unit/test_quality_board.c
@@ -0,0 +1,198 @@
+/** @file test_quality_board.c @brief Holds on one host, note by note. */
+#include "papayaswitch/errors.h"
+#include "papayaswitch/quality_board.h"
+#include "rng.h"
+
+#include <criterion/criterion.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SEEDS 10
+#define HISTORY 300
+#define AFTER_MAX 2000
+#define RATINGS_A_STEP 10
+#define DECLARED 0.70
+#define SPREAD 0.15
+#define GROUPS 8
+
+/** A board under a catalog that notes change. */
+typedef struct {
+    pps_quality_board_t *board;
+    pps_catalog_t *catalog;
+    pps_rng_t rng;
+    int notes;
+    int rated;
+    int held;  /**< findings told */
+    int ended; /**< ends of a hold told */
+} fixture_t;
+
+static void
+publish(fixture_t *fixture, const char *body)
+{
+    pps_findings_t *findings;
+    pps_note_t *note;
+    pps_catalog_t *after;
+    char text[512];
+
+    cr_assert_eq(pps_findings_new(&findings), 0);
+    snprintf(text, sizeof(text), "[note]\nid = n%d\nbase = %d\n%s",
+             fixture->notes + 1, fixture->notes, body);
+    cr_assert_eq(pps_note_parse(&note, text, strlen(text), "n.ini", findings),
+                 0);
+    cr_assert_eq(
+        pps_catalog_apply(&after, fixture->catalog, note, "n.ini", findings),
+        0);
+    pps_catalog_free(fixture->catalog);
+    fixture->catalog = after;
+    fixture->notes++;
+    pps_note_free(note);
+    pps_findings_free(findings);
+}
+
+static void
+start(fixture_t *fixture, uint64_t seed)
+{
+    memset(fixture, 0, sizeof(*fixture));
+    pps_rng_init(&fixture->rng, seed);
+    cr_assert_eq(pps_quality_board_new(&fixture->board, "h", 1), 0);
+    cr_assert_eq(pps_catalog_new(&fixture->catalog), 0);
+    publish(fixture, "[upstream u]\nkind = engine\n"
+                     "[version m/1]\nupstream = u\ncost = 1\n"
+                     "quality = 0.70\n");
+}
+
+static void
+stop(fixture_t *fixture)
+{
+    pps_quality_board_free(fixture->board);
+    pps_catalog_free(fixture->catalog);
+}
+
+static void
+found(const char *version, const pps_health_verdict_t *verdict, void *user)
+{
+    fixture_t *fixture = user;
+
+    fixture->held += verdict->finding == PPS_HEALTH_HOLD_VERSION;
+    fixture->ended += verdict->finding == PPS_HEALTH_FINE;
+}
+
+/** Near normal: a sum of uniform draws. */
+static double
+draw_rating(pps_rng_t *rng, double mean)
+{
+    double sum = 0.0;
+
+    for (int i = 0; i < 12; i++) {
+        sum += pps_rng_unit(rng);
+    }
+    return fmin(fmax(mean + SPREAD * (sum - 6.0), 0.0), 1.0);
+}
+
+static void
+rate(fixture_t *fixture, int workspace, double mean)
+{
+    char id[24];
+    char in[24];
+    char at[24];
+    pps_quality_answer_t answer = {
+        .request_id = id, .workspace = in, .kind = "", .worker = at};
+
+    snprintf(id, sizeof(id), "q%d", fixture->rated++);
+    snprintf(in, sizeof(in), "w%d", workspace);
+    snprintf(at, sizeof(at), "d%d", (int)pps_rng_below(&fixture->rng, GROUPS));
+    answer.version = pps_catalog_version(fixture->catalog, "m/1");
+    cr_assert_eq(pps_quality_board_answered(fixture->board, &answer), 0);
+    cr_assert_eq(pps_quality_board_rated(fixture->board, id,
+                                         draw_rating(&fixture->rng, mean)),
+                 0);
+}
+
+static void
+step(fixture_t *fixture)
+{
+    pps_quality_board_step(fixture->board, fixture->catalog, found, fixture);
+}
+
+static int
+is_held(const fixture_t *fixture)
+{
+    pps_quality_held_t held;
+
+    pps_quality_board_held(fixture->board, &held);
+    return held.count > 0;
+}
+
+/** Rates until a hold. @return the ratings that it took, or `max` */
+static int
+rate_until_held(fixture_t *fixture, int max, double mean)
+{
+    int from = fixture->rated;
+
+    while (fixture->rated - from < max && !is_held(fixture)) {
+        for (int i = 0; i < RATINGS_A_STEP; i++) {
+            rate(fixture, (int)pps_rng_below(&fixture->rng, GROUPS), mean);
+        }
+        step(fixture);
+    }
+    return fixture->rated - from;
+}
+
+/* Evidence that follows the ratings follows a small drop. */
+Test(quality_board, a_small_drop_after_a_short_history_is_held)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        fixture_t fixture;
+
+        start(&fixture, seed);
+        cr_expect_eq(rate_until_held(&fixture, HISTORY, DECLARED), HISTORY);
+        cr_expect_lt(rate_until_held(&fixture, AFTER_MAX, DECLARED - 0.05),
+                     AFTER_MAX, "seed %d", (int)seed);
+        stop(&fixture);
+    }
+}
+
+Test(quality_board, a_note_that_changes_a_version_starts_its_test_anew)
+{
+    fixture_t fixture;
+
+    start(&fixture, 1);
+    rate_until_held(&fixture, AFTER_MAX, 0.2);
+    cr_assert(is_held(&fixture));
+    publish(&fixture, "[upstream other]\nkind = engine\n");
+    step(&fixture);
+    cr_expect(is_held(&fixture), "a note that leaves the version as it is");
+    publish(&fixture, "[version m/1]\ncost = 2\n");
+    step(&fixture);
+    cr_expect(!is_held(&fixture));
+    cr_expect_eq(fixture.ended, 1);
+    step(&fixture);
+    cr_expect(!is_held(&fixture), "old ratings count no longer");
+    cr_expect_lt(rate_until_held(&fixture, AFTER_MAX, 0.2), AFTER_MAX);
+    cr_expect_eq(fixture.held, 2);
+    stop(&fixture);
+}
+
+/* A host that comes later learns the old ratings all at once. */
+Test(quality_board, a_new_host_does_not_hold_for_ratings_of_an_older_note)
+{
+    fixture_t old;
+    fixture_t young;
+    void *data;
+    size_t size;
+
+    start(&old, 1);
+    rate_until_held(&old, AFTER_MAX, 0.2);
+    publish(&old, "[version m/1]\ncost = 2\n");
+    start(&young, 2);
+    publish(&young, "[version m/1]\ncost = 2\n");
+    cr_assert_eq(pps_quality_board_encode_all(old.board, &data, &size), 0);
+    cr_assert_eq(pps_quality_board_merge(young.board, data, size), 0);
+    step(&young);
+    cr_expect(!is_held(&young));
+    free(data);
+    stop(&old);
+    stop(&young);
+}
--- a/tests/unit/test_worker_view.c
+++ b/tests/unit/test_worker_view.c
@@ -111,6 +111,7 @@
         {PPS_REFUSAL_NOT_LOADED, 0, 1, PPS_LOADED_NO, 1},
         {PPS_REFUSAL_BROKEN, 0, 0, PPS_LOADED_UNKNOWN, 1},
         {PPS_REFUSAL_SILENT, 0, 0, PPS_LOADED_UNKNOWN, 1},
+        {PPS_REFUSAL_UNFIT, 1000, 0, PPS_LOADED_UNKNOWN, 0},
     };
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
