Load reports say when they were received

Cause: without received_at_us a worker's cell took its sample of requests in flight as of the time of asking, though it is counted when the answer is in. What this host sent while the report was under way was then taken for load of others, the less.

Before: 0 in each report. After: the time on our clock when it came. Ruled out: nothing else sets it. Unit tests (test_worker_view has the cases) and process_test_path pass; no measurement of its own in the router.

--- a/src/libpapayaswitch/router/platform_feed.c
+++ b/src/libpapayaswitch/router/platform_feed.c
@@ -111,6 +111,7 @@
     const char *versions[VERSIONS_MAX];
     const json_t *list = json_object_get(body, "versions");
     pps_worker_report_t report = {.measured_at_us = asked_us,
+                                  .received_at_us = pps_clock_now_us(),
                                   .versions = versions};
     size_t index;
     json_t *item;
