--- a/src/libpapayaswitch/answer/answer.c
+++ b/src/libpapayaswitch/answer/answer.c
@@ -33,7 +33,6 @@
     error = pps_choice_version(&choice, &input);
     if (error == 0) {
         answer->version = choice.version;
-        answer->expected = choice.quality.mean;
     }
     return error;
 }
@@ -251,7 +250,6 @@
     out->version = answer->version->name;
     out->upstream = answer->version->upstream;
     out->worker = answer->worker->id;
-    out->expected = answer->expected;
     out->cost = answer->version->cost;
     out->prompt_tokens = answer->assembler.prompt_tokens;
     out->generated_tokens = answer->assembler.next;
