--- a/src/libpapayaswitch/answer/answer_state.h
+++ b/src/libpapayaswitch/answer/answer_state.h
@@ -11,7 +11,6 @@
     pps_answer_options_t options;
     pps_assembler_t assembler;
     const pps_version_t *version;
-    double expected; /**< quality of the version, as it was chosen */
     const pps_worker_t *worker;
     pps_engine_stream_t *stream; /**< NULL: to be resumed */
     uint64_t opened_at;          /**< first token wanted of the stream */
