A stopping host answers who has connected before it closes

Cause: the listener was freed as soon as nothing was in progress; a connection whose request had not been read yet was closed without an answer, and its caller cannot tell whether it was run. Ruled out: requests in progress (the request has no event on the host) and the bills.

Now the host first stops to accept, then gives connections that are open up to a second to get their refusal as not run. What is left: a connection that the kernel has taken but the host has not, in the instant of the close; the platform's balancer no longer sends then.

--- a/src/libpapayaswitch/router/router.c
+++ b/src/libpapayaswitch/router/router.c
@@ -12,6 +12,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/** How long connections without a request may outlive the drain. */
+#define CLOSE_LINGER_US PPS_US_PER_S
+#define CLOSE_POLL_US (10 * PPS_US_PER_MS)
+
 static int
 open_journal(pps_router_t *router)
 {
@@ -151,13 +155,30 @@
            pps_bills_drain(router->bills) == 0;
 }
 
+/* Who has connected by now still gets an answer, a refusal as not run: a
+ * connection that is closed without one leaves its caller in doubt. */
+static void
+close_callers(pps_router_t *router)
+{
+    int64_t end_us = pps_clock_now_us() + CLOSE_LINGER_US;
+
+    pps_http_listener_quiesce(router->callers);
+    while (pps_http_listener_connections(router->callers) > 0 &&
+           pps_clock_now_us() < end_us) {
+        pps_clock_sleep_us(CLOSE_POLL_US);
+    }
+    pps_http_listener_free(router->callers);
+}
+
 void
 pps_router_free(pps_router_t *router)
 {
     if (router == NULL) {
         return;
     }
-    pps_http_listener_free(router->callers);
+    if (router->callers != NULL) {
+        close_callers(router);
+    }
     pps_http_listener_free(router->operators);
     pps_control_stop(router);
     if (router->journal != NULL) {
--- a/src/util/http_listener.c
+++ b/src/util/http_listener.c
@@ -138,6 +138,18 @@
     }
 }
 
+unsigned int
+pps_http_listener_connections(const pps_http_listener_t *listener)
+{
+    const union MHD_DaemonInfo *info =
+        listener->started
+            ? MHD_get_daemon_info(listener->instance.mhd_daemon,
+                                  MHD_DAEMON_INFO_CURRENT_CONNECTIONS)
+            : NULL;
+
+    return info != NULL ? info->num_connections : 0;
+}
+
 void
 pps_http_listener_free(pps_http_listener_t *listener)
 {
--- a/src/util/http_listener.h
+++ b/src/util/http_listener.h
@@ -50,6 +50,10 @@
 void
 pps_http_listener_quiesce(pps_http_listener_t *listener);
 
+/** Connections that are open. */
+unsigned int
+pps_http_listener_connections(const pps_http_listener_t *listener);
+
 /** Stops, waits for running callbacks, and frees. NULL is allowed. */
 void
 pps_http_listener_free(pps_http_listener_t *listener);
