--- a/src/libpapayaswitch/router/chat.c
+++ b/src/libpapayaswitch/router/chat.c
@@ -28,7 +28,9 @@
 static int
 may_retry(void *user)
 {
-    return 1;
+    pps_chat_t *chat = user;
+
+    return pps_retry_budget_spend(&chat->call.router->retries) == 0;
 }
 
 static uint64_t
@@ -136,6 +138,7 @@
                    PPS_STR("version", usage->version),
                    PPS_INT("tokens", usage->generated_tokens),
                    PPS_INT("attempts", usage->attempts)));
+    pps_retry_budget_earn(&chat->call.router->retries);
     remember_for_rating(chat, usage);
     return pps_bill_link_bill(&chat->call, chat->request.model,
                               usage->upstream, usage, PPS_BILL_COMPLETED);
--- a/src/libpapayaswitch/router/router.c
+++ b/src/libpapayaswitch/router/router.c
@@ -12,6 +12,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/** Attempts that failures may add, for one whole answer. */
+#define RETRY_SHARE 0.2
+/** Attempts in a burst, also when nothing succeeds. */
+#define RETRY_BURST 200
+
 static int
 open_journal(pps_router_t *router)
 {
@@ -69,6 +74,7 @@
     router->settings = *settings;
     router->incarnation = (uint64_t)pps_clock_wall_us();
     pthread_mutex_init(&router->catalog_lock, NULL);
+    pps_retry_budget_init(&router->retries, RETRY_SHARE, RETRY_BURST);
     pthread_mutex_init(&router->status.lock, NULL);
     pps_serving_init(&router->serving);
     error = open_backends(router);
--- a/src/libpapayaswitch/router/router_state.h
+++ b/src/libpapayaswitch/router/router_state.h
@@ -14,6 +14,7 @@
 #include "papayaswitch/log_backend.h"
 #include "papayaswitch/peers.h"
 #include "papayaswitch/quality_board.h"
+#include "papayaswitch/retry_budget.h"
 #include "papayaswitch/router.h"
 #include "papayaswitch/service.h"
 #include "papayaswitch/serving.h"
@@ -76,6 +77,7 @@
     pps_status_t status;
     atomic_int draining;
     atomic_int in_progress;
+    pps_retry_budget_t retries; /**< of requests to engines */
 };
 
 /** The catalog in force with a reference for the caller. Any thread. */
