--- a/tests/process/test_answers.c
+++ b/tests/process/test_answers.c
@@ -34,7 +34,8 @@
     cluster_free(cluster);
 }
 
-/** Faults of an engine, and how answers must end under them. */
+/** Faults of engines, and how answers must end under them; two requests come
+ * at once, so that a count of two is one for each. */
 typedef struct {
     const char *name;
     int engines;
@@ -45,28 +46,27 @@
     int borne;       /**< no worker is given up for it */
 } fault_case_t;
 
-#define REFUSE(kind) "{\"refuse\": \"" kind "\", \"count\": 1}"
 #define REFUSE_ALL(kind) "{\"refuse\": \"" kind "\"}"
 
 static const fault_case_t fault_cases[] = {
-    {"break", 3, 3, "{\"break_after\": 7, \"count\": 2}", ANSWER_WHOLE, ""},
+    {"break", 3, 3, "{\"break_after\": 7, \"count\": 4}", ANSWER_WHOLE, ""},
     {"break before the first token", 3, 2,
-     "{\"break_after\": 0, \"count\": 1}", ANSWER_WHOLE, ""},
+     "{\"break_after\": 0, \"count\": 2}", ANSWER_WHOLE, ""},
     {"break always before the first token", 2, 2, "{\"break_after\": 0}",
      ANSWER_ERROR, "yes"},
-    {"break, alone", 1, 1, "{\"break_after\": 7, \"count\": 2}", ANSWER_WHOLE,
+    {"break, alone", 1, 1, "{\"break_after\": 7, \"count\": 4}", ANSWER_WHOLE,
      ""},
-    {"silent", 3, 3, "{\"silent_after\": 7, \"count\": 1}", ANSWER_WHOLE, ""},
-    {"silent, alone", 1, 1, "{\"silent_after\": 7, \"count\": 1}",
+    {"silent", 3, 3, "{\"silent_after\": 7, \"count\": 2}", ANSWER_WHOLE, ""},
+    {"silent, alone", 1, 1, "{\"silent_after\": 7, \"count\": 2}",
      ANSWER_WHOLE, ""},
-    {"silent from the first", 3, 2, "{\"silent_after\": 0, \"count\": 1}",
+    {"silent from the first", 3, 2, "{\"silent_after\": 0, \"count\": 2}",
      ANSWER_WHOLE, ""},
     {"silent always from the first", 2, 2, "{\"silent_after\": 0}",
      ANSWER_ERROR, "yes"},
     {"foreign id", 3, 3, "{\"foreign_id\": true, \"count\": 2}", ANSWER_WHOLE,
      ""},
     {"out of order", 2, 2, "{\"out_of_order\": true}", ANSWER_WHOLE, "", 1},
-    {"truncated", 3, 3, "{\"truncate_without_done\": true, \"count\": 1}",
+    {"truncated", 3, 3, "{\"truncate_without_done\": true, \"count\": 2}",
      ANSWER_WHOLE, ""},
     {"truncated always", 2, 2, "{\"truncate_without_done\": true}",
      ANSWER_ERROR, "yes"},
@@ -163,29 +163,35 @@
     cr_expect_eq(bills.repeated_request, 0, "%s", name);
 }
 
+/* Back-offs are a host's own: each way has a router of its own. */
 static void
-run_case(const fault_case_t *fault, int stream, const answer_call_t *reference)
+start_way(answer_call_t *call, int stream)
 {
-    /* Back-offs are a host's own: each way has a router of its own. */
-    answer_call_t call = {.cluster = cluster,
-                          .chat = {.router = stream,
-                                   .stream = stream,
-                                   .request_id = stream ? "s" : "w",
-                                   .prompt = PROMPT,
-                                   .max_tokens = TOKENS}};
-    const char *way = stream ? "streamed" : "whole";
+    *call = (answer_call_t){.cluster = cluster,
+                            .chat = {.router = stream,
+                                     .stream = stream,
+                                     .request_id = stream ? "s" : "w",
+                                     .prompt = PROMPT,
+                                     .max_tokens = TOKENS}};
+    answer_start(call);
+}
 
-    fault_engines(fault->faulty, fault->faults);
-    answer_call(&call);
-    fault_engines(fault->faulty, "{\"reset\": true}");
-    cr_expect_eq(call.result.end, fault->end, "%s, %s: %d %s", fault->name,
-                 way, (int)call.result.end, call.result.code);
-    expect_given_up(stream, fault);
-    cr_expect_str_eq(call.result.run, fault->run, "%s, %s", fault->name, way);
+static void
+end_way(answer_call_t *call, const fault_case_t *fault,
+        const answer_call_t *reference)
+{
+    const char *way = call->chat.stream ? "streamed" : "whole";
+    const answer_result_t *result = &call->result;
+
+    answer_join(call);
+    cr_expect_eq(result->end, fault->end, "%s, %s: %d %s", fault->name, way,
+                 (int)result->end, result->code);
+    cr_expect_str_eq(result->run, fault->run, "%s, %s", fault->name, way);
+    expect_given_up(call->chat.router, fault);
     if (strcmp(fault->run, "no") != 0) {
-        expect_same(&call, reference, fault->name);
+        expect_same(call, reference, fault->name);
     }
-    answer_clear(&call);
+    answer_clear(call);
 }
 
 ParameterizedTestParameters(answers, faults)
@@ -202,11 +208,16 @@
 {
     const fault_case_t *fault = &fault_cases[*index];
     answer_call_t reference;
+    answer_call_t streamed;
+    answer_call_t whole;
 
     start(fault->engines, "2000");
     ask_reference(&reference, PROMPT, TOKENS);
-    run_case(fault, 0, &reference);
-    run_case(fault, 1, &reference);
+    fault_engines(fault->faulty, fault->faults);
+    start_way(&whole, 0);
+    start_way(&streamed, 1);
+    end_way(&whole, fault, &reference);
+    end_way(&streamed, fault, &reference);
     expect_bills(fault->end == ANSWER_WHOLE ? 3 : 1, fault->name);
     answer_clear(&reference);
 }
