--- a/tests/process/harness_answer.c
+++ b/tests/process/harness_answer.c
@@ -1,6 +1,7 @@
 /** @file harness_answer.c @brief Reading answers of chats. */
 #include "harness_answer.h"
 
+#include <criterion/criterion.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -183,3 +184,41 @@
     cluster_wait(cluster, holds_progress, &progress);
     return progress.engine;
 }
+
+void
+answer_reference(answer_call_t *reference, cluster_t *cluster,
+                 const char *prompt, int tokens)
+{
+    *reference = (answer_call_t){.cluster = cluster,
+                                 .chat = {.request_id = "reference",
+                                          .prompt = prompt,
+                                          .max_tokens = tokens}};
+    answer_call(reference);
+    cr_assert_eq(reference->result.end, ANSWER_WHOLE);
+    cr_assert_gt(reference->result.text.size, 0);
+}
+
+void
+answer_expect_same(const answer_call_t *call, const answer_call_t *reference,
+                   const char *name)
+{
+    const answer_result_t *result = &call->result;
+
+    cr_expect_eq(result->foreign, 0, "%s", name);
+    cr_expect_str_eq(result->version, reference->result.version, "%s", name);
+    if (result->end == ANSWER_WHOLE) {
+        cr_expect_str_eq(pps_buf_text(&result->text),
+                         pps_buf_text(&reference->result.text), "%s", name);
+    }
+}
+
+void
+answer_expect_bills(cluster_t *cluster, uint64_t wanted, const char *name)
+{
+    pps_bill_reading_t bills;
+
+    cr_expect(cluster_wait_bills(cluster, (json_int_t)wanted), "%s", name);
+    cr_assert_eq(cluster_bills(cluster, &bills), 0);
+    cr_expect_eq(bills.bills, wanted, "%s: %d bills", name, (int)bills.bills);
+    cr_expect_eq(bills.repeated_request, 0, "%s", name);
+}
--- a/tests/process/harness_answer.h
+++ b/tests/process/harness_answer.h
@@ -66,4 +66,20 @@
 answer_outcome(cluster_t *cluster, int engine, const char *request_id,
                char state[ANSWER_NAME_MAX], json_int_t *tokens);
 
+/** Asks for an undisturbed answer, to compare others with; its id is
+ * `reference`. */
+void
+answer_reference(answer_call_t *reference, cluster_t *cluster,
+                 const char *prompt, int tokens);
+
+/** Expects an answer of the same version to its own request; when it is whole,
+ * of the same text. */
+void
+answer_expect_same(const answer_call_t *call, const answer_call_t *reference,
+                   const char *name);
+
+/** Expects so many bills: whole answers are billed once, others not. */
+void
+answer_expect_bills(cluster_t *cluster, uint64_t wanted, const char *name);
+
 #endif
