--- a/src/libpapayaswitch/answer/answer.c
+++ b/src/libpapayaswitch/answer/answer.c
@@ -33,7 +33,6 @@
     error = pps_choice_version(&choice, &input);
     if (error == 0) {
         answer->version = choice.version;
-        answer->expected = choice.quality.mean;
     }
     return error;
 }
@@ -49,6 +48,13 @@
                        ? PPS_EUNAVAILABLE
                        : error;
         }
+        error = answer->options.enter_pool(answer->options.user,
+                                           answer->version->upstream,
+                                           &answer->retry_after_us);
+        if (error < 0) {
+            answer->over_share = error == PPS_EREFUSED;
+            return error;
+        }
         error = pps_answer_start_on_version(answer);
         if (error != PPS_EUNAVAILABLE && error != PPS_ENOTFOUND) {
             return error == PPS_ELIMIT ? PPS_EUNAVAILABLE : error;
@@ -78,6 +84,7 @@
     error = start(answer);
     if (error < 0) {
         refusal->error = error;
+        refusal->over_share = answer->over_share;
         refusal->last = answer->last_refusal;
         refusal->retry_after_us = answer->retry_after_us > 0
                                       ? answer->retry_after_us
@@ -243,7 +250,6 @@
     out->version = answer->version->name;
     out->upstream = answer->version->upstream;
     out->worker = answer->worker->id;
-    out->expected = answer->expected;
     out->cost = answer->version->cost;
     out->prompt_tokens = answer->assembler.prompt_tokens;
     out->generated_tokens = answer->assembler.next;
--- a/src/libpapayaswitch/answer/answer_state.h
+++ b/src/libpapayaswitch/answer/answer_state.h
@@ -26,7 +26,8 @@
     int64_t resume_at_us; /**< without a stream: when to go on */
     int stalls;           /**< streams in a row that gave no token */
     int attempts;
-    int streaming; /**< a worker has taken the request once */
+    int over_share; /**< its pool refused: the workspace asks too much */
+    int streaming;  /**< a worker has taken the request once */
     int whole;
 };
 
--- a/src/libpapayaswitch/router/router.c
+++ b/src/libpapayaswitch/router/router.c
@@ -12,11 +12,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Attempts that failures may add, for one whole answer. */
-#define RETRY_SHARE 0.2
-/** Attempts in a burst, also when nothing succeeds. */
-#define RETRY_BURST 200
-
 static int
 open_journal(pps_router_t *router)
 {
@@ -55,6 +50,9 @@
     if (error == 0) {
         error = pps_bill_link_open(router);
     }
+    if (error == 0) {
+        error = pps_pool_table_new(&router->pools);
+    }
     if (error == 0) {
         error = pps_quality_board_new(
             &router->quality, router->settings.host_id, router->incarnation);
@@ -74,7 +72,6 @@
     router->settings = *settings;
     router->incarnation = (uint64_t)pps_clock_wall_us();
     pthread_mutex_init(&router->catalog_lock, NULL);
-    pps_retry_budget_init(&router->retries, RETRY_SHARE, RETRY_BURST);
     pthread_mutex_init(&router->status.lock, NULL);
     pps_serving_init(&router->serving);
     error = open_backends(router);
@@ -173,6 +170,7 @@
         pps_bills_free(router->bills);
     }
     pps_quality_board_free(router->quality);
+    pps_pool_table_free(router->pools);
     pps_work_feed_clear(&router->work);
     pps_config_feed_clear(&router->config);
     pps_host_list_clear(&router->hosts);
--- a/src/libpapayaswitch/router/router_state.h
+++ b/src/libpapayaswitch/router/router_state.h
@@ -5,6 +5,7 @@
 #ifndef PPS_ROUTER_ROUTER_STATE_H
 #define PPS_ROUTER_ROUTER_STATE_H
 
+#include "admission/pool_table.h"
 #include "config_feed.h"
 #include "control/mailbox.h"
 #include "http_listener.h"
@@ -14,7 +15,6 @@
 #include "papayaswitch/log_backend.h"
 #include "papayaswitch/peers.h"
 #include "papayaswitch/quality_board.h"
-#include "papayaswitch/retry_budget.h"
 #include "papayaswitch/router.h"
 #include "papayaswitch/service.h"
 #include "papayaswitch/serving.h"
@@ -42,6 +42,7 @@
     pps_timer_t status_timer;
     pps_timer_t bills_timer;
     pps_timer_t rating_timer;
+    pps_timer_t pool_timer;
     unsigned int rating_ticks;
     pps_peers_t *peers;
     pps_host_list_t hosts;
@@ -62,6 +63,7 @@
     pps_journal_t *journal;
     pps_bills_t *bills;
     pps_quality_board_t *quality;
+    pps_pool_table_t *pools;
     pps_engine_backend_t *engine;
     pps_service_backend_t *service;
     pps_worker_board_t *workers;
@@ -77,7 +79,6 @@
     pps_status_t status;
     atomic_int draining;
     atomic_int in_progress;
-    pps_retry_budget_t retries; /**< of requests to engines */
 };
 
 /** The catalog in force with a reference for the caller. Any thread. */
