Requests pay the workspace's price of quality

The board now counts what this host answered by workspace, model, kind and version, bounded, the least asked for being given up; on the rating tick the control thread corrects the target by what was delivered and finds the price of the 32 workspaces that wait longest. New requests and a session's first one draw from it. Ruled out: counts of all hosts (evidence is shared, mixes need not be); planning with versions whose exposure is bounded, whose share no price can raise; cascades, since nobody judges an answer inline.

Before/after: test_quality_board's table of prices (new: 500 ratings around 0.9 move a target of 0.75 to the cheap version).

Conclusion: wired, without cascades. Cost of the whole in a running router was not measured.

--- a/include/papayaswitch/answer.h
+++ b/include/papayaswitch/answer.h
@@ -28,6 +28,7 @@
     const pps_workspace_t *workspace;
     pps_worker_view_t *workers;
     const pps_quality_source_t *quality; /**< NULL: declared quality */
+    double price; /**< of quality; see pps_choice_version_input_t */
     pps_name_set_t held;
     pps_rng_t *rng;
     const char *failure_domain;
--- a/include/papayaswitch/quality_board.h
+++ b/include/papayaswitch/quality_board.h
@@ -96,6 +96,23 @@
 void
 pps_quality_board_held(pps_quality_board_t *board, pps_quality_held_t *out);
 
+/**
+ * Finds anew the prices of the workspaces that wait longest for it, from the
+ * kinds of requests that this host answered. Control thread.
+ */
+void
+pps_quality_board_plan(pps_quality_board_t *board,
+                       const pps_catalog_t *catalog);
+
+/**
+ * The price of quality that one request of a workspace pays.
+ * @param draw uniform in [0, 1)
+ * @return 0 until a price was found: each answer has to meet the target
+ */
+double
+pps_quality_board_price(pps_quality_board_t *board, const char *workspace,
+                        double draw);
+
 /** Estimates for the choice; owned by the board. */
 const pps_quality_source_t *
 pps_quality_board_source(const pps_quality_board_t *board);
--- a/src/libpapayaswitch/answer/answer.c
+++ b/src/libpapayaswitch/answer/answer.c
@@ -49,6 +49,7 @@
     input.tried.names = answer->tried_versions;
     input.tried.count = answer->tried_version_count;
     input.quality = options->quality;
+    input.price = options->price;
     input.rng = options->rng;
     error = pps_choice_version(&choice, &input);
     if (error == 0) {
--- a/src/libpapayaswitch/quality/board_state.h
+++ b/src/libpapayaswitch/quality/board_state.h
@@ -9,6 +9,7 @@
 #include "papayaswitch/evidence.h"
 #include "papayaswitch/quality_board.h"
 #include "papayaswitch/reference.h"
+#include "price_book.h"
 
 #include <inttypes.h>
 #include <pthread.h>
@@ -22,6 +23,7 @@
     pps_reference_t *reference;
     pps_evidence_t expectation; /**< over the reference */
     pps_answer_memory_t answers;
+    pps_price_book_t prices;
     uint64_t encoded; /**< last change that was told to the others */
     pps_table_t by_version;
     struct cds_list_head watches;
--- a/src/libpapayaswitch/quality/quality_board.c
+++ b/src/libpapayaswitch/quality/quality_board.c
@@ -41,6 +41,7 @@
     pps_evidence_init(&board->expectation,
                       pps_reference_tally(board->reference));
     pps_answer_memory_init(&board->answers);
+    pps_price_book_init(&board->prices);
     CDS_INIT_LIST_HEAD(&board->watches);
     pthread_rwlock_init(&board->lock, NULL);
     *out = board;
@@ -55,6 +56,7 @@
     }
     pps_quality_watches_clear(board);
     pps_answer_memory_clear(&board->answers);
+    pps_price_book_clear(&board->prices);
     pps_reference_free(board->reference);
     pps_tally_free(board->tally);
     pthread_rwlock_destroy(&board->lock);
@@ -82,6 +84,9 @@
     pthread_rwlock_wrlock(&board->lock);
     error = pps_answer_memory_add(&board->answers, answer,
                                   expected_rating(board, answer));
+    if (error == 0) {
+        error = pps_price_book_answered(&board->prices, answer);
+    }
     pthread_rwlock_unlock(&board->lock);
     return error;
 }
--- a/src/libpapayaswitch/router/chat.c
+++ b/src/libpapayaswitch/router/chat.c
@@ -55,6 +55,9 @@
     options->workers = chat->workers;
     options->rng = &chat->call.rng;
     options->quality = pps_quality_board_source(router->quality);
+    options->price =
+        pps_quality_board_price(router->quality, chat->call.workspace->name,
+                                pps_rng_unit(&chat->call.rng));
     pps_quality_board_held(router->quality, &chat->held);
     options->held = (pps_name_set_t){chat->held.list, chat->held.count};
     options->failure_domain = router->settings.failure_domain;
--- a/src/libpapayaswitch/router/chat_session.c
+++ b/src/libpapayaswitch/router/chat_session.c
@@ -25,6 +25,9 @@
     input.kind = chat->call.kind;
     input.rng = &chat->call.rng;
     input.quality = pps_quality_board_source(chat->call.router->quality);
+    input.price = pps_quality_board_price(chat->call.router->quality,
+                                          chat->call.workspace->name,
+                                          pps_rng_unit(&chat->call.rng));
     pps_quality_board_held(chat->call.router->quality, &chat->held);
     input.held = (pps_name_set_t){chat->held.list, chat->held.count};
     error = pps_choice_version(&choice, &input);
--- a/src/libpapayaswitch/router/rating_link.c
+++ b/src/libpapayaswitch/router/rating_link.c
@@ -121,10 +121,12 @@
 void
 pps_rating_link_tick(pps_router_t *router)
 {
+    const pps_catalog_t *catalog =
+        pps_config_fold_catalog(router->config.fold);
+
     tell_peers(router);
-    pps_quality_board_step(router->quality,
-                           pps_config_fold_catalog(router->config.fold), found,
-                           router);
+    pps_quality_board_step(router->quality, catalog, found, router);
+    pps_quality_board_plan(router->quality, catalog);
 }
 
 int
--- a/tests/unit/test_quality_board.c
+++ b/tests/unit/test_quality_board.c
@@ -34,7 +34,7 @@
     pps_findings_t *findings;
     pps_note_t *note;
     pps_catalog_t *after;
-    char text[512];
+    char text[1024];
 
     cr_assert_eq(pps_findings_new(&findings), 0);
     snprintf(text, sizeof(text), "[note]\nid = n%d\nbase = %d\n%s",
@@ -196,3 +196,104 @@
     stop(&old);
     stop(&young);
 }
+
+static int
+served(fixture_t *fixture, const char *version)
+{
+    char id[24];
+    const pps_quality_answer_t answer = {
+        .request_id = id,
+        .workspace = "office",
+        .kind = "plan",
+        .version = pps_catalog_version(fixture->catalog, version),
+        .worker = "d0"};
+
+    snprintf(id, sizeof(id), "q%d", fixture->rated++);
+    return pps_quality_board_answered(fixture->board, &answer);
+}
+
+/** What one request more would get; `rated` ratings of the cheap one first. */
+static const char *
+chosen_after(fixture_t *fixture, int rated, double mean, double draw)
+{
+    pps_choice_version_input_t input = PPS_CHOICE_VERSION_INPUT_INIT;
+    pps_choice_version_t choice;
+
+    for (int i = 0; i < rated; i++) {
+        rate(fixture, (int)pps_rng_below(&fixture->rng, GROUPS), mean);
+    }
+    cr_assert_eq(served(fixture, "m/2"), 0);
+    pps_quality_board_plan(fixture->board, fixture->catalog);
+    input.catalog = fixture->catalog;
+    input.workspace = pps_catalog_workspace(fixture->catalog, "office");
+    input.model = "m";
+    input.kind = "plan";
+    input.rng = &fixture->rng;
+    input.quality = pps_quality_board_source(fixture->board);
+    input.price = pps_quality_board_price(fixture->board, "office", draw);
+    cr_expect_gt(input.price, 0.0);
+    cr_assert_eq(pps_choice_version(&choice, &input), 0);
+    return choice.version->name;
+}
+
+Test(quality_board, the_price_of_a_workspace_follows_the_evidence)
+{
+    static const struct {
+        int rated;
+        double mean;
+        const char *target;
+        double draw;
+        const char *chosen;
+    } cases[] = {
+        {0, 0.0, "0.50", 0.5, "m/1"},
+        {0, 0.0, "0.85", 0.5, "m/2"},
+        {500, 0.9, "0.85", 0.5, "m/2"},
+        {500, 0.9, "0.75", 0.5, "m/1"},
+        /* Half-way between the two: a share of the requests each. */
+        {500, 0.4, "0.65", 0.01, "m/2"},
+        {500, 0.4, "0.65", 0.99, "m/1"},
+        {500, 0.4, "0.99", 0.99, "m/2"},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        fixture_t fixture;
+        char note[512];
+
+        start(&fixture, i + 1);
+        snprintf(note, sizeof(note),
+                 "[version m/2]\nupstream = u\ncost = 9\nquality = 0.95\n"
+                 "[workspace office]\nkey_hash = %064d\n"
+                 "quality_target = %s\nallow = m/1, m/2\n",
+                 1, cases[i].target);
+        publish(&fixture, note);
+        cr_expect_eq(pps_quality_board_price(fixture.board, "office", 0.5), 0);
+        cr_expect_str_eq(chosen_after(&fixture, cases[i].rated, cases[i].mean,
+                                      cases[i].draw),
+                         cases[i].chosen, "case %zu", i);
+        stop(&fixture);
+    }
+}
+
+/* Callers name the kinds: their number must not matter. */
+Test(quality_board, prices_are_found_whatever_kinds_callers_name)
+{
+    pps_quality_answer_t answer = {
+        .request_id = "q", .workspace = "w0", .worker = "d0"};
+    fixture_t fixture;
+    char kind[24];
+
+    start(&fixture, 1);
+    publish(&fixture, "[workspace w0]\nquality_target = 0.5\nallow = m/1\n"
+                      "key_hash = "
+                      "00000000000000000000000000000000"
+                      "00000000000000000000000000000001\n");
+    answer.version = pps_catalog_version(fixture.catalog, "m/1");
+    answer.kind = kind;
+    for (int i = 0; i < 30000; i++) {
+        snprintf(kind, sizeof(kind), "k%d", i);
+        cr_assert_eq(pps_quality_board_answered(fixture.board, &answer), 0);
+    }
+    pps_quality_board_plan(fixture.board, fixture.catalog);
+    cr_expect_gt(pps_quality_board_price(fixture.board, "w0", 0.5), 0.0);
+    stop(&fixture);
+}
