The bench measures what the router does without a judge

Cause: the router plans by price and delivery without cascades, which no row of the bench was.

New row "price, by delivery". The other rows are the same as before.

--- a/bench/bench_policy_cost.c
+++ b/bench/bench_policy_cost.c
@@ -132,6 +132,8 @@
 static const int by_ratings = 1;
 static const learner_t each_answer = {0, 0, 1.0, 0.0};
 static const learner_t priced = {1, 0, 1.0, 0.0};
+/** What the router does: nobody judges an answer inline. */
+static const learner_t unjudged = {1, 0, PPS_PRICE_CAUTION, PPS_PRICE_HORIZON};
 static const learner_t cascade_1 = {1, 1, 1.0, 0.0};
 static const learner_t corrected = {1, 1, PPS_PRICE_CAUTION,
                                     PPS_PRICE_HORIZON};
@@ -143,6 +145,7 @@
     {"best single in hindsight", run_hindsight, NULL},
     {"target by each answer", run_learner, &each_answer},
     {"price of quality", run_learner, &priced},
+    {"price, by delivery", run_learner, &unjudged},
     {"price and cascade", run_learner, &cascade_1},
     {"corrected by delivery", run_learner, &corrected},
     {"oracle of means", run_oracle, &by_means},
