--- a/include/papayaswitch/bills.h
+++ b/include/papayaswitch/bills.h
@@ -65,6 +65,7 @@
     size_t recovering;  /**< copies of lost hosts, being appended */
     uint64_t appended;  /**< bills that the log took */
     uint64_t recovered; /**< of lost hosts, that the log took */
+    char partner[PPS_NAME_MAX + 1]; /**< "": none, or none that answers */
 } pps_bills_stats_t;
 
 /** Bills of this host, and copies of others'. Any thread. */
@@ -129,7 +130,8 @@
 pps_bills_may_accept(pps_bills_t *bills);
 
 /**
- * Appends without waiting for the interval. Call it, and
+ * Appends without waiting for the interval, and has the partner confirm anew
+ * what it holds: it may have died unnoticed. Call it, and
  * pps_bills_receive(), until it returns 0.
  * @return own bills that neither the log nor a partner has, plus the copies
  *         of lost hosts that the log does not have
--- a/tests/process/test_graceful_stop.c
+++ b/tests/process/test_graceful_stop.c
@@ -12,6 +12,8 @@
 
 #define ROUTERS 3
 #define EXIT_FORCED 1
+/** Requests in progress when a busy host is stopped. */
+#define BUSY 4
 
 static cluster_t *cluster;
 
@@ -108,14 +110,43 @@
     json_decref(account);
 }
 
+static json_int_t
+status_of(int router, const char *name)
+{
+    json_t *status = cluster_status(cluster, router);
+    json_int_t value = json_integer_value(json_object_get(status, name));
+
+    json_decref(status);
+    return value;
+}
+
+/* So that many requests are in progress at any moment. */
+static void
+slow_engines(double factor)
+{
+    for (int i = 0; i < 2; i++) {
+        char fault[32];
+
+        snprintf(fault, sizeof(fault), "{\"slow_factor\":%.1f}", factor);
+        cr_assert_eq(cluster_fault(cluster->engines[i], fault), 200);
+    }
+}
+
+static int
+is_busy(cluster_t *unused, void *user)
+{
+    return status_of(1, "in_progress") >= BUSY;
+}
+
 Test(graceful_stop, under_load_cuts_nothing_and_bills_all)
 {
     harness_process_t *load;
     char path[HARNESS_PATH_MAX];
 
     harness_path(cluster->harness, path, "account.json");
+    slow_engines(6);
     begin_load(&load, path);
-    usleep(1500 * 1000);
+    cr_assert(cluster_wait(cluster, is_busy, NULL));
     stop_router(1, 0);
     cr_expect_eq(harness_wait(load, CLUSTER_WAIT_MS), 0);
     expect_account(path);
@@ -124,6 +155,7 @@
 typedef struct {
     const char *key; /**< of an act; NULL: a streamed chat */
     int router;
+    int max_tokens;
     harness_reply_t reply;
     pthread_t thread;
 } background_t;
@@ -132,8 +164,9 @@
 run_background(void *user)
 {
     background_t *background = user;
-    const cluster_chat_t chat = {
-        .router = background->router, .stream = 1, .max_tokens = 700};
+    const cluster_chat_t chat = {.router = background->router,
+                                 .stream = 1,
+                                 .max_tokens = background->max_tokens};
 
     if (background->key != NULL) {
         cluster_release(&background->reply, cluster, background->router,
@@ -145,16 +178,6 @@
     return NULL;
 }
 
-static json_int_t
-status_of(int router, const char *name)
-{
-    json_t *status = cluster_status(cluster, router);
-    json_int_t value = json_integer_value(json_object_get(status, name));
-
-    json_decref(status);
-    return value;
-}
-
 static int
 is_in_progress(cluster_t *unused, void *user)
 {
@@ -174,7 +197,7 @@
 
 Test(graceful_stop, waits_for_a_stream_under_way)
 {
-    background_t stream = {NULL, 1};
+    background_t stream = {NULL, 1, 700};
 
     start_background(&stream);
     stop_router(1, 0);
@@ -199,8 +222,9 @@
 
 Test(graceful_stop, is_forced_by_a_second_signal)
 {
-    background_t stream = {NULL, 1};
+    background_t stream = {NULL, 1, 700};
 
+    slow_engines(20);
     start_background(&stream);
     harness_signal(cluster->routers[1], SIGTERM);
     cr_assert(cluster_wait(cluster, is_draining, &stream.router));
