--- /dev/null
+++ b/src/util/http_call.c
@@ -0,0 +1,59 @@
+/** @file http_call.c @brief Whole answers over a stream. */
+#include "http_handle.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static void
+copy_content_type(pps_http_response_t *out, const pps_http_stream_t *stream)
+{
+    char *type = NULL;
+
+    curl_easy_getinfo(stream->easy, CURLINFO_CONTENT_TYPE, &type);
+    snprintf(out->content_type, sizeof(out->content_type), "%s",
+             type ? type : "");
+}
+
+int
+pps_http_client_call(pps_http_response_t *out, pps_http_client_t *client,
+                     const pps_http_request_t *request)
+{
+    pps_http_stream_t *stream;
+    int timeout_ms = request->answer_timeout_ms ? request->answer_timeout_ms
+                                                : PPS_HTTP_ANSWER_TIMEOUT_MS;
+    int64_t deadline = pps_clock_now_us() + timeout_ms * PPS_US_PER_MS;
+    int error = pps_http_stream_open(&stream, client, request);
+
+    memset(out, 0, sizeof(*out));
+    if (error < 0) {
+        return error;
+    }
+    out->status = stream->status;
+    out->retry_after_s = stream->retry_after_s;
+    copy_content_type(out, stream);
+    do {
+        int64_t left_ms = (deadline - pps_clock_now_us()) / PPS_US_PER_MS;
+
+        error = left_ms <= 0
+                    ? pps_error_set(PPS_ETIMEOUT, "%s: answer cut short",
+                                    stream->authority)
+                    : pps_http_stream_read(stream, &out->body, (int)left_ms);
+        if (error == PPS_ETIMEOUT && left_ms > 0) {
+            error = 1;
+        }
+    } while (error > 0);
+    pps_http_stream_close(stream);
+    if (error < 0) {
+        pps_http_response_clear(out);
+    }
+    return error;
+}
+
+void
+pps_http_response_clear(pps_http_response_t *response)
+{
+    pps_buf_clear(&response->body);
+}
--- /dev/null
+++ b/src/util/http_stream.c
@@ -0,0 +1,196 @@
+/** @file http_stream.c @brief One answer, pulled in the caller's thread. */
+#include "http_handle.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+
+#include <string.h>
+
+static int
+read_authority(char out[PPS_HTTP_AUTHORITY_BYTES], const char *url)
+{
+    const char *start = strstr(url, "://");
+    size_t size;
+
+    if (start == NULL) {
+        return pps_error_set(PPS_EINVALID, "'%s' is no URL", url);
+    }
+    start += 3;
+    size = strcspn(start, "/?");
+    if (size == 0 || size >= PPS_HTTP_AUTHORITY_BYTES) {
+        return pps_error_set(PPS_EINVALID, "'%s' names no host", url);
+    }
+    memcpy(out, start, size);
+    out[size] = '\0';
+    return PPS_OK;
+}
+
+/*
+ * Lets libcurl work once, waiting up to `wait_ms` for the socket first. What
+ * the last call left behind was nothing, so to wait comes before to work.
+ */
+static void
+drive(pps_http_stream_t *stream, int wait_ms)
+{
+    CURLMsg *message;
+    int running = 0;
+    int left = 0;
+
+    if (stream->begun && wait_ms > 0) {
+        curl_multi_poll(stream->multi, NULL, 0, wait_ms, NULL);
+    }
+    stream->begun = 1;
+    curl_multi_perform(stream->multi, &running);
+    while ((message = curl_multi_info_read(stream->multi, &left)) != NULL) {
+        if (message->msg == CURLMSG_DONE) {
+            stream->finished = 1;
+            stream->result = message->data.result;
+        }
+    }
+}
+
+static int
+classify(CURLcode result)
+{
+    switch (result) {
+    case CURLE_OK:
+        return PPS_OK;
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_URL_MALFORMAT:
+        return PPS_EUNAVAILABLE;
+    default:
+        return PPS_EUNKNOWN;
+    }
+}
+
+/* A connect that timed out has sent nothing, whatever libcurl calls it. */
+static int
+failure(const pps_http_stream_t *stream)
+{
+    curl_off_t connected_us = 0;
+    int error = classify(stream->result);
+
+    if (stream->result == CURLE_OPERATION_TIMEDOUT) {
+        curl_easy_getinfo(stream->easy, CURLINFO_CONNECT_TIME_T,
+                          &connected_us);
+        error = connected_us == 0 ? PPS_EUNAVAILABLE : PPS_ETIMEOUT;
+    }
+    return pps_error_set(error, "%s: %s", stream->authority,
+                         curl_easy_strerror(stream->result));
+}
+
+static int
+await_status(pps_http_stream_t *stream, int timeout_ms)
+{
+    int64_t deadline = pps_clock_now_us() + timeout_ms * PPS_US_PER_MS;
+
+    while (!stream->headers_done) {
+        int64_t left_ms = (deadline - pps_clock_now_us()) / PPS_US_PER_MS;
+
+        if (left_ms <= 0) {
+            return pps_error_set(PPS_ETIMEOUT, "%s: no answer in %d ms",
+                                 stream->authority, timeout_ms);
+        }
+        drive(stream, (int)left_ms);
+        if (stream->finished && !stream->headers_done) {
+            return stream->result == CURLE_OK
+                       ? pps_error_set(PPS_EUNKNOWN, "%s: empty answer",
+                                       stream->authority)
+                       : failure(stream);
+        }
+    }
+    return PPS_OK;
+}
+
+int
+pps_http_stream_open(pps_http_stream_t **out, pps_http_client_t *client,
+                     const pps_http_request_t *request)
+{
+    char authority[PPS_HTTP_AUTHORITY_BYTES];
+    pps_http_stream_t *stream = NULL;
+    int timeout_ms = request->answer_timeout_ms ? request->answer_timeout_ms
+                                                : PPS_HTTP_ANSWER_TIMEOUT_MS;
+    int error = read_authority(authority, request->url);
+
+    if (error < 0) {
+        return error;
+    }
+    error = pps_http_handle_take(&stream, client, authority,
+                                 request->fresh_connection);
+    if (error < 0) {
+        return error;
+    }
+    error = pps_http_handle_prepare(stream, request);
+    if (error < 0) {
+        pps_http_handle_free(stream);
+        return error;
+    }
+    curl_multi_add_handle(stream->multi, stream->easy);
+    error = await_status(stream, timeout_ms);
+    if (error < 0) {
+        curl_multi_remove_handle(stream->multi, stream->easy);
+        pps_http_handle_free(stream);
+        return error;
+    }
+    *out = stream;
+    return PPS_OK;
+}
+
+int
+pps_http_stream_status(const pps_http_stream_t *stream)
+{
+    return stream->status;
+}
+
+int
+pps_http_stream_retry_after(const pps_http_stream_t *stream)
+{
+    return stream->retry_after_s;
+}
+
+int
+pps_http_stream_read(pps_http_stream_t *stream, pps_buf_t *out, int wait_ms)
+{
+    int64_t deadline = pps_clock_now_us() + wait_ms * PPS_US_PER_MS;
+    int64_t left_ms = wait_ms;
+
+    /* libcurl also wakes for its own timers, without anything to read. */
+    while (stream->received.size == 0 && !stream->finished && left_ms >= 0) {
+        drive(stream, (int)left_ms);
+        left_ms = (deadline - pps_clock_now_us()) / PPS_US_PER_MS;
+        if (left_ms == 0) {
+            break;
+        }
+    }
+    if (stream->received.size > 0) {
+        int error =
+            pps_buf_append(out, stream->received.data, stream->received.size);
+
+        pps_buf_consume(&stream->received, stream->received.size);
+        return error < 0 ? error : 1;
+    }
+    if (!stream->finished) {
+        return pps_error_set(PPS_ETIMEOUT, "%s: silent for %d ms",
+                             stream->authority, wait_ms);
+    }
+    return stream->result == CURLE_OK ? 0 : failure(stream);
+}
+
+void
+pps_http_stream_close(pps_http_stream_t *stream)
+{
+    if (stream == NULL) {
+        return;
+    }
+    curl_multi_remove_handle(stream->multi, stream->easy);
+    curl_slist_free_all(stream->headers);
+    stream->headers = NULL;
+    pps_buf_clear(&stream->received);
+    if (stream->finished && stream->result == CURLE_OK) {
+        pps_http_handle_keep(stream);
+    }
+    else {
+        pps_http_handle_free(stream);
+    }
+}
