Tests: a fall of a revision fails its test

The check stood in the fixture's end, where Criterion prints a failed expectation and still counts the test as passed.

--- a/tests/process/test_notes_kept.c
+++ b/tests/process/test_notes_kept.c
@@ -32,10 +32,20 @@
     watch = watch_start(cluster);
 }
 
+/* Part of each test: what fails in a fixture's end counts for nothing. */
 static void
-tear_down(void)
+expect_no_fall(void)
 {
     cr_expect_eq(watch_stop(watch), 0, "a revision fell");
+    watch = NULL;
+}
+
+static void
+tear_down(void)
+{
+    if (watch != NULL) {
+        watch_stop(watch);
+    }
     cluster_free(cluster);
 }
 
@@ -175,6 +185,7 @@
         cr_expect(cluster_wait_revision(cluster, i, REVISION), "e%d", i);
     }
     expect_all_at(REVISION);
+    expect_no_fall();
 }
 
 static int
@@ -218,6 +229,7 @@
     }
     cluster_fault(cluster->platform, "{\"log\":\"up\"}");
     expect_all_at(REVISION);
+    expect_no_fall();
 }
 
 static int
@@ -278,6 +290,7 @@
     cluster_fault(cluster->platform, "{\"retain\":1}");
     come_back_alone(2);
     restart_all();
+    expect_no_fall();
 }
 
 Test(kept, when_records_expire_before_any_checkpoint)
@@ -292,6 +305,7 @@
     cr_expect_gt(scan.first, 0);
     come_back_alone(2);
     restart_all();
+    expect_no_fall();
 }
 
 Test(kept, when_an_old_checkpoint_comes_back)
@@ -311,6 +325,7 @@
     cut_set(cluster->log_cuts[2], CUT_PASS);
     start_router(2);
     expect_all_at(REVISION);
+    expect_no_fall();
 }
 
 Test(kept, and_one_checkpoint_follows_a_note)
@@ -324,6 +339,7 @@
     scan_log(&scan);
     cr_expect_eq(scan.notes, 2);
     cr_expect_leq(scan.checkpoints, 3);
+    expect_no_fall();
 }
 
 static int
@@ -359,6 +375,7 @@
     cr_expect_eq(
         cluster_publish_at(cluster, "withdraw", 1, withdraw, "in_force"), 0);
     expect_all_at(REVISION);
+    expect_no_fall();
 }
 
 Test(kept, and_a_lost_acknowledgement_makes_no_second_note)
@@ -370,4 +387,5 @@
     scan_log(&scan);
     cr_expect_eq(scan.notes, 4, "first, and three appends of the second");
     expect_all_at(REVISION);
+    expect_no_fall();
 }
