A stream under way is continued whatever the retry budget says

Cause: an engine that dies with a hundred streams of one host leaves more continuations than the budget's burst of 20; the others were cut with an explicit error. What is left of a stream is less work than the caller's asking anew, and to end it breaks the promise.

--- a/include/papayaswitch/answer.h
+++ b/include/papayaswitch/answer.h
@@ -52,7 +52,10 @@
      */
     int (*enter_pool)(void *user, const char *upstream,
                       int64_t *retry_after_us);
-    /** Whether one more attempt is within the budget of retries. */
+    /**
+     * Whether one more attempt is within the budget of retries; not asked
+     * once a worker has taken the request.
+     */
     int (*may_retry)(void *user);
     void *user;
 } pps_answer_options_t;
--- a/src/libpapayaswitch/answer/answer_worker.c
+++ b/src/libpapayaswitch/answer/answer_worker.c
@@ -145,8 +145,10 @@
 {
     const pps_answer_options_t *options = &answer->options;
 
-    return (answer->streaming || answer->attempts < options->attempts_max) &&
-           options->may_retry(options->user);
+    /* A stream under way is continued at any rate: to end it cuts an answer,
+     * and what is left of it is less work than the caller's asking anew. */
+    return answer->streaming || (answer->attempts < options->attempts_max &&
+                                 options->may_retry(options->user));
 }
 
 static void
