Revert "The worst cluster is named, and others not for its ratings"

The fault that it mended is open again: two workers, ratings in one batch, one bad workspace: both workers named and the version held.

--- a/src/libpapayaswitch/evidence/health.c
+++ b/src/libpapayaswitch/evidence/health.c
@@ -193,22 +193,7 @@
     return weakest;
 }
 
-/** Lowers each sum to that of a limit. */
-static void
-cusum_lower(pps_health_cusum_t *cusum, const pps_health_cusum_t *limit)
-{
-    for (int i = 0; i < PPS_HEALTH_DROPS; i++) {
-        if (limit->sum[i] < cusum->sum[i]) {
-            cusum->sum[i] = limit->sum[i];
-            cusum->since[i] = limit->since[i];
-        }
-    }
-}
-
-/**
- * Its ratings count no longer, neither those to come nor those before. What
- * clusters of the other sort had by themselves contained some of them.
- */
+/** Its ratings count no longer, neither those to come nor those before. */
 static void
 set_apart(pps_health_t *health, pps_health_cluster_t *bad)
 {
@@ -217,46 +202,25 @@
     bad->apart = 1;
     health->all = bad->rest;
     cds_list_for_each_entry (cluster, &health->clusters, node) {
-        cusum_lower(&cluster->rest, &health->all);
-        if (cluster->finding != bad->finding) {
-            memset(&cluster->own, 0, sizeof(cluster->own));
-        }
+        cluster->rest = health->all;
     }
 }
 
-static double
-own_evidence(const pps_health_cluster_t *cluster)
-{
-    return cluster->own.sum[cusum_peak(&cluster->own)];
-}
-
-/** The cluster with the most evidence against it that is not apart yet. */
-static pps_health_cluster_t *
-worst_cluster(const pps_health_t *health)
+static void
+judge_clusters(pps_health_t *health)
 {
-    pps_health_cluster_t *worst = NULL;
+    double limit = threshold(&health->options, (double)health->cluster_count);
     pps_health_cluster_t *cluster;
 
     cds_list_for_each_entry (cluster, &health->clusters, node) {
         if (!cluster->apart &&
-            (worst == NULL || own_evidence(cluster) > own_evidence(worst))) {
-            worst = cluster;
+            cluster->own.sum[cusum_peak(&cluster->own)] >= limit) {
+            verdict_set(&health->verdict, cluster->finding, cluster->name,
+                        &cluster->own, limit);
+            set_apart(health, cluster);
+            return;
         }
     }
-    return worst;
-}
-
-static void
-judge_clusters(pps_health_t *health)
-{
-    double limit = threshold(&health->options, (double)health->cluster_count);
-    pps_health_cluster_t *worst = worst_cluster(health);
-
-    if (worst != NULL && own_evidence(worst) >= limit) {
-        verdict_set(&health->verdict, worst->finding, worst->name, &worst->own,
-                    limit);
-        set_apart(health, worst);
-    }
 }
 
 static void
--- a/tests/unit/test_health.c
+++ b/tests/unit/test_health.c
@@ -112,48 +112,6 @@
 }
 
 /** Counters of two hosts, one of them restarted, sent twice each. */
-/** What was named over the steps. */
-typedef struct {
-    int workspaces;
-    int workers;
-    int versions;
-} named_t;
-
-static void
-step_named(pps_health_t *health, named_t *named)
-{
-    pps_health_verdict_t verdict;
-
-    pps_health_step(health, &verdict);
-    named->workspaces += verdict.finding == PPS_HEALTH_HOLD_WORKSPACE;
-    named->workers += verdict.finding == PPS_HEALTH_AVOID_WORKER;
-    named->versions += verdict.finding == PPS_HEALTH_HOLD_VERSION;
-}
-
-/* Ratings come in batches, and few workers serve the bad workspace. */
-Test(health, who_serves_a_bad_workspace_is_not_named_for_it)
-{
-    static const char *const workspaces[] = {"north", "office", "south"};
-    static const char *const workers[] = {"d0", "d1"};
-    pps_health_options_t options = PPS_HEALTH_OPTIONS_INIT;
-    named_t named = {0, 0, 0};
-    pps_health_t *health;
-
-    cr_assert_eq(pps_health_new(&health, &options), 0);
-    for (int i = 0; i < 6; i++) {
-        cr_assert_eq(pps_health_add(health, workspaces[i / 2], workers[i % 2],
-                                    30, i / 2 == 1 ? 15.0 : 0.0),
-                     0);
-    }
-    for (int i = 0; i < 10; i++) {
-        step_named(health, &named);
-    }
-    cr_expect_eq(named.workspaces, 1);
-    cr_expect_eq(named.workers, 0);
-    cr_expect_eq(named.versions, 0);
-    pps_health_free(health);
-}
-
 Test(health, hosts_sum_their_ratings_once)
 {
     static const struct {
