--- a/src/cli/load.c
+++ b/src/cli/load.c
@@ -88,9 +88,10 @@
     load_account_t account;
     int error;
     int broken;
+    int status = load_options_parse(&options, argc, argv);
 
-    if (load_options_parse(&options, argc, argv) < 0) {
-        return EXIT_MISUSE;
+    if (status >= 0) {
+        return status;
     }
     curl_global_init(CURL_GLOBAL_DEFAULT);
     error = load_account_init(&account, options.sessions);
--- a/src/cli/load_options.c
+++ b/src/cli/load_options.c
@@ -2,6 +2,7 @@
 #include "load_options.h"
 
 #include "clock.h"
+#include "command.h"
 #include "papayaswitch/errors.h"
 
 #include <argtable2.h>
@@ -26,6 +27,7 @@
     struct arg_str *service;
     struct arg_str *run_id;
     struct arg_lit *verify;
+    struct arg_lit *help;
     struct arg_end *end;
 } load_args_t;
 
@@ -50,6 +52,7 @@
         arg_str0(NULL, "service", "NAME", "service to call"),
         arg_str0(NULL, "run-id", "TEXT", "first part of the request ids"),
         arg_lit0(NULL, "verify", "check the stand-in engine's texts"),
+        arg_lit0("h", "help", "show this help"),
         arg_end(ERRORS_SHOWN_MAX),
     };
 }
@@ -188,23 +191,16 @@
 {
     load_args_t args = make_args();
     void **table = (void **)&args;
-    int error;
+    int status = pps_cli_parse(argc, argv, table, args.help, args.end,
+                               "Sends a bounded load and accounts for every "
+                               "request. Exit code 0: all promises held; 1: "
+                               "one was broken; 2: usage.");
 
     set_defaults(options);
-    if (arg_nullcheck(table) != 0) {
-        error = pps_error_set(PPS_ENOMEM, "options: out of memory");
-    }
-    else if (arg_parse(argc, argv, table) > 0) {
-        arg_print_errors(stderr, args.end, argv[0]);
-        arg_print_glossary(stderr, table, "  %-28s %s\n");
-        error = pps_error_set(PPS_EINVALID, "malformed command line");
-    }
-    else {
-        error = take_all(options, &args);
-    }
-    if (error < 0) {
+    if (status < 0 && take_all(options, &args) < 0) {
         fprintf(stderr, "%s: %s\n", argv[0], pps_error_last());
+        status = PPS_EXIT_USAGE;
     }
     arg_freetable(table, sizeof(args) / sizeof(void *));
-    return error;
+    return status;
 }
--- a/src/cli/load_options.h
+++ b/src/cli/load_options.h
@@ -43,7 +43,7 @@
     char json[1024]; /**< file of the account, or "" */
 } load_options_t;
 
-/** Parses the command line. @return 0; PPS_EINVALID after printing why */
+/** Parses the command line. @return -1 to go on, or the exit code */
 int
 load_options_parse(load_options_t *options, int argc, char **argv);
 
