The answers' two tests start their system in one place

Cause: test_answers and test_answers_lost had the same start-up and settings, line for line, since they were split. It stands in harness_answer now; no check, bound or case is changed.

--- a/tests/process/harness_answer.c
+++ b/tests/process/harness_answer.c
@@ -222,3 +222,17 @@
     cr_expect_eq(bills.bills, wanted, "%s: %d bills", name, (int)bills.bills);
     cr_expect_eq(bills.repeated_request, 0, "%s", name);
 }
+
+cluster_t *
+answer_cluster(int engines, const char *token_us)
+{
+    const cluster_options_t options = {.routers = 2,
+                                       .engines = engines,
+                                       .services = 1,
+                                       .token_us = token_us,
+                                       .router_settings = ANSWER_SETTINGS};
+    cluster_t *cluster = NULL;
+
+    cr_assert_eq(cluster_new(&cluster, &options), 0);
+    return cluster;
+}
--- a/tests/process/harness_answer.h
+++ b/tests/process/harness_answer.h
@@ -82,4 +82,12 @@
 void
 answer_expect_bills(cluster_t *cluster, uint64_t wanted, const char *name);
 
+/** Longest silences of the routers that answer_cluster() starts. */
+#define ANSWER_SETTINGS                                                       \
+    "[limits]\nsilence_timeout_ms = 300\nanswer_timeout_ms = 8000\n"
+
+/** Starts a system with two routers; fails the test unless it serves. */
+cluster_t *
+answer_cluster(int engines, const char *token_us);
+
 #endif
--- a/tests/process/test_answers.c
+++ b/tests/process/test_answers.c
@@ -8,23 +8,9 @@
 
 #define TOKENS 40
 #define PROMPT "length=40"
-#define SETTINGS                                                              \
-    "[limits]\nsilence_timeout_ms = 300\nanswer_timeout_ms = 8000\n"
 
 static cluster_t *cluster;
 
-static void
-start(int engines, const char *token_us)
-{
-    const cluster_options_t options = {.routers = 2,
-                                       .engines = engines,
-                                       .services = 1,
-                                       .token_us = token_us,
-                                       .router_settings = SETTINGS};
-
-    cr_assert_eq(cluster_new(&cluster, &options), 0);
-}
-
 static void
 tear_down(void)
 {
@@ -169,7 +155,7 @@
     answer_call_t streamed;
     answer_call_t whole;
 
-    start(fault->engines, "2000");
+    cluster = answer_cluster(fault->engines, "2000");
     answer_reference(&reference, cluster, PROMPT, TOKENS);
     fault_engines(fault->faulty, fault->faults);
     start_way(&whole, 0);
--- a/tests/process/test_answers_lost.c
+++ b/tests/process/test_answers_lost.c
@@ -10,23 +10,9 @@
 
 #define TOKENS 120
 #define PROMPT "length=120"
-#define SETTINGS                                                              \
-    "[limits]\nsilence_timeout_ms = 300\nanswer_timeout_ms = 8000\n"
 
 static cluster_t *cluster;
 
-static void
-start(int engines, const char *token_us)
-{
-    const cluster_options_t options = {.routers = 2,
-                                       .engines = engines,
-                                       .services = 1,
-                                       .token_us = token_us,
-                                       .router_settings = SETTINGS};
-
-    cr_assert_eq(cluster_new(&cluster, &options), 0);
-}
-
 static void
 tear_down(void)
 {
@@ -70,7 +56,7 @@
     answer_call_t call;
     int engine;
 
-    start(loss->engines, "5000");
+    cluster = answer_cluster(loss->engines, "5000");
     call = (answer_call_t){.cluster = cluster,
                            .chat = {.stream = loss->stream,
                                     .request_id = "r",
@@ -114,7 +100,7 @@
     json_int_t tokens;
     pps_bill_sum_t sum;
 
-    start(1, "5000");
+    cluster = answer_cluster(1, "5000");
     call.cluster = cluster;
     answer_call(&call);
     cr_assert_eq(call.result.end, ANSWER_CUT);
