--- /dev/null
+++ b/src/libpapayaswitch/deployment/deployment.c
@@ -0,0 +1,210 @@
+/** @file deployment.c @brief Look-ups in what is in force. */
+#include "deployment.h"
+
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int
+pps_deployment_new(pps_deployment_t **out)
+{
+    pps_deployment_t *deployment = calloc(1, sizeof(*deployment));
+
+    if (deployment == NULL) {
+        return PPS_ENOMEM;
+    }
+    deployment->refs = 1;
+    *out = deployment;
+    return PPS_OK;
+}
+
+pps_deployment_t *
+pps_deployment_ref(pps_deployment_t *deployment)
+{
+    deployment->refs++;
+    return deployment;
+}
+
+static void
+free_route(pps_route_t *route)
+{
+    free(route->name);
+    free(route->host);
+    free(route->prefix);
+    free(route->targets);
+    for (size_t i = 0; i < route->model_count; i++) {
+        free(route->models[i]);
+    }
+}
+
+static void
+free_upstream(pps_upstream_t *upstream)
+{
+    free(upstream->name);
+    for (size_t i = 0; i < upstream->model_count; i++) {
+        free(upstream->models[i].name);
+    }
+}
+
+void
+pps_deployment_free(pps_deployment_t *deployment)
+{
+    if (deployment == NULL || --deployment->refs > 0) {
+        return;
+    }
+    for (size_t i = 0; i < deployment->route_count; i++) {
+        free_route(&deployment->routes[i]);
+    }
+    for (size_t i = 0; i < deployment->upstream_count; i++) {
+        free_upstream(&deployment->upstreams[i]);
+    }
+    for (size_t i = 0; i < deployment->workspace_count; i++) {
+        free(deployment->workspaces[i].name);
+    }
+    for (size_t i = 0; i < deployment->key_count; i++) {
+        free(deployment->keys[i].key);
+    }
+    free(deployment->routes);
+    free(deployment->upstreams);
+    free(deployment->workspaces);
+    free(deployment->keys);
+    free(deployment);
+}
+
+static int
+compare_keys(const void *left, const void *right)
+{
+    const pps_workspace_key_t *a = left;
+    const pps_workspace_key_t *b = right;
+
+    return strcmp(a->key, b->key);
+}
+
+/* By host, then longest prefix first. */
+static int
+compare_routes(const void *left, const void *right)
+{
+    const pps_route_t *a = left;
+    const pps_route_t *b = right;
+    int order = strcmp(a->host, b->host);
+    size_t a_size = strlen(a->prefix);
+    size_t b_size = strlen(b->prefix);
+
+    if (order != 0) {
+        return order;
+    }
+    return (a_size < b_size) - (a_size > b_size);
+}
+
+void
+pps_deployment_seal(pps_deployment_t *deployment)
+{
+    if (deployment->key_count > 0) {
+        qsort(deployment->keys, deployment->key_count,
+              sizeof(deployment->keys[0]), compare_keys);
+    }
+    if (deployment->route_count > 0) {
+        qsort(deployment->routes, deployment->route_count,
+              sizeof(deployment->routes[0]), compare_routes);
+    }
+}
+
+/* The first route of the host, or of what would follow it. */
+static size_t
+first_route(const pps_deployment_t *deployment, const char *host)
+{
+    size_t low = 0;
+    size_t high = deployment->route_count;
+
+    while (low < high) {
+        size_t middle = (low + high) / 2;
+
+        if (strcmp(deployment->routes[middle].host, host) < 0) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+const pps_route_t *
+pps_deployment_route(const pps_deployment_t *deployment, const char *host,
+                     const char *path)
+{
+    for (size_t i = first_route(deployment, host); i < deployment->route_count;
+         i++) {
+        const pps_route_t *route = &deployment->routes[i];
+
+        if (strcmp(route->host, host) != 0) {
+            break;
+        }
+        if (strncmp(path, route->prefix, strlen(route->prefix)) == 0) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+const pps_workspace_t *
+pps_deployment_workspace(const pps_deployment_t *deployment, const char *key)
+{
+    pps_workspace_key_t wanted = {.key = (char *)key};
+    const pps_workspace_key_t *found;
+
+    if (deployment->key_count == 0) {
+        return NULL;
+    }
+    found = bsearch(&wanted, deployment->keys, deployment->key_count,
+                    sizeof(deployment->keys[0]), compare_keys);
+    return found ? &deployment->workspaces[found->workspace] : NULL;
+}
+
+int
+pps_deployment_upstream_index(unsigned int *out,
+                              const pps_deployment_t *deployment,
+                              const char *name)
+{
+    for (size_t i = 0; i < deployment->upstream_count; i++) {
+        if (strcmp(deployment->upstreams[i].name, name) == 0) {
+            *out = (unsigned int)i;
+            return PPS_OK;
+        }
+    }
+    return PPS_ENOTFOUND;
+}
+
+double
+pps_upstream_model_cost(const pps_upstream_t *upstream, const char *model)
+{
+    for (size_t i = 0; i < upstream->model_count; i++) {
+        if (strcmp(upstream->models[i].name, model) == 0) {
+            return upstream->models[i].cost;
+        }
+    }
+    return 0;
+}
+
+unsigned int
+pps_route_upstream(const pps_route_t *route, uint64_t digest)
+{
+    uint64_t sum = 0;
+    uint64_t at;
+
+    for (size_t i = 0; i < route->target_count; i++) {
+        sum += route->targets[i].weight;
+    }
+    if (sum == 0) {
+        return route->targets[0].upstream;
+    }
+    at = digest % sum;
+    for (size_t i = 0; i < route->target_count; i++) {
+        if (at < route->targets[i].weight) {
+            return route->targets[i].upstream;
+        }
+        at -= route->targets[i].weight;
+    }
+    return route->targets[0].upstream;
+}
--- /dev/null
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -0,0 +1,167 @@
+/** @file decision_log.c @brief Log lines and counters of a request's way. */
+#include "decision_log.h"
+
+#include "clock.h"
+#include "counters.h"
+#include "logger.h"
+
+#define TO_MS(us) ((us) / PPS_US_PER_MS)
+#define NO_REPORT (-1)
+
+static int64_t
+now_us(const pps_exchange_t *exchange)
+{
+    return exchange->dispatcher->reactor->now_us;
+}
+
+static const char *
+model_name(const pps_exchange_t *exchange)
+{
+    const pps_route_t *route = exchange->route;
+
+    return route->model_count > 0 ? route->models[exchange->model] : "";
+}
+
+void
+pps_decision_refused(const char *id, unsigned int status, const char *reason,
+                     int64_t revision)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_REFUSED, 1);
+    pps_logger_write(
+        PPS_LOG_WARN, "refused",
+        PPS_FIELDS(PPS_STR("request", id ? id : ""), PPS_INT("status", status),
+                   PPS_STR("reason", reason), PPS_INT("revision", revision)));
+}
+
+void
+pps_decision_admitted(const pps_exchange_t *exchange)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_REQUESTS, 1);
+    if (!pps_logger_samples(exchange->call.id)) {
+        return;
+    }
+    pps_logger_write(
+        PPS_LOG_INFO, "admitted",
+        PPS_FIELDS(PPS_STR("request", exchange->call.id),
+                   PPS_STR("route", exchange->route->name),
+                   PPS_STR("upstream", exchange->upstream->name),
+                   PPS_STR("workspace", exchange->workspace
+                                            ? exchange->workspace->name
+                                            : ""),
+                   PPS_INT("revision", exchange->deployment->revision)));
+}
+
+void
+pps_decision_sent(const pps_exchange_t *exchange)
+{
+    const pps_pool_worker_t *worker = exchange->worker;
+    int64_t age = worker->reported_us
+                      ? TO_MS(now_us(exchange) - worker->reported_us)
+                      : NO_REPORT;
+
+    pps_counter_add(PPS_COUNTER_ENTRY_SENDS, 1);
+    if (!pps_logger_samples(exchange->call.id)) {
+        return;
+    }
+    pps_logger_write(
+        PPS_LOG_INFO, "sent",
+        PPS_FIELDS(
+            PPS_STR("request", exchange->call.id),
+            PPS_STR("worker", worker->info.id),
+            PPS_STR("version", worker->info.version),
+            PPS_STR("model", model_name(exchange)),
+            PPS_INT("send", exchange->sends), PPS_INT("runs", exchange->runs),
+            PPS_INT("behind_event",
+                    exchange->has_last_event ? exchange->last_event : -1),
+            PPS_INT("busy_here", worker->in_flight),
+            PPS_INT("busy_reported", worker->reported_busy),
+            PPS_INT("report_age_ms", age),
+            PPS_INT("left_ms", TO_MS(pps_exchange_left_us(exchange)))));
+}
+
+void
+pps_decision_answered(const pps_exchange_t *exchange, unsigned int status,
+                      int confidence)
+{
+    if (!pps_logger_samples(exchange->call.id)) {
+        return;
+    }
+    pps_logger_write(
+        PPS_LOG_INFO, "answer_began",
+        PPS_FIELDS(
+            PPS_STR("request", exchange->call.id),
+            PPS_STR("worker", exchange->worker->info.id),
+            PPS_INT("status", status), PPS_INT("confidence", confidence),
+            PPS_INT("after_ms", TO_MS(now_us(exchange) - exchange->sent_us))));
+}
+
+void
+pps_decision_escalates(const pps_exchange_t *exchange, int confidence,
+                       double load)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_ESCALATIONS, 1);
+    if (!pps_logger_samples(exchange->call.id)) {
+        return;
+    }
+    pps_logger_write(PPS_LOG_INFO, "larger_model",
+                     PPS_FIELDS(PPS_STR("request", exchange->call.id),
+                                PPS_STR("model", model_name(exchange)),
+                                PPS_INT("confidence", confidence),
+                                PPS_INT("load_percent", load * 100)));
+}
+
+void
+pps_decision_repeats(const pps_exchange_t *exchange, const char *reason,
+                     int may_have_run)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_REPEATS, 1);
+    pps_logger_write(
+        PPS_LOG_WARN, "repeated",
+        PPS_FIELDS(
+            PPS_STR("request", exchange->call.id), PPS_STR("reason", reason),
+            PPS_STR("worker", exchange->sends > 0
+                                  ? exchange->tried[exchange->sends - 1]
+                                  : ""),
+            PPS_INT("may_have_run", may_have_run),
+            PPS_INT("runs", exchange->runs),
+            PPS_INT("after_ms", TO_MS(now_us(exchange) - exchange->sent_us)),
+            PPS_INT("behind_event",
+                    exchange->has_last_event ? exchange->last_event : -1)));
+}
+
+void
+pps_decision_foreign(const pps_exchange_t *exchange)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_FOREIGN, 1);
+    pps_logger_write(PPS_LOG_WARN, "foreign_answer",
+                     PPS_FIELDS(PPS_STR("request", exchange->call.id),
+                                PPS_STR("worker", exchange->worker->info.id)));
+}
+
+void
+pps_decision_ended(const pps_exchange_t *exchange, unsigned int status,
+                   const char *outcome)
+{
+    int served = status >= 200 && status < 300;
+
+    pps_counter_add(
+        served ? PPS_COUNTER_ENTRY_SERVED : PPS_COUNTER_ENTRY_UNSERVED, 1);
+    if (served && !pps_logger_samples(exchange->call.id)) {
+        return;
+    }
+    pps_logger_write(
+        served ? PPS_LOG_INFO : PPS_LOG_WARN, "ended",
+        PPS_FIELDS(
+            PPS_STR("request", exchange->call.id), PPS_INT("status", status),
+            PPS_STR("outcome", outcome),
+            PPS_STR("route", exchange->route->name),
+            PPS_STR("worker",
+                    exchange->worker ? exchange->worker->info.id : ""),
+            PPS_INT("sends", exchange->sends), PPS_INT("runs", exchange->runs),
+            PPS_INT("begun", exchange->begun),
+            PPS_INT("last_event",
+                    exchange->has_last_event ? exchange->last_event : -1),
+            PPS_INT("workers", pps_pool_count(exchange->dispatcher->pool)),
+            PPS_INT("after_ms", TO_MS(now_us(exchange) -
+                                      exchange->request->received_us))));
+}
--- /dev/null
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -0,0 +1,85 @@
+/** @file dispatcher.c @brief State of one host's traffic. */
+#include "dispatcher.h"
+
+#include "clock.h"
+#include "exchange.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/** Callers' limits until a deployment states others. */
+#define HEADER_BYTES 16384
+#define BODY_BYTES (4U << 20)
+#define HEADER_US (3 * PPS_US_PER_S)
+#define IDLE_US (15 * PPS_US_PER_S)
+
+int
+pps_dispatcher_init(pps_dispatcher_t *dispatcher, pps_reactor_t *reactor,
+                    const pps_dispatch_options_t *options,
+                    const pps_caller_ops_t *caller,
+                    const pps_worker_ops_t *worker)
+{
+    memset(dispatcher, 0, sizeof(*dispatcher));
+    dispatcher->reactor = reactor;
+    dispatcher->options = *options;
+    dispatcher->caller = caller;
+    dispatcher->worker = worker;
+    dispatcher->hosts = 1;
+    dispatcher->limits =
+        (pps_http_limits_t){HEADER_BYTES, BODY_BYTES, HEADER_US, IDLE_US};
+    CDS_INIT_LIST_HEAD(&dispatcher->exchanges);
+    pps_rng_init(&dispatcher->rng, pps_rng_system_seed());
+    return pps_pool_new(&dispatcher->pool);
+}
+
+int
+pps_dispatcher_deploy(pps_dispatcher_t *dispatcher,
+                      pps_deployment_t *deployment)
+{
+    if (dispatcher->deployment != NULL &&
+        deployment->revision <= dispatcher->deployment->revision) {
+        pps_deployment_free(deployment);
+        return 0;
+    }
+    pps_deployment_free(dispatcher->deployment);
+    dispatcher->deployment = deployment;
+    dispatcher->limits = deployment->limits;
+    return 1;
+}
+
+pps_upstream_state_t *
+pps_dispatcher_upstream(pps_dispatcher_t *dispatcher, const char *name)
+{
+    pps_upstream_state_t *state;
+    const pps_dispatch_options_t *options = &dispatcher->options;
+
+    for (size_t i = 0; i < dispatcher->upstream_count; i++) {
+        if (strcmp(dispatcher->upstreams[i].name, name) == 0) {
+            return &dispatcher->upstreams[i];
+        }
+    }
+    if (dispatcher->upstream_count == PPS_DISPATCH_UPSTREAMS_MAX) {
+        return NULL;
+    }
+    state = &dispatcher->upstreams[dispatcher->upstream_count++];
+    snprintf(state->name, sizeof(state->name), "%s", name);
+    pps_repeat_limit_init(&state->repeats, options->repeat_window_us,
+                          options->repeat_ratio,
+                          (double)options->repeat_more / dispatcher->hosts);
+    return state;
+}
+
+static void
+on_request(void *user, pps_http_conn_t *conn,
+           const pps_http_request_t *request)
+{
+    pps_exchange_begin(user, conn, request);
+}
+
+static void
+on_gone(void *user, void *exchange)
+{
+    pps_exchange_gone(exchange);
+}
+
+const pps_http_server_ops_t pps_dispatcher_server_ops = {on_request, on_gone};
--- /dev/null
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -0,0 +1,244 @@
+/** @file exchange.c @brief Beginning and end of a request. */
+#include "exchange.h"
+
+#include "clock.h"
+#include "decision_log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define STATUS_UNAUTHORIZED 401
+#define STATUS_NOT_FOUND 404
+#define STATUS_UNAVAILABLE 503
+#define STATUS_TIMEOUT 504
+#define STATUS_BAD_GATEWAY 502
+/** When a host that knows no deployment yet, or no worker, asks callers to
+ * come back. */
+#define RETRY_SOON_US (500 * PPS_US_PER_MS)
+#define LEFT_MAX_US (3600 * PPS_US_PER_S)
+
+int64_t
+pps_exchange_left_us(const pps_exchange_t *exchange)
+{
+    int64_t left =
+        exchange->deadline_us - exchange->dispatcher->reactor->now_us;
+
+    return left < LEFT_MAX_US ? left : LEFT_MAX_US;
+}
+
+int
+pps_exchange_is_repeatable(const pps_exchange_t *exchange)
+{
+    switch (exchange->route->kind) {
+    case PPS_CALL_IDEMPOTENT:
+        return 1;
+    case PPS_CALL_STREAM:
+        return exchange->route->resumable;
+    case PPS_CALL_ONCE:
+        break;
+    }
+    return 0;
+}
+
+void
+pps_exchange_free(pps_exchange_t *exchange)
+{
+    pps_timers_cancel(&exchange->deadline_timer);
+    pps_timers_cancel(&exchange->silence_timer);
+    cds_list_del(&exchange->node);
+    exchange->dispatcher->exchange_count--;
+    pps_deployment_free(exchange->deployment);
+    pps_buf_clear(&exchange->fields);
+    pps_buf_clear(&exchange->body);
+    pps_buf_clear(&exchange->events.partial);
+    free(exchange);
+}
+
+/* Answers a request that has no exchange, or whose exchange is over. */
+static void
+respond(pps_dispatcher_t *dispatcher, pps_http_conn_t *conn,
+        unsigned int status, int64_t retry_after_us)
+{
+    pps_buf_t fields = PPS_BUF_INIT;
+
+    dispatcher->caller->refusal(&fields, retry_after_us);
+    pps_http_conn_respond(conn, status, pps_buf_text(&fields), "", 0);
+    pps_buf_clear(&fields);
+}
+
+void
+pps_exchange_refuse(pps_exchange_t *exchange, unsigned int status,
+                    int64_t retry_after_us, const char *reason)
+{
+    pps_http_conn_t *conn = exchange->conn;
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+
+    pps_decision_ended(exchange, exchange->begun ? 0 : status, reason);
+    if (exchange->attempt != PPS_ATTEMPT_NONE) {
+        pps_exchange_drop_attempt(exchange, PPS_WORKER_NO_VERDICT);
+    }
+    if (exchange->begun) {
+        pps_http_conn_abort(conn);
+        pps_exchange_free(exchange);
+        return;
+    }
+    pps_exchange_free(exchange);
+    respond(dispatcher, conn, status, retry_after_us);
+}
+
+void
+pps_exchange_gone(pps_exchange_t *exchange)
+{
+    pps_decision_ended(exchange, 0, "caller_gone");
+    if (exchange->attempt != PPS_ATTEMPT_NONE) {
+        pps_exchange_drop_attempt(exchange, PPS_WORKER_NO_VERDICT);
+    }
+    pps_exchange_free(exchange);
+}
+
+static void
+on_deadline(int64_t now_us, void *user)
+{
+    pps_exchange_t *exchange = user;
+
+    pps_exchange_refuse(exchange, STATUS_TIMEOUT, -1, "timeout");
+}
+
+static void
+set_deadline(pps_exchange_t *exchange)
+{
+    int64_t limit = exchange->route->timeout_us;
+    int64_t patience = exchange->call.patience_us;
+
+    if (limit == 0 || (patience > 0 && patience < limit)) {
+        limit = patience;
+    }
+    if (limit == 0) {
+        exchange->deadline_us = INT64_MAX;
+        return;
+    }
+    exchange->deadline_us = exchange->request->received_us + limit;
+    pps_reactor_after(exchange->dispatcher->reactor, &exchange->deadline_timer,
+                      exchange->deadline_us -
+                          exchange->dispatcher->reactor->now_us,
+                      on_deadline, exchange);
+}
+
+/* Route and workspace, or the status of a refusal. */
+static unsigned int
+identify(const pps_deployment_t *deployment, const pps_call_t *call,
+         const char *path, const pps_route_t **route,
+         const pps_workspace_t **workspace)
+{
+    *route = pps_deployment_route(deployment, call->host, path);
+    if (*route == NULL) {
+        return STATUS_NOT_FOUND;
+    }
+    if (call->key != NULL) {
+        *workspace = pps_deployment_workspace(deployment, call->key);
+    }
+    if (*workspace == NULL && deployment->key_count > 0 &&
+        !(*route)->anonymous) {
+        return STATUS_UNAUTHORIZED;
+    }
+    return 0;
+}
+
+static size_t
+first_model(const pps_route_t *route)
+{
+    if (route->model_count == 0 || route->attempts_max >= 2) {
+        return 0;
+    }
+    return route->model_count - 1;
+}
+
+static uint64_t
+route_digest(const pps_exchange_t *exchange)
+{
+    return exchange->call.session_digest != 0
+               ? exchange->call.session_digest
+               : pps_rng_next(&exchange->dispatcher->rng);
+}
+
+static void
+start(pps_exchange_t *exchange)
+{
+    const pps_route_t *route = exchange->route;
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    unsigned int index = pps_route_upstream(route, route_digest(exchange));
+
+    exchange->upstream = &exchange->deployment->upstreams[index];
+    exchange->upstream_state =
+        pps_dispatcher_upstream(dispatcher, exchange->upstream->name);
+    exchange->model = first_model(route);
+    exchange->last_event = exchange->call.last_event;
+    exchange->has_last_event = exchange->call.has_last_event;
+    set_deadline(exchange);
+    if (exchange->upstream_state == NULL) {
+        pps_exchange_refuse(exchange, STATUS_UNAVAILABLE, RETRY_SOON_US,
+                            "too_many_upstreams");
+        return;
+    }
+    exchange->upstream_state->tally.requests++;
+    pps_repeat_limit_request(&exchange->upstream_state->repeats,
+                             dispatcher->reactor->now_us);
+    pps_decision_admitted(exchange);
+    pps_exchange_send(exchange);
+}
+
+static pps_exchange_t *
+exchange_new(pps_dispatcher_t *dispatcher, pps_http_conn_t *conn,
+             const pps_http_request_t *request)
+{
+    pps_exchange_t *exchange = calloc(1, sizeof(*exchange));
+
+    if (exchange == NULL) {
+        return NULL;
+    }
+    exchange->dispatcher = dispatcher;
+    exchange->conn = conn;
+    exchange->request = request;
+    exchange->deployment = pps_deployment_ref(dispatcher->deployment);
+    cds_list_add_tail(&exchange->node, &dispatcher->exchanges);
+    dispatcher->exchange_count++;
+    pps_http_conn_attach(conn, exchange);
+    return exchange;
+}
+
+void
+pps_exchange_begin(pps_dispatcher_t *dispatcher, pps_http_conn_t *conn,
+                   const pps_http_request_t *request)
+{
+    pps_call_t call = {0};
+    const pps_route_t *route = NULL;
+    const pps_workspace_t *workspace = NULL;
+    unsigned int status = dispatcher->caller->decode(&call, request);
+    pps_exchange_t *exchange;
+
+    if (status == 0 && dispatcher->deployment == NULL) {
+        respond(dispatcher, conn, STATUS_UNAVAILABLE, RETRY_SOON_US);
+        pps_decision_refused(call.id, STATUS_UNAVAILABLE, "no_deployment", 0);
+        return;
+    }
+    if (status == 0) {
+        status = identify(dispatcher->deployment, &call,
+                          pps_buf_text(&request->target), &route, &workspace);
+    }
+    if (status != 0) {
+        pps_decision_refused(
+            call.id, status, "not_allowed",
+            dispatcher->deployment ? dispatcher->deployment->revision : 0);
+        respond(dispatcher, conn, status, -1);
+        return;
+    }
+    exchange = exchange_new(dispatcher, conn, request);
+    if (exchange == NULL) {
+        respond(dispatcher, conn, STATUS_UNAVAILABLE, RETRY_SOON_US);
+        return;
+    }
+    exchange->call = call;
+    exchange->route = route;
+    exchange->workspace = workspace;
+    start(exchange);
+}
--- /dev/null
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -0,0 +1,252 @@
+/** @file exchange_attempt.c @brief One sending of a request to a worker. */
+#include "exchange.h"
+
+#include "clock.h"
+#include "decision_log.h"
+#include "exchange_reply.h"
+#include "exchange_worker.h"
+#include "papayaswitch/errors.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define STATUS_UNAVAILABLE 503
+#define STATUS_BAD_GATEWAY 502
+/** Longest wait for a connection to a worker. */
+#define CONNECT_US (400 * PPS_US_PER_MS)
+/** Longest wait for a worker's host to acknowledge bytes. */
+#define USER_TIMEOUT_MS 2500
+/** A worker is not asked with less time left than this. */
+#define LEFT_MIN_US (15 * PPS_US_PER_MS)
+/** When callers are asked to come back if no worker takes their request. */
+#define RETRY_BUSY_US (400 * PPS_US_PER_MS)
+/** Part of the allowed repeats that a silent worker may cost. */
+#define SILENCE_PART 0.6
+#define FAILURE_PART 0.95
+/** Part of the route's target, and multiple of the usual time to first byte,
+ * after which a worker counts as silent. */
+#define SILENCE_TARGET_PART 0.6
+#define SILENCE_USUAL 4.0
+#define SILENCE_MIN_US (60 * PPS_US_PER_MS)
+/** Part of the longest allowed pause after which a stream counts as broken. */
+#define SILENCE_GAP_PART 0.6
+/** Urgency that workers are told: the route's or workspace's rank behind it.
+ */
+#define PRIORITY_BASE 2
+#define PRIORITY_LAST 9
+
+static const pps_channel_options_t channel_options = {CONNECT_US,
+                                                      USER_TIMEOUT_MS};
+
+void
+pps_exchange_drop_attempt(pps_exchange_t *exchange,
+                          pps_worker_outcome_t outcome)
+{
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+
+    pps_timers_cancel(&exchange->silence_timer);
+    if (exchange->channel != NULL) {
+        pps_http_channel_close(exchange->channel);
+        exchange->channel = NULL;
+    }
+    if (exchange->worker != NULL) {
+        pps_pool_call_ends(dispatcher->pool, exchange->worker, outcome,
+                           dispatcher->reactor->now_us);
+        exchange->worker = NULL;
+    }
+    exchange->attempt = PPS_ATTEMPT_NONE;
+    exchange->events.partial.size = 0;
+    exchange->body.size = 0;
+}
+
+static int
+attempts_are_left(const pps_exchange_t *exchange)
+{
+    return exchange->runs < exchange->route->attempts_max &&
+           exchange->sends < PPS_SENDS_MAX &&
+           pps_exchange_left_us(exchange) > LEFT_MIN_US;
+}
+
+static int
+take_repeat(pps_exchange_t *exchange, double part)
+{
+    return pps_repeat_limit_take(&exchange->upstream_state->repeats,
+                                 exchange->dispatcher->reactor->now_us, part);
+}
+
+void
+pps_exchange_retry(pps_exchange_t *exchange, const char *reason,
+                   int may_have_run)
+{
+    int allowed = attempts_are_left(exchange) &&
+                  (!may_have_run || pps_exchange_is_repeatable(exchange)) &&
+                  take_repeat(exchange, FAILURE_PART) == 0;
+
+    if (allowed) {
+        pps_decision_repeats(exchange, reason, may_have_run);
+        pps_exchange_send(exchange);
+        return;
+    }
+    if (exchange->runs == 0) {
+        pps_exchange_refuse(exchange, STATUS_UNAVAILABLE, RETRY_BUSY_US,
+                            reason);
+        return;
+    }
+    pps_exchange_refuse(exchange, STATUS_BAD_GATEWAY, -1, reason);
+}
+
+static void
+on_silence(int64_t now_us, void *user)
+{
+    pps_exchange_t *exchange = user;
+
+    if (!attempts_are_left(exchange) ||
+        take_repeat(exchange, SILENCE_PART) != 0) {
+        return;
+    }
+    pps_decision_repeats(exchange, "silence", 1);
+    pps_exchange_drop_attempt(exchange, PPS_WORKER_UNREACHABLE);
+    pps_exchange_send(exchange);
+}
+
+static int64_t
+silence_limit_us(const pps_exchange_t *exchange)
+{
+    const pps_route_t *route = exchange->route;
+    double usual = exchange->upstream_state->first_byte_us * SILENCE_USUAL;
+    double limit = (double)route->target_us * SILENCE_TARGET_PART;
+
+    if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
+        return (int64_t)((double)route->gap_us * SILENCE_GAP_PART);
+    }
+    if (limit < usual) {
+        limit = usual;
+    }
+    return limit < SILENCE_MIN_US ? SILENCE_MIN_US : (int64_t)limit;
+}
+
+void
+pps_exchange_watch_silence(pps_exchange_t *exchange)
+{
+    int64_t limit = silence_limit_us(exchange);
+
+    if (limit > 0 && pps_exchange_is_repeatable(exchange)) {
+        pps_reactor_after(exchange->dispatcher->reactor,
+                          &exchange->silence_timer, limit, on_silence,
+                          exchange);
+    }
+}
+
+static void
+on_fail(void *user, pps_channel_failure_t failure)
+{
+    pps_exchange_t *exchange = user;
+
+    exchange->channel = NULL;
+    pps_exchange_attempt_failed(exchange, failure);
+}
+
+static int
+on_head(void *user, const pps_http_reply_t *reply)
+{
+    return pps_exchange_reply_head(user, reply);
+}
+
+static void
+on_body(void *user, const char *data, size_t size)
+{
+    pps_exchange_reply_body(user, data, size);
+}
+
+static void
+on_end(void *user)
+{
+    pps_exchange_reply_end(user);
+}
+
+static const pps_channel_ops_t channel_ops = {on_head, on_body, on_end,
+                                              on_fail};
+
+static int
+told_priority(const pps_exchange_t *exchange)
+{
+    int priority = exchange->route->priority;
+
+    if (exchange->workspace != NULL && exchange->workspace->priority >= 0) {
+        priority = exchange->workspace->priority;
+    }
+    priority += PRIORITY_BASE;
+    return priority > PRIORITY_LAST ? PRIORITY_LAST : priority;
+}
+
+static int
+write_request(pps_exchange_t *exchange, const pps_pool_worker_t *worker)
+{
+    const pps_route_t *route = exchange->route;
+    pps_buf_t text = PPS_BUF_INIT;
+    pps_send_t send = {
+        .worker_id = worker->info.id,
+        .workspace = exchange->workspace ? exchange->workspace->name : NULL,
+        .model =
+            route->model_count > 0 ? route->models[exchange->model] : NULL,
+        .budget_us = exchange->deadline_us == INT64_MAX
+                         ? 0
+                         : pps_exchange_left_us(exchange),
+        .last_event = exchange->last_event,
+        .has_last_event = exchange->has_last_event,
+        .priority =
+            route->kind == PPS_CALL_STREAM ? told_priority(exchange) : -1,
+    };
+    int error = exchange->dispatcher->worker->encode(&text, exchange->request,
+                                                     &exchange->call, &send);
+
+    if (error == 0) {
+        error = pps_http_channel_call(exchange->channel, text.data, text.size,
+                                      &channel_ops, exchange);
+    }
+    pps_buf_clear(&text);
+    return error;
+}
+
+static int
+open_channel(pps_exchange_t *exchange, const pps_pool_worker_t *worker)
+{
+    return pps_http_channel_new(
+        &exchange->channel, exchange->dispatcher->reactor,
+        worker->info.address, &channel_options, NULL, NULL);
+}
+
+void
+pps_exchange_send(pps_exchange_t *exchange)
+{
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    pps_pool_worker_t *worker = pps_exchange_choose(exchange);
+
+    if (worker == NULL) {
+        pps_exchange_refuse(
+            exchange,
+            exchange->runs == 0 ? STATUS_UNAVAILABLE : STATUS_BAD_GATEWAY,
+            exchange->runs == 0 ? RETRY_BUSY_US : -1, "no_worker");
+        return;
+    }
+    snprintf(exchange->tried[exchange->sends++], PPS_WORKER_TEXT_BYTES, "%s",
+             worker->info.id);
+    exchange->worker = worker;
+    exchange->attempt = PPS_ATTEMPT_SENT;
+    exchange->attempt_events = 0;
+    exchange->sent_us = dispatcher->reactor->now_us;
+    exchange->on_target =
+        exchange->upstream_state->rollout.state == PPS_ROLLOUT_ACTIVE &&
+        strcmp(worker->info.version,
+               exchange->upstream_state->rollout.target) == 0;
+    exchange->upstream_state->tally.exposed += exchange->on_target;
+    pps_pool_call_begins(worker);
+    exchange->runs++;
+    pps_decision_sent(exchange);
+    if (open_channel(exchange, worker) != 0 ||
+        write_request(exchange, worker) != 0) {
+        pps_exchange_attempt_failed(exchange, PPS_CHANNEL_UNSENT);
+        return;
+    }
+    pps_exchange_watch_silence(exchange);
+}
--- /dev/null
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -0,0 +1,290 @@
+/** @file exchange_reply.c @brief A worker's reply, handed on or acted upon. */
+#include "exchange_reply.h"
+
+#include "clock.h"
+#include "decision_log.h"
+#include "exchange_worker.h"
+#include "model_choice.h"
+
+#include <string.h>
+
+#define STATUS_BAD_GATEWAY 502
+/** Largest answer that is gathered before it is handed on. */
+#define BODY_BYTES_MAX (8U << 20)
+/** Part of the allowed repeats that answers in doubt may use. */
+#define DOUBT_PART 0.75
+/** Part that repeats of failed answers may use. */
+#define FAILURE_PART 0.95
+#define FIRST_BYTE_WEIGHT 0.05
+
+static int
+is_success(unsigned int status)
+{
+    return status >= 200 && status < 300;
+}
+
+static pps_rollout_count_t *
+evidence_of(pps_exchange_t *exchange)
+{
+    pps_rollout_tally_t *tally = &exchange->upstream_state->tally;
+    size_t kind = (size_t)(exchange->route - exchange->deployment->routes) %
+                  PPS_ROLLOUT_KINDS;
+
+    return exchange->on_target ? &tally->target[kind] : &tally->before[kind];
+}
+
+static void
+count_evidence(pps_exchange_t *exchange, int failed)
+{
+    pps_rollout_count_t *count = evidence_of(exchange);
+
+    count->answers++;
+    count->failures += failed != 0;
+}
+
+static void
+time_first_byte(pps_exchange_t *exchange)
+{
+    int64_t elapsed =
+        exchange->dispatcher->reactor->now_us - exchange->sent_us;
+    pps_rollout_count_t *count = evidence_of(exchange);
+    double *usual = &exchange->upstream_state->first_byte_us;
+
+    count->timed++;
+    count->first_byte_us += (uint64_t)elapsed;
+    *usual += ((double)elapsed - *usual) * FIRST_BYTE_WEIGHT;
+}
+
+/* The worker says that it has not run the request. */
+static void
+take_refusal(pps_exchange_t *exchange, const pps_worker_reply_t *reply)
+{
+    exchange->runs--;
+    pps_exchange_drop_attempt(exchange, reply->other_worker ? PPS_WORKER_MOVED
+                                                            : PPS_WORKER_FULL);
+    pps_exchange_retry(
+        exchange, reply->other_worker ? "other_worker" : "worker_full", 0);
+}
+
+/* Whether the answer is dropped and a larger model asked instead. */
+static int
+ask_larger_model(pps_exchange_t *exchange, const pps_worker_reply_t *reply)
+{
+    const pps_route_t *route = exchange->route;
+    const pps_model_doubt_t doubt = {
+        .model = exchange->model,
+        .model_count = route->model_count,
+        .confidence = reply->confidence,
+        .attempts_left = route->attempts_max - exchange->runs,
+        .confidence_min = exchange->dispatcher->options.confidence_min,
+        .load = pps_exchange_load(exchange),
+    };
+    size_t next;
+
+    if (route->model_count == 0 || exchange->begun ||
+        !pps_exchange_is_repeatable(exchange)) {
+        return 0;
+    }
+    next = pps_model_next(&doubt);
+    if (next == exchange->model ||
+        pps_repeat_limit_take(&exchange->upstream_state->repeats,
+                              exchange->dispatcher->reactor->now_us,
+                              DOUBT_PART) != 0) {
+        return 0;
+    }
+    pps_decision_escalates(exchange, reply->confidence, doubt.load);
+    pps_exchange_drop_attempt(exchange, PPS_WORKER_SERVED);
+    exchange->model = next;
+    pps_exchange_send(exchange);
+    return 1;
+}
+
+static void
+take_success(pps_exchange_t *exchange, const pps_http_reply_t *reply,
+             const pps_worker_reply_t *read)
+{
+    time_first_byte(exchange);
+    count_evidence(exchange, 0);
+    if (ask_larger_model(exchange, read)) {
+        return;
+    }
+    if (!exchange->begun) {
+        exchange->fields.size = 0;
+        exchange->dispatcher->worker->fields(&exchange->fields, reply);
+        exchange->status = reply->status;
+    }
+    exchange->attempt = exchange->route->kind == PPS_CALL_STREAM
+                            ? PPS_ATTEMPT_STREAMING
+                            : PPS_ATTEMPT_GATHERING;
+    pps_exchange_watch_silence(exchange);
+}
+
+/* A status that tells the caller "not run" without the worker having said so:
+ * it must not be handed on. */
+static int
+promises_too_much(unsigned int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+/* An answer that is no success: another worker, or handed on as it is. */
+static void
+take_failure(pps_exchange_t *exchange, const pps_http_reply_t *reply,
+             const pps_worker_reply_t *read)
+{
+    int doubtful = !read->sealed || promises_too_much(reply->status);
+    int error = reply->status >= 500 || doubtful;
+
+    if (error) {
+        count_evidence(exchange, 1);
+    }
+    if ((error && pps_exchange_is_repeatable(exchange) &&
+         exchange->runs < exchange->route->attempts_max) ||
+        exchange->begun || doubtful) {
+        pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
+        pps_exchange_retry(exchange, "worker_error", 1);
+        return;
+    }
+    exchange->fields.size = 0;
+    exchange->dispatcher->worker->fields(&exchange->fields, reply);
+    exchange->status = reply->status;
+    exchange->attempt = PPS_ATTEMPT_GATHERING;
+}
+
+int
+pps_exchange_reply_head(pps_exchange_t *exchange,
+                        const pps_http_reply_t *reply)
+{
+    pps_worker_reply_t read;
+    int64_t now_us = exchange->dispatcher->reactor->now_us;
+
+    exchange->dispatcher->worker->decode(&read, reply);
+    if (read.id != NULL && strcmp(read.id, exchange->call.id) != 0) {
+        pps_decision_foreign(exchange);
+        return 1;
+    }
+    if (read.has_load) {
+        pps_pool_load_reported(exchange->worker, read.running, read.waiting,
+                               read.slots, now_us);
+    }
+    pps_decision_answered(exchange, reply->status, read.confidence);
+    pps_timers_cancel(&exchange->silence_timer);
+    if (read.not_run) {
+        take_refusal(exchange, &read);
+    }
+    else if (is_success(reply->status) && read.sealed && read.id != NULL) {
+        take_success(exchange, reply, &read);
+    }
+    else {
+        take_failure(exchange, reply, &read);
+    }
+    return 0;
+}
+
+static void
+begin_answer(pps_exchange_t *exchange)
+{
+    if (!exchange->begun) {
+        exchange->begun = 1;
+        pps_http_conn_begin(exchange->conn, exchange->status,
+                            pps_buf_text(&exchange->fields));
+    }
+}
+
+static void
+on_event(void *user, const char *text, size_t size, int64_t id)
+{
+    pps_exchange_t *exchange = user;
+
+    if (id >= 0 && exchange->has_last_event && id <= exchange->last_event) {
+        return;
+    }
+    begin_answer(exchange);
+    pps_http_conn_chunk(exchange->conn, text, size);
+    exchange->attempt_events++;
+    if (id >= 0) {
+        exchange->last_event = id;
+        exchange->has_last_event = 1;
+    }
+}
+
+void
+pps_exchange_reply_body(pps_exchange_t *exchange, const char *data,
+                        size_t size)
+{
+    int error;
+
+    if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
+        error =
+            pps_event_split(&exchange->events, data, size, on_event, exchange);
+        pps_exchange_watch_silence(exchange);
+    }
+    else {
+        error = exchange->body.size + size > BODY_BYTES_MAX
+                    ? -1
+                    : pps_buf_append(&exchange->body, data, size);
+    }
+    if (error != 0) {
+        pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
+        pps_exchange_refuse(exchange, STATUS_BAD_GATEWAY, -1, "too_large");
+    }
+}
+
+static void
+finish(pps_exchange_t *exchange)
+{
+    pps_http_conn_t *conn = exchange->conn;
+    pps_buf_t fields = exchange->fields;
+    pps_buf_t body = exchange->body;
+    unsigned int status = exchange->status;
+    int begun = exchange->begun;
+
+    exchange->fields = (pps_buf_t)PPS_BUF_INIT;
+    exchange->body = (pps_buf_t)PPS_BUF_INIT;
+    pps_decision_ended(exchange, status, "answered");
+    pps_exchange_drop_attempt(
+        exchange, is_success(status) ? PPS_WORKER_SERVED : PPS_WORKER_FAILED);
+    pps_exchange_free(exchange);
+    if (begun) {
+        pps_http_conn_end(conn);
+    }
+    else {
+        pps_http_conn_respond(conn, status, pps_buf_text(&fields),
+                              pps_buf_text(&body), body.size);
+    }
+    pps_buf_clear(&fields);
+    pps_buf_clear(&body);
+}
+
+void
+pps_exchange_reply_end(pps_exchange_t *exchange)
+{
+    if (exchange->attempt == PPS_ATTEMPT_NONE) {
+        return;
+    }
+    if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
+        if (exchange->events.partial.size > 0) {
+            pps_exchange_attempt_failed(exchange, PPS_CHANNEL_BROKEN);
+            return;
+        }
+        begin_answer(exchange);
+    }
+    finish(exchange);
+}
+
+void
+pps_exchange_attempt_failed(pps_exchange_t *exchange,
+                            pps_channel_failure_t failure)
+{
+    if (failure == PPS_CHANNEL_UNSENT) {
+        exchange->runs--;
+        pps_exchange_drop_attempt(exchange, PPS_WORKER_UNREACHABLE);
+        pps_exchange_retry(exchange, "no_connection", 0);
+        return;
+    }
+    pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
+    pps_exchange_retry(exchange,
+                       failure == PPS_CHANNEL_MALFORMED ? "malformed_answer"
+                                                        : "connection_lost",
+                       1);
+}
--- /dev/null
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -0,0 +1,136 @@
+/** @file exchange_worker.c @brief The choice of a worker for an attempt. */
+#include "exchange_worker.h"
+
+#include "pool/place.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define CANDIDATES_MAX 1024
+
+static int
+was_tried(const pps_exchange_t *exchange, const char *id)
+{
+    for (unsigned int i = 0; i < exchange->sends; i++) {
+        if (strcmp(exchange->tried[i], id) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* How well a worker's version fits the roll-out; lower is better. */
+static int
+version_misfit(const pps_exchange_t *exchange, const pps_worker_info_t *info)
+{
+    const pps_rollout_t *rollout = &exchange->upstream_state->rollout;
+    int wanted;
+
+    if (rollout->state == PPS_ROLLOUT_NONE) {
+        return 0;
+    }
+    wanted = pps_rollout_takes(rollout, exchange->call.session_digest);
+    return (strcmp(info->version, rollout->target) == 0) != wanted;
+}
+
+static const char *
+model_of(const pps_exchange_t *exchange)
+{
+    return exchange->route->model_count > 0
+               ? exchange->route->models[exchange->model]
+               : exchange->call.model;
+}
+
+static int
+is_usable(const pps_exchange_t *exchange, const pps_pool_worker_t *worker)
+{
+    const char *model = model_of(exchange);
+
+    return worker->listed && !worker->info.leaving &&
+           strcmp(worker->info.upstream, exchange->upstream->name) == 0 &&
+           (model == NULL || pps_worker_has_model(&worker->info, model));
+}
+
+static void
+fill(pps_candidate_t *out, const pps_exchange_t *exchange,
+     const pps_pool_worker_t *worker)
+{
+    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    uint64_t key = exchange->call.session_digest + exchange->model;
+
+    out->busy = pps_pool_worker_busy(worker, dispatcher->reactor->now_us,
+                                     dispatcher->hosts);
+    out->slots = worker->slots;
+    out->failing = worker->failing;
+    out->same_domain = strcmp(worker->info.failure_domain,
+                              dispatcher->options.failure_domain) == 0;
+    out->rank = XXH64(worker->info.id, strlen(worker->info.id), key);
+}
+
+/* What a pass over the workers admits. */
+typedef struct {
+    int misfit;  /* other versions than the wanted one */
+    int avoided; /* workers that failed just now, or were tried */
+} pass_t;
+
+static pps_pool_worker_t *
+choose(const pps_exchange_t *exchange, const pass_t *pass)
+{
+    static pps_candidate_t candidates[CANDIDATES_MAX];
+    static pps_pool_worker_t *workers[CANDIDATES_MAX];
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    const pps_place_options_t options = {exchange->call.session_digest != 0,
+                                         dispatcher->options.cross_domain};
+    pps_pool_worker_t *worker;
+    size_t count = 0;
+    int chosen;
+
+    cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
+                             node) {
+        if (count == CANDIDATES_MAX || !is_usable(exchange, worker) ||
+            version_misfit(exchange, &worker->info) > pass->misfit) {
+            continue;
+        }
+        if (!pass->avoided &&
+            (worker->avoided_until_us > dispatcher->reactor->now_us ||
+             was_tried(exchange, worker->info.id))) {
+            continue;
+        }
+        fill(&candidates[count], exchange, worker);
+        workers[count++] = worker;
+    }
+    chosen = pps_place(candidates, count, &options, &dispatcher->rng);
+    return chosen < 0 ? NULL : workers[chosen];
+}
+
+pps_pool_worker_t *
+pps_exchange_choose(const pps_exchange_t *exchange)
+{
+    static const pass_t passes[] = {{0, 0}, {0, 1}, {1, 0}, {1, 1}};
+    pps_pool_worker_t *worker = NULL;
+
+    for (size_t i = 0; worker == NULL && i < sizeof(passes) / sizeof(*passes);
+         i++) {
+        worker = choose(exchange, &passes[i]);
+    }
+    return worker;
+}
+
+double
+pps_exchange_load(const pps_exchange_t *exchange)
+{
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    pps_pool_worker_t *worker;
+    double busy = 0;
+    double slots = 0;
+
+    cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
+                             node) {
+        if (is_usable(exchange, worker)) {
+            busy += pps_pool_worker_busy(worker, dispatcher->reactor->now_us,
+                                         dispatcher->hosts);
+            slots += worker->slots;
+        }
+    }
+    return slots > 0 ? busy / slots : 0;
+}
--- /dev/null
+++ b/src/libpapayaswitch/exchange/exchange_worker.h
@@ -0,0 +1,15 @@
+/** @file exchange_worker.h @brief The choice of a worker for an attempt. */
+#ifndef PPS_EXCHANGE_EXCHANGE_WORKER_H
+#define PPS_EXCHANGE_EXCHANGE_WORKER_H
+
+#include "exchange.h"
+
+/** The worker for the next attempt, or NULL when the upstream has none. */
+pps_pool_worker_t *
+pps_exchange_choose(const pps_exchange_t *exchange);
+
+/** Busy share of the slots of the workers that could serve the request. */
+double
+pps_exchange_load(const pps_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -0,0 +1,280 @@
+/** @file gossip.c @brief Datagrams between hosts. */
+#include "gossip.h"
+
+#include "clock.h"
+#include "gossip_codec.h"
+#include "logger.h"
+#include "papayaswitch/errors.h"
+#include "rng.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** A host not heard for so long counts as gone. */
+#define LIVE_US (3500 * PPS_US_PER_MS)
+/** How often an address that never answered is tried. */
+#define TRY_US (2 * PPS_US_PER_S)
+#define PERIOD_US (1 * PPS_US_PER_S)
+/** Peers told in one round; the others are told by these, or in a later one.
+ */
+#define FANOUT 10
+#define DATAGRAM_BYTES 4096
+#define PEERS_MAX 2048
+
+struct pps_gossip {
+    pps_reactor_t *reactor;
+    uv_udp_t udp;
+    unsigned int port;
+    pps_gossip_message_t own;
+    struct cds_list_head peers;
+    size_t peer_count;
+    pps_timer_t timer;
+    pps_rng_t rng;
+    const pps_gossip_ops_t *ops;
+    void *user;
+};
+
+static char datagram[DATAGRAM_BYTES];
+
+static pps_gossip_peer_t *
+find_peer(pps_gossip_t *gossip, const char *address)
+{
+    pps_gossip_peer_t *peer;
+
+    cds_list_for_each_entry (peer, &gossip->peers, node) {
+        if (strcmp(peer->state.address, address) == 0) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+static pps_gossip_peer_t *
+add_peer(pps_gossip_t *gossip, const char *address)
+{
+    pps_gossip_peer_t *peer = NULL;
+
+    if (gossip->peer_count < PEERS_MAX) {
+        peer = calloc(1, sizeof(*peer));
+    }
+    if (peer != NULL) {
+        snprintf(peer->state.address, sizeof(peer->state.address), "%s",
+                 address);
+        cds_list_add_tail(&peer->node, &gossip->peers);
+        gossip->peer_count++;
+    }
+    return peer;
+}
+
+void
+pps_gossip_suggest(pps_gossip_t *gossip, const char *address)
+{
+    if (strcmp(address, gossip->own.state.address) != 0 &&
+        find_peer(gossip, address) == NULL) {
+        add_peer(gossip, address);
+    }
+}
+
+int
+pps_gossip_is_live(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
+{
+    return peer->heard_us != 0 &&
+           gossip->reactor->now_us - peer->heard_us < LIVE_US;
+}
+
+unsigned int
+pps_gossip_live(const pps_gossip_t *gossip)
+{
+    const pps_gossip_peer_t *peer;
+    unsigned int live = 1;
+
+    cds_list_for_each_entry (peer, &gossip->peers, node) {
+        live += pps_gossip_is_live(gossip, peer) != 0;
+    }
+    return live;
+}
+
+struct cds_list_head *
+pps_gossip_peers(pps_gossip_t *gossip)
+{
+    return &gossip->peers;
+}
+
+static void
+take_message(pps_gossip_t *gossip, const pps_gossip_message_t *message)
+{
+    pps_gossip_peer_t *peer = find_peer(gossip, message->state.address);
+
+    if (strcmp(message->state.address, gossip->own.state.address) == 0) {
+        return;
+    }
+    if (peer == NULL) {
+        peer = add_peer(gossip, message->state.address);
+    }
+    if (peer == NULL) {
+        return;
+    }
+    if (!pps_gossip_is_live(gossip, peer)) {
+        pps_logger_write(PPS_LOG_INFO, "peer_heard",
+                         PPS_FIELDS(PPS_STR("peer", message->state.host_id),
+                                    PPS_STR("at", message->state.address)));
+    }
+    peer->state = message->state;
+    peer->heard_us = gossip->reactor->now_us;
+    for (size_t i = 0; i < message->hint_count; i++) {
+        pps_gossip_suggest(gossip, message->hints[i]);
+    }
+    gossip->ops->heard(gossip->user, peer);
+}
+
+static void
+on_datagram(uv_udp_t *udp, ssize_t size, const uv_buf_t *memory,
+            const struct sockaddr *from, unsigned int flags)
+{
+    pps_gossip_t *gossip = udp->data;
+    pps_gossip_message_t message;
+
+    if (size <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0) {
+        return;
+    }
+    if (pps_gossip_decode(&message, memory->base, (size_t)size,
+                          gossip->reactor->now_us) != 0) {
+        pps_logger_write(PPS_LOG_WARN, "datagram_skipped",
+                         PPS_FIELDS(PPS_INT("bytes", size)));
+        return;
+    }
+    take_message(gossip, &message);
+}
+
+static void
+lend_memory(uv_handle_t *handle, size_t wanted, uv_buf_t *out)
+{
+    *out = uv_buf_init(datagram, sizeof(datagram));
+}
+
+static void
+send_to(pps_gossip_t *gossip, const char *address, const pps_buf_t *text)
+{
+    struct sockaddr_in at;
+    uv_buf_t piece = uv_buf_init(text->data, (unsigned int)text->size);
+
+    if (uv_ip4_addr(address, (int)gossip->port, &at) == 0) {
+        uv_udp_try_send(&gossip->udp, &piece, 1, (struct sockaddr *)&at);
+    }
+}
+
+static void
+choose_hints(pps_gossip_t *gossip)
+{
+    pps_gossip_peer_t *peer;
+
+    gossip->own.hint_count = 0;
+    cds_list_for_each_entry (peer, &gossip->peers, node) {
+        uint64_t place;
+
+        if (!pps_gossip_is_live(gossip, peer)) {
+            continue;
+        }
+        if (gossip->own.hint_count < PPS_GOSSIP_HINTS) {
+            place = gossip->own.hint_count++;
+        }
+        else {
+            place = pps_rng_below(&gossip->rng, gossip->peer_count);
+        }
+        if (place < PPS_GOSSIP_HINTS) {
+            memcpy(gossip->own.hints[place], peer->state.address,
+                   PPS_GOSSIP_TEXT_BYTES);
+        }
+    }
+}
+
+/* Whether a peer is told in this round. */
+static int
+is_due(pps_gossip_t *gossip, pps_gossip_peer_t *peer)
+{
+    int64_t now_us = gossip->reactor->now_us;
+
+    if (!pps_gossip_is_live(gossip, peer)) {
+        if (peer->tried_us != 0 && now_us - peer->tried_us < TRY_US) {
+            return 0;
+        }
+        peer->tried_us = now_us;
+        return 1;
+    }
+    return gossip->peer_count <= FANOUT ||
+           pps_rng_below(&gossip->rng, gossip->peer_count) < FANOUT;
+}
+
+void
+pps_gossip_tell_now(pps_gossip_t *gossip)
+{
+    pps_buf_t text = PPS_BUF_INIT;
+    pps_gossip_peer_t *peer;
+
+    gossip->own.state.rollout_count = 0;
+    gossip->ops->describe(gossip->user, &gossip->own.state);
+    choose_hints(gossip);
+    if (pps_gossip_encode(&text, &gossip->own, gossip->reactor->now_us) == 0) {
+        cds_list_for_each_entry (peer, &gossip->peers, node) {
+            if (is_due(gossip, peer)) {
+                send_to(gossip, peer->state.address, &text);
+            }
+        }
+    }
+    pps_buf_clear(&text);
+}
+
+static void
+on_timer(int64_t now_us, void *user)
+{
+    pps_gossip_tell_now(user);
+}
+
+void
+pps_gossip_set_period(pps_gossip_t *gossip, int64_t period_us)
+{
+    if (gossip->timer.period_us != period_us) {
+        pps_reactor_every(gossip->reactor, &gossip->timer, period_us, on_timer,
+                          gossip);
+    }
+}
+
+int
+pps_gossip_new(pps_gossip_t **out, pps_reactor_t *reactor, const char *host_id,
+               const char *address, unsigned int port,
+               const pps_gossip_ops_t *ops, void *user)
+{
+    pps_gossip_t *gossip = calloc(1, sizeof(*gossip));
+    struct sockaddr_in at;
+    int error;
+
+    if (gossip == NULL) {
+        return PPS_ENOMEM;
+    }
+    gossip->reactor = reactor;
+    gossip->port = port;
+    gossip->ops = ops;
+    gossip->user = user;
+    CDS_INIT_LIST_HEAD(&gossip->peers);
+    pps_rng_init(&gossip->rng, pps_rng_system_seed());
+    gossip->own.state.incarnation = pps_rng_next(&gossip->rng) >> 1;
+    snprintf(gossip->own.state.host_id, PPS_GOSSIP_TEXT_BYTES, "%s", host_id);
+    snprintf(gossip->own.state.address, PPS_GOSSIP_TEXT_BYTES, "%s", address);
+    uv_udp_init(&reactor->loop, &gossip->udp);
+    gossip->udp.data = gossip;
+    error = uv_ip4_addr(address, (int)port, &at);
+    if (error == 0) {
+        error = uv_udp_bind(&gossip->udp, (struct sockaddr *)&at, 0);
+    }
+    if (error == 0) {
+        error = uv_udp_recv_start(&gossip->udp, lend_memory, on_datagram);
+    }
+    if (error != 0) {
+        return pps_error_set(PPS_EIO, "%s:%u: %s", address, port,
+                             uv_strerror(error));
+    }
+    pps_gossip_set_period(gossip, PERIOD_US);
+    *out = gossip;
+    return PPS_OK;
+}
--- /dev/null
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -0,0 +1,91 @@
+/**
+ * @file gossip.h
+ * @brief What the hosts tell each other in datagrams: that they live, how new
+ * their copies of the shared topics are, and what they saw of roll-outs.
+ *
+ * A datagram that is lost costs freshness only: each one carries the whole
+ * state of its sender.
+ */
+#ifndef PPS_GOSSIP_GOSSIP_H
+#define PPS_GOSSIP_GOSSIP_H
+
+#include "rollout/rollout.h"
+#include "transport/reactor.h"
+
+#include <urcu/list.h>
+
+#define PPS_GOSSIP_TEXT_BYTES 64
+/** Topics whose ends are told. */
+#define PPS_GOSSIP_TOPICS 3
+/** Roll-outs whose evidence is told. */
+#define PPS_GOSSIP_ROLLOUTS 2
+
+/** A roll-out as a host sees it. */
+typedef struct {
+    pps_rollout_t rollout; /**< `started_us` on the own clock */
+    pps_rollout_tally_t tally;
+} pps_gossip_rollout_t;
+
+/** What a host says of itself. */
+typedef struct {
+    char host_id[PPS_GOSSIP_TEXT_BYTES];
+    char address[PPS_GOSSIP_TEXT_BYTES]; /**< IP number */
+    uint64_t incarnation;
+    int64_t topic_ends[PPS_GOSSIP_TOPICS]; /**< -1: no copy yet */
+    int reads_store; /**< its last reads of the store were answered */
+    int leaving;
+    pps_gossip_rollout_t rollouts[PPS_GOSSIP_ROLLOUTS];
+    size_t rollout_count;
+} pps_gossip_state_t;
+
+/** Another host. */
+typedef struct {
+    struct cds_list_head node;
+    pps_gossip_state_t state;
+    int64_t heard_us; /**< 0: never; only its address is known */
+    int64_t tried_us;
+} pps_gossip_peer_t;
+
+/** What the owner does. */
+typedef struct {
+    /** Fills in what is told of this host; id and address are set already. */
+    void (*describe)(void *user, pps_gossip_state_t *out);
+    /** A host was heard. */
+    void (*heard)(void *user, const pps_gossip_peer_t *peer);
+} pps_gossip_ops_t;
+
+/** The exchange of datagrams. */
+typedef struct pps_gossip pps_gossip_t;
+
+/** Binds a datagram socket and starts. All hosts use the same port.
+ * @return 0 or PPS_EIO */
+int
+pps_gossip_new(pps_gossip_t **out, pps_reactor_t *reactor, const char *host_id,
+               const char *address, unsigned int port,
+               const pps_gossip_ops_t *ops, void *user);
+
+/** Names a host that may be there. @param address IP number */
+void
+pps_gossip_suggest(pps_gossip_t *gossip, const char *address);
+
+/** Tells all at once, because something has changed. */
+void
+pps_gossip_tell_now(pps_gossip_t *gossip);
+
+/** Sets the time between datagrams to one peer. */
+void
+pps_gossip_set_period(pps_gossip_t *gossip, int64_t period_us);
+
+/** Hosts heard of late, this one included. */
+unsigned int
+pps_gossip_live(const pps_gossip_t *gossip);
+
+/** Whether a peer was heard of late. */
+int
+pps_gossip_is_live(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer);
+
+/** All peers, live or not. */
+struct cds_list_head *
+pps_gossip_peers(pps_gossip_t *gossip);
+
+#endif
--- /dev/null
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -0,0 +1,277 @@
+/** @file gossip_codec.c @brief Datagrams in msgpack. */
+#include "gossip_codec.h"
+
+#include "papayaswitch/errors.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#define FORMAT_VERSION 1
+#define MESSAGE_FIELDS 9
+#define ROLLOUT_FIELDS 10
+#define COUNT_FIELDS 6
+
+static int
+append(void *user, const char *data, size_t size)
+{
+    return pps_buf_append(user, data, size);
+}
+
+static void
+pack_text(msgpack_packer *packer, const char *text)
+{
+    msgpack_pack_str_with_body(packer, text, strlen(text));
+}
+
+static void
+pack_count(msgpack_packer *packer, int target, size_t kind,
+           const pps_rollout_count_t *count)
+{
+    msgpack_pack_array(packer, COUNT_FIELDS);
+    msgpack_pack_int(packer, target);
+    msgpack_pack_uint64(packer, kind);
+    msgpack_pack_uint32(packer, count->answers);
+    msgpack_pack_uint32(packer, count->failures);
+    msgpack_pack_uint32(packer, count->timed);
+    msgpack_pack_uint64(packer, count->first_byte_us);
+}
+
+static int
+is_empty(const pps_rollout_count_t *count)
+{
+    return count->answers == 0 && count->timed == 0;
+}
+
+static void
+pack_counts(msgpack_packer *packer, const pps_rollout_tally_t *tally)
+{
+    size_t filled = 0;
+
+    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
+        filled += !is_empty(&tally->before[i]);
+        filled += !is_empty(&tally->target[i]);
+    }
+    msgpack_pack_array(packer, filled);
+    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
+        if (!is_empty(&tally->before[i])) {
+            pack_count(packer, 0, i, &tally->before[i]);
+        }
+        if (!is_empty(&tally->target[i])) {
+            pack_count(packer, 1, i, &tally->target[i]);
+        }
+    }
+}
+
+static void
+pack_rollout(msgpack_packer *packer, const pps_gossip_rollout_t *item,
+             int64_t now_us)
+{
+    const pps_rollout_t *rollout = &item->rollout;
+
+    msgpack_pack_array(packer, ROLLOUT_FIELDS);
+    pack_text(packer, rollout->upstream);
+    pack_text(packer, rollout->target);
+    msgpack_pack_int(packer, rollout->state);
+    msgpack_pack_int64(packer, now_us - rollout->started_us);
+    msgpack_pack_int64(packer, rollout->duration_us);
+    msgpack_pack_unsigned_int(packer, rollout->share);
+    msgpack_pack_int(packer, rollout->held);
+    msgpack_pack_uint32(packer, item->tally.requests);
+    msgpack_pack_uint32(packer, item->tally.exposed);
+    pack_counts(packer, &item->tally);
+}
+
+int
+pps_gossip_encode(pps_buf_t *out, const pps_gossip_message_t *message,
+                  int64_t now_us)
+{
+    const pps_gossip_state_t *state = &message->state;
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, out, append);
+    msgpack_pack_array(&packer, MESSAGE_FIELDS);
+    msgpack_pack_int(&packer, FORMAT_VERSION);
+    pack_text(&packer, state->host_id);
+    pack_text(&packer, state->address);
+    msgpack_pack_uint64(&packer, state->incarnation);
+    msgpack_pack_array(&packer, PPS_GOSSIP_TOPICS);
+    for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
+        msgpack_pack_int64(&packer, state->topic_ends[i]);
+    }
+    msgpack_pack_int(&packer, state->reads_store);
+    msgpack_pack_int(&packer, state->leaving);
+    msgpack_pack_array(&packer, message->hint_count);
+    for (size_t i = 0; i < message->hint_count; i++) {
+        pack_text(&packer, message->hints[i]);
+    }
+    msgpack_pack_array(&packer, state->rollout_count);
+    for (size_t i = 0; i < state->rollout_count; i++) {
+        pack_rollout(&packer, &state->rollouts[i], now_us);
+    }
+    return out->failed ? PPS_ENOMEM : PPS_OK;
+}
+
+/* A cursor over the members of an array; one wrong type fails them all. */
+typedef struct {
+    const msgpack_object *at;
+    uint32_t left;
+    int failed;
+} cursor_t;
+
+static const msgpack_object *
+next(cursor_t *cursor)
+{
+    if (cursor->left == 0) {
+        cursor->failed = 1;
+        return NULL;
+    }
+    cursor->left--;
+    return cursor->at++;
+}
+
+static cursor_t
+take_array(cursor_t *cursor)
+{
+    const msgpack_object *object = next(cursor);
+    cursor_t inner = {0};
+
+    if (object == NULL || object->type != MSGPACK_OBJECT_ARRAY) {
+        cursor->failed = 1;
+        return inner;
+    }
+    inner.at = object->via.array.ptr;
+    inner.left = object->via.array.size;
+    return inner;
+}
+
+static int64_t
+take_number(cursor_t *cursor)
+{
+    const msgpack_object *object = next(cursor);
+
+    if (object != NULL && object->type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return (int64_t)object->via.u64;
+    }
+    if (object != NULL && object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+        return object->via.i64;
+    }
+    cursor->failed = 1;
+    return 0;
+}
+
+static void
+take_text(char *out, cursor_t *cursor)
+{
+    const msgpack_object *object = next(cursor);
+
+    if (object == NULL || object->type != MSGPACK_OBJECT_STR ||
+        object->via.str.size >= PPS_GOSSIP_TEXT_BYTES) {
+        cursor->failed = 1;
+        return;
+    }
+    memcpy(out, object->via.str.ptr, object->via.str.size);
+    out[object->via.str.size] = '\0';
+}
+
+static void
+take_count(pps_rollout_tally_t *tally, cursor_t *list)
+{
+    cursor_t fields = take_array(list);
+    int target = (int)take_number(&fields);
+    uint64_t kind = (uint64_t)take_number(&fields);
+    pps_rollout_count_t *count;
+
+    if (fields.failed || kind >= PPS_ROLLOUT_KINDS) {
+        list->failed = 1;
+        return;
+    }
+    count = target ? &tally->target[kind] : &tally->before[kind];
+    count->answers = (uint32_t)take_number(&fields);
+    count->failures = (uint32_t)take_number(&fields);
+    count->timed = (uint32_t)take_number(&fields);
+    count->first_byte_us = (uint64_t)take_number(&fields);
+    list->failed |= fields.failed;
+}
+
+static void
+take_rollout(pps_gossip_rollout_t *out, cursor_t *list, int64_t now_us)
+{
+    cursor_t fields = take_array(list);
+    pps_rollout_t *rollout = &out->rollout;
+    cursor_t counts;
+
+    take_text(rollout->upstream, &fields);
+    take_text(rollout->target, &fields);
+    rollout->state = (pps_rollout_state_t)take_number(&fields);
+    rollout->started_us = now_us - take_number(&fields);
+    rollout->duration_us = take_number(&fields);
+    rollout->share = (unsigned int)take_number(&fields);
+    rollout->held = (int)take_number(&fields);
+    out->tally.requests = (uint32_t)take_number(&fields);
+    out->tally.exposed = (uint32_t)take_number(&fields);
+    counts = take_array(&fields);
+    while (counts.left > 0 && !counts.failed) {
+        take_count(&out->tally, &counts);
+    }
+    if (rollout->state < PPS_ROLLOUT_NONE ||
+        rollout->state > PPS_ROLLOUT_ROLLED_BACK) {
+        list->failed = 1;
+    }
+    list->failed |= fields.failed | counts.failed;
+}
+
+static void
+take_message(pps_gossip_message_t *out, cursor_t *fields, int64_t now_us)
+{
+    pps_gossip_state_t *state = &out->state;
+    cursor_t list;
+
+    if (take_number(fields) != FORMAT_VERSION) {
+        fields->failed = 1;
+        return;
+    }
+    take_text(state->host_id, fields);
+    take_text(state->address, fields);
+    state->incarnation = (uint64_t)take_number(fields);
+    list = take_array(fields);
+    for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
+        state->topic_ends[i] = take_number(&list);
+    }
+    fields->failed |= list.failed;
+    state->reads_store = (int)take_number(fields);
+    state->leaving = (int)take_number(fields);
+    list = take_array(fields);
+    while (list.left > 0 && out->hint_count < PPS_GOSSIP_HINTS) {
+        take_text(out->hints[out->hint_count++], &list);
+    }
+    fields->failed |= list.failed;
+    list = take_array(fields);
+    while (list.left > 0 && state->rollout_count < PPS_GOSSIP_ROLLOUTS) {
+        take_rollout(&state->rollouts[state->rollout_count++], &list, now_us);
+    }
+    fields->failed |= list.failed;
+}
+
+int
+pps_gossip_decode(pps_gossip_message_t *out, const char *data, size_t size,
+                  int64_t now_us)
+{
+    msgpack_unpacked unpacked;
+    cursor_t root;
+    cursor_t fields;
+
+    memset(out, 0, sizeof(*out));
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, data, size, NULL) !=
+        MSGPACK_UNPACK_SUCCESS) {
+        msgpack_unpacked_destroy(&unpacked);
+        return PPS_ECORRUPT;
+    }
+    root = (cursor_t){&unpacked.data, 1, 0};
+    fields = take_array(&root);
+    if (!root.failed) {
+        take_message(out, &fields, now_us);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
+}
--- /dev/null
+++ b/src/libpapayaswitch/gossip/gossip_codec.h
@@ -0,0 +1,28 @@
+/** @file gossip_codec.h @brief A host's state as a datagram. */
+#ifndef PPS_GOSSIP_GOSSIP_CODEC_H
+#define PPS_GOSSIP_GOSSIP_CODEC_H
+
+#include "buf.h"
+#include "gossip.h"
+
+/** Addresses of other hosts that a datagram names. */
+#define PPS_GOSSIP_HINTS 4
+
+/** A datagram. */
+typedef struct {
+    pps_gossip_state_t state;
+    char hints[PPS_GOSSIP_HINTS][PPS_GOSSIP_TEXT_BYTES];
+    size_t hint_count;
+} pps_gossip_message_t;
+
+/** Encodes; start times become ages. */
+int
+pps_gossip_encode(pps_buf_t *out, const pps_gossip_message_t *message,
+                  int64_t now_us);
+
+/** Decodes; ages become start times. @return 0 or PPS_ECORRUPT */
+int
+pps_gossip_decode(pps_gossip_message_t *out, const char *data, size_t size,
+                  int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/libpapayaswitch/pool/pool.c
@@ -0,0 +1,262 @@
+/** @file pool.c @brief List of workers with load and recent failures. */
+#include "pool.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** A report older than this is no longer looked at. */
+#define REPORT_AGE_MAX_US (3 * PPS_US_PER_S)
+/** How long an unreachable worker gets no calls. */
+#define UNREACHABLE_US (1200 * PPS_US_PER_MS)
+/** How long a worker that took no more work gets no calls. */
+#define FULL_US (150 * PPS_US_PER_MS)
+/** How long a worker whose address belongs to another gets no calls. */
+#define MOVED_US (3 * PPS_US_PER_S)
+#define FAILED_WEIGHT 0.25
+#define SERVED_WEIGHT 0.12
+#define SLOTS_UNKNOWN 8
+
+struct pps_pool {
+    struct cds_list_head workers;
+    size_t count;
+};
+
+int
+pps_pool_new(pps_pool_t **out)
+{
+    pps_pool_t *pool = calloc(1, sizeof(*pool));
+
+    if (pool == NULL) {
+        return PPS_ENOMEM;
+    }
+    CDS_INIT_LIST_HEAD(&pool->workers);
+    *out = pool;
+    return PPS_OK;
+}
+
+void
+pps_pool_free(pps_pool_t *pool)
+{
+    pps_pool_worker_t *worker;
+    pps_pool_worker_t *next;
+
+    if (pool == NULL) {
+        return;
+    }
+    cds_list_for_each_entry_safe (worker, next, &pool->workers, node) {
+        free(worker);
+    }
+    free(pool);
+}
+
+static void
+free_when_unused(pps_pool_worker_t *worker)
+{
+    if (!worker->listed && worker->in_flight == 0) {
+        cds_list_del(&worker->node);
+        free(worker);
+    }
+}
+
+pps_pool_worker_t *
+pps_pool_lookup(pps_pool_t *pool, const char *id)
+{
+    pps_pool_worker_t *worker;
+
+    cds_list_for_each_entry (worker, &pool->workers, node) {
+        if (worker->listed && strcmp(worker->info.id, id) == 0) {
+            return worker;
+        }
+    }
+    return NULL;
+}
+
+static void
+forget_start(pps_pool_worker_t *worker)
+{
+    worker->reported_us = 0;
+    worker->failing = 0;
+    worker->avoided_until_us = 0;
+    worker->first_byte_us = 0;
+}
+
+static int
+add(pps_pool_t *pool, const pps_worker_info_t *info)
+{
+    pps_pool_worker_t *worker = calloc(1, sizeof(*worker));
+
+    if (worker == NULL) {
+        return PPS_ENOMEM;
+    }
+    worker->info = *info;
+    worker->slots = info->slots ? info->slots : SLOTS_UNKNOWN;
+    worker->listed = 1;
+    cds_list_add_tail(&worker->node, &pool->workers);
+    pool->count++;
+    return 1;
+}
+
+int
+pps_pool_put(pps_pool_t *pool, const pps_worker_info_t *info)
+{
+    pps_pool_worker_t *worker = pps_pool_lookup(pool, info->id);
+    int changed;
+
+    if (worker == NULL) {
+        return add(pool, info);
+    }
+    worker->remove_us = 0;
+    changed = worker->info.leaving != info->leaving;
+    if (worker->info.start_ms != info->start_ms ||
+        strcmp(worker->info.address, info->address) != 0) {
+        forget_start(worker);
+        changed = 1;
+    }
+    worker->info = *info;
+    return changed;
+}
+
+int
+pps_pool_remove(pps_pool_t *pool, const char *id)
+{
+    pps_pool_worker_t *worker = pps_pool_lookup(pool, id);
+
+    if (worker == NULL) {
+        return 0;
+    }
+    worker->listed = 0;
+    pool->count--;
+    free_when_unused(worker);
+    return 1;
+}
+
+void
+pps_pool_remove_at(pps_pool_t *pool, const char *id, int64_t when_us)
+{
+    pps_pool_worker_t *worker = pps_pool_lookup(pool, id);
+
+    if (worker != NULL && worker->remove_us == 0) {
+        worker->remove_us = when_us;
+    }
+}
+
+unsigned int
+pps_pool_sweep(pps_pool_t *pool, int64_t now_us)
+{
+    pps_pool_worker_t *worker;
+    pps_pool_worker_t *next;
+    unsigned int removed = 0;
+
+    cds_list_for_each_entry_safe (worker, next, &pool->workers, node) {
+        if (worker->listed && worker->remove_us != 0 &&
+            worker->remove_us <= now_us) {
+            worker->listed = 0;
+            pool->count--;
+            removed++;
+            free_when_unused(worker);
+        }
+    }
+    return removed;
+}
+
+struct cds_list_head *
+pps_pool_workers(pps_pool_t *pool)
+{
+    return &pool->workers;
+}
+
+size_t
+pps_pool_count(const pps_pool_t *pool)
+{
+    return pool->count;
+}
+
+double
+pps_pool_worker_busy(const pps_pool_worker_t *worker, int64_t now_us,
+                     unsigned int hosts)
+{
+    double busy;
+
+    if (worker->reported_us == 0 ||
+        now_us - worker->reported_us > REPORT_AGE_MAX_US) {
+        return (double)worker->in_flight * hosts;
+    }
+    busy = worker->reported_busy + (double)worker->in_flight -
+           (double)worker->flight_then;
+    return busy > worker->in_flight ? busy : worker->in_flight;
+}
+
+void
+pps_pool_call_begins(pps_pool_worker_t *worker)
+{
+    worker->in_flight++;
+}
+
+static void
+avoid(pps_pool_worker_t *worker, int64_t until_us)
+{
+    if (until_us > worker->avoided_until_us) {
+        worker->avoided_until_us = until_us;
+    }
+}
+
+static void
+learn(pps_pool_worker_t *worker, pps_worker_outcome_t outcome, int64_t now_us)
+{
+    switch (outcome) {
+    case PPS_WORKER_SERVED:
+        worker->failing -= worker->failing * SERVED_WEIGHT;
+        break;
+    case PPS_WORKER_FAILED:
+        worker->failing += (1 - worker->failing) * FAILED_WEIGHT;
+        break;
+    case PPS_WORKER_UNREACHABLE:
+        worker->failing += (1 - worker->failing) * FAILED_WEIGHT;
+        avoid(worker, now_us + UNREACHABLE_US);
+        break;
+    case PPS_WORKER_FULL:
+        avoid(worker, now_us + FULL_US);
+        break;
+    case PPS_WORKER_MOVED:
+        avoid(worker, now_us + MOVED_US);
+        break;
+    case PPS_WORKER_NO_VERDICT:
+        break;
+    }
+}
+
+void
+pps_pool_call_ends(pps_pool_t *pool, pps_pool_worker_t *worker,
+                   pps_worker_outcome_t outcome, int64_t now_us)
+{
+    worker->in_flight--;
+    learn(worker, outcome, now_us);
+    free_when_unused(worker);
+}
+
+void
+pps_pool_load_reported(pps_pool_worker_t *worker, unsigned int running,
+                       unsigned int waiting, unsigned int slots,
+                       int64_t now_us)
+{
+    worker->reported_busy = (double)running + waiting;
+    worker->flight_then = worker->in_flight;
+    worker->reported_us = now_us;
+    if (slots > 0) {
+        worker->slots = slots;
+    }
+}
+
+int
+pps_worker_has_model(const pps_worker_info_t *info, const char *model)
+{
+    for (size_t i = 0; i < info->model_count; i++) {
+        if (strcmp(info->models[i], model) == 0) {
+            return 1;
+        }
+    }
+    return info->model_count == 0;
+}
--- /dev/null
+++ b/src/libpapayaswitch/rollout/conductor.c
@@ -0,0 +1,188 @@
+/** @file conductor.c @brief Roll-outs over all hosts. */
+#include "conductor.h"
+
+#include "clock.h"
+#include "logger.h"
+
+#include <string.h>
+
+static void
+log_rollout(const char *event, const pps_rollout_t *rollout,
+            const pps_rollout_tally_t *tally)
+{
+    pps_rollout_count_t target = {0};
+    pps_rollout_count_t before = {0};
+
+    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
+        target.answers += tally->target[i].answers;
+        target.failures += tally->target[i].failures;
+        before.answers += tally->before[i].answers;
+        before.failures += tally->before[i].failures;
+    }
+    pps_logger_write(PPS_LOG_WARN, event,
+                     PPS_FIELDS(PPS_STR("upstream", rollout->upstream),
+                                PPS_STR("target", rollout->target),
+                                PPS_INT("state", rollout->state),
+                                PPS_INT("share", rollout->share),
+                                PPS_INT("requests", tally->requests),
+                                PPS_INT("exposed", tally->exposed),
+                                PPS_INT("target_answers", target.answers),
+                                PPS_INT("target_failures", target.failures),
+                                PPS_INT("before_answers", before.answers),
+                                PPS_INT("before_failures", before.failures)));
+}
+
+void
+pps_conductor_order(pps_dispatcher_t *dispatcher, const pps_rollout_t *order)
+{
+    pps_upstream_state_t *state =
+        pps_dispatcher_upstream(dispatcher, order->upstream);
+
+    if (state == NULL || strcmp(state->rollout.target, order->target) == 0) {
+        return;
+    }
+    state->rollout = *order;
+    state->rollout.state = PPS_ROLLOUT_ACTIVE;
+    state->rollout.started_us = dispatcher->reactor->now_us;
+    memset(&state->tally, 0, sizeof(state->tally));
+    log_rollout("rollout_ordered", &state->rollout, &state->tally);
+}
+
+void
+pps_conductor_declared(pps_dispatcher_t *dispatcher,
+                       const pps_rollout_t *status)
+{
+    pps_upstream_state_t *state =
+        pps_dispatcher_upstream(dispatcher, status->upstream);
+
+    if (state == NULL) {
+        return;
+    }
+    if (strcmp(state->rollout.target, status->target) != 0) {
+        /* Declared before its order was seen here. */
+        state->rollout = *status;
+        state->rollout.started_us = dispatcher->reactor->now_us;
+    }
+    if (status->state > state->rollout.state) {
+        state->rollout.state = status->state;
+        log_rollout("rollout_declared", &state->rollout, &state->tally);
+    }
+}
+
+static void
+take_over(pps_upstream_state_t *state, const pps_rollout_t *heard)
+{
+    pps_rollout_t *own = &state->rollout;
+
+    if (heard->state > own->state) {
+        own->state = heard->state;
+        log_rollout("rollout_heard", own, &state->tally);
+    }
+    if (heard->started_us < own->started_us) {
+        own->started_us = heard->started_us;
+    }
+    if (heard->share > own->share) {
+        own->share = heard->share;
+    }
+    if (heard->held && !own->held) {
+        own->held = 1;
+        log_rollout("rollout_held", own, &state->tally);
+    }
+}
+
+void
+pps_conductor_heard(pps_dispatcher_t *dispatcher,
+                    const pps_gossip_peer_t *peer)
+{
+    for (size_t i = 0; i < peer->state.rollout_count; i++) {
+        const pps_rollout_t *heard = &peer->state.rollouts[i].rollout;
+        pps_upstream_state_t *state =
+            pps_dispatcher_upstream(dispatcher, heard->upstream);
+
+        if (state != NULL &&
+            strcmp(state->rollout.target, heard->target) == 0) {
+            take_over(state, heard);
+        }
+    }
+}
+
+static void
+add_peer(pps_rollout_tally_t *out, const pps_rollout_t *rollout,
+         const pps_gossip_peer_t *peer)
+{
+    for (size_t i = 0; i < peer->state.rollout_count; i++) {
+        const pps_gossip_rollout_t *item = &peer->state.rollouts[i];
+
+        if (strcmp(item->rollout.upstream, rollout->upstream) == 0 &&
+            strcmp(item->rollout.target, rollout->target) == 0) {
+            pps_rollout_tally_add(out, &item->tally);
+        }
+    }
+}
+
+void
+pps_conductor_sum(pps_rollout_tally_t *out, const pps_upstream_state_t *state,
+                  pps_gossip_t *gossip)
+{
+    pps_gossip_peer_t *peer;
+
+    *out = state->tally;
+    cds_list_for_each_entry (peer, pps_gossip_peers(gossip), node) {
+        add_peer(out, &state->rollout, peer);
+    }
+}
+
+pps_rollout_verdict_t
+pps_conductor_step(pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
+                   pps_gossip_t *gossip)
+{
+    pps_rollout_tally_t sum;
+    unsigned int share = state->rollout.share;
+    int held = state->rollout.held;
+    pps_rollout_verdict_t verdict;
+
+    pps_conductor_sum(&sum, state, gossip);
+    verdict =
+        pps_rollout_step(&state->rollout, &sum, &dispatcher->options.rollout,
+                         dispatcher->reactor->now_us);
+    if (held != state->rollout.held) {
+        log_rollout("rollout_held", &state->rollout, &sum);
+        pps_gossip_tell_now(gossip);
+    }
+    if (share != state->rollout.share) {
+        log_rollout("rollout_step", &state->rollout, &sum);
+    }
+    return verdict;
+}
+
+int
+pps_conductor_declares(pps_gossip_t *gossip, const char *host_id)
+{
+    pps_gossip_peer_t *peer;
+
+    cds_list_for_each_entry (peer, pps_gossip_peers(gossip), node) {
+        if (pps_gossip_is_live(gossip, peer) && peer->state.reads_store &&
+            !peer->state.leaving && strcmp(peer->state.host_id, host_id) < 0) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
+void
+pps_conductor_describe(const pps_dispatcher_t *dispatcher,
+                       pps_gossip_state_t *out)
+{
+    out->rollout_count = 0;
+    for (size_t i = 0; i < dispatcher->upstream_count; i++) {
+        const pps_upstream_state_t *state = &dispatcher->upstreams[i];
+
+        if (state->rollout.state == PPS_ROLLOUT_NONE ||
+            out->rollout_count == PPS_GOSSIP_ROLLOUTS) {
+            continue;
+        }
+        out->rollouts[out->rollout_count].rollout = state->rollout;
+        out->rollouts[out->rollout_count].tally = state->tally;
+        out->rollout_count++;
+    }
+}
--- /dev/null
+++ b/src/libpapayaswitch/rollout/conductor.h
@@ -0,0 +1,47 @@
+/**
+ * @file conductor.h
+ * @brief Steps all roll-outs of a host by what all hosts have seen, and says
+ * when one is to be declared over.
+ */
+#ifndef PPS_ROLLOUT_CONDUCTOR_H
+#define PPS_ROLLOUT_CONDUCTOR_H
+
+#include "exchange/dispatcher.h"
+#include "gossip/gossip.h"
+
+/** Takes in an order. One that is known already changes nothing. */
+void
+pps_conductor_order(pps_dispatcher_t *dispatcher, const pps_rollout_t *order);
+
+/** Takes in how far a roll-out was declared to be; `upstream` is set. */
+void
+pps_conductor_declared(pps_dispatcher_t *dispatcher,
+                       const pps_rollout_t *status);
+
+/** Takes over what another host knows of roll-outs: their start, the share
+ * that has moved, and that one is held. */
+void
+pps_conductor_heard(pps_dispatcher_t *dispatcher,
+                    const pps_gossip_peer_t *peer);
+
+/** The sum of this host's and the live peers' tallies. */
+void
+pps_conductor_sum(pps_rollout_tally_t *out, const pps_upstream_state_t *state,
+                  pps_gossip_t *gossip);
+
+/** Steps one roll-out. @return what is to be declared */
+pps_rollout_verdict_t
+pps_conductor_step(pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
+                   pps_gossip_t *gossip);
+
+/** Whether this host is the one to declare: the first by id of the live hosts
+ * that reach the store. */
+int
+pps_conductor_declares(pps_gossip_t *gossip, const char *host_id);
+
+/** Fills in what is told to the other hosts. */
+void
+pps_conductor_describe(const pps_dispatcher_t *dispatcher,
+                       pps_gossip_state_t *out);
+
+#endif
--- /dev/null
+++ b/src/libpapayaswitch/rollout/rollout.c
@@ -0,0 +1,198 @@
+/** @file rollout.c @brief Steps and judgement of a roll-out. */
+#include "rollout.h"
+
+#include "clock.h"
+
+#include <math.h>
+
+/** Part of the time in which nothing is moved, and a little more. */
+#define STILL_PART 0.5
+#define STILL_MORE_US (200 * PPS_US_PER_MS)
+/** The roll-out ends this much before the operator's time is over. */
+#define END_MARGIN_US (1500 * PPS_US_PER_MS)
+/** Shares of the sessions, and the parts of the moving time they last. */
+#define FIRST_SHARE 250
+#define SECOND_SHARE 600
+#define FIRST_PART 0.4
+#define SECOND_PART 0.65
+/** Answers of the target before more sessions are moved. */
+#define ANSWERS_MIN 20
+/** Failures that the target must show, and by how much its share of failures
+ * must lie above the others', in all and in standard errors. */
+#define FAILURES_MIN 4
+#define FAILURES_MORE 0.12
+#define STANDARD_ERRORS 2.6
+/** Timed answers and the factor from which the target is too slow. */
+#define TIMED_MIN 6
+#define SLOW_FACTOR 3.0
+#define SLOW_MORE_US (200.0 * PPS_US_PER_MS)
+/** Part of the stated exposure that is used up before the verdict. */
+#define EXPOSURE_PART 0.8
+
+static void
+add_count(pps_rollout_count_t *sum, const pps_rollout_count_t *part)
+{
+    sum->answers += part->answers;
+    sum->failures += part->failures;
+    sum->timed += part->timed;
+    sum->first_byte_us += part->first_byte_us;
+}
+
+void
+pps_rollout_tally_add(pps_rollout_tally_t *sum,
+                      const pps_rollout_tally_t *part)
+{
+    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
+        add_count(&sum->before[i], &part->before[i]);
+        add_count(&sum->target[i], &part->target[i]);
+    }
+    sum->requests += part->requests;
+    sum->exposed += part->exposed;
+}
+
+static int
+fails_more(const pps_rollout_count_t *target,
+           const pps_rollout_count_t *before)
+{
+    double n = target->answers;
+    double m = before->answers;
+    double bad = n > 0 ? target->failures / n : 0;
+    double base = m > 0 ? before->failures / m : 0;
+    double pooled;
+    double error;
+
+    if (target->failures < FAILURES_MIN || bad < base + FAILURES_MORE) {
+        return 0;
+    }
+    if (m < 1) {
+        return 1;
+    }
+    pooled = (target->failures + before->failures) / (n + m);
+    error = sqrt(pooled * (1 - pooled) * (1 / n + 1 / m));
+    return bad - base > STANDARD_ERRORS * error;
+}
+
+static int
+is_slower(const pps_rollout_count_t *target, const pps_rollout_count_t *before)
+{
+    double mean;
+    double base;
+
+    if (target->timed < TIMED_MIN || before->timed < TIMED_MIN) {
+        return 0;
+    }
+    mean = (double)target->first_byte_us / target->timed;
+    base = (double)before->first_byte_us / before->timed;
+    return mean > base * SLOW_FACTOR && mean > base + SLOW_MORE_US;
+}
+
+int
+pps_rollout_is_bad(const pps_rollout_tally_t *tally)
+{
+    pps_rollout_count_t target = {0};
+    pps_rollout_count_t before = {0};
+
+    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
+        if (fails_more(&tally->target[i], &tally->before[i]) ||
+            is_slower(&tally->target[i], &tally->before[i])) {
+            return 1;
+        }
+        add_count(&target, &tally->target[i]);
+        add_count(&before, &tally->before[i]);
+    }
+    return fails_more(&target, &before);
+}
+
+static uint32_t
+target_answers(const pps_rollout_tally_t *tally)
+{
+    uint32_t answers = 0;
+
+    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
+        answers += tally->target[i].answers;
+    }
+    return answers;
+}
+
+static int
+exposure_is_used_up(const pps_rollout_tally_t *tally,
+                    const pps_rollout_bounds_t *bounds)
+{
+    double allowed =
+        tally->requests * bounds->exposure_share + bounds->exposure_more;
+
+    return tally->exposed > allowed * EXPOSURE_PART;
+}
+
+static void
+raise(pps_rollout_t *rollout, unsigned int share)
+{
+    if (share > rollout->share) {
+        rollout->share = share;
+    }
+}
+
+static void
+move_sessions(pps_rollout_t *rollout, const pps_rollout_tally_t *tally,
+              const pps_rollout_bounds_t *bounds, int64_t moving_us,
+              int64_t moving_time_us)
+{
+    double part = (double)moving_us / (double)moving_time_us;
+    int proved = target_answers(tally) >= ANSWERS_MIN;
+
+    raise(rollout, FIRST_SHARE);
+    if (!proved) {
+        return;
+    }
+    if (part >= FIRST_PART && !exposure_is_used_up(tally, bounds)) {
+        raise(rollout, SECOND_SHARE);
+    }
+    if (part >= SECOND_PART) {
+        raise(rollout, PPS_ROLLOUT_WHOLE);
+    }
+}
+
+pps_rollout_verdict_t
+pps_rollout_step(pps_rollout_t *rollout, const pps_rollout_tally_t *tally,
+                 const pps_rollout_bounds_t *bounds, int64_t now_us)
+{
+    int64_t age_us = now_us - rollout->started_us;
+    int64_t still_us =
+        (int64_t)((double)rollout->duration_us * STILL_PART) + STILL_MORE_US;
+    int64_t moving_time_us = rollout->duration_us - still_us - END_MARGIN_US;
+
+    if (rollout->state != PPS_ROLLOUT_ACTIVE) {
+        return PPS_ROLLOUT_GO_ON;
+    }
+    if (rollout->held || pps_rollout_is_bad(tally)) {
+        rollout->held = 1;
+        return PPS_ROLLOUT_ROLL_BACK;
+    }
+    if (age_us < still_us) {
+        return PPS_ROLLOUT_GO_ON;
+    }
+    if (moving_time_us < PPS_US_PER_S) {
+        moving_time_us = PPS_US_PER_S;
+    }
+    move_sessions(rollout, tally, bounds, age_us - still_us, moving_time_us);
+    return rollout->share == PPS_ROLLOUT_WHOLE &&
+                   age_us >= still_us + moving_time_us
+               ? PPS_ROLLOUT_COMPLETE
+               : PPS_ROLLOUT_GO_ON;
+}
+
+int
+pps_rollout_takes(const pps_rollout_t *rollout, uint64_t session_digest)
+{
+    switch (rollout->state) {
+    case PPS_ROLLOUT_COMPLETED:
+        return 1;
+    case PPS_ROLLOUT_ACTIVE:
+        return !rollout->held &&
+               session_digest / 7 % PPS_ROLLOUT_WHOLE < rollout->share;
+    case PPS_ROLLOUT_NONE:
+    case PPS_ROLLOUT_ROLLED_BACK:
+        break;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/libpapayaswitch/transport/headers.c
@@ -0,0 +1,129 @@
+/** @file headers.c @brief Header fields in one text with offsets. */
+#include "headers.h"
+
+#include "papayaswitch/errors.h"
+
+#include <string.h>
+#include <strings.h>
+
+#define DIGITS_MAX 15
+
+static void
+end_value(pps_headers_t *headers)
+{
+    if (headers->in_value) {
+        pps_buf_append(&headers->text, "", 1);
+        headers->in_value = 0;
+    }
+}
+
+void
+pps_headers_name(pps_headers_t *headers, const char *data, size_t size)
+{
+    int fresh = headers->in_value || headers->text.size == 0;
+
+    end_value(headers);
+    if (fresh) {
+        if (headers->count == PPS_HEADERS_MAX) {
+            headers->overflow = 1;
+            headers->count--;
+        }
+        headers->at[headers->count].name = (uint32_t)headers->text.size;
+        headers->at[headers->count].value = 0;
+        headers->count++;
+    }
+    pps_buf_append(&headers->text, data, size);
+}
+
+void
+pps_headers_value(pps_headers_t *headers, const char *data, size_t size)
+{
+    if (headers->count == 0) {
+        return;
+    }
+    if (!headers->in_value) {
+        pps_buf_append(&headers->text, "", 1);
+        headers->at[headers->count - 1].value = (uint32_t)headers->text.size;
+        headers->in_value = 1;
+    }
+    pps_buf_append(&headers->text, data, size);
+}
+
+void
+pps_headers_end(pps_headers_t *headers)
+{
+    end_value(headers);
+}
+
+void
+pps_headers_reset(pps_headers_t *headers)
+{
+    headers->text.size = 0;
+    headers->count = 0;
+    headers->in_value = 0;
+    headers->overflow = 0;
+}
+
+void
+pps_headers_clear(pps_headers_t *headers)
+{
+    pps_buf_clear(&headers->text);
+    pps_headers_reset(headers);
+}
+
+const char *
+pps_headers_name_at(const pps_headers_t *headers, unsigned int index)
+{
+    return headers->text.data + headers->at[index].name;
+}
+
+const char *
+pps_headers_value_at(const pps_headers_t *headers, unsigned int index)
+{
+    return headers->text.data + headers->at[index].value;
+}
+
+const char *
+pps_headers_get(const pps_headers_t *headers, const char *name)
+{
+    for (unsigned int i = 0; i < headers->count; i++) {
+        if (strcasecmp(pps_headers_name_at(headers, i), name) == 0) {
+            return pps_headers_value_at(headers, i);
+        }
+    }
+    return NULL;
+}
+
+unsigned int
+pps_headers_times(const pps_headers_t *headers, const char *name)
+{
+    unsigned int times = 0;
+
+    for (unsigned int i = 0; i < headers->count; i++) {
+        times += strcasecmp(pps_headers_name_at(headers, i), name) == 0;
+    }
+    return times;
+}
+
+int
+pps_headers_number(int64_t *out, const pps_headers_t *headers,
+                   const char *name)
+{
+    const char *text = pps_headers_get(headers, name);
+    size_t length;
+    int64_t value = 0;
+
+    if (text == NULL) {
+        return PPS_ENOTFOUND;
+    }
+    length = strlen(text);
+    if (length == 0 || length > DIGITS_MAX ||
+        strspn(text, "0123456789") != length) {
+        return PPS_EINVALID;
+    }
+    for (; *text != '\0'; text++) {
+        value = value * 10 + (*text - '0');
+    }
+    *out = value;
+    return PPS_OK;
+}
--- /dev/null
+++ b/src/libpapayaswitch/transport/http_channel.c
@@ -0,0 +1,384 @@
+/** @file http_channel.c @brief Client connection over libuv. */
+#include "http_channel.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+#include "tcp_write.h"
+
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/** An idle channel is given up this much before the other side closes it. */
+#define KEEP_ALIVE_MARGIN_US (700 * PPS_US_PER_MS)
+#define ADDRESS_BYTES 64
+
+typedef enum {
+    CHANNEL_CONNECTING,
+    CHANNEL_IDLE,
+    CHANNEL_BUSY,
+    CHANNEL_CLOSED,
+} channel_state_t;
+
+struct pps_http_channel {
+    pps_reactor_t *reactor;
+    uv_tcp_t tcp;
+    uv_connect_t connect;
+    http_parser parser;
+    channel_state_t state;
+    const pps_channel_ops_t *ops; /* of the call, or NULL */
+    void *user;
+    pps_buf_t unsent; /* a call that waits for the connection */
+    int sent;
+    int skipping; /* the answer being read belongs to another call */
+    int reusable;
+    unsigned int calls;
+    unsigned int user_timeout_ms;
+    int64_t idle_since_us;
+    int64_t expires_us;
+    pps_http_reply_t reply;
+    pps_timer_t connect_timer;
+    pps_channel_closed_fn closed;
+    void *owner;
+};
+
+static void
+on_handle_closed(uv_handle_t *handle)
+{
+    pps_http_channel_t *channel = handle->data;
+
+    pps_buf_clear(&channel->unsent);
+    pps_headers_clear(&channel->reply.headers);
+    free(channel);
+}
+
+void
+pps_http_channel_close(pps_http_channel_t *channel)
+{
+    if (channel->state == CHANNEL_CLOSED) {
+        return;
+    }
+    channel->state = CHANNEL_CLOSED;
+    channel->ops = NULL;
+    pps_timers_cancel(&channel->connect_timer);
+    uv_close((uv_handle_t *)&channel->tcp, on_handle_closed);
+    if (channel->closed != NULL) {
+        channel->closed(channel->owner, channel);
+    }
+}
+
+static void
+fail(pps_http_channel_t *channel, pps_channel_failure_t failure)
+{
+    const pps_channel_ops_t *ops = channel->ops;
+    void *user = channel->user;
+
+    pps_http_channel_close(channel);
+    if (ops != NULL) {
+        ops->fail(user, failure);
+    }
+}
+
+static void
+lose(pps_http_channel_t *channel, pps_channel_failure_t failure)
+{
+    fail(channel, channel->sent ? failure : PPS_CHANNEL_UNSENT);
+}
+
+static int
+on_name(http_parser *parser, const char *data, size_t size)
+{
+    pps_http_channel_t *channel = parser->data;
+
+    pps_headers_name(&channel->reply.headers, data, size);
+    return 0;
+}
+
+static int
+on_value(http_parser *parser, const char *data, size_t size)
+{
+    pps_http_channel_t *channel = parser->data;
+
+    pps_headers_value(&channel->reply.headers, data, size);
+    return 0;
+}
+
+static int
+on_message_begin(http_parser *parser)
+{
+    pps_http_channel_t *channel = parser->data;
+
+    pps_headers_reset(&channel->reply.headers);
+    channel->skipping = 0;
+    /* Bytes behind an answer belong to no call. */
+    return channel->ops == NULL ? -1 : 0;
+}
+
+static void
+read_keep_alive(pps_http_channel_t *channel)
+{
+    const char *text = pps_headers_get(&channel->reply.headers, "keep-alive");
+    const char *timeout = text ? strstr(text, "timeout=") : NULL;
+
+    channel->expires_us = INT64_MAX;
+    if (timeout != NULL) {
+        channel->expires_us =
+            channel->reactor->now_us +
+            strtol(timeout + strlen("timeout="), NULL, 10) * PPS_US_PER_S -
+            KEEP_ALIVE_MARGIN_US;
+    }
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+    pps_http_channel_t *channel = parser->data;
+    int interim = parser->status_code < 200;
+
+    pps_headers_end(&channel->reply.headers);
+    channel->reply.status = parser->status_code;
+    if (interim) {
+        channel->skipping = 1;
+        return 0;
+    }
+    if (channel->ops == NULL || channel->reply.headers.overflow) {
+        return -1;
+    }
+    read_keep_alive(channel);
+    channel->reusable = http_should_keep_alive(parser);
+    channel->skipping = channel->ops->head(channel->user, &channel->reply);
+    /* The call may have been given up by its owner within the head. */
+    return channel->state == CHANNEL_CLOSED ? -1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *data, size_t size)
+{
+    pps_http_channel_t *channel = parser->data;
+
+    if (!channel->skipping && channel->ops != NULL) {
+        channel->ops->body(channel->user, data, size);
+    }
+    return channel->state == CHANNEL_CLOSED ? -1 : 0;
+}
+
+static int
+on_message_complete(http_parser *parser)
+{
+    pps_http_channel_t *channel = parser->data;
+
+    if (!channel->skipping) {
+        http_parser_pause(parser, 1);
+    }
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_message_begin,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+/* The answer is whole; `surplus` bytes came behind it. */
+static void
+finish_call(pps_http_channel_t *channel, size_t surplus, int ended)
+{
+    const pps_channel_ops_t *ops = channel->ops;
+    void *user = channel->user;
+
+    channel->ops = NULL;
+    if (surplus > 0 || ended || !channel->reusable ||
+        channel->tcp.write_queue_size > 0) {
+        pps_http_channel_close(channel);
+    }
+    else {
+        http_parser_pause(&channel->parser, 0);
+        channel->state = CHANNEL_IDLE;
+        channel->idle_since_us = channel->reactor->now_us;
+    }
+    ops->end(user);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *memory)
+{
+    pps_http_channel_t *channel = stream->data;
+    size_t used;
+    enum http_errno error;
+
+    if (size == 0) {
+        return;
+    }
+    if (size < 0 && size != UV_EOF) {
+        lose(channel, PPS_CHANNEL_BROKEN);
+        return;
+    }
+    if (channel->ops == NULL) {
+        pps_http_channel_close(channel);
+        return;
+    }
+    used = http_parser_execute(&channel->parser, &parser_settings,
+                               memory->base, size < 0 ? 0 : (size_t)size);
+    if (channel->state == CHANNEL_CLOSED) {
+        return;
+    }
+    error = HTTP_PARSER_ERRNO(&channel->parser);
+    if (error == HPE_PAUSED) {
+        finish_call(channel, size < 0 ? 0 : (size_t)size - used, size < 0);
+        return;
+    }
+    if (error != HPE_OK) {
+        lose(channel, PPS_CHANNEL_MALFORMED);
+        return;
+    }
+    if (size < 0) {
+        lose(channel, PPS_CHANNEL_BROKEN);
+    }
+}
+
+static int
+write_call(pps_http_channel_t *channel, const void *text, size_t size)
+{
+    uv_buf_t piece = uv_buf_init((char *)text, (unsigned int)size);
+
+    channel->sent = 1;
+    return pps_tcp_write(&channel->tcp, &piece, 1);
+}
+
+static void
+on_connected(uv_connect_t *request, int status)
+{
+    pps_http_channel_t *channel = request->data;
+
+    if (channel->state == CHANNEL_CLOSED) {
+        return;
+    }
+    pps_timers_cancel(&channel->connect_timer);
+    if (status != 0) {
+        fail(channel, PPS_CHANNEL_UNSENT);
+        return;
+    }
+    uv_tcp_nodelay(&channel->tcp, 1);
+    pps_tcp_set_user_timeout(&channel->tcp, channel->user_timeout_ms);
+    uv_read_start((uv_stream_t *)&channel->tcp, pps_tcp_read_memory, on_read);
+    if (channel->ops == NULL) {
+        channel->state = CHANNEL_IDLE;
+        channel->idle_since_us = channel->reactor->now_us;
+        return;
+    }
+    channel->state = CHANNEL_BUSY;
+    if (write_call(channel, channel->unsent.data, channel->unsent.size) != 0) {
+        fail(channel, PPS_CHANNEL_BROKEN);
+        return;
+    }
+    pps_buf_clear(&channel->unsent);
+}
+
+static void
+on_connect_timer(int64_t now_us, void *user)
+{
+    fail(user, PPS_CHANNEL_UNSENT);
+}
+
+static int
+parse_address(struct sockaddr_in *out, const char *address)
+{
+    char text[ADDRESS_BYTES];
+    const char *colon = strrchr(address, ':');
+    size_t length = colon ? (size_t)(colon - address) : 0;
+
+    if (length == 0 || length >= sizeof(text)) {
+        return PPS_EINVALID;
+    }
+    memcpy(text, address, length);
+    text[length] = '\0';
+    return uv_ip4_addr(text, (int)strtol(colon + 1, NULL, 10), out) == 0
+               ? PPS_OK
+               : PPS_EINVALID;
+}
+
+int
+pps_http_channel_new(pps_http_channel_t **out, pps_reactor_t *reactor,
+                     const char *address, const pps_channel_options_t *options,
+                     pps_channel_closed_fn closed, void *owner)
+{
+    struct sockaddr_in at;
+    pps_http_channel_t *channel;
+
+    if (parse_address(&at, address) != 0) {
+        return pps_error_set(PPS_EINVALID, "%s: no address", address);
+    }
+    channel = calloc(1, sizeof(*channel));
+    if (channel == NULL) {
+        return PPS_ENOMEM;
+    }
+    channel->reactor = reactor;
+    channel->user_timeout_ms = options->user_timeout_ms;
+    channel->expires_us = INT64_MAX;
+    channel->closed = closed;
+    channel->owner = owner;
+    http_parser_init(&channel->parser, HTTP_RESPONSE);
+    channel->parser.data = channel;
+    uv_tcp_init(&reactor->loop, &channel->tcp);
+    channel->tcp.data = channel;
+    channel->connect.data = channel;
+    if (uv_tcp_connect(&channel->connect, &channel->tcp,
+                       (struct sockaddr *)&at, on_connected) != 0) {
+        channel->closed = NULL;
+        pps_http_channel_close(channel);
+        return PPS_EIO;
+    }
+    pps_reactor_after(reactor, &channel->connect_timer, options->connect_us,
+                      on_connect_timer, channel);
+    *out = channel;
+    return PPS_OK;
+}
+
+int
+pps_http_channel_call(pps_http_channel_t *channel, const void *text,
+                      size_t size, const pps_channel_ops_t *ops, void *user)
+{
+    channel->ops = ops;
+    channel->user = user;
+    channel->sent = 0;
+    channel->calls++;
+    if (channel->state == CHANNEL_CONNECTING) {
+        return pps_buf_append(&channel->unsent, text, size);
+    }
+    channel->state = CHANNEL_BUSY;
+    return write_call(channel, text, size);
+}
+
+int
+pps_http_channel_is_idle(const pps_http_channel_t *channel)
+{
+    return channel->state == CHANNEL_IDLE;
+}
+
+int
+pps_http_channel_has_sent(const pps_http_channel_t *channel)
+{
+    return channel->sent;
+}
+
+unsigned int
+pps_http_channel_calls(const pps_http_channel_t *channel)
+{
+    return channel->calls;
+}
+
+int64_t
+pps_http_channel_idle_since_us(const pps_http_channel_t *channel)
+{
+    return channel->idle_since_us;
+}
+
+int64_t
+pps_http_channel_expires_us(const pps_http_channel_t *channel)
+{
+    return channel->expires_us;
+}
--- /dev/null
+++ b/src/libpapayaswitch/transport/http_conn.c
@@ -0,0 +1,467 @@
+/** @file http_conn.c @brief One caller's connection. */
+#include "http_server_state.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+#include "tcp_write.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/** Bytes kept that a caller sends ahead of its answer. */
+#define PENDING_BYTES_MAX 65536
+/** How long the caller's bytes are read behind a last answer, so that closing
+ * does not reset the connection before the answer is read. */
+#define ENDING_US (500 * PPS_US_PER_MS)
+/** Answer bytes that may wait for a caller who reads slowly. */
+#define UNSENT_BYTES_MAX (1U << 20)
+
+#define STATUS_BAD_REQUEST 400
+#define STATUS_TIMEOUT 408
+#define STATUS_TOO_LARGE 413
+#define STATUS_HEADERS_TOO_LARGE 431
+
+static void
+feed(pps_http_conn_t *conn, const char *data, size_t size);
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    pps_http_conn_t *conn = handle->data;
+
+    pps_buf_clear(&conn->request.target);
+    pps_headers_clear(&conn->request.headers);
+    pps_buf_clear(&conn->request.body);
+    pps_buf_clear(&conn->pending);
+    free(conn);
+}
+
+void
+pps_http_conn_close(pps_http_conn_t *conn)
+{
+    if (conn->state == CONN_CLOSED) {
+        return;
+    }
+    conn->state = CONN_CLOSED;
+    conn->exchange = NULL;
+    pps_timers_cancel(&conn->timer);
+    cds_list_del(&conn->node);
+    conn->server->count--;
+    uv_close((uv_handle_t *)&conn->tcp, on_closed);
+}
+
+/* The other side is gone: the owner hears of it when it has a request. */
+static void
+lose(pps_http_conn_t *conn)
+{
+    void *exchange = conn->state == CONN_SERVING ? conn->exchange : NULL;
+    pps_http_server_t *server = conn->server;
+
+    pps_http_conn_close(conn);
+    if (exchange != NULL) {
+        server->ops->gone(server->user, exchange);
+    }
+}
+
+static void
+on_ending_timer(int64_t now_us, void *user)
+{
+    pps_http_conn_close(user);
+}
+
+static void
+on_shutdown(uv_shutdown_t *request, int status)
+{
+}
+
+static void
+end_connection(pps_http_conn_t *conn)
+{
+    conn->state = CONN_ENDING;
+    uv_shutdown(&conn->shutdown, (uv_stream_t *)&conn->tcp, on_shutdown);
+    pps_reactor_after(conn->server->reactor, &conn->timer, ENDING_US,
+                      on_ending_timer, conn);
+}
+
+static void
+refuse(pps_http_conn_t *conn, unsigned int status)
+{
+    conn->state = CONN_SERVING;
+    conn->keep = 0;
+    pps_http_conn_respond(conn, status, "", "", 0);
+}
+
+static void
+on_read_timer(int64_t now_us, void *user)
+{
+    pps_http_conn_t *conn = user;
+
+    if (conn->begun) {
+        refuse(conn, STATUS_TIMEOUT);
+        return;
+    }
+    pps_http_conn_close(conn);
+}
+
+static void
+await_request(pps_http_conn_t *conn)
+{
+    const pps_http_limits_t *limits = conn->server->limits;
+
+    conn->state = CONN_READING;
+    conn->begun = 0;
+    conn->header_bytes = 0;
+    conn->refusal = 0;
+    conn->exchange = NULL;
+    conn->request.target.size = 0;
+    conn->request.body.size = 0;
+    pps_headers_reset(&conn->request.headers);
+    pps_reactor_after(conn->server->reactor, &conn->timer, limits->idle_us,
+                      on_read_timer, conn);
+}
+
+static int
+reject(pps_http_conn_t *conn, unsigned int status)
+{
+    conn->refusal = status;
+    return -1;
+}
+
+static int
+count_header(pps_http_conn_t *conn, size_t size)
+{
+    conn->header_bytes += size;
+    return conn->header_bytes > conn->server->limits->header_bytes
+               ? reject(conn, STATUS_HEADERS_TOO_LARGE)
+               : 0;
+}
+
+static int
+on_url(http_parser *parser, const char *data, size_t size)
+{
+    pps_http_conn_t *conn = parser->data;
+
+    pps_buf_append(&conn->request.target, data, size);
+    return count_header(conn, size);
+}
+
+static int
+on_name(http_parser *parser, const char *data, size_t size)
+{
+    pps_http_conn_t *conn = parser->data;
+
+    pps_headers_name(&conn->request.headers, data, size);
+    return count_header(conn, size);
+}
+
+static int
+on_value(http_parser *parser, const char *data, size_t size)
+{
+    pps_http_conn_t *conn = parser->data;
+
+    pps_headers_value(&conn->request.headers, data, size);
+    return count_header(conn, size);
+}
+
+/* Two framings, or one that another parser may read otherwise. */
+static int
+framing_is_doubtful(const pps_headers_t *headers)
+{
+    const char *encoding = pps_headers_get(headers, "transfer-encoding");
+    unsigned int lengths = pps_headers_times(headers, "content-length");
+
+    if (encoding == NULL) {
+        return lengths > 1;
+    }
+    return lengths > 0 || strcasecmp(encoding, "chunked") != 0 ||
+           pps_headers_times(headers, "transfer-encoding") > 1;
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+    pps_http_conn_t *conn = parser->data;
+    const pps_headers_t *headers = &conn->request.headers;
+    const char *expect;
+
+    pps_headers_end(&conn->request.headers);
+    if (headers->overflow) {
+        return reject(conn, STATUS_HEADERS_TOO_LARGE);
+    }
+    if (framing_is_doubtful(headers) || parser->method == HTTP_CONNECT ||
+        pps_headers_times(headers, "host") != 1) {
+        return reject(conn, STATUS_BAD_REQUEST);
+    }
+    if (parser->content_length != ULLONG_MAX &&
+        parser->content_length > conn->server->limits->body_bytes) {
+        return reject(conn, STATUS_TOO_LARGE);
+    }
+    expect = pps_headers_get(headers, "expect");
+    if (expect != NULL && strcasecmp(expect, "100-continue") == 0) {
+        static char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+        uv_buf_t piece = uv_buf_init(go_on, sizeof(go_on) - 1);
+
+        pps_tcp_write(&conn->tcp, &piece, 1);
+    }
+    return 0;
+}
+
+static int
+on_body(http_parser *parser, const char *data, size_t size)
+{
+    pps_http_conn_t *conn = parser->data;
+
+    if (conn->request.body.size + size > conn->server->limits->body_bytes) {
+        return reject(conn, STATUS_TOO_LARGE);
+    }
+    pps_buf_append(&conn->request.body, data, size);
+    return 0;
+}
+
+static int
+on_message_complete(http_parser *parser)
+{
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_url = on_url,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+static void
+hand_over(pps_http_conn_t *conn)
+{
+    pps_http_server_t *server = conn->server;
+
+    pps_timers_cancel(&conn->timer);
+    conn->state = CONN_SERVING;
+    conn->keep = http_should_keep_alive(&conn->parser) && !server->draining;
+    conn->request.method = http_method_str(conn->parser.method);
+    conn->request.received_us = server->reactor->now_us;
+    server->ops->request(server->user, conn, &conn->request);
+}
+
+static void
+feed(pps_http_conn_t *conn, const char *data, size_t size)
+{
+    size_t used;
+
+    if (!conn->begun) {
+        conn->begun = 1;
+        pps_reactor_after(conn->server->reactor, &conn->timer,
+                          conn->server->limits->header_us, on_read_timer,
+                          conn);
+    }
+    used = http_parser_execute(&conn->parser, &parser_settings, data, size);
+    if (HTTP_PARSER_ERRNO(&conn->parser) == HPE_PAUSED) {
+        pps_buf_append(&conn->pending, data + used, size - used);
+        hand_over(conn);
+        return;
+    }
+    if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+        refuse(conn, conn->refusal != 0 ? conn->refusal : STATUS_BAD_REQUEST);
+    }
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *memory)
+{
+    pps_http_conn_t *conn = stream->data;
+
+    if (size < 0) {
+        lose(conn);
+        return;
+    }
+    if (conn->state == CONN_READING && size > 0) {
+        feed(conn, memory->base, (size_t)size);
+        return;
+    }
+    if (conn->state == CONN_SERVING) {
+        pps_buf_append(&conn->pending, memory->base, (size_t)size);
+        if (conn->pending.size > PENDING_BYTES_MAX) {
+            lose(conn);
+        }
+    }
+}
+
+void
+pps_http_conn_accept(pps_http_server_t *server)
+{
+    pps_http_conn_t *conn = calloc(1, sizeof(*conn));
+
+    if (conn == NULL) {
+        return;
+    }
+    conn->server = server;
+    uv_tcp_init(&server->reactor->loop, &conn->tcp);
+    conn->tcp.data = conn;
+    cds_list_add_tail(&conn->node, &server->conns);
+    server->count++;
+    if (uv_accept((uv_stream_t *)&server->listener,
+                  (uv_stream_t *)&conn->tcp) != 0) {
+        pps_http_conn_close(conn);
+        return;
+    }
+    uv_tcp_nodelay(&conn->tcp, 1);
+    http_parser_init(&conn->parser, HTTP_REQUEST);
+    conn->parser.data = conn;
+    await_request(conn);
+    uv_read_start((uv_stream_t *)&conn->tcp, pps_tcp_read_memory, on_read);
+}
+
+/* The answer is out: the next request, or the end of the connection. */
+static void
+finish_answer(pps_http_conn_t *conn)
+{
+    pps_buf_t pending;
+
+    conn->exchange = NULL;
+    if (!conn->keep) {
+        end_connection(conn);
+        return;
+    }
+    await_request(conn);
+    http_parser_pause(&conn->parser, 0);
+    if (conn->pending.size > 0) {
+        pending = conn->pending;
+        conn->pending = (pps_buf_t)PPS_BUF_INIT;
+        feed(conn, pending.data, pending.size);
+        pps_buf_clear(&pending);
+        return;
+    }
+    if (conn->server->draining) {
+        pps_http_conn_close(conn);
+    }
+}
+
+static void
+on_lost_timer(int64_t now_us, void *user)
+{
+    lose(user);
+}
+
+/* The owner hears of a loss by the loop, never from within its own call. */
+static void
+lose_later(pps_http_conn_t *conn)
+{
+    uv_read_stop((uv_stream_t *)&conn->tcp);
+    pps_reactor_after(conn->server->reactor, &conn->timer, 0, on_lost_timer,
+                      conn);
+}
+
+static void
+send_pieces(pps_http_conn_t *conn, const uv_buf_t *pieces, unsigned int count)
+{
+    if (pps_tcp_write(&conn->tcp, pieces, count) != 0) {
+        lose_later(conn);
+    }
+}
+
+static const char *
+connection_field(pps_http_conn_t *conn)
+{
+    if (conn->server->draining) {
+        conn->keep = 0;
+    }
+    return conn->keep ? "" : "Connection: close\r\n";
+}
+
+void
+pps_http_conn_attach(pps_http_conn_t *conn, void *exchange)
+{
+    conn->exchange = exchange;
+}
+
+size_t
+pps_http_conn_unsent(const pps_http_conn_t *conn)
+{
+    return conn->tcp.write_queue_size;
+}
+
+void
+pps_http_conn_respond(pps_http_conn_t *conn, unsigned int status,
+                      const char *fields, const void *body, size_t size)
+{
+    char head[160];
+    uv_buf_t pieces[4];
+    int length;
+
+    conn->exchange = NULL;
+    length = snprintf(head, sizeof(head),
+                      "HTTP/1.1 %u %s\r\nContent-Length: %zu\r\n%s", status,
+                      pps_http_phrase(status), size, connection_field(conn));
+    pieces[0] = uv_buf_init(head, (unsigned int)length);
+    pieces[1] = uv_buf_init((char *)fields, (unsigned int)strlen(fields));
+    pieces[2] = uv_buf_init("\r\n", 2);
+    pieces[3] = uv_buf_init((char *)body, (unsigned int)size);
+    if (pps_tcp_write(&conn->tcp, pieces, 4) != 0) {
+        pps_http_conn_close(conn);
+        return;
+    }
+    finish_answer(conn);
+}
+
+void
+pps_http_conn_begin(pps_http_conn_t *conn, unsigned int status,
+                    const char *fields)
+{
+    char head[160];
+    uv_buf_t pieces[3];
+    int length;
+
+    length = snprintf(head, sizeof(head),
+                      "HTTP/1.1 %u %s\r\nTransfer-Encoding: chunked\r\n%s",
+                      status, pps_http_phrase(status), connection_field(conn));
+    pieces[0] = uv_buf_init(head, (unsigned int)length);
+    pieces[1] = uv_buf_init((char *)fields, (unsigned int)strlen(fields));
+    pieces[2] = uv_buf_init("\r\n", 2);
+    send_pieces(conn, pieces, 3);
+}
+
+void
+pps_http_conn_chunk(pps_http_conn_t *conn, const void *data, size_t size)
+{
+    char head[24];
+    uv_buf_t pieces[3];
+    int length;
+
+    if (size == 0) {
+        return;
+    }
+    length = snprintf(head, sizeof(head), "%zx\r\n", size);
+    pieces[0] = uv_buf_init(head, (unsigned int)length);
+    pieces[1] = uv_buf_init((char *)data, (unsigned int)size);
+    pieces[2] = uv_buf_init("\r\n", 2);
+    if (conn->tcp.write_queue_size > UNSENT_BYTES_MAX) {
+        lose_later(conn);
+        return;
+    }
+    send_pieces(conn, pieces, 3);
+}
+
+void
+pps_http_conn_end(pps_http_conn_t *conn)
+{
+    uv_buf_t piece = uv_buf_init("0\r\n\r\n", 5);
+
+    conn->exchange = NULL;
+    if (pps_tcp_write(&conn->tcp, &piece, 1) != 0) {
+        pps_http_conn_close(conn);
+        return;
+    }
+    finish_answer(conn);
+}
+
+void
+pps_http_conn_abort(pps_http_conn_t *conn)
+{
+    pps_http_conn_close(conn);
+}
--- /dev/null
+++ b/src/libpapayaswitch/transport/reactor.c
@@ -0,0 +1,94 @@
+/** @file reactor.c @brief libuv loop that drives the timer service. */
+#include "reactor.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+
+/** Timers may fire this much late, so that close ones share a wake-up. */
+#define TIMER_SLACK_MS 4
+
+static void
+on_wake(uv_timer_t *timer)
+{
+}
+
+static void
+on_check(uv_check_t *check)
+{
+    pps_reactor_t *reactor = check->data;
+
+    reactor->now_us = pps_clock_now_us();
+}
+
+static void
+on_prepare(uv_prepare_t *prepare)
+{
+    pps_reactor_t *reactor = prepare->data;
+    int64_t next;
+    int64_t delay_ms;
+
+    reactor->now_us = pps_clock_now_us();
+    next = pps_timers_run(&reactor->timers, reactor->now_us);
+    if (reactor->before_poll != NULL) {
+        reactor->before_poll(reactor->user);
+    }
+    if (next == INT64_MAX) {
+        uv_timer_stop(&reactor->wake);
+        return;
+    }
+    delay_ms = (next - reactor->now_us) / PPS_US_PER_MS + TIMER_SLACK_MS;
+    uv_timer_start(&reactor->wake, on_wake, (uint64_t)delay_ms, 0);
+}
+
+int
+pps_reactor_init(pps_reactor_t *reactor)
+{
+    int error = uv_loop_init(&reactor->loop);
+
+    if (error != 0) {
+        return pps_error_set(PPS_EIO, "event loop: %s", uv_strerror(error));
+    }
+    reactor->before_poll = NULL;
+    reactor->user = NULL;
+    reactor->now_us = pps_clock_now_us();
+    pps_timers_init(&reactor->timers);
+    uv_timer_init(&reactor->loop, &reactor->wake);
+    uv_prepare_init(&reactor->loop, &reactor->prepare);
+    uv_check_init(&reactor->loop, &reactor->check);
+    reactor->prepare.data = reactor;
+    reactor->check.data = reactor;
+    uv_prepare_start(&reactor->prepare, on_prepare);
+    uv_check_start(&reactor->check, on_check);
+    return PPS_OK;
+}
+
+void
+pps_reactor_run(pps_reactor_t *reactor)
+{
+    uv_run(&reactor->loop, UV_RUN_DEFAULT);
+}
+
+void
+pps_reactor_stop(pps_reactor_t *reactor)
+{
+    uv_stop(&reactor->loop);
+}
+
+void
+pps_reactor_after(pps_reactor_t *reactor, pps_timer_t *timer, int64_t delay_us,
+                  void (*fire)(int64_t now_us, void *user), void *user)
+{
+    pps_timers_cancel(timer);
+    pps_timers_subscribe(&reactor->timers, timer, reactor->now_us + delay_us,
+                         0, fire, user);
+}
+
+void
+pps_reactor_every(pps_reactor_t *reactor, pps_timer_t *timer,
+                  int64_t period_us, void (*fire)(int64_t now_us, void *user),
+                  void *user)
+{
+    pps_timers_cancel(timer);
+    pps_timers_subscribe(&reactor->timers, timer, reactor->now_us + period_us,
+                         period_us, fire, user);
+}
--- /dev/null
+++ b/src/libpapayaswitch/transport/tcp_write.c
@@ -0,0 +1,105 @@
+/** @file tcp_write.c @brief Direct write first, then a copied remainder. */
+#include "tcp_write.h"
+
+#include "papayaswitch/errors.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define READ_BYTES 65536
+
+typedef struct {
+    uv_write_t request;
+    char data[];
+} rest_t;
+
+static char read_memory[READ_BYTES];
+
+static void
+on_written(uv_write_t *request, int status)
+{
+    free(request->data);
+}
+
+static size_t
+total(const uv_buf_t *pieces, unsigned int count)
+{
+    size_t size = 0;
+
+    for (unsigned int i = 0; i < count; i++) {
+        size += pieces[i].len;
+    }
+    return size;
+}
+
+static int
+write_rest(uv_tcp_t *tcp, const uv_buf_t *pieces, unsigned int count,
+           size_t skip, size_t size)
+{
+    rest_t *rest = malloc(sizeof(*rest) + size);
+    size_t filled = 0;
+    uv_buf_t whole;
+
+    if (rest == NULL) {
+        return PPS_ENOMEM;
+    }
+    for (unsigned int i = 0; i < count; i++) {
+        if (skip >= pieces[i].len) {
+            skip -= pieces[i].len;
+            continue;
+        }
+        memcpy(rest->data + filled, pieces[i].base + skip,
+               pieces[i].len - skip);
+        filled += pieces[i].len - skip;
+        skip = 0;
+    }
+    rest->request.data = rest;
+    whole = uv_buf_init(rest->data, (unsigned int)filled);
+    if (uv_write(&rest->request, (uv_stream_t *)tcp, &whole, 1, on_written) !=
+        0) {
+        free(rest);
+        return PPS_EIO;
+    }
+    return PPS_OK;
+}
+
+int
+pps_tcp_write(uv_tcp_t *tcp, const uv_buf_t *pieces, unsigned int count)
+{
+    size_t size = total(pieces, count);
+    int written = 0;
+
+    if (tcp->write_queue_size == 0) {
+        written = uv_try_write((uv_stream_t *)tcp, pieces, count);
+        if (written == UV_EAGAIN) {
+            written = 0;
+        }
+        if (written < 0) {
+            return PPS_EIO;
+        }
+    }
+    if ((size_t)written == size) {
+        return PPS_OK;
+    }
+    return write_rest(tcp, pieces, count, (size_t)written,
+                      size - (size_t)written);
+}
+
+void
+pps_tcp_read_memory(uv_handle_t *handle, size_t wanted, uv_buf_t *out)
+{
+    *out = uv_buf_init(read_memory, sizeof(read_memory));
+}
+
+void
+pps_tcp_set_user_timeout(uv_tcp_t *tcp, unsigned int ms)
+{
+    uv_os_fd_t fd;
+
+    if (uv_fileno((uv_handle_t *)tcp, &fd) == 0) {
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+    }
+}
--- a/src/util/logger.c
+++ b/src/util/logger.c
@@ -3,13 +3,15 @@
 
 #include "buf.h"
 #include "clock.h"
+#include "counters.h"
 
+#include <fcntl.h>
 #include <inttypes.h>
-#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #define HOST_BYTES 64
 
@@ -17,6 +19,15 @@
 static pps_log_level_t least_level = PPS_LOG_INFO;
 static char host_name[HOST_BYTES] = "-";
 
+/* Collected output: one thread only. */
+#define COLLECTED_BYTES_MAX (256U << 10)
+static int collect_fd = -1;
+static unsigned int lines_per_s_max;
+static unsigned int lines_in_second;
+static unsigned int sample_percent = 100;
+static int64_t second;
+static pps_buf_t collected;
+
 static const char *const level_names[] = {"debug", "info", "warn", "error"};
 
 void
@@ -66,26 +77,103 @@
     }
 }
 
+static void
+write_json_text(pps_buf_t *line, const char *text)
+{
+    pps_buf_append(line, "\"", 1);
+    for (; *text != '\0'; text++) {
+        unsigned char byte = (unsigned char)*text;
+
+        if (byte < ' ') {
+            pps_buf_printf(line, "\\u%04x", byte);
+            continue;
+        }
+        if (byte == '"' || byte == '\\') {
+            pps_buf_append(line, "\\", 1);
+        }
+        pps_buf_append(line, text, 1);
+    }
+    pps_buf_append(line, "\"", 1);
+}
+
 static void
 format_json(pps_buf_t *line, const char *when, pps_log_level_t level,
             const char *event, const pps_field_t *fields, size_t count)
 {
-    json_t *object =
-        json_pack("{s:s, s:s, s:s, s:s}", "time", when, "level",
-                  level_names[level], "host", host_name, "event", event);
-    char *text;
-
-    for (size_t i = 0; object != NULL && i < count; i++) {
-        json_object_set_new(object, fields[i].key,
-                            fields[i].text ? json_string(fields[i].text)
-                                           : json_integer(fields[i].number));
-    }
-    text = json_dumps(object, JSON_COMPACT);
-    if (text != NULL) {
-        pps_buf_puts(line, text);
+    pps_buf_printf(line, "{\"time\":\"%s\",\"level\":\"%s\",\"host\":", when,
+                   level_names[level]);
+    write_json_text(line, host_name);
+    pps_buf_printf(line, ",\"event\":\"%s\"", event);
+    for (size_t i = 0; i < count; i++) {
+        pps_buf_printf(line, ",\"%s\":", fields[i].key);
+        if (fields[i].text != NULL) {
+            write_json_text(line, fields[i].text);
+        }
+        else {
+            pps_buf_printf(line, "%" PRId64, fields[i].number);
+        }
     }
-    free(text);
-    json_decref(object);
+    pps_buf_puts(line, "}");
+}
+
+void
+pps_logger_collect(int fd, unsigned int lines_per_s)
+{
+    collect_fd = fd;
+    lines_per_s_max = lines_per_s;
+    fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+}
+
+int
+pps_logger_samples(const char *id)
+{
+    return sample_percent >= 100 ||
+           XXH64(id, strlen(id), 0) % 100 < sample_percent;
+}
+
+void
+pps_logger_flush(void)
+{
+    ssize_t written;
+
+    if (collected.size == 0) {
+        return;
+    }
+    written = write(collect_fd, collected.data, collected.size);
+    if (written > 0) {
+        pps_buf_consume(&collected, (size_t)written);
+    }
+}
+
+/* Halves the sampled part in a second over the bound, doubles it below. */
+static void
+adapt_sampling(int64_t now_s)
+{
+    if (now_s == second) {
+        return;
+    }
+    if (lines_in_second > lines_per_s_max) {
+        sample_percent = sample_percent > 1 ? sample_percent / 2 : 1;
+    }
+    else if (lines_in_second < lines_per_s_max / 2 && sample_percent < 100) {
+        sample_percent *= 2;
+    }
+    second = now_s;
+    lines_in_second = 0;
+}
+
+static void
+collect(const pps_buf_t *line, pps_log_level_t level, int64_t now_s)
+{
+    adapt_sampling(now_s);
+    lines_in_second++;
+    if (collected.size + line->size > COLLECTED_BYTES_MAX ||
+        (level < PPS_LOG_WARN && lines_in_second > lines_per_s_max * 2) ||
+        lines_in_second > lines_per_s_max * 4) {
+        pps_counter_add(PPS_COUNTER_LOG_LINES_DROPPED, 1);
+        return;
+    }
+    pps_buf_append(&collected, line->data, line->size);
 }
 
 void
@@ -112,7 +200,10 @@
         format_key_value(&line, when, level, event, fields, count);
     }
     pps_buf_puts(&line, "\n");
-    if (write(STDERR_FILENO, line.data, line.size) < 0) {
+    if (collect_fd >= 0) {
+        collect(&line, level, seconds);
+    }
+    else if (write(STDERR_FILENO, line.data, line.size) < 0) {
         /* Nowhere left to report to. */
     }
     pps_buf_clear(&line);
--- a/src/util/logger.h
+++ b/src/util/logger.h
@@ -1,6 +1,6 @@
 /**
  * @file logger.h
- * @brief Log lines on standard error, for changes of state only.
+ * @brief Log lines: on standard error at once, or collected and bounded.
  */
 #ifndef PPS_UTIL_LOGGER_H
 #define PPS_UTIL_LOGGER_H
@@ -31,4 +31,21 @@
 pps_logger_write(pps_log_level_t level, const char *event,
                  const pps_field_t *fields, size_t count);
 
+/**
+ * Has lines collected for pps_logger_flush() in place of written at once; for
+ * processes with one thread.
+ * @param lines_per_s bound; over it requests are sampled by their id
+ */
+void
+pps_logger_collect(int fd, unsigned int lines_per_s);
+
+/** Writes what was collected, as far as it can be without waiting. */
+void
+pps_logger_flush(void);
+
+/** Whether the lines of a request with that id are written; the same for all
+ * lines of one request while the load stays as it is. */
+int
+pps_logger_samples(const char *id);
+
 #endif
