--- a/src/libpapayaswitch/transport/http_channel.c
+++ b/src/libpapayaswitch/transport/http_channel.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 /** An idle channel is given up this much before the other side closes it. */
 #define KEEP_ALIVE_MARGIN_US (700 * PPS_US_PER_MS)
@@ -203,6 +204,17 @@
     ops->end(user);
 }
 
+/* libuv reports a reset that follows a last piece of data as an end. */
+static int
+was_reset(const uv_tcp_t *tcp)
+{
+    uv_os_fd_t fd;
+    char byte;
+
+    return uv_fileno((const uv_handle_t *)tcp, &fd) != 0 ||
+           recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *memory)
 {
@@ -213,7 +225,7 @@
     if (size == 0) {
         return;
     }
-    if (size < 0 && size != UV_EOF) {
+    if (size < 0 && (size != UV_EOF || was_reset(&channel->tcp))) {
         lose(channel, PPS_CHANNEL_BROKEN);
         return;
     }
