Placement by the expected time to a first byte

Change: each worker has a queue of prompt tokens that drains at a learned rate; the candidate with the least expected wait wins, a prefix read of late saves its time. Workers are told to take short prompts first. Silence of a busy worker no longer sends the prompt elsewhere.

Ruled out: other domains' workers (the wait stood at the own ones as well).

--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -63,6 +63,7 @@
     }
     state = &dispatcher->upstreams[dispatcher->upstream_count++];
     snprintf(state->name, sizeof(state->name), "%s", name);
+    pps_read_rate_init(&state->read_rate);
     pps_repeat_limit_init(&state->repeats, options->repeat_window_us,
                           options->repeat_ratio,
                           (double)options->repeat_more / dispatcher->hosts);
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -11,6 +11,7 @@
 #include "call.h"
 #include "deployment/deployment.h"
 #include "pool/pool.h"
+#include "pool/prefix_memory.h"
 #include "repeat_limit.h"
 #include "rng.h"
 #include "rollout/rollout.h"
@@ -24,7 +25,6 @@
     double repeat_ratio;        /**< repeats for one request, all hosts */
     unsigned int repeat_more;   /**< repeats beyond that, all hosts */
     int64_t repeat_window_us;
-    double cross_domain;         /**< see pps_place_options_t */
     unsigned int confidence_min; /**< of an answer that needs no larger
                                       model, 0 to 100 */
     pps_rollout_bounds_t rollout;
@@ -37,6 +37,7 @@
     pps_rollout_t rollout;
     pps_rollout_tally_t tally; /**< seen by this host */
     double first_byte_us;      /**< smoothed time to a first byte */
+    pps_read_rate_t read_rate; /**< of its workers */
 } pps_upstream_state_t;
 
 /** The traffic of one host. */
@@ -51,6 +52,7 @@
     unsigned int hosts; /**< that share the workers */
     struct cds_list_head exchanges;
     size_t exchange_count;
+    pps_prefix_memory_t prefixes;
     pps_upstream_state_t upstreams[PPS_DISPATCH_UPSTREAMS_MAX];
     size_t upstream_count;
     pps_http_limits_t limits;
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -25,11 +25,11 @@
 #define FAILURE_PART 0.95
 /** Part of the route's target, and multiple of the usual time to first byte,
  * after which a worker counts as silent. */
-#define SILENCE_TARGET_PART 0.6
+#define SILENCE_TARGET_PART 1.6
 #define SILENCE_USUAL 4.0
 #define SILENCE_MIN_US (60 * PPS_US_PER_MS)
 /** Part of the longest allowed pause after which a stream counts as broken. */
-#define SILENCE_GAP_PART 0.6
+#define SILENCE_GAP_PART 1.5
 /** Urgency that workers are told: the route's or workspace's rank behind it.
  */
 #define PRIORITY_BASE 2
@@ -175,7 +175,8 @@
     if (exchange->workspace != NULL && exchange->workspace->priority >= 0) {
         priority = exchange->workspace->priority;
     }
-    priority += PRIORITY_BASE;
+    priority = 0;
+    for (int64_t t = exchange->call.prompt_tokens; t > 300; t /= 2) priority++;
     return priority > PRIORITY_LAST ? PRIORITY_LAST : priority;
 }
 
@@ -216,6 +217,24 @@
         worker->info.address, &channel_options, NULL, NULL);
 }
 
+static void
+note_reading(pps_exchange_t *exchange, pps_pool_worker_t *worker)
+{
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    const pps_read_rate_t *rate = &exchange->upstream_state->read_rate;
+    int64_t now_us = dispatcher->reactor->now_us;
+
+    exchange->work = pps_exchange_work(exchange, worker);
+    exchange->backlog =
+        pps_read_queue_tokens(&worker->reading, rate, now_us);
+    pps_read_queue_add(&worker->reading, rate, exchange->work, now_us);
+    if (exchange->call.shared_tokens > 0) {
+        pps_prefix_memory_note(&dispatcher->prefixes,
+                               pps_exchange_prefix(exchange), worker->digest,
+                               now_us);
+    }
+}
+
 void
 pps_exchange_send(pps_exchange_t *exchange)
 {
@@ -241,6 +260,7 @@
                exchange->upstream_state->rollout.target) == 0;
     exchange->upstream_state->tally.exposed += exchange->on_target;
     pps_pool_call_begins(worker);
+    note_reading(exchange, worker);
     exchange->runs++;
     pps_decision_sent(exchange);
     if (open_channel(exchange, worker) != 0 ||
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -50,6 +50,8 @@
     pps_rollout_count_t *count = evidence_of(exchange);
     double *usual = &exchange->upstream_state->first_byte_us;
 
+    pps_read_rate_learn(&exchange->upstream_state->read_rate,
+                        exchange->work + exchange->backlog, elapsed);
     count->timed++;
     count->first_byte_us += (uint64_t)elapsed;
     *usual += ((double)elapsed - *usual) * FIRST_BYTE_WEIGHT;
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -4,7 +4,6 @@
 #include "pool/place.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #define CANDIDATES_MAX 1024
 
@@ -51,20 +50,73 @@
            (model == NULL || pps_worker_has_model(&worker->info, model));
 }
 
+static double
+work_of(const pps_exchange_t *exchange, int64_t tokens)
+{
+    const pps_upstream_t *upstream = exchange->upstream;
+    const char *model = model_of(exchange);
+    double largest = 0;
+
+    for (size_t i = 0; i < upstream->model_count; i++) {
+        if (upstream->models[i].cost > largest) {
+            largest = upstream->models[i].cost;
+        }
+    }
+    if (model == NULL || largest <= 0) {
+        return (double)tokens;
+    }
+    return (double)tokens * pps_upstream_model_cost(upstream, model) / largest;
+}
+
+uint64_t
+pps_exchange_prefix(const pps_exchange_t *exchange)
+{
+    return exchange->call.session_digest + exchange->model;
+}
+
+double
+pps_exchange_work(const pps_exchange_t *exchange,
+                  const pps_pool_worker_t *worker)
+{
+    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    int64_t tokens = exchange->call.prompt_tokens;
+
+    if (pps_prefix_memory_worker(
+            &dispatcher->prefixes, pps_exchange_prefix(exchange),
+            dispatcher->reactor->now_us) == worker->digest) {
+        tokens -= exchange->call.shared_tokens;
+    }
+    return work_of(exchange, tokens > 0 ? tokens : 0);
+}
+
 static void
 fill(pps_candidate_t *out, const pps_exchange_t *exchange,
-     const pps_pool_worker_t *worker)
+     const pps_pool_worker_t *worker, uint64_t reader)
 {
     const pps_dispatcher_t *dispatcher = exchange->dispatcher;
-    uint64_t key = exchange->call.session_digest + exchange->model;
+    int64_t now_us = dispatcher->reactor->now_us;
 
-    out->busy = pps_pool_worker_busy(worker, dispatcher->reactor->now_us,
-                                     dispatcher->hosts);
+    out->wait_us = pps_read_queue_wait_us(
+        &worker->reading, &exchange->upstream_state->read_rate, now_us);
+    out->busy = pps_pool_worker_busy(worker, now_us, dispatcher->hosts);
     out->slots = worker->slots;
     out->failing = worker->failing;
     out->same_domain = strcmp(worker->info.failure_domain,
                               dispatcher->options.failure_domain) == 0;
-    out->rank = XXH64(worker->info.id, strlen(worker->info.id), key);
+    out->has_prefix = reader == worker->digest;
+}
+
+static pps_place_options_t
+place_options(const pps_exchange_t *exchange)
+{
+    const pps_upstream_state_t *state = exchange->upstream_state;
+
+    return (pps_place_options_t){
+        .target_us = (double)exchange->route->target_us,
+        .prefix_us = work_of(exchange, exchange->call.shared_tokens) /
+                     state->read_rate.tokens_per_us,
+        .service_us = state->first_byte_us,
+    };
 }
 
 /* What a pass over the workers admits. */
@@ -79,8 +131,10 @@
     static pps_candidate_t candidates[CANDIDATES_MAX];
     static pps_pool_worker_t *workers[CANDIDATES_MAX];
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
-    const pps_place_options_t options = {exchange->call.session_digest != 0,
-                                         dispatcher->options.cross_domain};
+    const pps_place_options_t options = place_options(exchange);
+    uint64_t reader = pps_prefix_memory_worker(
+        &dispatcher->prefixes, pps_exchange_prefix(exchange),
+        dispatcher->reactor->now_us);
     pps_pool_worker_t *worker;
     size_t count = 0;
     int chosen;
@@ -96,7 +150,7 @@
              was_tried(exchange, worker->info.id))) {
             continue;
         }
-        fill(&candidates[count], exchange, worker);
+        fill(&candidates[count], exchange, worker, reader);
         workers[count++] = worker;
     }
     chosen = pps_place(candidates, count, &options, &dispatcher->rng);
--- a/src/libpapayaswitch/exchange/exchange_worker.h
+++ b/src/libpapayaswitch/exchange/exchange_worker.h
@@ -8,6 +8,15 @@
 pps_pool_worker_t *
 pps_exchange_choose(const pps_exchange_t *exchange);
 
+/** Digest of the shared part of the prompt with the model that reads it. */
+uint64_t
+pps_exchange_prefix(const pps_exchange_t *exchange);
+
+/** Work that reading the prompt is for the worker; see read_queue.h. */
+double
+pps_exchange_work(const pps_exchange_t *exchange,
+                  const pps_pool_worker_t *worker);
+
 /** Busy share of the slots of the workers that could serve the request. */
 double
 pps_exchange_load(const pps_exchange_t *exchange);
--- a/src/libpapayaswitch/pool/place.h
+++ b/src/libpapayaswitch/pool/place.h
@@ -2,10 +2,11 @@
  * @file place.h
  * @brief Which worker gets a request. A pure function.
  *
- * Requests that share a prompt prefix go to the same worker of their failure
- * domain while that one is not busier than the rest, so that the prefix is
- * read once; the others go where least runs. Load is what the worker last
- * said, corrected by what this host has sent and got back since.
+ * Load it answers: long prompts, which hold up all that is read behind them,
+ * among short ones, on workers whose own reports come late. Each candidate is
+ * rated by the time until it would begin to answer; one that has read the
+ * shared part of the prompt saves that time, and one elsewhere, or one that
+ * fails, must be better by a part of what the route aims at.
  */
 #ifndef PPS_POOL_PLACE_H
 #define PPS_POOL_PLACE_H
@@ -17,18 +18,19 @@
 
 /** A worker that may serve the request. */
 typedef struct {
+    double wait_us;  /**< until what lies before the request is read */
     double busy;     /**< requests running and waiting there */
     double slots;    /**< runs at a time; above 0 */
     double failing;  /**< share of late calls that failed, 0 to 1 */
     int same_domain; /**< in the host's own failure domain */
-    uint64_t rank;   /**< digest of the prefix with the worker's id */
+    int has_prefix;  /**< it has read the shared part of late */
 } pps_candidate_t;
 
 /** What is known of the request. */
 typedef struct {
-    int has_prefix;      /**< `rank` is to be looked at */
-    double cross_domain; /**< load that a worker elsewhere must be better by,
-                              as a share of its slots */
+    double target_us;  /**< time to a first byte that the route aims at */
+    double prefix_us;  /**< time to read the shared part of the prompt */
+    double service_us; /**< usual time to a first byte */
 } pps_place_options_t;
 
 /** @return the index of the chosen candidate, or -1 when there is none */
--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -6,6 +6,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /** A report older than this is no longer looked at. */
 #define REPORT_AGE_MAX_US (3 * PPS_US_PER_S)
@@ -80,7 +81,7 @@
     worker->reported_us = 0;
     worker->failing = 0;
     worker->avoided_until_us = 0;
-    worker->first_byte_us = 0;
+    worker->reading = (pps_read_queue_t){0};
 }
 
 static int
@@ -93,6 +94,7 @@
     }
     worker->info = *info;
     worker->slots = info->slots ? info->slots : SLOTS_UNKNOWN;
+    worker->digest = XXH64(info->id, strlen(info->id), 0);
     worker->listed = 1;
     cds_list_add_tail(&worker->node, &pool->workers);
     pool->count++;
