--- a/src/libpapayaswitch/exchange/call.h
+++ b/src/libpapayaswitch/exchange/call.h
@@ -21,7 +21,7 @@
     int64_t last_event;  /**< the stream goes on behind it; 0: from start */
     int has_last_event;
     int64_t prompt_tokens;
-    int64_t shared_tokens;   /**< of the prompt's parts but the last */
+    int64_t shared_tokens; /**< of the prompt's parts but the last */
     int64_t output_tokens_max;
     uint64_t prefix_digest;  /**< of the prompt's first part; 0: none */
     uint64_t session_digest; /**< of the session or shared subject; 0: none */
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -30,6 +30,17 @@
     pps_rollout_bounds_t rollout;
 } pps_dispatch_options_t;
 
+/** What hosts tell each other when a long prompt goes to a worker. */
+typedef struct {
+    uint64_t worker; /**< digest of its id */
+    uint64_t prefix; /**< digest of the shared part and model; 0: none */
+    double work;     /**< see read_queue.h */
+} pps_read_notice_t;
+
+/** Tells the other hosts; optional. */
+typedef void (*pps_read_notice_fn)(void *user,
+                                   const pps_read_notice_t *notice);
+
 /** What this host keeps of an upstream, by name, across revisions. */
 typedef struct {
     char name[PPS_WORKER_TEXT_BYTES];
@@ -53,6 +64,8 @@
     struct cds_list_head exchanges;
     size_t exchange_count;
     pps_prefix_memory_t prefixes;
+    pps_read_notice_fn notice;
+    void *notice_user;
     pps_upstream_state_t upstreams[PPS_DISPATCH_UPSTREAMS_MAX];
     size_t upstream_count;
     pps_http_limits_t limits;
@@ -76,6 +89,11 @@
 pps_upstream_state_t *
 pps_dispatcher_upstream(pps_dispatcher_t *dispatcher, const char *name);
 
+/** Another host has sent a long prompt to a worker. */
+void
+pps_dispatcher_noticed(pps_dispatcher_t *dispatcher,
+                       const pps_read_notice_t *notice);
+
 /** Functions for the server that callers connect to; `user` is the
  * dispatcher. */
 extern const pps_http_server_ops_t pps_dispatcher_server_ops;
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -30,6 +30,8 @@
 #define SILENCE_MIN_US (60 * PPS_US_PER_MS)
 /** Part of the longest allowed pause after which a stream counts as broken. */
 #define SILENCE_GAP_PART 1.5
+/** Prompts that take less time to read are not told to other hosts. */
+#define NOTICE_US (10.0 * PPS_US_PER_MS)
 /** Urgency that workers are told: the route's or workspace's rank behind it.
  */
 #define PRIORITY_BASE 2
@@ -176,7 +178,8 @@
         priority = exchange->workspace->priority;
     }
     priority = 0;
-    for (int64_t t = exchange->call.prompt_tokens; t > 300; t /= 2) priority++;
+    for (int64_t t = exchange->call.prompt_tokens; t > 300; t /= 2)
+        priority++;
     return priority > PRIORITY_LAST ? PRIORITY_LAST : priority;
 }
 
@@ -217,6 +220,25 @@
         worker->info.address, &channel_options, NULL, NULL);
 }
 
+static void
+tell_hosts(const pps_exchange_t *exchange, const pps_pool_worker_t *worker)
+{
+    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    const pps_read_notice_t notice = {
+        .worker = worker->digest,
+        .prefix = exchange->call.shared_tokens > 0
+                      ? pps_exchange_prefix(exchange)
+                      : 0,
+        .work = exchange->work,
+    };
+
+    if (dispatcher->notice != NULL &&
+        exchange->work >
+            exchange->upstream_state->read_rate.tokens_per_us * NOTICE_US) {
+        dispatcher->notice(dispatcher->notice_user, &notice);
+    }
+}
+
 static void
 note_reading(pps_exchange_t *exchange, pps_pool_worker_t *worker)
 {
@@ -225,14 +247,14 @@
     int64_t now_us = dispatcher->reactor->now_us;
 
     exchange->work = pps_exchange_work(exchange, worker);
-    exchange->backlog =
-        pps_read_queue_tokens(&worker->reading, rate, now_us);
+    exchange->backlog = pps_read_queue_tokens(&worker->reading, rate, now_us);
     pps_read_queue_add(&worker->reading, rate, exchange->work, now_us);
     if (exchange->call.shared_tokens > 0) {
         pps_prefix_memory_note(&dispatcher->prefixes,
                                pps_exchange_prefix(exchange), worker->digest,
                                now_us);
     }
+    tell_hosts(exchange, worker);
 }
 
 void
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -132,9 +132,9 @@
     static pps_pool_worker_t *workers[CANDIDATES_MAX];
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
     const pps_place_options_t options = place_options(exchange);
-    uint64_t reader = pps_prefix_memory_worker(
-        &dispatcher->prefixes, pps_exchange_prefix(exchange),
-        dispatcher->reactor->now_us);
+    uint64_t reader = pps_prefix_memory_worker(&dispatcher->prefixes,
+                                               pps_exchange_prefix(exchange),
+                                               dispatcher->reactor->now_us);
     pps_pool_worker_t *worker;
     size_t count = 0;
     int chosen;
--- a/src/libpapayaswitch/gossip/gossip.c
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -134,10 +134,15 @@
 {
     pps_gossip_t *gossip = udp->data;
     pps_gossip_message_t message;
+    pps_gossip_notice_t notice;
 
     if (size <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0) {
         return;
     }
+    if (pps_gossip_decode_notice(&notice, memory->base, (size_t)size) == 0) {
+        gossip->ops->notice(gossip->user, &notice);
+        return;
+    }
     if (pps_gossip_decode(&message, memory->base, (size_t)size,
                           gossip->reactor->now_us) != 0) {
         pps_logger_write(PPS_LOG_WARN, "datagram_skipped",
@@ -225,6 +230,22 @@
     pps_buf_clear(&text);
 }
 
+void
+pps_gossip_notice(pps_gossip_t *gossip, const pps_gossip_notice_t *notice)
+{
+    pps_buf_t text = PPS_BUF_INIT;
+    pps_gossip_peer_t *peer;
+
+    if (pps_gossip_encode_notice(&text, notice) == 0) {
+        cds_list_for_each_entry (peer, &gossip->peers, node) {
+            if (pps_gossip_is_live(gossip, peer) && is_due(gossip, peer)) {
+                send_to(gossip, peer->state.address, &text);
+            }
+        }
+    }
+    pps_buf_clear(&text);
+}
+
 static void
 on_timer(int64_t now_us, void *user)
 {
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -46,12 +46,21 @@
     int64_t tried_us;
 } pps_gossip_peer_t;
 
+/** A long prompt that went to a worker. */
+typedef struct {
+    uint64_t worker;
+    uint64_t prefix;
+    uint64_t work;
+} pps_gossip_notice_t;
+
 /** What the owner does. */
 typedef struct {
     /** Fills in what is told of this host; id and address are set already. */
     void (*describe)(void *user, pps_gossip_state_t *out);
     /** A host was heard. */
     void (*heard)(void *user, const pps_gossip_peer_t *peer);
+    /** A host told of a prompt; see pps_gossip_notice(). */
+    void (*notice)(void *user, const pps_gossip_notice_t *notice);
 } pps_gossip_ops_t;
 
 /** The exchange of datagrams. */
@@ -72,6 +81,10 @@
 void
 pps_gossip_tell_now(pps_gossip_t *gossip);
 
+/** Tells live peers of a prompt; up to a fixed number of them. */
+void
+pps_gossip_notice(pps_gossip_t *gossip, const pps_gossip_notice_t *notice);
+
 /** Sets the time between datagrams to one peer. */
 void
 pps_gossip_set_period(pps_gossip_t *gossip, int64_t period_us);
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 #define FORMAT_VERSION 1
+#define NOTICE_VERSION 2
+#define NOTICE_FIELDS 4
 #define MESSAGE_FIELDS 9
 #define ROLLOUT_FIELDS 10
 #define COUNT_FIELDS 6
@@ -275,3 +277,43 @@
     msgpack_unpacked_destroy(&unpacked);
     return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
 }
+
+int
+pps_gossip_encode_notice(pps_buf_t *out, const pps_gossip_notice_t *notice)
+{
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, out, append);
+    msgpack_pack_array(&packer, NOTICE_FIELDS);
+    msgpack_pack_int(&packer, NOTICE_VERSION);
+    msgpack_pack_uint64(&packer, notice->worker);
+    msgpack_pack_uint64(&packer, notice->prefix);
+    msgpack_pack_uint64(&packer, notice->work);
+    return out->failed ? PPS_ENOMEM : PPS_OK;
+}
+
+int
+pps_gossip_decode_notice(pps_gossip_notice_t *out, const char *data,
+                         size_t size)
+{
+    msgpack_unpacked unpacked;
+    cursor_t root;
+    cursor_t fields;
+
+    msgpack_unpacked_init(&unpacked);
+    if (msgpack_unpack_next(&unpacked, data, size, NULL) !=
+        MSGPACK_UNPACK_SUCCESS) {
+        msgpack_unpacked_destroy(&unpacked);
+        return PPS_ECORRUPT;
+    }
+    root = (cursor_t){&unpacked.data, 1, 0};
+    fields = take_array(&root);
+    if (take_number(&fields) != NOTICE_VERSION) {
+        fields.failed = 1;
+    }
+    out->worker = (uint64_t)take_number(&fields);
+    out->prefix = (uint64_t)take_number(&fields);
+    out->work = (uint64_t)take_number(&fields);
+    msgpack_unpacked_destroy(&unpacked);
+    return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
+}
--- a/src/libpapayaswitch/gossip/gossip_codec.h
+++ b/src/libpapayaswitch/gossip/gossip_codec.h
@@ -20,6 +20,15 @@
 pps_gossip_encode(pps_buf_t *out, const pps_gossip_message_t *message,
                   int64_t now_us);
 
+/** Encodes a notice. */
+int
+pps_gossip_encode_notice(pps_buf_t *out, const pps_gossip_notice_t *notice);
+
+/** Decodes a notice. @return 0 or PPS_ECORRUPT: it is none */
+int
+pps_gossip_decode_notice(pps_gossip_notice_t *out, const char *data,
+                         size_t size);
+
 /** Decodes; ages become start times. @return 0 or PPS_ECORRUPT */
 int
 pps_gossip_decode(pps_gossip_message_t *out, const char *data, size_t size,
--- a/src/libpapayaswitch/pool/place.c
+++ b/src/libpapayaswitch/pool/place.c
@@ -3,7 +3,7 @@
 
 /** Parts of the route's target that a worker must be better by when it is in
  * another failure domain, or when all its late calls failed. */
-#define CROSS_DOMAIN_PART 0.1
+#define CROSS_DOMAIN_PART 0.07
 #define FAILING_PART 2.0
 /** Random part that keeps hosts from choosing alike. */
 #define JITTER_PART 0.01
--- a/src/libpapayaswitch/pool/read_queue.c
+++ b/src/libpapayaswitch/pool/read_queue.c
@@ -36,8 +36,8 @@
 pps_read_queue_tokens(const pps_read_queue_t *queue,
                       const pps_read_rate_t *rate, int64_t now_us)
 {
-    double left = queue->tokens -
-                  (double)(now_us - queue->at_us) * rate->tokens_per_us;
+    double left =
+        queue->tokens - (double)(now_us - queue->at_us) * rate->tokens_per_us;
 
     return left > 0 ? left : 0;
 }
