Silent workers: limit by the expected wait, and room for the repeat

Change: silence may use what failures may; answers in doubt a little less; the limit follows the expected wait, and a refused repeat is logged.

--- a/src/libpapayaswitch/exchange/decision_log.c
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -129,6 +129,19 @@
                     exchange->has_last_event ? exchange->last_event : -1)));
 }
 
+void
+pps_decision_stays(const pps_exchange_t *exchange)
+{
+    pps_logger_write(
+        PPS_LOG_WARN, "no_repeat_left",
+        PPS_FIELDS(PPS_STR("request", exchange->call.id),
+                   PPS_STR("worker", exchange->worker->info.id),
+                   PPS_INT("runs", exchange->runs),
+                   PPS_INT("attempts_max", exchange->route->attempts_max),
+                   PPS_INT("left_ms",
+                           TO_MS(pps_exchange_left_us(exchange)))));
+}
+
 void
 pps_decision_foreign(const pps_exchange_t *exchange)
 {
@@ -161,6 +174,7 @@
             PPS_INT("begun", exchange->begun),
             PPS_INT("last_event",
                     exchange->has_last_event ? exchange->last_event : -1),
+            PPS_INT("silent_ms", TO_MS(now_us(exchange) - exchange->heard_us)),
             PPS_INT("workers", pps_pool_count(exchange->dispatcher->pool)),
             PPS_INT("after_ms", TO_MS(now_us(exchange) -
                                       exchange->request->received_us))));
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -35,6 +35,10 @@
 pps_decision_repeats(const pps_exchange_t *exchange, const char *reason,
                      int may_have_run);
 
+/** A silent worker is waited for, since no repeat is allowed. */
+void
+pps_decision_stays(const pps_exchange_t *exchange);
+
 /** An answer to another request was skipped. */
 void
 pps_decision_foreign(const pps_exchange_t *exchange);
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -21,11 +21,11 @@
 /** When callers are asked to come back if no worker takes their request. */
 #define RETRY_BUSY_US (400 * PPS_US_PER_MS)
 /** Part of the allowed repeats that a silent worker may cost. */
-#define SILENCE_PART 0.6
+#define SILENCE_PART 0.95
 #define FAILURE_PART 0.95
 /** Part of the route's target, and multiple of the usual time to first byte,
  * after which a worker counts as silent. */
-#define SILENCE_TARGET_PART 1.6
+#define SILENCE_TARGET_PART 0.8
 #define SILENCE_USUAL 4.0
 #define SILENCE_MIN_US (60 * PPS_US_PER_MS)
 /** Part of the longest allowed pause after which a stream counts as broken. */
@@ -104,10 +104,11 @@
 
     if (!attempts_are_left(exchange) ||
         take_repeat(exchange, SILENCE_PART) != 0) {
+        pps_decision_stays(exchange);
         return;
     }
     pps_decision_repeats(exchange, "silence", 1);
-    pps_exchange_drop_attempt(exchange, PPS_WORKER_UNREACHABLE);
+    pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
     pps_exchange_send(exchange);
 }
 
@@ -115,7 +116,10 @@
 silence_limit_us(const pps_exchange_t *exchange)
 {
     const pps_route_t *route = exchange->route;
-    double usual = exchange->upstream_state->first_byte_us * SILENCE_USUAL;
+    const pps_upstream_state_t *state = exchange->upstream_state;
+    double usual = (state->first_byte_us + (exchange->work + exchange->backlog) /
+                                               state->read_rate.tokens_per_us) *
+                   SILENCE_USUAL;
     double limit = (double)route->target_us * SILENCE_TARGET_PART;
 
     if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
@@ -276,6 +280,7 @@
     exchange->attempt = PPS_ATTEMPT_SENT;
     exchange->attempt_events = 0;
     exchange->sent_us = dispatcher->reactor->now_us;
+    exchange->heard_us = exchange->sent_us;
     exchange->on_target =
         exchange->upstream_state->rollout.state == PPS_ROLLOUT_ACTIVE &&
         strcmp(worker->info.version,
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -12,7 +12,7 @@
 /** Largest answer that is gathered before it is handed on. */
 #define BODY_BYTES_MAX (8U << 20)
 /** Part of the allowed repeats that answers in doubt may use. */
-#define DOUBT_PART 0.75
+#define DOUBT_PART 0.7
 /** Part that repeats of failed answers may use. */
 #define FAILURE_PART 0.95
 #define FIRST_BYTE_WEIGHT 0.05
@@ -160,6 +160,7 @@
     pps_worker_reply_t read;
     int64_t now_us = exchange->dispatcher->reactor->now_us;
 
+    exchange->heard_us = now_us;
     exchange->dispatcher->worker->decode(&read, reply);
     if (read.id != NULL && strcmp(read.id, exchange->call.id) != 0) {
         pps_decision_foreign(exchange);
@@ -216,6 +217,7 @@
 {
     int error;
 
+    exchange->heard_us = exchange->dispatcher->reactor->now_us;
     if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
         error =
             pps_event_split(&exchange->events, data, size, on_event, exchange);
