--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -32,9 +32,9 @@
 #define SILENCE_GAP_PART 1.5
 /** Prompts that take less time to read are not told to other hosts. */
 #define NOTICE_US (10.0 * PPS_US_PER_MS)
-/** Urgency that workers are told: the route's or workspace's rank behind it.
- */
-#define PRIORITY_BASE 2
+/** Prompts up to this are the most urgent at a worker; each doubling is one
+ * step less. */
+#define PRIORITY_TOKENS 300
 #define PRIORITY_LAST 9
 
 static const pps_channel_options_t channel_options = {CONNECT_US,
@@ -173,18 +173,19 @@
 static const pps_channel_ops_t channel_ops = {on_head, on_body, on_end,
                                               on_fail};
 
+/* The shorter the prompt, the more urgent: what is read first holds up little
+ * of what is read behind it. */
 static int
 told_priority(const pps_exchange_t *exchange)
 {
-    int priority = exchange->route->priority;
+    int64_t tokens = exchange->call.prompt_tokens;
+    int priority = 0;
 
-    if (exchange->workspace != NULL && exchange->workspace->priority >= 0) {
-        priority = exchange->workspace->priority;
-    }
-    priority = 0;
-    for (int64_t t = exchange->call.prompt_tokens; t > 300; t /= 2)
+    while (tokens > PRIORITY_TOKENS && priority < PRIORITY_LAST) {
+        tokens /= 2;
         priority++;
-    return priority > PRIORITY_LAST ? PRIORITY_LAST : priority;
+    }
+    return priority;
 }
 
 static int
--- a/src/libpapayaswitch/gossip/gossip.c
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -13,12 +13,20 @@
 
 /** A host not heard for so long counts as gone. */
 #define LIVE_US (3500 * PPS_US_PER_MS)
-/** How often an address that never answered is tried. */
+/** How often an address that never answered, or no longer does, is tried. */
 #define TRY_US (2 * PPS_US_PER_S)
 #define PERIOD_US (1 * PPS_US_PER_S)
-/** Peers told in one round; the others are told by these, or in a later one.
- */
-#define FANOUT 10
+/** Hosts that read the store for all. */
+#define READERS 2
+/** A reader not heard for so long is not relied upon. */
+#define READER_US (1400 * PPS_US_PER_MS)
+/** Up to so many hosts each tells all others; beyond, it tells the readers
+ * and its own failure domain, and the readers tell all. */
+#define MESH_MAX 12
+/** Peers that one notice goes to. */
+#define NOTICE_PEERS 24
+/** Largest record that is passed on. */
+#define RECORD_BYTES 1200
 #define DATAGRAM_BYTES 4096
 #define PEERS_MAX 2048
 
@@ -83,8 +91,8 @@
            gossip->reactor->now_us - peer->heard_us < LIVE_US;
 }
 
-unsigned int
-pps_gossip_live(const pps_gossip_t *gossip)
+static unsigned int
+count_live(const pps_gossip_t *gossip)
 {
     const pps_gossip_peer_t *peer;
     unsigned int live = 1;
@@ -95,6 +103,63 @@
     return live;
 }
 
+unsigned int
+pps_gossip_live(const pps_gossip_t *gossip)
+{
+    const pps_gossip_peer_t *peer;
+    unsigned int live = count_live(gossip);
+
+    cds_list_for_each_entry (peer, &gossip->peers, node) {
+        if (pps_gossip_is_live(gossip, peer) && peer->state.live > (int)live) {
+            live = (unsigned int)peer->state.live;
+        }
+    }
+    return live;
+}
+
+/* A host that may read for the others, as far as is known. */
+static int
+may_read(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
+{
+    return peer->heard_us != 0 && peer->state.reads_store &&
+           !peer->state.leaving &&
+           gossip->reactor->now_us - peer->heard_us < READER_US;
+}
+
+/* Hosts before that id that may read. */
+static unsigned int
+readers_before(const pps_gossip_t *gossip, const char *host_id)
+{
+    const pps_gossip_peer_t *peer;
+    unsigned int before = 0;
+
+    cds_list_for_each_entry (peer, &gossip->peers, node) {
+        before +=
+            may_read(gossip, peer) && strcmp(peer->state.host_id, host_id) < 0;
+    }
+    return before;
+}
+
+int
+pps_gossip_is_reader(const pps_gossip_t *gossip)
+{
+    return readers_before(gossip, gossip->own.state.host_id) < READERS;
+}
+
+static int
+is_reader(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
+{
+    const pps_gossip_state_t *own = &gossip->own.state;
+    unsigned int before = readers_before(gossip, peer->state.host_id);
+
+    if (!may_read(gossip, peer)) {
+        return 0;
+    }
+    before +=
+        own->reads_store && strcmp(own->host_id, peer->state.host_id) < 0;
+    return before < READERS;
+}
+
 struct cds_list_head *
 pps_gossip_peers(pps_gossip_t *gossip)
 {
@@ -128,6 +193,22 @@
     gossip->ops->heard(gossip->user, peer);
 }
 
+static int
+take_record(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_record_t record;
+    msgpack_unpacked memory;
+    int error;
+
+    msgpack_unpacked_init(&memory);
+    error = pps_gossip_decode_record(&record, &memory, data, size);
+    if (error == 0) {
+        gossip->ops->record(gossip->user, &record);
+    }
+    msgpack_unpacked_destroy(&memory);
+    return error;
+}
+
 static void
 on_datagram(uv_udp_t *udp, ssize_t size, const uv_buf_t *memory,
             const struct sockaddr *from, unsigned int flags)
@@ -143,6 +224,9 @@
         gossip->ops->notice(gossip->user, &notice);
         return;
     }
+    if (take_record(gossip, memory->base, (size_t)size) == 0) {
+        return;
+    }
     if (pps_gossip_decode(&message, memory->base, (size_t)size,
                           gossip->reactor->now_us) != 0) {
         pps_logger_write(PPS_LOG_WARN, "datagram_skipped",
@@ -194,21 +278,31 @@
     }
 }
 
+static int
+is_near(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
+{
+    return strcmp(peer->state.failure_domain,
+                  gossip->own.state.failure_domain) == 0;
+}
+
 /* Whether a peer is told in this round. */
 static int
-is_due(pps_gossip_t *gossip, pps_gossip_peer_t *peer)
+is_due(const pps_gossip_t *gossip, pps_gossip_peer_t *peer)
 {
     int64_t now_us = gossip->reactor->now_us;
+    int regular = gossip->peer_count <= MESH_MAX ||
+                  pps_gossip_is_reader(gossip) || is_reader(gossip, peer) ||
+                  is_near(gossip, peer);
 
-    if (!pps_gossip_is_live(gossip, peer)) {
-        if (peer->tried_us != 0 && now_us - peer->tried_us < TRY_US) {
-            return 0;
-        }
-        peer->tried_us = now_us;
+    if (regular && pps_gossip_is_live(gossip, peer)) {
         return 1;
     }
-    return gossip->peer_count <= FANOUT ||
-           pps_rng_below(&gossip->rng, gossip->peer_count) < FANOUT;
+    if ((!regular && peer->heard_us != 0) ||
+        (peer->tried_us != 0 && now_us - peer->tried_us < TRY_US)) {
+        return 0;
+    }
+    peer->tried_us = now_us;
+    return 1;
 }
 
 void
@@ -218,6 +312,7 @@
     pps_gossip_peer_t *peer;
 
     gossip->own.state.rollout_count = 0;
+    gossip->own.state.live = (int)count_live(gossip);
     gossip->ops->describe(gossip->user, &gossip->own.state);
     choose_hints(gossip);
     if (pps_gossip_encode(&text, &gossip->own, gossip->reactor->now_us) == 0) {
@@ -235,15 +330,41 @@
 {
     pps_buf_t text = PPS_BUF_INIT;
     pps_gossip_peer_t *peer;
+    unsigned int told = 0;
 
     if (pps_gossip_encode_notice(&text, notice) == 0) {
-        cds_list_for_each_entry (peer, &gossip->peers, node) {
-            if (pps_gossip_is_live(gossip, peer) && is_due(gossip, peer)) {
+        cds_list_for_each_entry(peer, &gossip->peers, node)
+        {
+            if (pps_gossip_is_live(gossip, peer) && told < NOTICE_PEERS &&
+                (gossip->peer_count <= MESH_MAX || is_near(gossip, peer))) {
+                send_to(gossip, peer->state.address, &text);
+                told++;
+            }
+        }
+    }
+    pps_buf_clear(&text);
+}
+
+int
+pps_gossip_record(pps_gossip_t *gossip, const pps_gossip_record_t *record)
+{
+    pps_buf_t text = PPS_BUF_INIT;
+    pps_gossip_peer_t *peer;
+    int error = pps_gossip_encode_record(&text, record);
+
+    if (error == 0 && text.size > RECORD_BYTES) {
+        error = PPS_ELIMIT;
+    }
+    if (error == 0) {
+        cds_list_for_each_entry(peer, &gossip->peers, node)
+        {
+            if (pps_gossip_is_live(gossip, peer)) {
                 send_to(gossip, peer->state.address, &text);
             }
         }
     }
     pps_buf_clear(&text);
+    return error;
 }
 
 static void
@@ -263,8 +384,8 @@
 
 int
 pps_gossip_new(pps_gossip_t **out, pps_reactor_t *reactor, const char *host_id,
-               const char *address, unsigned int port,
-               const pps_gossip_ops_t *ops, void *user)
+               const char *address, const char *failure_domain,
+               unsigned int port, const pps_gossip_ops_t *ops, void *user)
 {
     pps_gossip_t *gossip = calloc(1, sizeof(*gossip));
     struct sockaddr_in at;
@@ -282,6 +403,9 @@
     gossip->own.state.incarnation = pps_rng_next(&gossip->rng) >> 1;
     snprintf(gossip->own.state.host_id, PPS_GOSSIP_TEXT_BYTES, "%s", host_id);
     snprintf(gossip->own.state.address, PPS_GOSSIP_TEXT_BYTES, "%s", address);
+    snprintf(gossip->own.state.failure_domain, PPS_GOSSIP_TEXT_BYTES, "%s",
+             failure_domain);
+    gossip->own.state.reads_store = 1;
     uv_udp_init(&reactor->loop, &gossip->udp);
     gossip->udp.data = gossip;
     error = uv_ip4_addr(address, (int)port, &at);
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -31,7 +31,9 @@
     char host_id[PPS_GOSSIP_TEXT_BYTES];
     char address[PPS_GOSSIP_TEXT_BYTES]; /**< IP number */
     uint64_t incarnation;
-    int64_t topic_ends[PPS_GOSSIP_TOPICS]; /**< -1: no copy yet */
+    char failure_domain[PPS_GOSSIP_TEXT_BYTES];
+    int64_t topic_marks[PPS_GOSSIP_TOPICS]; /**< see mirror.h */
+    int live;        /**< hosts that it heard of late, itself included */
     int reads_store; /**< its last reads of the store were answered */
     int leaving;
     pps_gossip_rollout_t rollouts[PPS_GOSSIP_ROLLOUTS];
@@ -46,6 +48,17 @@
     int64_t tried_us;
 } pps_gossip_peer_t;
 
+/** A record of a topic that other hosts should hear of. */
+typedef struct {
+    unsigned int topic;
+    int64_t offset;
+    int64_t mark_before; /**< the sender's mark before this record */
+    const char *key;
+    size_t key_size;
+    const char *value; /**< NULL: the key is gone */
+    size_t size;
+} pps_gossip_record_t;
+
 /** A long prompt that went to a worker. */
 typedef struct {
     uint64_t worker;
@@ -61,6 +74,8 @@
     void (*heard)(void *user, const pps_gossip_peer_t *peer);
     /** A host told of a prompt; see pps_gossip_notice(). */
     void (*notice)(void *user, const pps_gossip_notice_t *notice);
+    /** A host passes on a record. */
+    void (*record)(void *user, const pps_gossip_record_t *record);
 } pps_gossip_ops_t;
 
 /** The exchange of datagrams. */
@@ -70,8 +85,8 @@
  * @return 0 or PPS_EIO */
 int
 pps_gossip_new(pps_gossip_t **out, pps_reactor_t *reactor, const char *host_id,
-               const char *address, unsigned int port,
-               const pps_gossip_ops_t *ops, void *user);
+               const char *address, const char *failure_domain,
+               unsigned int port, const pps_gossip_ops_t *ops, void *user);
 
 /** Names a host that may be there. @param address IP number */
 void
@@ -85,11 +100,22 @@
 void
 pps_gossip_notice(pps_gossip_t *gossip, const pps_gossip_notice_t *notice);
 
+/** Passes a record on to all hosts. @return 0 or PPS_ELIMIT: too large */
+int
+pps_gossip_record(pps_gossip_t *gossip, const pps_gossip_record_t *record);
+
+/**
+ * Whether this host is one of the few that read the store for all: the first
+ * by id of the live hosts that reach it, or one that hears of none.
+ */
+int
+pps_gossip_is_reader(const pps_gossip_t *gossip);
+
 /** Sets the time between datagrams to one peer. */
 void
 pps_gossip_set_period(pps_gossip_t *gossip, int64_t period_us);
 
-/** Hosts heard of late, this one included. */
+/** Hosts that are live, this one included, by the widest view known. */
 unsigned int
 pps_gossip_live(const pps_gossip_t *gossip);
 
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -9,7 +9,9 @@
 #define FORMAT_VERSION 1
 #define NOTICE_VERSION 2
 #define NOTICE_FIELDS 4
-#define MESSAGE_FIELDS 9
+#define RECORD_VERSION 3
+#define RECORD_FIELDS 6
+#define MESSAGE_FIELDS 11
 #define ROLLOUT_FIELDS 10
 #define COUNT_FIELDS 6
 
@@ -95,10 +97,12 @@
     msgpack_pack_int(&packer, FORMAT_VERSION);
     pack_text(&packer, state->host_id);
     pack_text(&packer, state->address);
+    pack_text(&packer, state->failure_domain);
+    msgpack_pack_int(&packer, state->live);
     msgpack_pack_uint64(&packer, state->incarnation);
     msgpack_pack_array(&packer, PPS_GOSSIP_TOPICS);
     for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
-        msgpack_pack_int64(&packer, state->topic_ends[i]);
+        msgpack_pack_int64(&packer, state->topic_marks[i]);
     }
     msgpack_pack_int(&packer, state->reads_store);
     msgpack_pack_int(&packer, state->leaving);
@@ -234,10 +238,12 @@
     }
     take_text(state->host_id, fields);
     take_text(state->address, fields);
+    take_text(state->failure_domain, fields);
+    state->live = (int)take_number(fields);
     state->incarnation = (uint64_t)take_number(fields);
     list = take_array(fields);
     for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
-        state->topic_ends[i] = take_number(&list);
+        state->topic_marks[i] = take_number(&list);
     }
     fields->failed |= list.failed;
     state->reads_store = (int)take_number(fields);
@@ -317,3 +323,71 @@
     msgpack_unpacked_destroy(&unpacked);
     return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
 }
+
+int
+pps_gossip_encode_record(pps_buf_t *out, const pps_gossip_record_t *record)
+{
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, out, append);
+    msgpack_pack_array(&packer, RECORD_FIELDS);
+    msgpack_pack_int(&packer, RECORD_VERSION);
+    msgpack_pack_unsigned_int(&packer, record->topic);
+    msgpack_pack_int64(&packer, record->offset);
+    msgpack_pack_int64(&packer, record->mark_before);
+    msgpack_pack_bin_with_body(&packer, record->key, record->key_size);
+    if (record->value != NULL) {
+        msgpack_pack_bin_with_body(&packer, record->value, record->size);
+    }
+    else {
+        msgpack_pack_nil(&packer);
+    }
+    return out->failed ? PPS_ENOMEM : PPS_OK;
+}
+
+static void
+take_record(pps_gossip_record_t *out, cursor_t *fields)
+{
+    const msgpack_object *key;
+    const msgpack_object *value;
+
+    out->topic = (unsigned int)take_number(fields);
+    out->offset = take_number(fields);
+    out->mark_before = take_number(fields);
+    key = next(fields);
+    value = next(fields);
+    if (fields->failed || key->type != MSGPACK_OBJECT_BIN ||
+        (value->type != MSGPACK_OBJECT_BIN &&
+         value->type != MSGPACK_OBJECT_NIL) ||
+        out->topic >= PPS_GOSSIP_TOPICS) {
+        fields->failed = 1;
+        return;
+    }
+    out->key = key->via.bin.ptr;
+    out->key_size = key->via.bin.size;
+    if (value->type == MSGPACK_OBJECT_BIN) {
+        out->value = value->via.bin.ptr;
+        out->size = value->via.bin.size;
+    }
+}
+
+int
+pps_gossip_decode_record(pps_gossip_record_t *out, msgpack_unpacked *memory,
+                         const char *data, size_t size)
+{
+    cursor_t root;
+    cursor_t fields;
+
+    memset(out, 0, sizeof(*out));
+    if (msgpack_unpack_next(memory, data, size, NULL) !=
+        MSGPACK_UNPACK_SUCCESS) {
+        return PPS_ECORRUPT;
+    }
+    root = (cursor_t){&memory->data, 1, 0};
+    fields = take_array(&root);
+    if (take_number(&fields) != RECORD_VERSION) {
+        return PPS_ECORRUPT;
+    }
+    take_record(out, &fields);
+    return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
+}
--- a/src/libpapayaswitch/gossip/gossip_codec.h
+++ b/src/libpapayaswitch/gossip/gossip_codec.h
@@ -5,6 +5,8 @@
 #include "buf.h"
 #include "gossip.h"
 
+#include <msgpack.h>
+
 /** Addresses of other hosts that a datagram names. */
 #define PPS_GOSSIP_HINTS 4
 
@@ -29,6 +31,16 @@
 pps_gossip_decode_notice(pps_gossip_notice_t *out, const char *data,
                          size_t size);
 
+/** Encodes a record. */
+int
+pps_gossip_encode_record(pps_buf_t *out, const pps_gossip_record_t *record);
+
+/** Decodes a record. @param memory initialised; key and value live there
+ * @return 0 or PPS_ECORRUPT: it is none */
+int
+pps_gossip_decode_record(pps_gossip_record_t *out, msgpack_unpacked *memory,
+                         const char *data, size_t size);
+
 /** Decodes; ages become start times. @return 0 or PPS_ECORRUPT */
 int
 pps_gossip_decode(pps_gossip_message_t *out, const char *data, size_t size,
--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -1,15 +1,20 @@
 /** @file mirror.c @brief Keyed topic in a hash table. */
 #include "mirror.h"
 
-#include "hash_table.h"
 #include "papayaswitch/errors.h"
+#include "table.h"
 
 #include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
+#include <urcu/list.h>
+
+/** Members of a copy as another host gets it: end, mark, entries. */
+#define COPY_FIELDS 3
 
 typedef struct {
-    UT_hash_handle hh;
+    struct cds_list_head node;
+    pps_table_item_t item;
     char *key;
     char *value;
     size_t size;
@@ -18,8 +23,11 @@
 } entry_t;
 
 struct pps_mirror {
-    entry_t *entries;
+    struct cds_list_head entries;
+    pps_table_t table;
     int64_t end;
+    int64_t mark;
+    int64_t reading;
     pps_mirror_changed_fn changed;
     void *user;
 };
@@ -32,16 +40,29 @@
     if (mirror == NULL) {
         return PPS_ENOMEM;
     }
+    CDS_INIT_LIST_HEAD(&mirror->entries);
     mirror->end = -1;
+    mirror->mark = -1;
+    mirror->reading = -1;
     mirror->changed = changed;
     mirror->user = user;
     *out = mirror;
     return PPS_OK;
 }
 
+static entry_t *
+find(const pps_mirror_t *mirror, const char *key, size_t size)
+{
+    pps_table_item_t *item = pps_table_find(&mirror->table, key, size);
+
+    return item != NULL ? caa_container_of(item, entry_t, item) : NULL;
+}
+
 static void
-free_entry(entry_t *entry)
+free_entry(pps_mirror_t *mirror, entry_t *entry)
 {
+    pps_table_remove(&mirror->table, &entry->item);
+    cds_list_del(&entry->node);
     free(entry->key);
     free(entry->value);
     free(entry);
@@ -56,9 +77,8 @@
     if (mirror == NULL) {
         return;
     }
-    HASH_ITER (hh, mirror->entries, entry, next) {
-        HASH_DEL(mirror->entries, entry);
-        free_entry(entry);
+    cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
+        free_entry(mirror, entry);
     }
     free(mirror);
 }
@@ -69,12 +89,33 @@
     return mirror->end;
 }
 
+int64_t
+pps_mirror_mark(const pps_mirror_t *mirror)
+{
+    return mirror->mark;
+}
+
+int64_t
+pps_mirror_reading(const pps_mirror_t *mirror)
+{
+    return mirror->reading;
+}
+
 static void
-drop(pps_mirror_t *mirror, entry_t *entry)
+tell(pps_mirror_t *mirror, const char *key, const char *value, size_t size,
+     int64_t behind)
 {
-    HASH_DEL(mirror->entries, entry);
-    mirror->changed(mirror->user, entry->key, NULL, 0);
-    free_entry(entry);
+    if (mirror->changed(mirror->user, key, value, size) != 0 &&
+        behind > mirror->mark) {
+        mirror->mark = behind;
+    }
+}
+
+static void
+drop(pps_mirror_t *mirror, entry_t *entry, int64_t behind)
+{
+    tell(mirror, entry->key, NULL, 0, behind);
+    free_entry(mirror, entry);
 }
 
 static entry_t *
@@ -91,8 +132,8 @@
         return NULL;
     }
     entry->offset = -1;
-    HASH_ADD_KEYPTR(hh, mirror->entries, entry->key, strlen(entry->key),
-                    entry);
+    pps_table_add(&mirror->table, &entry->item, entry->key, key_size);
+    cds_list_add_tail(&entry->node, &mirror->entries);
     return entry;
 }
 
@@ -100,13 +141,12 @@
 set(pps_mirror_t *mirror, int64_t offset, const char *key, size_t key_size,
     const char *value, size_t size)
 {
-    entry_t *entry;
+    entry_t *entry = find(mirror, key, key_size);
     char *copy;
 
-    HASH_FIND(hh, mirror->entries, key, key_size, entry);
     if (value == NULL) {
         if (entry != NULL && entry->offset < offset) {
-            drop(mirror, entry);
+            drop(mirror, entry, offset + 1);
         }
         return PPS_OK;
     }
@@ -130,7 +170,7 @@
     entry->value = copy;
     entry->size = size;
     entry->offset = offset;
-    mirror->changed(mirror->user, entry->key, entry->value, entry->size);
+    tell(mirror, entry->key, entry->value, entry->size, offset + 1);
     return PPS_OK;
 }
 
@@ -143,7 +183,9 @@
     if (offset < mirror->end) {
         return PPS_OK;
     }
+    mirror->reading = offset;
     error = set(mirror, offset, key, key_size, value, size);
+    mirror->reading = -1;
     if (error == 0) {
         mirror->end = offset + 1;
     }
@@ -164,7 +206,7 @@
     entry_t *entry;
     entry_t *next;
 
-    HASH_ITER (hh, mirror->entries, entry, next) {
+    cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
         entry->listed = 0;
     }
 }
@@ -182,9 +224,9 @@
     entry_t *entry;
     entry_t *next;
 
-    HASH_ITER (hh, mirror->entries, entry, next) {
+    cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
         if (!entry->listed && entry->offset < end) {
-            drop(mirror, entry);
+            drop(mirror, entry, end);
         }
     }
     pps_mirror_advance(mirror, end);
@@ -193,9 +235,8 @@
 const char *
 pps_mirror_get(size_t *size, const pps_mirror_t *mirror, const char *key)
 {
-    entry_t *entry;
+    const entry_t *entry = find(mirror, key, strlen(key));
 
-    HASH_FIND(hh, mirror->entries, key, strlen(key), entry);
     if (entry == NULL) {
         return NULL;
     }
@@ -206,7 +247,7 @@
 size_t
 pps_mirror_count(const pps_mirror_t *mirror)
 {
-    return HASH_COUNT(mirror->entries);
+    return pps_table_count(&mirror->table);
 }
 
 static int
@@ -223,10 +264,11 @@
     entry_t *next;
 
     msgpack_packer_init(&packer, out, append);
-    msgpack_pack_array(&packer, 2);
+    msgpack_pack_array(&packer, COPY_FIELDS);
     msgpack_pack_int64(&packer, mirror->end);
-    msgpack_pack_array(&packer, HASH_COUNT(mirror->entries));
-    HASH_ITER (hh, mirror->entries, entry, next) {
+    msgpack_pack_int64(&packer, mirror->mark);
+    msgpack_pack_array(&packer, pps_table_count(&mirror->table));
+    cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
         msgpack_pack_array(&packer, 3);
         msgpack_pack_int64(&packer, entry->offset);
         msgpack_pack_bin_with_body(&packer, entry->key, strlen(entry->key));
@@ -268,11 +310,24 @@
     return PPS_OK;
 }
 
+static int
+is_copy(const msgpack_object *object)
+{
+    const msgpack_object *fields = object->via.array.ptr;
+
+    return object->type == MSGPACK_OBJECT_ARRAY &&
+           object->via.array.size == COPY_FIELDS &&
+           fields[0].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+           fields[1].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+           fields[2].type == MSGPACK_OBJECT_ARRAY;
+}
+
 int
 pps_mirror_adopt(pps_mirror_t *mirror, const char *data, size_t size)
 {
     msgpack_unpacked unpacked;
-    const msgpack_object *root;
+    const msgpack_object *fields;
+    int64_t mark;
     int error = PPS_ECORRUPT;
 
     msgpack_unpacked_init(&unpacked);
@@ -280,21 +335,20 @@
         MSGPACK_UNPACK_SUCCESS) {
         goto done;
     }
-    root = &unpacked.data;
-    if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size != 2 ||
-        root->via.array.ptr[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        root->via.array.ptr[1].type != MSGPACK_OBJECT_ARRAY) {
+    fields = unpacked.data.via.array.ptr;
+    if (!is_copy(&unpacked.data)) {
         goto done;
     }
     error = PPS_OK;
-    if ((int64_t)root->via.array.ptr[0].via.u64 <= mirror->end) {
+    mark = (int64_t)fields[1].via.u64;
+    if (mark <= mirror->mark) {
         goto done;
     }
     pps_mirror_listing_begin(mirror);
-    error = adopt_entries(mirror, &root->via.array.ptr[1].via.array);
+    error = adopt_entries(mirror, &fields[2].via.array);
     if (error == 0) {
-        pps_mirror_listing_end(mirror,
-                               (int64_t)root->via.array.ptr[0].via.u64);
+        pps_mirror_listing_end(mirror, (int64_t)fields[0].via.u64);
+        mirror->mark = mark;
     }
 
 done:
--- a/src/libpapayaswitch/mirror/mirror.h
+++ b/src/libpapayaswitch/mirror/mirror.h
@@ -16,9 +16,12 @@
 /** A copy of a topic. */
 typedef struct pps_mirror pps_mirror_t;
 
-/** Told of a key's newest value; `value` is NULL when the key is gone. */
-typedef void (*pps_mirror_changed_fn)(void *user, const char *key,
-                                      const char *value, size_t size);
+/**
+ * Told of a key's newest value; `value` is NULL when the key is gone.
+ * @return nonzero when other hosts should hear of it soon
+ */
+typedef int (*pps_mirror_changed_fn)(void *user, const char *key,
+                                     const char *value, size_t size);
 
 /** Makes an empty copy, whose end is -1. */
 int
@@ -32,6 +35,15 @@
 int64_t
 pps_mirror_end(const pps_mirror_t *mirror);
 
+/** The offset behind the last record that other hosts should hear of, or -1.
+ */
+int64_t
+pps_mirror_mark(const pps_mirror_t *mirror);
+
+/** The offset of the record being told of, or -1 within a listing. */
+int64_t
+pps_mirror_reading(const pps_mirror_t *mirror);
+
 /** Takes in one record that lies behind a listing. Records below the end are
  * skipped. @param value NULL: the key is dropped */
 int
@@ -67,7 +79,7 @@
 int
 pps_mirror_encode(const pps_mirror_t *mirror, pps_buf_t *out);
 
-/** Takes over another host's copy when its end is higher.
+/** Takes over another host's copy when its mark is higher.
  * @return 0; PPS_ECORRUPT */
 int
 pps_mirror_adopt(pps_mirror_t *mirror, const char *data, size_t size);
--- a/src/libpapayaswitch/transport/http_channel.c
+++ b/src/libpapayaswitch/transport/http_channel.c
@@ -244,7 +244,7 @@
         return;
     }
     if (error != HPE_OK) {
-        lose(channel, PPS_CHANNEL_MALFORMED);
+        lose(channel, size < 0 ? PPS_CHANNEL_BROKEN : PPS_CHANNEL_MALFORMED);
         return;
     }
     if (size < 0) {
--- /dev/null
+++ b/tests/entry/net.c
@@ -0,0 +1,255 @@
+/** @file net.c @brief Scripted servers and raw clients on loopback. */
+#include "net.h"
+
+#include "transport/tcp_write.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct {
+    uv_tcp_t tcp;
+    net_server_t *server;
+    pps_buf_t got;
+    int over;
+} peer_t;
+
+static void
+on_peer_closed(uv_handle_t *handle)
+{
+    peer_t *peer = handle->data;
+
+    pps_buf_clear(&peer->got);
+    free(peer);
+}
+
+static void
+close_peer(peer_t *peer)
+{
+    if (!peer->over) {
+        peer->over = 1;
+        uv_close((uv_handle_t *)&peer->tcp, on_peer_closed);
+    }
+}
+
+static void
+on_peer_reset(uv_handle_t *handle)
+{
+    on_peer_closed(handle);
+}
+
+static void
+reset_peer(peer_t *peer)
+{
+    if (!peer->over) {
+        peer->over = 1;
+        uv_tcp_close_reset(&peer->tcp, on_peer_reset);
+    }
+}
+
+/* Length of the first whole request, or 0. */
+static size_t
+request_size(const pps_buf_t *got)
+{
+    const char *end = got->size ? strstr(got->data, "\r\n\r\n") : NULL;
+    const char *length =
+        got->size ? strstr(got->data, "Content-Length: ") : NULL;
+    size_t size;
+
+    if (end == NULL) {
+        return 0;
+    }
+    size = (size_t)(end + 4 - got->data);
+    if (length != NULL && length < end) {
+        size += strtoul(length + strlen("Content-Length: "), NULL, 10);
+    }
+    return got->size >= size ? size : 0;
+}
+
+static void
+find_id(char *out, size_t size, const char *text)
+{
+    const char *at = strstr(text, "X-Request-Id: ");
+
+    out[0] = '\0';
+    if (at != NULL) {
+        at += strlen("X-Request-Id: ");
+        snprintf(out, size, "%.*s", (int)strcspn(at, "\r"), at);
+    }
+}
+
+static void
+answer(peer_t *peer, size_t size)
+{
+    net_server_t *server = peer->server;
+    size_t line = server->requests < server->script_size
+                      ? server->requests
+                      : server->script_size - 1;
+    const net_answer_t *script = &server->script[line];
+    pps_buf_t text = PPS_BUF_INIT;
+    char id[64];
+    uv_buf_t piece;
+
+    server->last.size = 0;
+    pps_buf_append(&server->last, peer->got.data, size);
+    find_id(id, sizeof(id), server->last.data);
+    server->requests++;
+    pps_buf_consume(&peer->got, size);
+    if (script->text != NULL) {
+        const char *mark = strstr(script->text, "%s");
+
+        if (mark != NULL) {
+            pps_buf_append(&text, script->text, (size_t)(mark - script->text));
+            pps_buf_puts(&text, id);
+            pps_buf_puts(&text, mark + 2);
+        }
+        else {
+            pps_buf_puts(&text, script->text);
+        }
+        piece = uv_buf_init(text.data, (unsigned int)text.size);
+        pps_tcp_write(&peer->tcp, &piece, 1);
+        pps_buf_clear(&text);
+    }
+    if (script->end == NET_CLOSE) {
+        close_peer(peer);
+    }
+    if (script->end == NET_RESET) {
+        reset_peer(peer);
+    }
+}
+
+static void
+on_peer_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *memory)
+{
+    peer_t *peer = stream->data;
+    size_t whole;
+
+    if (size < 0) {
+        peer->server->closed++;
+        close_peer(peer);
+        return;
+    }
+    pps_buf_append(&peer->got, memory->base, (size_t)size);
+    while (!peer->over && (whole = request_size(&peer->got)) > 0) {
+        answer(peer, whole);
+    }
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+    net_server_t *server = listener->data;
+    peer_t *peer = calloc(1, sizeof(*peer));
+
+    cr_assert_not_null(peer);
+    peer->server = server;
+    uv_tcp_init(&server->reactor->loop, &peer->tcp);
+    peer->tcp.data = peer;
+    cr_assert_eq(uv_accept(listener, (uv_stream_t *)&peer->tcp), 0);
+    uv_read_start((uv_stream_t *)&peer->tcp, pps_tcp_read_memory,
+                  on_peer_read);
+}
+
+void
+net_server_start(net_server_t *server, pps_reactor_t *reactor,
+                 const net_answer_t *script, size_t script_size)
+{
+    struct sockaddr_in at;
+    int size = sizeof(at);
+
+    memset(server, 0, sizeof(*server));
+    server->reactor = reactor;
+    server->script = script;
+    server->script_size = script_size;
+    uv_tcp_init(&reactor->loop, &server->listener);
+    server->listener.data = server;
+    uv_ip4_addr("127.0.0.1", 0, &at);
+    cr_assert_eq(uv_tcp_bind(&server->listener, (struct sockaddr *)&at, 0), 0);
+    cr_assert_eq(
+        uv_listen((uv_stream_t *)&server->listener, 64, on_connection), 0);
+    uv_tcp_getsockname(&server->listener, (struct sockaddr *)&at, &size);
+    snprintf(server->address, sizeof(server->address), "127.0.0.1:%u",
+             ntohs(at.sin_port));
+}
+
+static void
+on_client_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *memory)
+{
+    net_client_t *client = stream->data;
+
+    if (size < 0) {
+        client->ended = size == UV_EOF ? 1 : -1;
+        uv_read_stop(stream);
+        return;
+    }
+    pps_buf_append(&client->got, memory->base, (size_t)size);
+}
+
+static void
+on_client_connected(uv_connect_t *request, int status)
+{
+    net_client_t *client = request->data;
+    uv_buf_t piece =
+        uv_buf_init(client->to_send.data, (unsigned int)client->to_send.size);
+
+    cr_assert_eq(status, 0);
+    uv_read_start((uv_stream_t *)&client->tcp, pps_tcp_read_memory,
+                  on_client_read);
+    pps_tcp_write(&client->tcp, &piece, 1);
+}
+
+void
+net_client_start(net_client_t *client, pps_reactor_t *reactor,
+                 unsigned int port, const char *text)
+{
+    struct sockaddr_in at;
+
+    memset(client, 0, sizeof(*client));
+    pps_buf_puts(&client->to_send, text);
+    uv_tcp_init(&reactor->loop, &client->tcp);
+    client->tcp.data = client;
+    client->connect.data = client;
+    uv_ip4_addr("127.0.0.1", (int)port, &at);
+    cr_assert_eq(uv_tcp_connect(&client->connect, &client->tcp,
+                                (struct sockaddr *)&at, on_client_connected),
+                 0);
+}
+
+void
+net_client_close(net_client_t *client)
+{
+    uv_close((uv_handle_t *)&client->tcp, NULL);
+}
+
+static void
+on_limit(uv_timer_t *timer)
+{
+    *(int *)timer->data = 1;
+}
+
+int
+net_run_until(pps_reactor_t *reactor, const size_t *value, size_t wanted,
+              unsigned int limit_ms)
+{
+    uv_timer_t timer;
+    int over = 0;
+
+    uv_timer_init(&reactor->loop, &timer);
+    timer.data = &over;
+    uv_timer_start(&timer, on_limit, limit_ms, 0);
+    while (!over && *value < wanted) {
+        uv_run(&reactor->loop, UV_RUN_ONCE);
+    }
+    uv_close((uv_handle_t *)&timer, NULL);
+    uv_run(&reactor->loop, UV_RUN_NOWAIT);
+    return *value >= wanted;
+}
+
+void
+net_run_for(pps_reactor_t *reactor, unsigned int ms)
+{
+    size_t never = 0;
+
+    net_run_until(reactor, &never, 1, ms);
+}
--- /dev/null
+++ b/tests/entry/test_exchange_parts.c
@@ -0,0 +1,142 @@
+/** @file test_exchange_parts.c @brief Decisions within one exchange. */
+#include "clock.h"
+#include "exchange/event_split.h"
+#include "exchange/model_choice.h"
+#include "exchange/repeat_limit.h"
+#include "papayaswitch/errors.h"
+#include "pool/prefix_memory.h"
+#include "pool/read_queue.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define S PPS_US_PER_S
+
+static void
+on_event(void *user, const char *text, size_t size, int64_t id)
+{
+    pps_buf_printf(user, "%d[%zu]", (int)id, size);
+}
+
+typedef struct {
+    const char *text;
+    const char *events;
+    size_t left;
+} split_case_t;
+
+static const split_case_t splits[] = {
+    {"id: 1\ndata: a\n\n", "1[15]", 0},
+    {"id:7\ndata: a\n\nid: 8\ndata: b\n\n", "7[14]8[15]", 0},
+    {"data: a\n\n", "-1[9]", 0},
+    {"id: 3\r\ndata: a\r\n\r\n", "3[18]", 0},
+    {"id: 1\ndata: a\n\nid: 2\nda", "1[15]", 8},
+    {"id: x\n\n", "-1[7]", 0},
+    {"weights: 4\nid: 12\ndata: a\n\n", "12[27]", 0},
+    {"id: 99999999999999999999\n\n", "-1[26]", 0},
+};
+
+/* However the bytes are cut, the same events come out. */
+Test(event_split, every_cut)
+{
+    for (size_t i = 0; i < sizeof(splits) / sizeof(*splits); i++) {
+        size_t size = strlen(splits[i].text);
+
+        for (size_t cut = 0; cut <= size; cut++) {
+            pps_event_split_t split = {PPS_BUF_INIT};
+            pps_buf_t seen = PPS_BUF_INIT;
+
+            pps_event_split(&split, splits[i].text, cut, on_event, &seen);
+            pps_event_split(&split, splits[i].text + cut, size - cut, on_event,
+                            &seen);
+            cr_expect_str_eq(pps_buf_text(&seen), splits[i].events,
+                             "case %zu cut %zu", i, cut);
+            cr_expect_eq(split.partial.size, splits[i].left);
+            pps_buf_clear(&split.partial);
+            pps_buf_clear(&seen);
+        }
+    }
+}
+
+typedef struct {
+    pps_model_doubt_t doubt;
+    size_t next;
+} model_case_t;
+
+/* model, models, confidence, attempts left, threshold, load */
+static const model_case_t models[] = {
+    {{0, 3, 80, 2, 50, 0.1}, 0}, {{0, 3, 20, 2, 50, 0.1}, 2},
+    {{0, 3, 20, 0, 50, 0.1}, 0}, {{0, 3, -1, 2, 50, 0.1}, 0},
+    {{2, 3, 0, 2, 50, 0.1}, 2},  {{0, 1, 0, 2, 50, 0.1}, 0},
+    {{0, 3, 40, 2, 50, 0.9}, 0}, {{0, 3, 5, 2, 50, 0.9}, 2},
+    {{0, 3, 0, 2, 50, 1.5}, 0},  {{0, 3, 50, 2, 50, 0.0}, 0},
+};
+
+Test(model_choice, table)
+{
+    for (size_t i = 0; i < sizeof(models) / sizeof(*models); i++) {
+        cr_expect_eq(pps_model_next(&models[i].doubt), models[i].next,
+                     "case %zu", i);
+    }
+}
+
+Test(repeat_limit, sliding_window)
+{
+    pps_repeat_limit_t limit;
+    int taken = 0;
+
+    pps_repeat_limit_init(&limit, 10 * S, 0.5, 2);
+    cr_expect_eq(pps_repeat_limit_take(&limit, S, 1), 0);
+    cr_expect_eq(pps_repeat_limit_take(&limit, S, 1), 0);
+    cr_expect_eq(pps_repeat_limit_take(&limit, S, 1), PPS_ELIMIT);
+    for (int i = 0; i < 20; i++) {
+        pps_repeat_limit_request(&limit, 2 * S);
+    }
+    while (pps_repeat_limit_take(&limit, 3 * S, 1) == 0) {
+        taken++;
+    }
+    cr_expect_eq(taken, 10);
+    cr_expect_eq(pps_repeat_limit_take(&limit, 14 * S, 1), 0);
+}
+
+/* A kind of repeat that may use a part leaves the rest to the others. */
+Test(repeat_limit, parts)
+{
+    pps_repeat_limit_t limit;
+
+    pps_repeat_limit_init(&limit, 10 * S, 0, 10);
+    for (int i = 0; i < 7; i++) {
+        cr_expect_eq(pps_repeat_limit_take(&limit, S, 0.7), 0);
+    }
+    cr_expect_eq(pps_repeat_limit_take(&limit, S, 0.7), PPS_ELIMIT);
+    cr_expect_eq(pps_repeat_limit_take(&limit, S, 1), 0);
+}
+
+Test(read_queue, drains_at_the_learned_rate)
+{
+    pps_read_rate_t rate = {0.01};
+    pps_read_queue_t queue = {0};
+
+    pps_read_queue_add(&queue, &rate, 10000, S);
+    cr_expect_float_eq(pps_read_queue_wait_us(&queue, &rate, S), 1e6, 1);
+    pps_read_queue_add(&queue, &rate, 5000, S + S / 2);
+    cr_expect_float_eq(pps_read_queue_tokens(&queue, &rate, S + S / 2), 10000,
+                       1);
+    cr_expect_eq(pps_read_queue_tokens(&queue, &rate, 9 * S), 0);
+    for (int i = 0; i < 500; i++) {
+        pps_read_rate_learn(&rate, 20000, S);
+        pps_read_rate_learn(&rate, 10, S);
+    }
+    cr_expect_float_eq(rate.tokens_per_us, 0.02, 0.0005);
+}
+
+Test(prefix_memory, forgets)
+{
+    static pps_prefix_memory_t memory;
+
+    pps_prefix_memory_note(&memory, 42, 7, S);
+    cr_expect_eq(pps_prefix_memory_worker(&memory, 42, 2 * S), 7);
+    cr_expect_eq(pps_prefix_memory_worker(&memory, 43, 2 * S), 0);
+    cr_expect_eq(pps_prefix_memory_worker(&memory, 42, 60 * S), 0);
+    pps_prefix_memory_note(&memory, 42 + PPS_PREFIX_MEMORY_PLACES, 8, 2 * S);
+    cr_expect_eq(pps_prefix_memory_worker(&memory, 42, 2 * S), 0);
+}
--- /dev/null
+++ b/tests/entry/test_gossip_codec.c
@@ -0,0 +1,116 @@
+/** @file test_gossip_codec.c @brief Datagrams between hosts. */
+#include "clock.h"
+#include "gossip/gossip_codec.h"
+#include "papayaswitch/errors.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define NOW (100 * PPS_US_PER_S)
+#define LATER (900 * PPS_US_PER_S)
+
+static pps_gossip_message_t
+make_message(void)
+{
+    pps_gossip_message_t message = {0};
+    pps_gossip_rollout_t *item = &message.state.rollouts[0];
+
+    snprintf(message.state.host_id, PPS_GOSSIP_TEXT_BYTES, "host-1");
+    snprintf(message.state.address, PPS_GOSSIP_TEXT_BYTES, "10.0.0.1");
+    snprintf(message.state.failure_domain, PPS_GOSSIP_TEXT_BYTES, "a");
+    message.state.incarnation = 77;
+    message.state.topic_marks[0] = -1;
+    message.state.topic_marks[1] = 500;
+    message.state.reads_store = 1;
+    message.state.live = 8;
+    snprintf(message.hints[0], PPS_GOSSIP_TEXT_BYTES, "10.0.0.9");
+    message.hint_count = 1;
+    message.state.rollout_count = 1;
+    snprintf(item->rollout.upstream, PPS_ROLLOUT_TEXT_BYTES, "drafting");
+    snprintf(item->rollout.target, PPS_ROLLOUT_TEXT_BYTES, "v2");
+    item->rollout.state = PPS_ROLLOUT_ACTIVE;
+    item->rollout.started_us = NOW - 3 * PPS_US_PER_S;
+    item->rollout.duration_us = 24 * PPS_US_PER_S;
+    item->rollout.share = 250;
+    item->tally.requests = 1000;
+    item->tally.exposed = 20;
+    item->tally.target[3] = (pps_rollout_count_t){10, 2, 9, 123456};
+    item->tally.before[0] = (pps_rollout_count_t){90, 1, 80, 99999};
+    return message;
+}
+
+/* Start times travel as ages: the clocks of two hosts differ. */
+Test(gossip_codec, state_round_trip)
+{
+    pps_gossip_message_t message = make_message();
+    pps_gossip_message_t read;
+    pps_buf_t text = PPS_BUF_INIT;
+
+    cr_assert_eq(pps_gossip_encode(&text, &message, NOW), 0);
+    cr_assert_eq(pps_gossip_decode(&read, text.data, text.size, LATER), 0);
+    cr_expect_str_eq(read.state.host_id, "host-1");
+    cr_expect_str_eq(read.state.failure_domain, "a");
+    cr_expect_eq(read.state.topic_marks[0], -1);
+    cr_expect_eq(read.state.topic_marks[1], 500);
+    cr_expect_eq(read.state.live, 8);
+    cr_expect_str_eq(read.hints[0], "10.0.0.9");
+    cr_expect_eq(read.state.rollouts[0].rollout.started_us,
+                 LATER - 3 * PPS_US_PER_S);
+    cr_expect_eq(read.state.rollouts[0].rollout.share, 250);
+    cr_expect_eq(memcmp(&read.state.rollouts[0].tally,
+                        &message.state.rollouts[0].tally,
+                        sizeof(read.state.rollouts[0].tally)),
+                 0);
+    for (size_t cut = 0; cut < text.size; cut++) {
+        cr_expect_eq(pps_gossip_decode(&read, text.data, cut, LATER),
+                     PPS_ECORRUPT, "cut at %zu", cut);
+    }
+    pps_buf_clear(&text);
+}
+
+Test(gossip_codec, flipped_bytes_do_no_harm)
+{
+    pps_gossip_message_t message = make_message();
+    pps_gossip_message_t read;
+    pps_gossip_notice_t notice;
+    pps_buf_t text = PPS_BUF_INIT;
+
+    cr_assert_eq(pps_gossip_encode(&text, &message, NOW), 0);
+    for (size_t at = 0; at < text.size; at++) {
+        for (int bit = 0; bit < 8; bit++) {
+            text.data[at] ^= (char)(1 << bit);
+            pps_gossip_decode(&read, text.data, text.size, LATER);
+            pps_gossip_decode_notice(&notice, text.data, text.size);
+            text.data[at] ^= (char)(1 << bit);
+        }
+    }
+    pps_buf_clear(&text);
+}
+
+Test(gossip_codec, records)
+{
+    static const struct {
+        const char *value;
+        size_t size;
+    } cases[] = {{"value", 5}, {"", 0}, {NULL, 0}};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        const pps_gossip_record_t record = {
+            1, 900, 880, "key", 3, cases[i].value, cases[i].size};
+        pps_gossip_record_t read;
+        msgpack_unpacked memory;
+        pps_buf_t text = PPS_BUF_INIT;
+
+        msgpack_unpacked_init(&memory);
+        cr_assert_eq(pps_gossip_encode_record(&text, &record), 0);
+        cr_assert_eq(
+            pps_gossip_decode_record(&read, &memory, text.data, text.size), 0);
+        cr_expect_eq(read.offset, 900);
+        cr_expect_eq(read.mark_before, 880);
+        cr_expect_eq(read.value == NULL, cases[i].value == NULL);
+        cr_expect_eq(read.size, cases[i].size);
+        msgpack_unpacked_destroy(&memory);
+        pps_buf_clear(&text);
+    }
+}
--- /dev/null
+++ b/tests/entry/test_http_server.c
@@ -0,0 +1,183 @@
+/** @file test_http_server.c @brief What callers may send. */
+#include "net.h"
+#include "transport/http_server.h"
+
+#include "clock.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define WAIT_MS 40
+
+typedef struct {
+    size_t requests;
+    size_t gone;
+    int hold; /* requests are not answered */
+    pps_buf_t log;
+} owner_t;
+
+static void
+on_request(void *user, pps_http_conn_t *conn,
+           const pps_http_request_t *request)
+{
+    owner_t *owner = user;
+
+    owner->requests++;
+    pps_buf_printf(&owner->log, "%s %s %.*s;", request->method,
+                   pps_buf_text(&request->target), (int)request->body.size,
+                   pps_buf_text(&request->body));
+    if (owner->hold) {
+        pps_http_conn_attach(conn, owner);
+        return;
+    }
+    pps_http_conn_respond(conn, 200, "X-A: b\r\n", "ok", 2);
+}
+
+static void
+on_gone(void *user, void *exchange)
+{
+    ((owner_t *)user)->gone++;
+}
+
+static const pps_http_server_ops_t ops = {on_request, on_gone};
+static pps_http_limits_t limits = {200, 20, 200 * PPS_US_PER_MS,
+                                   400 * PPS_US_PER_MS};
+
+#define GET "GET /a HTTP/1.1\r\nHost: h\r\n"
+#define POST "POST /b HTTP/1.1\r\nHost: h\r\n"
+
+typedef struct {
+    const char *name;
+    const char *text;
+    const char *requests; /* as the owner saw them */
+    const char *answer;   /* its first line */
+    int ended;            /* the connection is over */
+} case_t;
+
+static const case_t cases[] = {
+    {"plain", GET "\r\n", "GET /a ;", "HTTP/1.1 200 OK", 0},
+    {"closing", GET "Connection: close\r\n\r\n", "GET /a ;", "HTTP/1.1 200 OK",
+     1},
+    {"body", POST "Content-Length: 3\r\n\r\nabc", "POST /b abc;",
+     "HTTP/1.1 200 OK", 0},
+    {"chunks",
+     POST "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+     "POST /b abc;", "HTTP/1.1 200 OK", 0},
+    {"two at once", GET "\r\n" POST "Content-Length: 1\r\n\r\nx",
+     "GET /a ;POST /b x;", "HTTP/1.1 200 OK", 0},
+    {"length and chunks",
+     POST "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     "", "HTTP/1.1 400 Bad Request", 1},
+    {"two lengths", POST "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+     "", "HTTP/1.1 400 Bad Request", 1},
+    {"odd encoding", POST "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", "",
+     "HTTP/1.1 400 Bad Request", 1},
+    {"two encodings",
+     POST
+     "Transfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n0\r\n\r\n",
+     "", "HTTP/1.1 400 Bad Request", 1},
+    {"no host", "GET /a HTTP/1.1\r\n\r\n", "", "HTTP/1.1 400 Bad Request", 1},
+    {"two hosts", GET "Host: other\r\n\r\n", "", "HTTP/1.1 400 Bad Request",
+     1},
+    {"no HTTP", "hello\r\n\r\n", "", "HTTP/1.1 400 Bad Request", 1},
+    {"body over the limit", POST "Content-Length: 21\r\n\r\n", "",
+     "HTTP/1.1 413 Payload Too Large", 1},
+    {"chunks over the limit",
+     POST "Transfer-Encoding: chunked\r\n\r\n"
+          "18\r\nabcdefghijklmnopqrstuvwx\r\n0\r\n\r\n",
+     "", "HTTP/1.1 413 Payload Too Large", 1},
+    {"header over the limit",
+     GET "X: "
+         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+         "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n\r\n",
+     "", "HTTP/1.1 431 Request Header Fields Too Large", 1},
+};
+
+static void
+expect_answer(const net_client_t *client, const case_t *item)
+{
+    const char *text = pps_buf_text(&client->got);
+    size_t size = strlen(item->answer);
+
+    cr_expect_eq(strncmp(text, item->answer, size), 0, "%s: %.40s", item->name,
+                 text);
+    cr_expect_eq(client->ended, item->ended, "%s", item->name);
+}
+
+Test(http_server, requests)
+{
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        pps_reactor_t reactor;
+        pps_http_server_t *server;
+        owner_t owner = {0};
+        net_client_t client;
+
+        cr_assert_eq(pps_reactor_init(&reactor), 0);
+        cr_assert_eq(pps_http_server_new(&server, &reactor, "127.0.0.1", 0,
+                                         &limits, &ops, &owner),
+                     0);
+        net_client_start(&client, &reactor, pps_http_server_port(server),
+                         cases[i].text);
+        net_run_for(&reactor, WAIT_MS);
+        cr_expect_str_eq(pps_buf_text(&owner.log), cases[i].requests, "%s",
+                         cases[i].name);
+        expect_answer(&client, &cases[i]);
+        pps_buf_clear(&owner.log);
+    }
+}
+
+Test(http_server, a_slow_header_is_refused_as_not_run)
+{
+    pps_reactor_t reactor;
+    pps_http_server_t *server;
+    owner_t owner = {0};
+    net_client_t client;
+    const case_t item = {"slow", "", "", "HTTP/1.1 408 Request Timeout", 1};
+
+    cr_assert_eq(pps_reactor_init(&reactor), 0);
+    cr_assert_eq(pps_http_server_new(&server, &reactor, "127.0.0.1", 0,
+                                     &limits, &ops, &owner),
+                 0);
+    net_client_start(&client, &reactor, pps_http_server_port(server),
+                     "GET /a HT");
+    net_run_for(&reactor, 400);
+    expect_answer(&client, &item);
+    cr_expect_eq(owner.requests, 0);
+}
+
+Test(http_server, a_caller_who_leaves_is_noticed)
+{
+    pps_reactor_t reactor;
+    pps_http_server_t *server;
+    owner_t owner = {.hold = 1};
+    net_client_t client;
+
+    cr_assert_eq(pps_reactor_init(&reactor), 0);
+    cr_assert_eq(pps_http_server_new(&server, &reactor, "127.0.0.1", 0,
+                                     &limits, &ops, &owner),
+                 0);
+    net_client_start(&client, &reactor, pps_http_server_port(server),
+                     GET "\r\n");
+    cr_assert(net_run_until(&reactor, &owner.requests, 1, 2000));
+    net_client_close(&client);
+    cr_expect(net_run_until(&reactor, &owner.gone, 1, 2000));
+    cr_expect_eq(pps_http_server_connections(server), 0);
+}
+
+Test(http_server, idle_connections_end)
+{
+    pps_reactor_t reactor;
+    pps_http_server_t *server;
+    owner_t owner = {0};
+    net_client_t client;
+
+    cr_assert_eq(pps_reactor_init(&reactor), 0);
+    cr_assert_eq(pps_http_server_new(&server, &reactor, "127.0.0.1", 0,
+                                     &limits, &ops, &owner),
+                 0);
+    net_client_start(&client, &reactor, pps_http_server_port(server), "");
+    net_run_for(&reactor, 600);
+    cr_expect_eq(client.ended, 1);
+}
--- /dev/null
+++ b/tests/entry/test_mirror.c
@@ -0,0 +1,132 @@
+/** @file test_mirror.c @brief Copies of keyed topics. */
+#include "mirror/mirror.h"
+#include "papayaswitch/errors.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+/* Writes what it is told; values that begin with 'h' need not be passed on. */
+static int
+on_changed(void *user, const char *key, const char *value, size_t size)
+{
+    pps_buf_printf(user, "%s%s%.*s;", key, value ? "=" : "-", (int)size,
+                   value ? value : "");
+    return value == NULL || value[0] != 'h';
+}
+
+typedef struct {
+    pps_buf_t told;
+    pps_mirror_t *mirror;
+} fixture_t;
+
+static void
+set_up(fixture_t *fixture)
+{
+    memset(fixture, 0, sizeof(*fixture));
+    cr_assert_eq(pps_mirror_new(&fixture->mirror, on_changed, &fixture->told),
+                 0);
+}
+
+static void
+tear_down(fixture_t *fixture)
+{
+    pps_mirror_free(fixture->mirror);
+    pps_buf_clear(&fixture->told);
+}
+
+static void
+record(pps_mirror_t *mirror, int64_t offset, const char *key,
+       const char *value)
+{
+    cr_assert_eq(pps_mirror_record(mirror, offset, key, strlen(key), value,
+                                   value ? strlen(value) : 0),
+                 0);
+}
+
+static void
+list(pps_mirror_t *mirror, int64_t end, const char *const *entries,
+     size_t count)
+{
+    pps_mirror_listing_begin(mirror);
+    for (size_t i = 0; i < count; i++) {
+        pps_mirror_listing_entry(mirror, (int64_t)i, entries[i], 1,
+                                 entries[i] + 1, strlen(entries[i] + 1));
+    }
+    pps_mirror_listing_end(mirror, end);
+}
+
+Test(mirror, records_in_order)
+{
+    fixture_t f;
+
+    set_up(&f);
+    cr_expect_eq(pps_mirror_end(f.mirror), -1);
+    record(f.mirror, 0, "a", "1");
+    record(f.mirror, 1, "b", "1");
+    record(f.mirror, 1, "a", "old");
+    record(f.mirror, 2, "a", NULL);
+    record(f.mirror, 3, "b", "h2");
+    cr_expect_str_eq(pps_buf_text(&f.told), "a=1;b=1;a-;b=h2;");
+    cr_expect_eq(pps_mirror_end(f.mirror), 4);
+    cr_expect_eq(pps_mirror_mark(f.mirror), 3);
+    cr_expect_eq(pps_mirror_count(f.mirror), 1);
+    tear_down(&f);
+}
+
+Test(mirror, a_listing_drops_what_it_does_not_name)
+{
+    static const char *const first[] = {"a1", "b1", "c1"};
+    static const char *const second[] = {"a1", "c1"};
+    fixture_t f;
+
+    set_up(&f);
+    list(f.mirror, 5, first, 3);
+    list(f.mirror, 9, second, 2);
+    cr_expect_str_eq(pps_buf_text(&f.told), "a=1;b=1;c=1;b-;");
+    cr_expect_eq(pps_mirror_mark(f.mirror), 9);
+    tear_down(&f);
+}
+
+/* A record that came behind the listing's end stays. */
+Test(mirror, a_listing_keeps_newer_records)
+{
+    static const char *const older[] = {"a1"};
+    fixture_t f;
+
+    set_up(&f);
+    record(f.mirror, 7, "b", "new");
+    list(f.mirror, 5, older, 1);
+    cr_expect_str_eq(pps_buf_text(&f.told), "b=new;a=1;");
+    cr_expect_eq(pps_mirror_end(f.mirror), 8);
+    tear_down(&f);
+}
+
+Test(mirror, copies_between_hosts)
+{
+    fixture_t from;
+    fixture_t to;
+    pps_buf_t copy = PPS_BUF_INIT;
+
+    set_up(&from);
+    set_up(&to);
+    record(from.mirror, 3, "a", "1");
+    record(from.mirror, 4, "b", "2");
+    record(to.mirror, 0, "z", "9");
+    cr_assert_eq(pps_mirror_encode(from.mirror, &copy), 0);
+    cr_expect_eq(pps_mirror_adopt(to.mirror, copy.data, copy.size), 0);
+    cr_expect_str_eq(pps_buf_text(&to.told), "z=9;a=1;b=2;z-;");
+    cr_expect_eq(pps_mirror_mark(to.mirror), 5);
+    cr_expect_eq(pps_mirror_adopt(to.mirror, copy.data, copy.size), 0);
+    cr_expect_str_eq(pps_buf_text(&to.told), "z=9;a=1;b=2;z-;");
+    for (size_t cut = 0; cut < copy.size; cut++) {
+        fixture_t other;
+
+        set_up(&other);
+        cr_expect_eq(pps_mirror_adopt(other.mirror, copy.data, cut),
+                     PPS_ECORRUPT, "cut at %zu", cut);
+        tear_down(&other);
+    }
+    pps_buf_clear(&copy);
+    tear_down(&from);
+    tear_down(&to);
+}
--- /dev/null
+++ b/tests/entry/test_records.c
@@ -0,0 +1,159 @@
+/** @file test_records.c @brief Records of the operator and of workers. */
+#include "clock.h"
+#include "papayaswitch/errors.h"
+#include "records.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define WORKER_HEAD                                                           \
+    "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","           \
+    "\"version\":\"v1\""
+
+typedef struct {
+    const char *text;
+    int error;
+    int leaving;
+    size_t models;
+} worker_case_t;
+
+static const worker_case_t workers[] = {
+    {"{" WORKER_HEAD ",\"slots\":8,\"state\":\"ready\",\"new\":[1]}", 0, 0, 0},
+    {"{" WORKER_HEAD ",\"slots\":8,\"state\":\"draining\"}", 0, 1, 0},
+    {"{" WORKER_HEAD ",\"slots\":8,\"state\":\"ready\",\"models\":[{\"name\":"
+     "\"m\",\"version\":1}]}",
+     0, 0, 1},
+    {"{" WORKER_HEAD ",\"slots\":8,\"state\":\"asleep\"}", PPS_EINVALID, 0, 0},
+    {"{" WORKER_HEAD ",\"slots\":\"8\",\"state\":\"ready\"}", PPS_EINVALID, 0,
+     0},
+    {"{" WORKER_HEAD ",\"slots\":8}", PPS_EINVALID, 0, 0},
+    {"{" WORKER_HEAD ",\"slots\":8,\"state\":\"ready\",\"models\":7}",
+     PPS_EINVALID, 0, 0},
+    {"{\"slots\":8,\"state\":\"ready\"}", PPS_EINVALID, 0, 0},
+    {"{\"service\":1,\"address\":\"a\",\"zone\":\"z\",\"version\":\"v\","
+     "\"slots\":8,\"state\":\"ready\"}",
+     PPS_EINVALID, 0, 0},
+    {"[]", PPS_EINVALID, 0, 0},
+    {"\xff\xfe", PPS_EINVALID, 0, 0},
+    {"", PPS_EINVALID, 0, 0},
+};
+
+Test(records, workers)
+{
+    for (size_t i = 0; i < sizeof(workers) / sizeof(*workers); i++) {
+        pps_worker_info_t info;
+        int error = pps_record_worker(&info, "w", workers[i].text,
+                                      strlen(workers[i].text));
+
+        cr_expect_eq(error, workers[i].error, "case %zu", i);
+        if (error == 0) {
+            cr_expect_eq(info.leaving, workers[i].leaving);
+            cr_expect_eq(info.model_count, workers[i].models);
+        }
+    }
+}
+
+#define LIMITS                                                                \
+    "\"limits\":{\"max_header_bytes\":1024,\"max_body_bytes\":2048,"          \
+    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}"
+#define SERVICES "\"services\":[{\"name\":\"a\"},{\"name\":\"b\"}]"
+#define ROUTE(prefix, more)                                                   \
+    "{\"name\":\"r" prefix "\",\"host\":\"h\",\"path_prefix\":\"" prefix      \
+    "\",\"kind\":\"safe\",\"max_attempts\":2" more "}"
+
+static const char config[] =
+    "{\"version\":9,\"routes\":[" ROUTE("/x/", ",\"service\":\"a\"") "," ROUTE(
+        "/x/y/",
+        ",\"traffic_split\":[{\"service\":\"a\",\"weight\":3},"
+        "{\"service\":\"b\",\"weight\":1}]") "]," SERVICES "," LIMITS
+                                             ",\"tenants\":[{\"name\":\"t\","
+                                             "\"priority\":1,"
+                                             "\"api_keys\":[\"k2\",\"k1\"]}]}";
+
+Test(records, a_deployment)
+{
+    pps_deployment_t *deployment;
+    const pps_route_t *route;
+    unsigned int to_b = 0;
+
+    cr_assert_eq(pps_record_deployment(&deployment, config, strlen(config)), 0,
+                 "%s", pps_error_last());
+    cr_expect_eq(deployment->revision, 9);
+    cr_expect_eq(deployment->limits.header_us, 3 * PPS_US_PER_S);
+    route = pps_deployment_route(deployment, "h", "/x/y/z?q");
+    cr_assert_not_null(route);
+    cr_expect_str_eq(route->prefix, "/x/y/");
+    for (uint64_t digest = 0; digest < 400; digest++) {
+        to_b += pps_route_upstream(route, digest) == 1;
+    }
+    cr_expect_eq(to_b, 100);
+    route = pps_deployment_route(deployment, "h", "/x/q");
+    cr_assert_not_null(route);
+    cr_expect_str_eq(route->prefix, "/x/");
+    cr_expect_null(pps_deployment_route(deployment, "h", "/x"));
+    cr_expect_null(pps_deployment_route(deployment, "other", "/x/"));
+    cr_expect_not_null(pps_deployment_workspace(deployment, "k1"));
+    cr_expect_not_null(pps_deployment_workspace(deployment, "k2"));
+    cr_expect_null(pps_deployment_workspace(deployment, "k3"));
+    pps_deployment_free(deployment);
+}
+
+Test(records, bad_deployments_are_refused)
+{
+    static const char *const cases[] = {
+        "",
+        "[]",
+        "{}",
+        "{\"version\":\"9\",\"routes\":[]," SERVICES "," LIMITS "}",
+        "{\"version\":9,\"routes\":[]," SERVICES "}",
+        "{\"version\":9,\"routes\":[" ROUTE(
+            "/", ",\"service\":\"none\"") "]," SERVICES "," LIMITS "}",
+        "{\"version\":9,\"routes\":[{}]," SERVICES "," LIMITS "}",
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        pps_deployment_t *deployment;
+
+        cr_expect_lt(
+            pps_record_deployment(&deployment, cases[i], strlen(cases[i])), 0,
+            "case %zu", i);
+    }
+}
+
+Test(records, roll_outs)
+{
+    static const struct {
+        const char *text;
+        int error;
+        pps_rollout_state_t state;
+    } cases[] = {
+        {"{\"state\":\"active\",\"target\":\"v2\"}", 0, PPS_ROLLOUT_ACTIVE},
+        {"{\"state\":\"completed\",\"target\":\"v2\"}", 0,
+         PPS_ROLLOUT_COMPLETED},
+        {"{\"state\":\"paused\",\"target\":\"v2\"}", PPS_EINVALID, 0},
+        {"{\"state\":\"active\"}", PPS_EINVALID, 0},
+    };
+    static const char order[] =
+        "{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":12}";
+    pps_rollout_t rollout;
+    pps_buf_t text = PPS_BUF_INIT;
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        int error =
+            pps_record_status(&rollout, cases[i].text, strlen(cases[i].text));
+
+        cr_expect_eq(error, cases[i].error, "case %zu", i);
+        if (error == 0) {
+            cr_expect_eq(rollout.state, cases[i].state);
+            snprintf(rollout.upstream, sizeof(rollout.upstream), "s");
+            text.size = 0;
+            pps_record_write_status(&text, &rollout);
+            cr_expect_eq(pps_record_status(&rollout, text.data, text.size), 0);
+            cr_expect_eq(rollout.state, cases[i].state);
+        }
+    }
+    cr_expect_eq(pps_record_order(&rollout, order, strlen(order)), 0);
+    cr_expect_eq(rollout.duration_us, 12 * PPS_US_PER_S);
+    pps_buf_clear(&text);
+}
--- /dev/null
+++ b/tests/entry/test_rollout.c
@@ -0,0 +1,128 @@
+/** @file test_rollout.c @brief Steps and judgement of roll-outs. */
+#include "clock.h"
+#include "rollout/rollout.h"
+
+#include <criterion/criterion.h>
+
+#define S PPS_US_PER_S
+
+static const pps_rollout_bounds_t bounds = {0.15, 30};
+
+typedef struct {
+    const char *name;
+    pps_rollout_count_t before;
+    pps_rollout_count_t target;
+    int bad;
+} verdict_case_t;
+
+/* answers, failures, timed answers, sum of their first bytes */
+static const verdict_case_t verdicts[] = {
+    {"nothing seen", {0, 0, 0, 0}, {0, 0, 0, 0}, 0},
+    {"no failures", {900, 3, 900, 90000000}, {60, 0, 60, 6000000}, 0},
+    {"half of them fail", {900, 3, 0, 0}, {12, 6, 0, 0}, 1},
+    {"a third of them fail", {900, 9, 0, 0}, {18, 6, 0, 0}, 1},
+    {"three failures are too few", {900, 3, 0, 0}, {6, 3, 0, 0}, 0},
+    {"both fail alike", {200, 70, 0, 0}, {40, 15, 0, 0}, 0},
+    {"eight times as slow", {900, 0, 900, 90000000}, {8, 0, 8, 6400000}, 1},
+    {"a little slower", {900, 0, 900, 90000000}, {50, 0, 50, 9000000}, 0},
+    {"slow, but by milliseconds", {900, 0, 900, 900000}, {9, 0, 9, 45000}, 0},
+    {"nothing to compare with", {0, 0, 0, 0}, {10, 5, 0, 0}, 1},
+};
+
+Test(rollout, verdicts)
+{
+    for (size_t i = 0; i < sizeof(verdicts) / sizeof(*verdicts); i++) {
+        pps_rollout_tally_t tally = {0};
+
+        tally.before[1] = verdicts[i].before;
+        tally.target[1] = verdicts[i].target;
+        cr_expect_eq(pps_rollout_is_bad(&tally), verdicts[i].bad, "%s",
+                     verdicts[i].name);
+    }
+}
+
+Test(rollout, one_kind_of_request_is_enough)
+{
+    pps_rollout_tally_t tally = {0};
+
+    for (int i = 0; i < 4; i++) {
+        tally.before[i] = (pps_rollout_count_t){500, 2, 0, 0};
+        tally.target[i] = (pps_rollout_count_t){100, 1, 0, 0};
+    }
+    tally.target[2].failures = 40;
+    cr_expect(pps_rollout_is_bad(&tally));
+}
+
+typedef struct {
+    const char *name;
+    int64_t age_us;
+    uint32_t answers;
+    uint32_t exposed;
+    unsigned int share;
+    pps_rollout_verdict_t verdict;
+} step_case_t;
+
+static const step_case_t steps[] = {
+    {"first half", 11 * S, 0, 0, 0, PPS_ROLLOUT_GO_ON},
+    {"just behind the half", 13 * S, 0, 0, 250, PPS_ROLLOUT_GO_ON},
+    {"nothing proved yet", 20 * S, 10, 10, 250, PPS_ROLLOUT_GO_ON},
+    {"proved", 17 * S, 60, 60, 600, PPS_ROLLOUT_GO_ON},
+    {"exposure used up", 17 * S, 60, 4000, 250, PPS_ROLLOUT_GO_ON},
+    {"all of them", 20 * S, 100, 100, 1000, PPS_ROLLOUT_GO_ON},
+    {"over", 23 * S, 300, 300, 1000, PPS_ROLLOUT_COMPLETE},
+};
+
+Test(rollout, steps_by_age)
+{
+    for (size_t i = 0; i < sizeof(steps) / sizeof(*steps); i++) {
+        pps_rollout_t rollout = {.state = PPS_ROLLOUT_ACTIVE,
+                                 .duration_us = 24 * S};
+        pps_rollout_tally_t tally = {.requests = 1000,
+                                     .exposed = steps[i].exposed};
+
+        tally.before[0] = (pps_rollout_count_t){800, 3, 0, 0};
+        tally.target[0] = (pps_rollout_count_t){steps[i].answers, 0, 0, 0};
+        cr_expect_eq(
+            pps_rollout_step(&rollout, &tally, &bounds, steps[i].age_us),
+            steps[i].verdict, "%s", steps[i].name);
+        cr_expect_eq(rollout.share, steps[i].share, "%s: %u", steps[i].name,
+                     rollout.share);
+    }
+}
+
+Test(rollout, a_held_target_gets_nothing_and_stays_held)
+{
+    pps_rollout_t rollout = {
+        .state = PPS_ROLLOUT_ACTIVE, .duration_us = 24 * S, .share = 600};
+    pps_rollout_tally_t tally = {.requests = 1000};
+
+    tally.before[0] = (pps_rollout_count_t){800, 3, 0, 0};
+    tally.target[0] = (pps_rollout_count_t){20, 10, 0, 0};
+    cr_expect_eq(pps_rollout_step(&rollout, &tally, &bounds, 15 * S),
+                 PPS_ROLLOUT_ROLL_BACK);
+    tally.target[0] = (pps_rollout_count_t){0};
+    cr_expect_eq(pps_rollout_step(&rollout, &tally, &bounds, 16 * S),
+                 PPS_ROLLOUT_ROLL_BACK);
+    for (uint64_t digest = 0; digest < 10000; digest++) {
+        cr_assert_not(pps_rollout_takes(&rollout, digest));
+    }
+}
+
+/* A session that has moved must not move back when the share rises. */
+Test(rollout, sessions_only_move_to_the_target)
+{
+    pps_rollout_t rollout = {.state = PPS_ROLLOUT_ACTIVE};
+
+    for (uint64_t digest = 0; digest < 20000; digest += 13) {
+        int moved = 0;
+
+        for (rollout.share = 0; rollout.share <= PPS_ROLLOUT_WHOLE;
+             rollout.share += 50) {
+            int takes = pps_rollout_takes(&rollout, digest);
+
+            cr_assert(takes >= moved);
+            moved = takes;
+        }
+        cr_assert(moved);
+    }
+}
