Few hosts read the store for all; the others hear what changed

Change: the first two hosts by id that read afresh read for all; a changed worker's record goes on in a datagram, a newer configuration is read by each host itself when a reader's mark shows it; a host that hears of no fresh read within 1.3 s reads for itself.

--- a/src/libpapayaswitch/gossip/gossip.c
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -18,8 +18,8 @@
 #define PERIOD_US (1 * PPS_US_PER_S)
 /** Hosts that read the store for all. */
 #define READERS 2
-/** A reader not heard for so long is not relied upon. */
-#define READER_US (1400 * PPS_US_PER_MS)
+/** What a reader read longer ago than this is not relied upon. */
+#define READ_AGE_MAX_US (1300 * PPS_US_PER_MS)
 /** Up to so many hosts each tells all others; beyond, it tells the readers
  * and its own failure domain, and the readers tell all. */
 #define MESH_MAX 12
@@ -117,16 +117,18 @@
     return live;
 }
 
-/* A host that may read for the others, as far as is known. */
+/* Whether a host reads the store and what it read is new. */
 static int
-may_read(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
+is_fresh(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
 {
-    return peer->heard_us != 0 && peer->state.reads_store &&
+    int64_t since_us = gossip->reactor->now_us - peer->heard_us;
+
+    return peer->heard_us != 0 && peer->state.read_age_us >= 0 &&
            !peer->state.leaving &&
-           gossip->reactor->now_us - peer->heard_us < READER_US;
+           peer->state.read_age_us + since_us < READ_AGE_MAX_US;
 }
 
-/* Hosts before that id that may read. */
+/* Hosts before that id that read. */
 static unsigned int
 readers_before(const pps_gossip_t *gossip, const char *host_id)
 {
@@ -135,7 +137,7 @@
 
     cds_list_for_each_entry (peer, &gossip->peers, node) {
         before +=
-            may_read(gossip, peer) && strcmp(peer->state.host_id, host_id) < 0;
+            is_fresh(gossip, peer) && strcmp(peer->state.host_id, host_id) < 0;
     }
     return before;
 }
@@ -146,17 +148,24 @@
     return readers_before(gossip, gossip->own.state.host_id) < READERS;
 }
 
+int
+pps_gossip_is_first_reader(const pps_gossip_t *gossip)
+{
+    return gossip->own.state.read_age_us >= 0 &&
+           readers_before(gossip, gossip->own.state.host_id) == 0;
+}
+
 static int
 is_reader(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
 {
     const pps_gossip_state_t *own = &gossip->own.state;
     unsigned int before = readers_before(gossip, peer->state.host_id);
 
-    if (!may_read(gossip, peer)) {
+    if (!is_fresh(gossip, peer)) {
         return 0;
     }
     before +=
-        own->reads_store && strcmp(own->host_id, peer->state.host_id) < 0;
+        own->read_age_us >= 0 && strcmp(own->host_id, peer->state.host_id) < 0;
     return before < READERS;
 }
 
@@ -333,8 +342,7 @@
     unsigned int told = 0;
 
     if (pps_gossip_encode_notice(&text, notice) == 0) {
-        cds_list_for_each_entry(peer, &gossip->peers, node)
-        {
+        cds_list_for_each_entry (peer, &gossip->peers, node) {
             if (pps_gossip_is_live(gossip, peer) && told < NOTICE_PEERS &&
                 (gossip->peer_count <= MESH_MAX || is_near(gossip, peer))) {
                 send_to(gossip, peer->state.address, &text);
@@ -356,8 +364,7 @@
         error = PPS_ELIMIT;
     }
     if (error == 0) {
-        cds_list_for_each_entry(peer, &gossip->peers, node)
-        {
+        cds_list_for_each_entry (peer, &gossip->peers, node) {
             if (pps_gossip_is_live(gossip, peer)) {
                 send_to(gossip, peer->state.address, &text);
             }
@@ -405,7 +412,7 @@
     snprintf(gossip->own.state.address, PPS_GOSSIP_TEXT_BYTES, "%s", address);
     snprintf(gossip->own.state.failure_domain, PPS_GOSSIP_TEXT_BYTES, "%s",
              failure_domain);
-    gossip->own.state.reads_store = 1;
+    gossip->own.state.read_age_us = -1;
     uv_udp_init(&reactor->loop, &gossip->udp);
     gossip->udp.data = gossip;
     error = uv_ip4_addr(address, (int)port, &at);
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -33,8 +33,9 @@
     uint64_t incarnation;
     char failure_domain[PPS_GOSSIP_TEXT_BYTES];
     int64_t topic_marks[PPS_GOSSIP_TOPICS]; /**< see mirror.h */
-    int live;        /**< hosts that it heard of late, itself included */
-    int reads_store; /**< its last reads of the store were answered */
+    int live;            /**< hosts that it heard of late, itself included */
+    int64_t read_age_us; /**< of its last answered reads of the store; -1: it
+                              does not read, or in vain */
     int leaving;
     pps_gossip_rollout_t rollouts[PPS_GOSSIP_ROLLOUTS];
     size_t rollout_count;
@@ -111,6 +112,10 @@
 int
 pps_gossip_is_reader(const pps_gossip_t *gossip);
 
+/** Whether this host reads the store and none before it by id does. */
+int
+pps_gossip_is_first_reader(const pps_gossip_t *gossip);
+
 /** Sets the time between datagrams to one peer. */
 void
 pps_gossip_set_period(pps_gossip_t *gossip, int64_t period_us);
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -104,7 +104,7 @@
     for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
         msgpack_pack_int64(&packer, state->topic_marks[i]);
     }
-    msgpack_pack_int(&packer, state->reads_store);
+    msgpack_pack_int64(&packer, state->read_age_us);
     msgpack_pack_int(&packer, state->leaving);
     msgpack_pack_array(&packer, message->hint_count);
     for (size_t i = 0; i < message->hint_count; i++) {
@@ -246,7 +246,7 @@
         state->topic_marks[i] = take_number(&list);
     }
     fields->failed |= list.failed;
-    state->reads_store = (int)take_number(fields);
+    state->read_age_us = take_number(fields);
     state->leaving = (int)take_number(fields);
     list = take_array(fields);
     while (list.left > 0 && out->hint_count < PPS_GOSSIP_HINTS) {
--- a/src/libpapayaswitch/rollout/conductor.c
+++ b/src/libpapayaswitch/rollout/conductor.c
@@ -155,20 +155,6 @@
     return verdict;
 }
 
-int
-pps_conductor_declares(pps_gossip_t *gossip, const char *host_id)
-{
-    pps_gossip_peer_t *peer;
-
-    cds_list_for_each_entry (peer, pps_gossip_peers(gossip), node) {
-        if (pps_gossip_is_live(gossip, peer) && peer->state.reads_store &&
-            !peer->state.leaving && strcmp(peer->state.host_id, host_id) < 0) {
-            return 0;
-        }
-    }
-    return 1;
-}
-
 void
 pps_conductor_describe(const pps_dispatcher_t *dispatcher,
                        pps_gossip_state_t *out)
--- a/src/libpapayaswitch/rollout/conductor.h
+++ b/src/libpapayaswitch/rollout/conductor.h
@@ -34,11 +34,6 @@
 pps_conductor_step(pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
                    pps_gossip_t *gossip);
 
-/** Whether this host is the one to declare: the first by id of the live hosts
- * that reach the store. */
-int
-pps_conductor_declares(pps_gossip_t *gossip, const char *host_id);
-
 /** Fills in what is told to the other hosts. */
 void
 pps_conductor_describe(const pps_dispatcher_t *dispatcher,
--- a/src/libpapayaswitch/transport/http_lane.c
+++ b/src/libpapayaswitch/transport/http_lane.c
@@ -11,6 +11,8 @@
 #define ADDRESS_BYTES 64
 #define CONNECT_US (800 * PPS_US_PER_MS)
 #define USER_TIMEOUT_MS 1500
+/** A connection idle for longer is not trusted: it may have gone silent. */
+#define IDLE_MAX_US (2 * PPS_US_PER_S)
 
 struct pps_http_lane {
     pps_reactor_t *reactor;
@@ -123,14 +125,23 @@
     finish(lane, PPS_EUNAVAILABLE);
 }
 
+static int
+can_be_reused(const pps_http_lane_t *lane)
+{
+    int64_t now_us = lane->reactor->now_us;
+    int64_t idle_us = now_us - pps_http_channel_idle_since_us(lane->channel);
+
+    return pps_http_channel_is_idle(lane->channel) &&
+           pps_http_channel_expires_us(lane->channel) > now_us &&
+           idle_us < IDLE_MAX_US;
+}
+
 static int
 take_channel(pps_http_lane_t *lane)
 {
     static const pps_channel_options_t options = {CONNECT_US, USER_TIMEOUT_MS};
 
-    if (lane->channel != NULL && (!pps_http_channel_is_idle(lane->channel) ||
-                                  pps_http_channel_expires_us(lane->channel) <=
-                                      lane->reactor->now_us)) {
+    if (lane->channel != NULL && !can_be_reused(lane)) {
         pps_http_channel_close(lane->channel);
     }
     if (lane->channel != NULL) {
--- a/tests/entry/test_gossip_codec.c
+++ b/tests/entry/test_gossip_codec.c
@@ -22,7 +22,7 @@
     message.state.incarnation = 77;
     message.state.topic_marks[0] = -1;
     message.state.topic_marks[1] = 500;
-    message.state.reads_store = 1;
+    message.state.read_age_us = 5;
     message.state.live = 8;
     snprintf(message.hints[0], PPS_GOSSIP_TEXT_BYTES, "10.0.0.9");
     message.hint_count = 1;
