--- a/src/libpapayaswitch/exchange/decision_log.c
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -138,8 +138,7 @@
                    PPS_STR("worker", exchange->worker->info.id),
                    PPS_INT("runs", exchange->runs),
                    PPS_INT("attempts_max", exchange->route->attempts_max),
-                   PPS_INT("left_ms",
-                           TO_MS(pps_exchange_left_us(exchange)))));
+                   PPS_INT("left_ms", TO_MS(pps_exchange_left_us(exchange)))));
 }
 
 void
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -117,9 +117,10 @@
 {
     const pps_route_t *route = exchange->route;
     const pps_upstream_state_t *state = exchange->upstream_state;
-    double usual = (state->first_byte_us + (exchange->work + exchange->backlog) /
-                                               state->read_rate.tokens_per_us) *
-                   SILENCE_USUAL;
+    double usual =
+        (state->first_byte_us + (exchange->work + exchange->backlog) /
+                                    state->read_rate.tokens_per_us) *
+        SILENCE_USUAL;
     double limit = (double)route->target_us * SILENCE_TARGET_PART;
 
     if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -46,6 +46,7 @@
     const char *model = model_of(exchange);
 
     return worker->listed && !worker->info.leaving &&
+           worker->full_until_us <= exchange->dispatcher->reactor->now_us &&
            strcmp(worker->info.upstream, exchange->upstream->name) == 0 &&
            (model == NULL || pps_worker_has_model(&worker->info, model));
 }
--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -81,6 +81,7 @@
     worker->reported_us = 0;
     worker->failing = 0;
     worker->avoided_until_us = 0;
+    worker->full_until_us = 0;
     worker->reading = (pps_read_queue_t){0};
 }
 
@@ -220,7 +221,7 @@
         avoid(worker, now_us + UNREACHABLE_US);
         break;
     case PPS_WORKER_FULL:
-        avoid(worker, now_us + FULL_US);
+        worker->full_until_us = now_us + FULL_US;
         break;
     case PPS_WORKER_MOVED:
         avoid(worker, now_us + MOVED_US);
--- a/src/libpapayaswitch/pool/pool.h
+++ b/src/libpapayaswitch/pool/pool.h
@@ -39,6 +39,7 @@
     int64_t reported_us;      /**< 0: it has said nothing */
     double failing;           /**< share of late calls that failed */
     int64_t avoided_until_us; /**< no new calls before */
+    int64_t full_until_us;    /**< it said that it takes no more work */
     pps_read_queue_t reading; /**< prompts it has yet to read */
     uint64_t digest;          /**< of its id */
 } pps_pool_worker_t;
--- a/tests/entry/net.c
+++ b/tests/entry/net.c
@@ -83,9 +83,8 @@
 answer(peer_t *peer, size_t size)
 {
     net_server_t *server = peer->server;
-    size_t line = server->requests < server->script_size
-                      ? server->requests
-                      : server->script_size - 1;
+    size_t turn = (*server->turn)++;
+    size_t line = turn < server->script_size ? turn : server->script_size - 1;
     const net_answer_t *script = &server->script[line];
     pps_buf_t text = PPS_BUF_INIT;
     char id[64];
@@ -95,6 +94,7 @@
     pps_buf_append(&server->last, peer->got.data, size);
     find_id(id, sizeof(id), server->last.data);
     server->requests++;
+    server->newest = peer;
     pps_buf_consume(&peer->got, size);
     if (script->text != NULL) {
         const char *mark = strstr(script->text, "%s");
@@ -162,6 +162,7 @@
     server->reactor = reactor;
     server->script = script;
     server->script_size = script_size;
+    server->turn = &server->own_turn;
     uv_tcp_init(&reactor->loop, &server->listener);
     server->listener.data = server;
     uv_ip4_addr("127.0.0.1", 0, &at);
@@ -173,6 +174,23 @@
              ntohs(at.sin_port));
 }
 
+void
+net_server_share_script(net_server_t *servers, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        servers[i].turn = &servers[0].own_turn;
+    }
+}
+
+void
+net_server_send(net_server_t *server, const char *data, size_t size)
+{
+    peer_t *peer = server->newest;
+    uv_buf_t piece = uv_buf_init((char *)data, (unsigned int)size);
+
+    pps_tcp_write(&peer->tcp, &piece, 1);
+}
+
 static void
 on_client_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *memory)
 {
@@ -246,6 +264,16 @@
     return *value >= wanted;
 }
 
+void
+net_run_until_ended(pps_reactor_t *reactor, const net_client_t *client,
+                    unsigned int limit_ms)
+{
+    for (unsigned int waited = 0; !client->ended && waited < limit_ms;
+         waited += 5) {
+        net_run_for(reactor, 5);
+    }
+}
+
 void
 net_run_for(pps_reactor_t *reactor, unsigned int ms)
 {
--- a/tests/entry/net.h
+++ b/tests/entry/net.h
@@ -35,6 +35,9 @@
     size_t requests; /**< whole requests read */
     size_t closed;   /**< connections that the other side closed */
     pps_buf_t last;  /**< text of the last request */
+    size_t *turn;    /**< place in the script, maybe shared */
+    size_t own_turn;
+    void *newest; /**< connection of the last request */
 } net_server_t;
 
 /** Starts a server on a free port. */
@@ -42,6 +45,15 @@
 net_server_start(net_server_t *server, pps_reactor_t *reactor,
                  const net_answer_t *script, size_t script_size);
 
+/** Has several servers read from the first one's script, each request one
+ * line further. */
+void
+net_server_share_script(net_server_t *servers, size_t count);
+
+/** Sends on the connection of the last request. */
+void
+net_server_send(net_server_t *server, const char *data, size_t size);
+
 /** A raw connection. */
 typedef struct {
     uv_tcp_t tcp;
@@ -66,6 +78,11 @@
 net_run_until(pps_reactor_t *reactor, const size_t *value, size_t wanted,
               unsigned int limit_ms);
 
+/** Runs the loop until the other side has ended the connection. */
+void
+net_run_until_ended(pps_reactor_t *reactor, const net_client_t *client,
+                    unsigned int limit_ms);
+
 /** Runs the loop for a time. */
 void
 net_run_for(pps_reactor_t *reactor, unsigned int ms);
--- /dev/null
+++ b/tests/entry/test_store_topic.c
@@ -0,0 +1,175 @@
+/** @file test_store_topic.c @brief Following a topic of the store. */
+#include "net.h"
+#include "store_topic.h"
+
+#include "clock.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define LIMIT_MS 3000
+#define HEAD "HTTP/1.1 200 OK\r\nContent-Length: "
+/* Keys a and b with values 1 and 2, end 3. */
+#define LISTING                                                               \
+    HEAD "119\r\n\r\n"                                                        \
+         "{\"entries\":[{\"key\":\"a\",\"value\":\"MQ==\",\"offset\":1},"     \
+         "{\"key\":\"b\",\"value\":\"Mg==\",\"offset\":2}],"                  \
+         "\"has_more\":false,\"end\":3     }"
+#define GONE "HTTP/1.1 410 Gone\r\nContent-Length: 11\r\n\r\n{\"first\":9}"
+
+typedef struct {
+    pps_buf_t told;
+    pps_mirror_t *mirror;
+    size_t reads;
+    size_t failures;
+} owner_t;
+
+static int
+on_changed(void *user, const char *key, const char *value, size_t size)
+{
+    owner_t *owner = user;
+
+    pps_buf_printf(&owner->told, "%s%s%.*s;", key, value ? "=" : "-",
+                   (int)size, value ? value : "");
+    return 1;
+}
+
+static void
+on_read(void *user)
+{
+    ((owner_t *)user)->reads++;
+}
+
+static void
+on_failed(void *user)
+{
+    ((owner_t *)user)->failures++;
+}
+
+static const pps_store_topic_ops_t ops = {on_read, on_failed};
+static const pps_store_topic_options_t options = {"keyed.t", 0,
+                                                  20 * PPS_US_PER_MS};
+
+typedef struct {
+    const char *name;
+    net_answer_t script[4];
+    size_t reads;
+    size_t failures;
+    const char *told;
+} case_t;
+
+static const case_t cases[] = {
+    {"listing", {{LISTING, NET_KEEP}, {NULL, NET_KEEP}}, 1, 0, "a=1;b=2;"},
+    {"refused at first",
+     {{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+       NET_KEEP},
+      {LISTING, NET_KEEP},
+      {NULL, NET_KEEP}},
+     1,
+     1,
+     "a=1;b=2;"},
+    {"cut at first",
+     {{NULL, NET_CLOSE}, {LISTING, NET_KEEP}, {NULL, NET_KEEP}},
+     1,
+     1,
+     "a=1;b=2;"},
+    {"history dropped",
+     {{LISTING, NET_KEEP},
+      {GONE, NET_KEEP},
+      {HEAD "39\r\n\r\n{\"entries\":[],\"has_more\":false,\"end\":9}",
+       NET_KEEP},
+      {NULL, NET_KEEP}},
+     2,
+     0,
+     "a=1;b=2;a-;b-;"},
+    {"unreadable page",
+     {{HEAD "4\r\n\r\nnull", NET_KEEP}, {LISTING, NET_KEEP}, {NULL, NET_KEEP}},
+     1,
+     1,
+     "a=1;b=2;"},
+};
+
+static void
+start(owner_t *owner, pps_store_topic_t **topic, net_server_t *server,
+      pps_reactor_t *reactor, const net_answer_t *script, size_t size)
+{
+    memset(owner, 0, sizeof(*owner));
+    cr_assert_eq(pps_reactor_init(reactor), 0);
+    net_server_start(server, reactor, script, size);
+    cr_assert_eq(pps_mirror_new(&owner->mirror, on_changed, owner), 0);
+    cr_assert_eq(pps_store_topic_new(topic, reactor, server->address,
+                                     owner->mirror, &options, &ops, owner),
+                 0);
+}
+
+Test(store_topic, answers)
+{
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        pps_reactor_t reactor;
+        net_server_t server;
+        pps_store_topic_t *topic;
+        owner_t owner;
+
+        start(&owner, &topic, &server, &reactor, cases[i].script, 4);
+        cr_expect(
+            net_run_until(&reactor, &owner.reads, cases[i].reads, LIMIT_MS),
+            "%s", cases[i].name);
+        cr_expect_eq(owner.failures, cases[i].failures, "%s: %zu",
+                     cases[i].name, owner.failures);
+        cr_expect_str_eq(pps_buf_text(&owner.told), cases[i].told, "%s",
+                         cases[i].name);
+        pps_buf_clear(&owner.told);
+    }
+}
+
+/* Another host's datagram moves the copy's end while a read that began below
+ * it is under way: the read's records keep their own offsets, so that the
+ * removal of b at 4 isn't taken for one at 5. */
+Test(store_topic, records_count_from_where_the_read_began)
+{
+    static const net_answer_t script[] = {{LISTING, NET_KEEP},
+                                          {NULL, NET_KEEP}};
+    static const char records[] = {
+        0, 0, 0, 0, 0, 0,   0,   6, 0, 0, 0, 0, 0, 0, 0, 0, /* end, first */
+        0, 0, 0, 3, 1, 'a', '3',                            /* 3 */
+        0, 0, 0, 2, 1, 'b',                                 /* 4: removed */
+        0, 0, 0, 3, 1, 'c', '5',                            /* 5 */
+    };
+    pps_reactor_t reactor;
+    net_server_t server;
+    pps_store_topic_t *topic;
+    owner_t owner;
+    pps_buf_t answer = PPS_BUF_INIT;
+
+    start(&owner, &topic, &server, &reactor, script, 2);
+    cr_assert(net_run_until(&reactor, &server.requests, 2, LIMIT_MS));
+    pps_mirror_record(owner.mirror, 3, "a", 1, "3", 1);
+    pps_buf_printf(&answer, HEAD "%zu\r\n\r\n", sizeof(records));
+    pps_buf_append(&answer, records, sizeof(records));
+    net_server_send(&server, answer.data, answer.size);
+    cr_assert(net_run_until(&reactor, &owner.reads, 2, LIMIT_MS));
+    cr_expect_str_eq(pps_buf_text(&owner.told), "a=1;b=2;a=3;b-;c=5;");
+    cr_expect_eq(pps_mirror_end(owner.mirror), 6);
+    pps_buf_clear(&answer);
+    pps_buf_clear(&owner.told);
+}
+
+/* A store that never answers is noticed, and asked again on a connection of
+ * its own. */
+Test(store_topic, silence_is_a_failure)
+{
+    static const net_answer_t script[] = {
+        {NULL, NET_KEEP}, {LISTING, NET_KEEP}, {NULL, NET_KEEP}};
+    pps_reactor_t reactor;
+    net_server_t server;
+    pps_store_topic_t *topic;
+    owner_t owner;
+
+    start(&owner, &topic, &server, &reactor, script, 3);
+    cr_assert(net_run_until(&reactor, &owner.failures, 1, LIMIT_MS));
+    cr_expect(pps_store_topic_is_failing(topic));
+    cr_assert(net_run_until(&reactor, &owner.reads, 1, LIMIT_MS));
+    cr_expect_not(pps_store_topic_is_failing(topic));
+    cr_expect_eq(server.closed, 1);
+    pps_buf_clear(&owner.told);
+}
