Fewer answers are given again when first bytes come late

Change: late first bytes count as load too, by three times their part of the route's target. Ruled out: refusals (a refused request earns nothing, a small model's answer mostly does).

--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -6,6 +6,9 @@
 #include <string.h>
 
 #define CANDIDATES_MAX 1024
+/** Load that the usual time to a first byte stands for, in parts of the
+ * route's target. */
+#define WAIT_WEIGHT 3.0
 
 static int
 was_tried(const pps_exchange_t *exchange, const char *id)
@@ -174,10 +177,13 @@
 double
 pps_exchange_load(const pps_exchange_t *exchange)
 {
-    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    double target_us = (double)exchange->route->target_us;
+    double waits = exchange->upstream_state->first_byte_us * WAIT_WEIGHT;
     pps_pool_worker_t *worker;
     double busy = 0;
     double slots = 0;
+    double load;
 
     cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
                              node) {
@@ -187,5 +193,7 @@
             slots += worker->slots;
         }
     }
-    return slots > 0 ? busy / slots : 0;
+    load = slots > 0 ? busy / slots : 0;
+    return target_us > 0 && waits / target_us > load ? waits / target_us
+                                                     : load;
 }
--- a/src/libpapayaswitch/exchange/exchange_worker.h
+++ b/src/libpapayaswitch/exchange/exchange_worker.h
@@ -17,7 +17,8 @@
 pps_exchange_work(const pps_exchange_t *exchange,
                   const pps_pool_worker_t *worker);
 
-/** Busy share of the slots of the workers that could serve the request. */
+/** Load of the workers that could serve the request: the busy share of their
+ * slots, or more when first bytes come late. */
 double
 pps_exchange_load(const pps_exchange_t *exchange);
 
