Hosts move sessions to a new version at the same moment; a fault soak

Change: a move is planned a second ahead, told to all hosts, and takes effect by the age of the roll-out. Test: two hosts that step at other times move the same sessions together.

--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -31,7 +31,8 @@
     if (rollout->state == PPS_ROLLOUT_NONE) {
         return 0;
     }
-    wanted = pps_rollout_takes(rollout, exchange->call.session_digest);
+    wanted = pps_rollout_takes(rollout, exchange->call.session_digest,
+                               exchange->dispatcher->reactor->now_us);
     return (strcmp(info->version, rollout->target) == 0) != wanted;
 }
 
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -12,7 +12,7 @@
 #define RECORD_VERSION 3
 #define RECORD_FIELDS 6
 #define MESSAGE_FIELDS 11
-#define ROLLOUT_FIELDS 10
+#define ROLLOUT_FIELDS 12
 #define COUNT_FIELDS 6
 
 static int
@@ -80,6 +80,8 @@
     msgpack_pack_int64(packer, rollout->duration_us);
     msgpack_pack_unsigned_int(packer, rollout->share);
     msgpack_pack_int(packer, rollout->held);
+    msgpack_pack_unsigned_int(packer, rollout->next_share);
+    msgpack_pack_int64(packer, rollout->next_age_us);
     msgpack_pack_uint32(packer, item->tally.requests);
     msgpack_pack_uint32(packer, item->tally.exposed);
     pack_counts(packer, &item->tally);
@@ -213,6 +215,8 @@
     rollout->duration_us = take_number(&fields);
     rollout->share = (unsigned int)take_number(&fields);
     rollout->held = (int)take_number(&fields);
+    rollout->next_share = (unsigned int)take_number(&fields);
+    rollout->next_age_us = take_number(&fields);
     out->tally.requests = (uint32_t)take_number(&fields);
     out->tally.exposed = (uint32_t)take_number(&fields);
     counts = take_array(&fields);
--- a/src/libpapayaswitch/rollout/conductor.c
+++ b/src/libpapayaswitch/rollout/conductor.c
@@ -42,8 +42,7 @@
         return;
     }
     state->rollout = *order;
-    state->rollout.state = PPS_ROLLOUT_ACTIVE;
-    state->rollout.started_us = dispatcher->reactor->now_us;
+    pps_rollout_begin(&state->rollout, dispatcher->reactor->now_us);
     memset(&state->tally, 0, sizeof(state->tally));
     log_rollout("rollout_ordered", &state->rollout, &state->tally);
 }
@@ -81,9 +80,7 @@
     if (heard->started_us < own->started_us) {
         own->started_us = heard->started_us;
     }
-    if (heard->share > own->share) {
-        own->share = heard->share;
-    }
+    pps_rollout_take_over(own, heard);
     if (heard->held && !own->held) {
         own->held = 1;
         log_rollout("rollout_held", own, &state->tally);
@@ -138,6 +135,7 @@
 {
     pps_rollout_tally_t sum;
     unsigned int share = state->rollout.share;
+    unsigned int next = state->rollout.next_share;
     int held = state->rollout.held;
     pps_rollout_verdict_t verdict;
 
@@ -149,6 +147,10 @@
         log_rollout("rollout_held", &state->rollout, &sum);
         pps_gossip_tell_now(gossip);
     }
+    if (next != state->rollout.next_share) {
+        log_rollout("rollout_planned", &state->rollout, &sum);
+        pps_gossip_tell_now(gossip);
+    }
     if (share != state->rollout.share) {
         log_rollout("rollout_step", &state->rollout, &sum);
     }
--- a/src/libpapayaswitch/rollout/rollout.c
+++ b/src/libpapayaswitch/rollout/rollout.c
@@ -15,6 +15,8 @@
 #define SECOND_SHARE 600
 #define FIRST_PART 0.4
 #define SECOND_PART 0.65
+/** From the plan of a move, which all hosts are told of, to the move. */
+#define NOTICE_US (1000 * PPS_US_PER_MS)
 /** Answers of the target before more sessions are moved. */
 #define ANSWERS_MIN 20
 /** Failures that the target must show, and by how much its share of failures
@@ -124,31 +126,71 @@
     return tally->exposed > allowed * EXPOSURE_PART;
 }
 
+static int64_t
+still_us(const pps_rollout_t *rollout)
+{
+    return (int64_t)((double)rollout->duration_us * STILL_PART) +
+           STILL_MORE_US;
+}
+
+/* Time between the first move and the end. */
+static int64_t
+moving_us(const pps_rollout_t *rollout)
+{
+    int64_t left = rollout->duration_us - still_us(rollout) - END_MARGIN_US;
+
+    return left < PPS_US_PER_S ? PPS_US_PER_S : left;
+}
+
+void
+pps_rollout_begin(pps_rollout_t *rollout, int64_t now_us)
+{
+    rollout->state = PPS_ROLLOUT_ACTIVE;
+    rollout->started_us = now_us;
+    rollout->share = 0;
+    rollout->held = 0;
+    rollout->next_share = FIRST_SHARE;
+    rollout->next_age_us = still_us(rollout);
+}
+
 static void
-raise(pps_rollout_t *rollout, unsigned int share)
+plan(pps_rollout_t *rollout, unsigned int share, int64_t age_us)
 {
-    if (share > rollout->share) {
-        rollout->share = share;
+    if (share > rollout->next_share && rollout->share == rollout->next_share) {
+        rollout->next_share = share;
+        rollout->next_age_us = age_us + NOTICE_US;
     }
 }
 
 static void
-move_sessions(pps_rollout_t *rollout, const pps_rollout_tally_t *tally,
-              const pps_rollout_bounds_t *bounds, int64_t moving_us,
-              int64_t moving_time_us)
+plan_moves(pps_rollout_t *rollout, const pps_rollout_tally_t *tally,
+           const pps_rollout_bounds_t *bounds, int64_t age_us)
 {
-    double part = (double)moving_us / (double)moving_time_us;
-    int proved = target_answers(tally) >= ANSWERS_MIN;
+    double part = (double)(age_us + NOTICE_US - still_us(rollout)) /
+                  (double)moving_us(rollout);
 
-    raise(rollout, FIRST_SHARE);
-    if (!proved) {
+    if (target_answers(tally) < ANSWERS_MIN) {
         return;
     }
-    if (part >= FIRST_PART && !exposure_is_used_up(tally, bounds)) {
-        raise(rollout, SECOND_SHARE);
-    }
     if (part >= SECOND_PART) {
-        raise(rollout, PPS_ROLLOUT_WHOLE);
+        plan(rollout, PPS_ROLLOUT_WHOLE, age_us);
+    }
+    else if (part >= FIRST_PART && !exposure_is_used_up(tally, bounds)) {
+        plan(rollout, SECOND_SHARE, age_us);
+    }
+}
+
+void
+pps_rollout_take_over(pps_rollout_t *rollout, const pps_rollout_t *heard)
+{
+    if (heard->share > rollout->share) {
+        rollout->share = heard->share;
+    }
+    if (heard->next_share > rollout->next_share ||
+        (heard->next_share == rollout->next_share &&
+         heard->next_age_us < rollout->next_age_us)) {
+        rollout->next_share = heard->next_share;
+        rollout->next_age_us = heard->next_age_us;
     }
 }
 
@@ -157,9 +199,6 @@
                  const pps_rollout_bounds_t *bounds, int64_t now_us)
 {
     int64_t age_us = now_us - rollout->started_us;
-    int64_t still_us =
-        (int64_t)((double)rollout->duration_us * STILL_PART) + STILL_MORE_US;
-    int64_t moving_time_us = rollout->duration_us - still_us - END_MARGIN_US;
 
     if (rollout->state != PPS_ROLLOUT_ACTIVE) {
         return PPS_ROLLOUT_GO_ON;
@@ -168,28 +207,34 @@
         rollout->held = 1;
         return PPS_ROLLOUT_ROLL_BACK;
     }
-    if (age_us < still_us) {
-        return PPS_ROLLOUT_GO_ON;
-    }
-    if (moving_time_us < PPS_US_PER_S) {
-        moving_time_us = PPS_US_PER_S;
+    if (age_us >= rollout->next_age_us) {
+        rollout->share = rollout->next_share;
     }
-    move_sessions(rollout, tally, bounds, age_us - still_us, moving_time_us);
+    plan_moves(rollout, tally, bounds, age_us);
     return rollout->share == PPS_ROLLOUT_WHOLE &&
-                   age_us >= still_us + moving_time_us
+                   age_us >= still_us(rollout) + moving_us(rollout)
                ? PPS_ROLLOUT_COMPLETE
                : PPS_ROLLOUT_GO_ON;
 }
 
+static unsigned int
+share_at(const pps_rollout_t *rollout, int64_t now_us)
+{
+    return now_us - rollout->started_us >= rollout->next_age_us
+               ? rollout->next_share
+               : rollout->share;
+}
+
 int
-pps_rollout_takes(const pps_rollout_t *rollout, uint64_t session_digest)
+pps_rollout_takes(const pps_rollout_t *rollout, uint64_t session_digest,
+                  int64_t now_us)
 {
     switch (rollout->state) {
     case PPS_ROLLOUT_COMPLETED:
         return 1;
     case PPS_ROLLOUT_ACTIVE:
-        return !rollout->held &&
-               session_digest / 7 % PPS_ROLLOUT_WHOLE < rollout->share;
+        return !rollout->held && session_digest / 7 % PPS_ROLLOUT_WHOLE <
+                                     share_at(rollout, now_us);
     case PPS_ROLLOUT_NONE:
     case PPS_ROLLOUT_ROLLED_BACK:
         break;
--- a/src/libpapayaswitch/rollout/rollout.h
+++ b/src/libpapayaswitch/rollout/rollout.h
@@ -52,8 +52,11 @@
     pps_rollout_state_t state;
     int64_t started_us;
     int64_t duration_us;
-    unsigned int share; /**< of sessions at the target, of the whole */
-    int held;           /**< the target is judged bad */
+    unsigned int share;      /**< of sessions at the target, of the whole */
+    unsigned int next_share; /**< from `next_age_us` on; all hosts are told
+                                  of it before */
+    int64_t next_age_us;
+    int held; /**< the target is judged bad */
 } pps_rollout_t;
 
 /** What is to be done now. */
@@ -85,6 +88,15 @@
 
 /** Whether a session with that digest goes to the target. */
 int
-pps_rollout_takes(const pps_rollout_t *rollout, uint64_t session_digest);
+pps_rollout_takes(const pps_rollout_t *rollout, uint64_t session_digest,
+                  int64_t now_us);
+
+/** Begins: plans the first move. Sets state and start. */
+void
+pps_rollout_begin(pps_rollout_t *rollout, int64_t now_us);
+
+/** Takes over what another host has planned for the same roll-out. */
+void
+pps_rollout_take_over(pps_rollout_t *rollout, const pps_rollout_t *heard);
 
 #endif
--- a/tests/entry/test_rollout.c
+++ b/tests/entry/test_rollout.c
@@ -72,19 +72,22 @@
     {"over", 23 * S, 300, 300, 1000, PPS_ROLLOUT_COMPLETE},
 };
 
+/* Stepped from the beginning with the evidence of the case. */
 Test(rollout, steps_by_age)
 {
     for (size_t i = 0; i < sizeof(steps) / sizeof(*steps); i++) {
-        pps_rollout_t rollout = {.state = PPS_ROLLOUT_ACTIVE,
-                                 .duration_us = 24 * S};
+        pps_rollout_t rollout = {.duration_us = 24 * S};
         pps_rollout_tally_t tally = {.requests = 1000,
                                      .exposed = steps[i].exposed};
+        pps_rollout_verdict_t verdict = PPS_ROLLOUT_GO_ON;
 
         tally.before[0] = (pps_rollout_count_t){800, 3, 0, 0};
         tally.target[0] = (pps_rollout_count_t){steps[i].answers, 0, 0, 0};
-        cr_expect_eq(
-            pps_rollout_step(&rollout, &tally, &bounds, steps[i].age_us),
-            steps[i].verdict, "%s", steps[i].name);
+        pps_rollout_begin(&rollout, 0);
+        for (int64_t now = 0; now <= steps[i].age_us; now += S / 4) {
+            verdict = pps_rollout_step(&rollout, &tally, &bounds, now);
+        }
+        cr_expect_eq(verdict, steps[i].verdict, "%s", steps[i].name);
         cr_expect_eq(rollout.share, steps[i].share, "%s: %u", steps[i].name,
                      rollout.share);
     }
@@ -104,21 +107,22 @@
     cr_expect_eq(pps_rollout_step(&rollout, &tally, &bounds, 16 * S),
                  PPS_ROLLOUT_ROLL_BACK);
     for (uint64_t digest = 0; digest < 10000; digest++) {
-        cr_assert_not(pps_rollout_takes(&rollout, digest));
+        cr_assert_not(pps_rollout_takes(&rollout, digest, 20 * S));
     }
 }
 
 /* A session that has moved must not move back when the share rises. */
 Test(rollout, sessions_only_move_to_the_target)
 {
-    pps_rollout_t rollout = {.state = PPS_ROLLOUT_ACTIVE};
+    pps_rollout_t rollout = {.state = PPS_ROLLOUT_ACTIVE,
+                             .next_age_us = INT64_MAX};
 
     for (uint64_t digest = 0; digest < 20000; digest += 13) {
         int moved = 0;
 
         for (rollout.share = 0; rollout.share <= PPS_ROLLOUT_WHOLE;
              rollout.share += 50) {
-            int takes = pps_rollout_takes(&rollout, digest);
+            int takes = pps_rollout_takes(&rollout, digest, 0);
 
             cr_assert(takes >= moved);
             moved = takes;
@@ -126,3 +130,46 @@
         cr_assert(moved);
     }
 }
+
+static unsigned int
+moved_sessions(const pps_rollout_t *rollout, int64_t now_us)
+{
+    unsigned int moved = 0;
+
+    for (uint64_t digest = 0; digest < 7000; digest += 7) {
+        moved += pps_rollout_takes(rollout, digest, now_us) != 0;
+    }
+    return moved;
+}
+
+/* Two hosts that step at other times move the same sessions at the same time,
+ * to the microsecond, once they have heard of each other's plans. */
+Test(rollout, hosts_move_together)
+{
+    pps_rollout_t a = {.duration_us = 24 * S};
+    pps_rollout_t b = {.duration_us = 24 * S};
+    pps_rollout_tally_t tally = {.requests = 5000, .exposed = 100};
+    int64_t last_moved = -1;
+
+    tally.before[0] = (pps_rollout_count_t){800, 3, 0, 0};
+    tally.target[0] = (pps_rollout_count_t){100, 0, 0, 0};
+    pps_rollout_begin(&a, 0);
+    pps_rollout_begin(&b, 0);
+    for (int64_t now = 0; now < 23 * S; now += S / 20) {
+        if (now % (S / 4) == 0) {
+            pps_rollout_step(&a, &tally, &bounds, now);
+        }
+        if (now % (S / 4) == S / 5) {
+            pps_rollout_step(&b, &tally, &bounds, now);
+        }
+        if (now % (2 * S / 5) == 0) {
+            pps_rollout_take_over(&a, &b);
+            pps_rollout_take_over(&b, &a);
+        }
+        cr_expect_eq(moved_sessions(&a, now), moved_sessions(&b, now),
+                     "at %lld ms", (long long)(now / 1000));
+        cr_expect(moved_sessions(&a, now) >= last_moved);
+        last_moved = moved_sessions(&a, now);
+    }
+    cr_expect_eq(last_moved, 1000);
+}
--- /dev/null
+++ b/tests/soak/soak_client.c
@@ -0,0 +1,211 @@
+/** @file soak_client.c @brief Callers, and what they check. */
+#include "soak.h"
+
+#include "clock.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define EVENTS 8
+#define PATIENCE_US (2500 * PPS_US_PER_MS)
+/** A key that was taken away is refused everywhere after so long. */
+#define REVOKED_US (4 * PPS_US_PER_S)
+
+typedef enum {
+    KIND_SAFE,
+    KIND_ONCE,
+    KIND_STREAM,
+    KINDS,
+} kind_t;
+
+static const char *const paths[KINDS] = {"/safe/x", "/once/x", "/stream/x"};
+
+typedef struct {
+    soak_t *soak;
+    int host;
+    kind_t kind;
+    char id[SOAK_TEXT];
+    int second_key;
+    int64_t sent_us;
+    pps_http_channel_t *channel;
+    unsigned int status;
+    int sealed;
+    pps_buf_t body;
+    pps_timer_t timer;
+} client_t;
+
+static void
+end_client(client_t *client)
+{
+    pps_timers_cancel(&client->timer);
+    pps_http_channel_close(client->channel);
+    pps_buf_clear(&client->body);
+    free(client);
+}
+
+static void
+check_body(const client_t *client)
+{
+    pps_buf_t wanted = PPS_BUF_INIT;
+
+    if (client->kind == KIND_STREAM) {
+        for (int i = 1; i <= EVENTS; i++) {
+            pps_buf_printf(&wanted, "id: %d\ndata: %s-%d\n\n", i, client->id,
+                           i);
+        }
+    }
+    else {
+        pps_buf_printf(&wanted, "answer to %s", client->id);
+    }
+    if (!client->sealed || wanted.size != client->body.size ||
+        memcmp(pps_buf_text(&wanted), pps_buf_text(&client->body),
+               wanted.size) != 0) {
+        soak_broken(client->soak, "a success that is not the whole answer",
+                    client->id);
+    }
+    pps_buf_clear(&wanted);
+}
+
+static void
+check_refusal(client_t *client)
+{
+    request_t *request = soak_request(client->soak, client->id);
+
+    request->refused = request->once;
+    if (request->once && request->runs > 0) {
+        soak_broken(client->soak, "told as not run, but it had run",
+                    client->id);
+    }
+}
+
+static int
+is_promise(unsigned int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+static int
+was_calm(const client_t *client)
+{
+    const host_t *host = &client->soak->host[client->host];
+
+    return client->soak->calm && host->pid != 0 &&
+           client->sent_us - host->calm_since_us > 4 * PPS_US_PER_S;
+}
+
+static void
+on_end(void *user)
+{
+    client_t *client = user;
+    soak_t *soak = client->soak;
+    int served = client->status == 200;
+
+    if (served) {
+        check_body(client);
+    }
+    if (is_promise(client->status)) {
+        check_refusal(client);
+        soak->refused++;
+    }
+    if (served && client->second_key && soak->key_gone_us != 0 &&
+        client->sent_us - soak->key_gone_us > REVOKED_US && was_calm(client) &&
+        client->sent_us - soak->store_well_us > REVOKED_US) {
+        soak_broken(soak, "a key that was taken away is served", client->id);
+    }
+    soak->served += served;
+    soak->served_calm += served && was_calm(client);
+    soak->failed += !served && !is_promise(client->status);
+    end_client(client);
+}
+
+static void
+on_fail(void *user, pps_channel_failure_t failure)
+{
+    client_t *client = user;
+
+    client->soak->failed++;
+    end_client(client);
+}
+
+static int
+on_head(void *user, const pps_http_reply_t *reply)
+{
+    client_t *client = user;
+    const char *id = pps_headers_get(&reply->headers, "X-Request-Id");
+
+    client->status = reply->status;
+    client->sealed =
+        pps_headers_get(&reply->headers, "X-Response-Seal") != NULL;
+    if (reply->status == 200 && (id == NULL || strcmp(id, client->id) != 0)) {
+        soak_broken(client->soak, "an answer to another request", client->id);
+    }
+    return 0;
+}
+
+static void
+on_body(void *user, const char *data, size_t size)
+{
+    pps_buf_append(&((client_t *)user)->body, data, size);
+}
+
+static const pps_channel_ops_t ops = {on_head, on_body, on_end, on_fail};
+
+static void
+on_patience(int64_t now_us, void *user)
+{
+    client_t *client = user;
+
+    client->soak->failed++;
+    end_client(client);
+}
+
+static void
+remember(const client_t *client, int allowed)
+{
+    request_t *request = calloc(1, sizeof(*request));
+
+    snprintf(request->id, sizeof(request->id), "%s", client->id);
+    request->once = client->kind == KIND_ONCE;
+    request->allowed = allowed;
+    pps_table_add(&client->soak->requests, &request->item, request->id,
+                  strlen(request->id));
+}
+
+void
+client_send(soak_t *soak)
+{
+    static const pps_channel_options_t options = {PPS_US_PER_S, 3000};
+    static const char *const keys[] = {"key1", "key2", "nokey"};
+    client_t *client = calloc(1, sizeof(*client));
+    int key = pps_rng_below(&soak->rng, 20) == 0
+                  ? 2
+                  : (int)pps_rng_below(&soak->rng, 2);
+    char address[SOAK_TEXT + 8];
+    char text[512];
+
+    client->soak = soak;
+    client->host = (int)pps_rng_below(&soak->rng, (uint64_t)soak->hosts);
+    client->kind = (kind_t)pps_rng_below(&soak->rng, KINDS);
+    client->second_key = key == 1;
+    client->sent_us = soak->reactor.now_us;
+    snprintf(client->id, sizeof(client->id), "r%llx-%u",
+             (unsigned long long)soak->seed, soak->sent++);
+    snprintf(address, sizeof(address), "%s:%u",
+             soak->host[client->host].address, soak->callers_port);
+    if (pps_http_channel_new(&client->channel, &soak->reactor, address,
+                             &options, NULL, NULL) != 0) {
+        free(client);
+        return;
+    }
+    remember(client, key != 2);
+    soak->sent_calm += was_calm(client) && key == 0;
+    snprintf(text, sizeof(text),
+             "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n"
+             "X-Deadline-Ms: 2000\r\nAuthorization: Token %s\r\n"
+             "Content-Length: 4\r\n\r\nbody",
+             paths[client->kind], client->id, keys[key]);
+    pps_reactor_after(&soak->reactor, &client->timer, PATIENCE_US, on_patience,
+                      client);
+    pps_http_channel_call(client->channel, text, strlen(text), &ops, client);
+}
--- /dev/null
+++ b/tests/soak/soak_faults.c
@@ -0,0 +1,182 @@
+/** @file soak_faults.c @brief Processes, signals and faults. */
+#include "soak.h"
+
+#include "clock.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define RESTART_US (400 * PPS_US_PER_MS)
+
+void
+host_start(soak_t *soak, int index)
+{
+    host_t *host = &soak->host[index];
+    char log[160];
+    int fd;
+
+    snprintf(log, sizeof(log), "%s/host%d.log", soak->folder, index);
+    host->start_at_us = 0;
+    host->calm_since_us = soak->reactor.now_us;
+    host->pid = fork();
+    if (host->pid != 0) {
+        return;
+    }
+    fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(fd, STDOUT_FILENO);
+    dup2(fd, STDERR_FILENO);
+    for (int i = STDERR_FILENO + 1; i < 1024; i++) {
+        close(i);
+    }
+    execl(soak->program, soak->program, "--settings", host->settings,
+          (char *)NULL);
+    _exit(127);
+}
+
+void
+host_signal(soak_t *soak, int index, int number)
+{
+    host_t *host = &soak->host[index];
+
+    if (host->pid == 0) {
+        return;
+    }
+    kill(host->pid, number);
+    host->calm_since_us = soak->reactor.now_us;
+    if (number == SIGSTOP || number == SIGCONT) {
+        host->paused = number == SIGSTOP;
+    }
+}
+
+void
+host_reap(soak_t *soak)
+{
+    for (int i = 0; i < soak->hosts; i++) {
+        host_t *host = &soak->host[i];
+        int status;
+
+        if (host->pid != 0 &&
+            waitpid(host->pid, &status, WNOHANG) == host->pid) {
+            if (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL) {
+                soak_broken(soak, "a host crashed", host->address);
+            }
+            host->pid = 0;
+            host->paused = 0;
+            host->start_at_us = soak->reactor.now_us + RESTART_US;
+        }
+        if (host->pid == 0 && host->start_at_us != 0 &&
+            soak->reactor.now_us >= host->start_at_us) {
+            host_start(soak, i);
+        }
+    }
+}
+
+static void
+disturb_host(soak_t *soak)
+{
+    static const int signals[] = {SIGKILL, SIGTERM, SIGSTOP, SIGHUP, SIGTERM};
+    int index = (int)pps_rng_below(&soak->rng, (uint64_t)soak->hosts);
+    int number =
+        signals[pps_rng_below(&soak->rng, sizeof(signals) / sizeof(*signals))];
+
+    if (soak->host[index].paused) {
+        number = SIGCONT;
+    }
+    host_signal(soak, index, number);
+}
+
+static void
+disturb_store(soak_t *soak)
+{
+    static const char *const topics[] = {"keyed.op", "keyed.servers"};
+
+    soak->store_well_us = soak->reactor.now_us;
+    switch (pps_rng_below(&soak->rng, 4)) {
+    case 0:
+        store_compact(&soak->store, topics[pps_rng_below(&soak->rng, 2)]);
+        break;
+    case 1:
+        proxy_set(&soak->store_proxy,
+                  (proxy_mode_t)pps_rng_below(&soak->rng, 5));
+        break;
+    default:
+        soak->store.mode = (store_mode_t)pps_rng_below(&soak->rng, 5);
+        break;
+    }
+}
+
+static void
+disturb_worker(soak_t *soak)
+{
+    worker_t *worker = &soak->workers[pps_rng_below(&soak->rng, SOAK_WORKERS)];
+
+    switch (pps_rng_below(&soak->rng, 3)) {
+    case 0:
+        proxy_set(&worker->proxy, (proxy_mode_t)pps_rng_below(&soak->rng, 5));
+        break;
+    case 1:
+        worker->mode = (worker_mode_t)pps_rng_below(&soak->rng, 5);
+        break;
+    default:
+        worker->listed = !worker->listed;
+        worker->leaving_us = worker->listed ? 0 : soak->reactor.now_us;
+        worker_beat(worker, worker->listed ? "ready" : "draining");
+        break;
+    }
+}
+
+void
+fault_inject(soak_t *soak)
+{
+    switch (pps_rng_below(&soak->rng, 8)) {
+    case 0:
+    case 1:
+    case 2:
+        disturb_host(soak);
+        break;
+    case 3:
+        disturb_store(soak);
+        break;
+    case 4:
+    case 5:
+        disturb_worker(soak);
+        break;
+    case 6:
+        soak_configure(soak);
+        break;
+    default:
+        soak->store.mode = STORE_WELL;
+        proxy_set(&soak->store_proxy, PROXY_PASS);
+        soak->store_well_us = soak->reactor.now_us;
+        break;
+    }
+}
+
+void
+fault_end_all(soak_t *soak)
+{
+    soak->store.mode = STORE_WELL;
+    proxy_set(&soak->store_proxy, PROXY_PASS);
+    soak->store_well_us = soak->reactor.now_us;
+    for (int i = 0; i < SOAK_WORKERS; i++) {
+        soak->workers[i].mode = WORKER_WELL;
+        soak->workers[i].listed = 1;
+        soak->workers[i].leaving_us = 0;
+        proxy_set(&soak->workers[i].proxy, PROXY_PASS);
+        worker_beat(&soak->workers[i], "ready");
+    }
+    for (int i = 0; i < soak->hosts; i++) {
+        if (soak->host[i].paused) {
+            host_signal(soak, i, SIGCONT);
+        }
+    }
+    if (soak->key_gone_us == 0) {
+        soak->key_gone_us = soak->reactor.now_us;
+        soak_configure(soak);
+    }
+}
--- /dev/null
+++ b/tests/soak/soak_proxy.c
@@ -0,0 +1,194 @@
+/** @file soak_proxy.c @brief A TCP proxy that misbehaves when told to. */
+#include "soak.h"
+
+#include "clock.h"
+#include "transport/tcp_write.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DELAY_MS 300
+
+struct pair;
+
+typedef struct {
+    struct pair *pair;
+    uv_tcp_t tcp;
+    uv_connect_t connect;
+    pps_buf_t held; /* waits for the connection or the delay */
+    uv_timer_t timer;
+} side_t;
+
+typedef struct pair {
+    struct cds_list_head node;
+    proxy_t *proxy;
+    side_t sides[2]; /* caller, server */
+    int connected;
+    int closing;
+    int open_handles;
+} pair_t;
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    pair_t *pair = handle->data;
+
+    if (--pair->open_handles == 0) {
+        pps_buf_clear(&pair->sides[0].held);
+        pps_buf_clear(&pair->sides[1].held);
+        free(pair);
+    }
+}
+
+static void
+close_pair(pair_t *pair, int reset)
+{
+    if (pair->closing) {
+        return;
+    }
+    pair->closing = 1;
+    cds_list_del(&pair->node);
+    for (int i = 0; i < 2; i++) {
+        side_t *side = &pair->sides[i];
+
+        side->tcp.data = pair;
+        side->timer.data = pair;
+        if (!reset || uv_tcp_close_reset(&side->tcp, on_closed) != 0) {
+            uv_close((uv_handle_t *)&side->tcp, on_closed);
+        }
+        uv_close((uv_handle_t *)&side->timer, on_closed);
+    }
+}
+
+static void
+flush(side_t *to)
+{
+    uv_buf_t piece = uv_buf_init(to->held.data, (unsigned int)to->held.size);
+
+    if (to->held.size > 0 && to->pair->connected) {
+        pps_tcp_write(&to->tcp, &piece, 1);
+        to->held.size = 0;
+    }
+}
+
+static void
+on_delay(uv_timer_t *timer)
+{
+    flush(timer->data);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *memory)
+{
+    side_t *from = stream->data;
+    pair_t *pair = from->pair;
+    int is_answer = from == &pair->sides[1];
+    side_t *to = &pair->sides[!is_answer];
+    proxy_mode_t mode = pair->proxy->mode;
+
+    if (size < 0) {
+        close_pair(pair, size != UV_EOF);
+        return;
+    }
+    if (mode == PROXY_SILENT || (mode == PROXY_ONE_WAY && is_answer)) {
+        return;
+    }
+    pps_buf_append(&to->held, memory->base, (size_t)size);
+    if (mode == PROXY_DELAY) {
+        uv_timer_start(&to->timer, on_delay, DELAY_MS, 0);
+        return;
+    }
+    flush(to);
+}
+
+static void
+on_connected(uv_connect_t *request, int status)
+{
+    side_t *side = request->data;
+    pair_t *pair = side->pair;
+
+    if (pair->closing) {
+        return;
+    }
+    if (status != 0) {
+        close_pair(pair, 1);
+        return;
+    }
+    pair->connected = 1;
+    uv_read_start((uv_stream_t *)&side->tcp, pps_tcp_read_memory, on_read);
+    flush(side);
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+    proxy_t *proxy = listener->data;
+    pair_t *pair = calloc(1, sizeof(*pair));
+    struct sockaddr_in at;
+    char host[SOAK_TEXT];
+    char *colon;
+
+    pair->proxy = proxy;
+    pair->open_handles = 4;
+    for (int i = 0; i < 2; i++) {
+        pair->sides[i].pair = pair;
+        uv_tcp_init(&proxy->reactor->loop, &pair->sides[i].tcp);
+        uv_timer_init(&proxy->reactor->loop, &pair->sides[i].timer);
+        pair->sides[i].tcp.data = &pair->sides[i];
+        pair->sides[i].timer.data = &pair->sides[i];
+        pair->sides[i].connect.data = &pair->sides[i];
+    }
+    cds_list_add_tail(&pair->node, &proxy->pairs);
+    if (uv_accept(listener, (uv_stream_t *)&pair->sides[0].tcp) != 0 ||
+        proxy->mode == PROXY_REFUSE) {
+        close_pair(pair, 1);
+        return;
+    }
+    snprintf(host, sizeof(host), "%s", proxy->target);
+    colon = strrchr(host, ':');
+    *colon = '\0';
+    uv_ip4_addr(host, (int)strtol(colon + 1, NULL, 10), &at);
+    uv_read_start((uv_stream_t *)&pair->sides[0].tcp, pps_tcp_read_memory,
+                  on_read);
+    uv_tcp_connect(&pair->sides[1].connect, &pair->sides[1].tcp,
+                   (struct sockaddr *)&at, on_connected);
+}
+
+void
+proxy_start(proxy_t *proxy, pps_reactor_t *reactor, const char *target)
+{
+    struct sockaddr_in at;
+    int size = sizeof(at);
+
+    memset(proxy, 0, sizeof(*proxy));
+    proxy->reactor = reactor;
+    CDS_INIT_LIST_HEAD(&proxy->pairs);
+    snprintf(proxy->target, sizeof(proxy->target), "%s", target);
+    uv_tcp_init(&reactor->loop, &proxy->listener);
+    proxy->listener.data = proxy;
+    uv_ip4_addr("127.0.0.1", 0, &at);
+    uv_tcp_bind(&proxy->listener, (struct sockaddr *)&at, 0);
+    uv_listen((uv_stream_t *)&proxy->listener, 256, on_connection);
+    uv_tcp_getsockname(&proxy->listener, (struct sockaddr *)&at, &size);
+    snprintf(proxy->address, sizeof(proxy->address), "127.0.0.1:%u",
+             ntohs(at.sin_port));
+}
+
+void
+proxy_set(proxy_t *proxy, proxy_mode_t mode)
+{
+    pair_t *pair;
+    pair_t *next;
+
+    proxy->mode = mode;
+    cds_list_for_each_entry_safe (pair, next, &proxy->pairs, node) {
+        if (mode == PROXY_REFUSE) {
+            close_pair(pair, 1);
+        }
+        else if (mode == PROXY_PASS) {
+            flush(&pair->sides[0]);
+            flush(&pair->sides[1]);
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak/soak_store.c
@@ -0,0 +1,298 @@
+/** @file soak_store.c @brief Stand-in of the platform's store. */
+#include "soak.h"
+
+#include "clock.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WAIT_STEP_US (20 * PPS_US_PER_MS)
+#define SLOW_US (250 * PPS_US_PER_MS)
+
+/* A call that waits for records, or for a slow store. */
+typedef struct {
+    struct cds_list_head node;
+    store_t *store;
+    pps_http_conn_t *conn;
+    char target[256];
+    pps_buf_t body;
+    int64_t due_us;
+    int reads; /* answered early when records come */
+    pps_timer_t timer;
+} call_t;
+
+static topic_t *
+find_topic(store_t *store, const char *name)
+{
+    for (size_t i = 0; i < store->topic_count; i++) {
+        if (strcmp(store->topics[i].name, name) == 0) {
+            return &store->topics[i];
+        }
+    }
+    snprintf(store->topics[store->topic_count].name, SOAK_TEXT, "%s", name);
+    return &store->topics[store->topic_count++];
+}
+
+static void
+add_record(topic_t *topic, const char *key, size_t key_size, const char *value,
+           size_t size)
+{
+    record_t *record;
+
+    topic->records =
+        realloc(topic->records, (topic->count + 1) * sizeof(*record));
+    record = &topic->records[topic->count++];
+    memset(record, 0, sizeof(*record));
+    snprintf(record->key, SOAK_TEXT, "%.*s", (int)key_size, key);
+    record->dropped = value == NULL;
+    if (value != NULL) {
+        pps_buf_append(&record->value, value, size);
+    }
+}
+
+void
+store_put(store_t *store, const char *topic, const char *key,
+          const char *value)
+{
+    add_record(find_topic(store, topic), key, strlen(key), value,
+               value ? strlen(value) : 0);
+}
+
+void
+store_compact(store_t *store, const char *topic)
+{
+    topic_t *found = find_topic(store, topic);
+
+    found->first = found->count;
+}
+
+static void
+parameter(char *out, size_t size, const char *target, const char *name)
+{
+    char wanted[SOAK_TEXT];
+    const char *at;
+
+    snprintf(wanted, sizeof(wanted), "%s=", name);
+    at = strstr(target, wanted);
+    out[0] = '\0';
+    if (at != NULL) {
+        at += strlen(wanted);
+        snprintf(out, size, "%.*s", (int)strcspn(at, "&"), at);
+    }
+}
+
+static long
+number(const char *target, const char *name, long preset)
+{
+    char text[SOAK_TEXT];
+
+    parameter(text, sizeof(text), target, name);
+    return text[0] != '\0' ? strtol(text, NULL, 10) : preset;
+}
+
+static int
+is_newest(const topic_t *topic, size_t at)
+{
+    for (size_t i = at + 1; i < topic->count; i++) {
+        if (strcmp(topic->records[i].key, topic->records[at].key) == 0) {
+            return 0;
+        }
+    }
+    return !topic->records[at].dropped;
+}
+
+static void
+answer_newest(const topic_t *topic, pps_http_conn_t *conn)
+{
+    pps_buf_t body = PPS_BUF_INIT;
+    const char *comma = "";
+
+    pps_buf_puts(&body, "{\"entries\":[");
+    for (size_t i = 0; i < topic->count; i++) {
+        const record_t *record = &topic->records[i];
+        size_t room = sodium_base64_ENCODED_LEN(
+            record->value.size, sodium_base64_VARIANT_ORIGINAL);
+        char *text;
+
+        if (!is_newest(topic, i)) {
+            continue;
+        }
+        text = malloc(room);
+        sodium_bin2base64(text, room,
+                          (unsigned char *)pps_buf_text(&record->value),
+                          record->value.size, sodium_base64_VARIANT_ORIGINAL);
+        pps_buf_printf(&body,
+                       "%s{\"key\":\"%s\",\"value\":\"%s\","
+                       "\"offset\":%zu}",
+                       comma, record->key, text, i);
+        comma = ",";
+        free(text);
+    }
+    pps_buf_printf(&body, "],\"has_more\":false,\"end\":%zu}", topic->count);
+    pps_http_conn_respond(conn, 200, "", body.data, body.size);
+    pps_buf_clear(&body);
+}
+
+static void
+put_number(pps_buf_t *out, uint64_t value, int bytes)
+{
+    while (bytes-- > 0) {
+        char byte = (char)(value >> (8 * bytes));
+
+        pps_buf_append(out, &byte, 1);
+    }
+}
+
+static void
+answer_read(const topic_t *topic, pps_http_conn_t *conn, size_t from)
+{
+    pps_buf_t body = PPS_BUF_INIT;
+
+    if (from < topic->first) {
+        pps_http_conn_respond(conn, 410, "", "{}", 2);
+        return;
+    }
+    put_number(&body, topic->count, 8);
+    put_number(&body, topic->first, 8);
+    for (size_t i = from; i < topic->count; i++) {
+        const record_t *record = &topic->records[i];
+        size_t key_size = strlen(record->key);
+
+        put_number(&body, 1 + key_size + record->value.size, 4);
+        put_number(&body, key_size, 1);
+        pps_buf_append(&body, record->key, key_size);
+        pps_buf_append(&body, pps_buf_text(&record->value),
+                       record->value.size);
+    }
+    pps_http_conn_respond(conn, 200, "", body.data, body.size);
+    pps_buf_clear(&body);
+}
+
+static void
+answer_append(store_t *store, topic_t *topic, const call_t *call)
+{
+    const unsigned char *data = (unsigned char *)pps_buf_text(&call->body);
+    long at = number(call->target, "at", -1);
+    size_t key_size;
+    char text[SOAK_TEXT];
+
+    if (at >= 0 && (size_t)at != topic->count) {
+        snprintf(text, sizeof(text), "{\"end\":%zu}", topic->count);
+        pps_http_conn_respond(call->conn, 412, "", text, strlen(text));
+        return;
+    }
+    key_size = data[4];
+    add_record(topic, (const char *)data + 5, key_size,
+               (const char *)data + 5 + key_size,
+               call->body.size - 5 - key_size);
+    if (store->mode == STORE_LOST) {
+        return;
+    }
+    snprintf(text, sizeof(text), "{\"offset\":%zu,\"end\":%zu}",
+             topic->count - 1, topic->count);
+    pps_http_conn_respond(call->conn, 200, "", text, strlen(text));
+}
+
+static void
+end_call(call_t *call)
+{
+    pps_timers_cancel(&call->timer);
+    cds_list_del(&call->node);
+    pps_buf_clear(&call->body);
+    free(call);
+}
+
+static void
+answer(call_t *call)
+{
+    store_t *store = call->store;
+    char name[SOAK_TEXT];
+    topic_t *topic;
+
+    if (store->mode == STORE_SILENT) {
+        return;
+    }
+    parameter(name, sizeof(name), call->target, "topic");
+    topic = find_topic(store, name);
+    pps_http_conn_attach(call->conn, NULL);
+    if (store->mode == STORE_BUSY) {
+        pps_http_conn_respond(call->conn, 503, "", "", 0);
+    }
+    else if (strncmp(call->target, "/-/log-newest", 13) == 0) {
+        answer_newest(topic, call->conn);
+    }
+    else if (strncmp(call->target, "/-/log-read", 11) == 0) {
+        answer_read(topic, call->conn,
+                    (size_t)number(call->target, "from", 0));
+    }
+    else {
+        answer_append(store, topic, call);
+    }
+    end_call(call);
+}
+
+static void
+on_step(int64_t now_us, void *user)
+{
+    call_t *call = user;
+    char name[SOAK_TEXT];
+    const topic_t *topic;
+
+    parameter(name, sizeof(name), call->target, "topic");
+    topic = find_topic(call->store, name);
+    if (now_us >= call->due_us ||
+        (call->reads &&
+         topic->count > (size_t)number(call->target, "from", 0))) {
+        answer(call);
+        return;
+    }
+    pps_reactor_after(call->store->reactor, &call->timer, WAIT_STEP_US,
+                      on_step, call);
+}
+
+static void
+on_request(void *user, pps_http_conn_t *conn,
+           const pps_http_request_t *request)
+{
+    store_t *store = user;
+    call_t *call = calloc(1, sizeof(*call));
+    long wait_ms;
+
+    call->store = store;
+    call->conn = conn;
+    snprintf(call->target, sizeof(call->target), "%s",
+             pps_buf_text(&request->target));
+    pps_buf_append(&call->body, pps_buf_text(&request->body),
+                   request->body.size);
+    cds_list_add_tail(&call->node, &store->waiting);
+    pps_http_conn_attach(conn, call);
+    wait_ms = number(call->target, "wait_ms", 0);
+    call->reads = wait_ms > 0;
+    call->due_us = store->reactor->now_us + wait_ms * PPS_US_PER_MS +
+                   (store->mode == STORE_SLOW ? SLOW_US : 0);
+    on_step(store->reactor->now_us, call);
+}
+
+static void
+on_gone(void *user, void *exchange)
+{
+    end_call(exchange);
+}
+
+static const pps_http_server_ops_t ops = {on_request, on_gone};
+
+void
+store_start(store_t *store, pps_reactor_t *reactor)
+{
+    memset(store, 0, sizeof(*store));
+    store->reactor = reactor;
+    CDS_INIT_LIST_HEAD(&store->waiting);
+    store->limits = (pps_http_limits_t){8192, 1U << 20, 60 * PPS_US_PER_S,
+                                        60 * PPS_US_PER_S};
+    if (pps_http_server_new(&store->server, reactor, "127.0.0.1", 0,
+                            &store->limits, &ops, store) != 0) {
+        abort();
+    }
+}
