--- a/src/libpapayaswitch/rollout/conductor.c
+++ b/src/libpapayaswitch/rollout/conductor.c
@@ -19,17 +19,21 @@
         before.answers += tally->before[i].answers;
         before.failures += tally->before[i].failures;
     }
-    pps_logger_write(PPS_LOG_WARN, event,
-                     PPS_FIELDS(PPS_STR("upstream", rollout->upstream),
-                                PPS_STR("target", rollout->target),
-                                PPS_INT("state", rollout->state),
-                                PPS_INT("share", rollout->share),
-                                PPS_INT("requests", tally->requests),
-                                PPS_INT("exposed", tally->exposed),
-                                PPS_INT("target_answers", target.answers),
-                                PPS_INT("target_failures", target.failures),
-                                PPS_INT("before_answers", before.answers),
-                                PPS_INT("before_failures", before.failures)));
+    pps_logger_write(
+        PPS_LOG_WARN, event,
+        PPS_FIELDS(
+            PPS_STR("upstream", rollout->upstream),
+            PPS_STR("target", rollout->target),
+            PPS_INT("state", rollout->state), PPS_INT("share", rollout->share),
+            PPS_INT("duration_ms", rollout->duration_us / PPS_US_PER_MS),
+            PPS_INT("next_share", rollout->next_share),
+            PPS_INT("next_age_ms", rollout->next_age_us / PPS_US_PER_MS),
+            PPS_INT("requests", tally->requests),
+            PPS_INT("exposed", tally->exposed),
+            PPS_INT("target_answers", target.answers),
+            PPS_INT("target_failures", target.failures),
+            PPS_INT("before_answers", before.answers),
+            PPS_INT("before_failures", before.failures)));
 }
 
 void
@@ -77,9 +81,6 @@
         own->state = heard->state;
         log_rollout("rollout_heard", own, &state->tally);
     }
-    if (heard->started_us < own->started_us) {
-        own->started_us = heard->started_us;
-    }
     pps_rollout_take_over(own, heard);
     if (heard->held && !own->held) {
         own->held = 1;
--- a/src/libpapayaswitch/rollout/rollout.c
+++ b/src/libpapayaswitch/rollout/rollout.c
@@ -17,6 +17,9 @@
 #define SECOND_PART 0.65
 /** From the plan of a move, which all hosts are told of, to the move. */
 #define NOTICE_US (1000 * PPS_US_PER_MS)
+/** A start that lies earlier by less is the way's delay: taking it over again
+ * and again would move the start of all hosts ever further back. */
+#define LEARNED_LATE_US (300 * PPS_US_PER_MS)
 /** Answers of the target before more sessions are moved. */
 #define ANSWERS_MIN 20
 /** Failures that the target must show, and by how much its share of failures
@@ -183,6 +186,9 @@
 void
 pps_rollout_take_over(pps_rollout_t *rollout, const pps_rollout_t *heard)
 {
+    if (heard->started_us < rollout->started_us - LEARNED_LATE_US) {
+        rollout->started_us = heard->started_us;
+    }
     if (heard->share > rollout->share) {
         rollout->share = heard->share;
     }
--- a/tests/entry/test_rollout.c
+++ b/tests/entry/test_rollout.c
@@ -173,3 +173,28 @@
     }
     cr_expect_eq(last_moved, 1000);
 }
+
+/* Ages lose some milliseconds on each way; the start must not drift. */
+Test(rollout, starts_do_not_drift)
+{
+    pps_rollout_t a = {.duration_us = 24 * S};
+    pps_rollout_t b = {.duration_us = 24 * S};
+    pps_rollout_t late = {.duration_us = 24 * S};
+
+    pps_rollout_begin(&a, 10 * S);
+    pps_rollout_begin(&b, 10 * S + S / 100);
+    pps_rollout_begin(&late, 17 * S);
+    for (int i = 0; i < 1000; i++) {
+        pps_rollout_t heard = a;
+
+        heard.started_us -= S / 200;
+        pps_rollout_take_over(&b, &heard);
+        pps_rollout_take_over(&late, &heard);
+        heard = b;
+        heard.started_us -= S / 200;
+        pps_rollout_take_over(&a, &heard);
+    }
+    cr_expect_eq(a.started_us, 10 * S);
+    cr_expect_eq(b.started_us, 10 * S + S / 100);
+    cr_expect_eq(late.started_us, 10 * S - S / 200);
+}
