--- a/src/libpapayaswitch/gossip/gossip.c
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -18,7 +18,8 @@
 #define PERIOD_US (1 * PPS_US_PER_S)
 /** Hosts that read the store for all. */
 #define READERS 2
-/** What a reader read longer ago than this is not relied upon. */
+/** What a reader read longer ago than this is not relied upon, unless set
+ * otherwise. */
 #define READ_AGE_MAX_US (1300 * PPS_US_PER_MS)
 /** Up to so many hosts each tells all others; beyond, it tells the readers
  * and its own failure domain, and the readers tell all. */
@@ -34,6 +35,7 @@
     pps_reactor_t *reactor;
     uv_udp_t udp;
     unsigned int port;
+    int64_t read_age_max_us;
     pps_gossip_message_t own;
     struct cds_list_head peers;
     size_t peer_count;
@@ -125,7 +127,7 @@
 
     return peer->heard_us != 0 && peer->state.read_age_us >= 0 &&
            !peer->state.leaving &&
-           peer->state.read_age_us + since_us < READ_AGE_MAX_US;
+           peer->state.read_age_us + since_us < gossip->read_age_max_us;
 }
 
 /* Hosts before that id that read. */
@@ -380,6 +382,12 @@
     pps_gossip_tell_now(user);
 }
 
+void
+pps_gossip_set_read_age_max(pps_gossip_t *gossip, int64_t age_us)
+{
+    gossip->read_age_max_us = age_us;
+}
+
 void
 pps_gossip_set_period(pps_gossip_t *gossip, int64_t period_us)
 {
@@ -403,6 +411,7 @@
     }
     gossip->reactor = reactor;
     gossip->port = port;
+    gossip->read_age_max_us = READ_AGE_MAX_US;
     gossip->ops = ops;
     gossip->user = user;
     CDS_INIT_LIST_HEAD(&gossip->peers);
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -116,6 +116,10 @@
 int
 pps_gossip_is_first_reader(const pps_gossip_t *gossip);
 
+/** Sets how old what a reader read may be for the others to rely on it. */
+void
+pps_gossip_set_read_age_max(pps_gossip_t *gossip, int64_t age_us);
+
 /** Sets the time between datagrams to one peer. */
 void
 pps_gossip_set_period(pps_gossip_t *gossip, int64_t period_us);
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -1,6 +1,7 @@
 /** @file gossip_codec.c @brief Datagrams in msgpack. */
 #include "gossip_codec.h"
 
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
 
 #include <msgpack.h>
@@ -273,9 +274,7 @@
     cursor_t fields;
 
     memset(out, 0, sizeof(*out));
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, data, size, NULL) !=
-        MSGPACK_UNPACK_SUCCESS) {
+    if (pps_msgpack_unpack(&unpacked, data, size) != 0) {
         msgpack_unpacked_destroy(&unpacked);
         return PPS_ECORRUPT;
     }
@@ -310,9 +309,7 @@
     cursor_t root;
     cursor_t fields;
 
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, data, size, NULL) !=
-        MSGPACK_UNPACK_SUCCESS) {
+    if (pps_msgpack_unpack(&unpacked, data, size) != 0) {
         msgpack_unpacked_destroy(&unpacked);
         return PPS_ECORRUPT;
     }
@@ -383,8 +380,7 @@
     cursor_t fields;
 
     memset(out, 0, sizeof(*out));
-    if (msgpack_unpack_next(memory, data, size, NULL) !=
-        MSGPACK_UNPACK_SUCCESS) {
+    if (pps_msgpack_unpack(memory, data, size) != 0) {
         return PPS_ECORRUPT;
     }
     root = (cursor_t){&memory->data, 1, 0};
--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -1,6 +1,7 @@
 /** @file mirror.c @brief Keyed topic in a hash table. */
 #include "mirror.h"
 
+#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
 #include "table.h"
 
@@ -330,9 +331,7 @@
     int64_t mark;
     int error = PPS_ECORRUPT;
 
-    msgpack_unpacked_init(&unpacked);
-    if (msgpack_unpack_next(&unpacked, data, size, NULL) !=
-        MSGPACK_UNPACK_SUCCESS) {
+    if (pps_msgpack_unpack(&unpacked, data, size) != 0) {
         goto done;
     }
     fields = unpacked.data.via.array.ptr;
--- a/tests/process/test_peer_frames.c
+++ b/tests/process/test_peer_frames.c
@@ -194,6 +194,18 @@
            2 * (ROUTERS - 1);
 }
 
+/* A link is up before the first pong tells the other's incarnation. */
+static int
+peers_have_answered(cluster_t *unused, void *user)
+{
+    char *known = known_hosts();
+    int answered = strstr(known, "\"incarnation\": 0,") == NULL &&
+                   strstr(known, "\"revision\": 0,") == NULL;
+
+    free(known);
+    return answered;
+}
+
 Test(peer_frames, are_refused_and_counted_and_change_nothing)
 {
     long opened;
@@ -201,6 +213,7 @@
     char *after;
 
     cr_assert(cluster_wait(cluster, links_are_up, NULL));
+    cr_assert(cluster_wait(cluster, peers_have_answered, NULL));
     opened = cluster_counter(cluster, 0, "peer_links_opened_total");
     before = known_hosts();
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
