--- /dev/null
+++ b/tests/entry/test_host_settings.c
@@ -0,0 +1,97 @@
+/** @file test_host_settings.c @brief Settings of an entry host. */
+#include "host_settings.h"
+#include "papayaswitch/errors.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define NEEDED                                                                \
+    "[host]\nid=h\naddress=10.0.0.1\nfailure_domain=z\n[listen]\n"            \
+    "callers=10.0.0.1:1\nreadiness=10.0.0.1:2\npeers=10.0.0.1:3\n[peers]\n"   \
+    "gossip_port=4\n[store]\naddress=10.0.0.9:5\n"
+
+typedef struct {
+    const char *text;
+    int error;
+    const char *finding; /* part of the first one; "" for none */
+} case_t;
+
+static const case_t cases[] = {
+    {NEEDED, 0, ""},
+    {NEEDED "[peers]\nseeds=10.0.0.1:3, 10.0.0.2:3\n", 0, ""},
+    {"", PPS_EINVALID, "host.id is missing"},
+    {NEEDED "[cascade]\nconfidence_min=101\n", PPS_EINVALID,
+     ":14: '101' is no value"},
+    {NEEDED "[cascade]\nconfidence_min=x\n", PPS_EINVALID, "'x' is no value"},
+    {NEEDED "[what]\never=1\n", PPS_EINVALID, "unknown setting what.ever"},
+    {NEEDED "[store]\naddress=10.0.0.9:5\n", PPS_EINVALID,
+     "stands on line 12 already"},
+    {NEEDED "[host]\nsome words\n", PPS_EINVALID, "expected 'key = value'"},
+};
+
+static void
+load(pps_host_settings_t *out, const case_t *item, pps_findings_t *findings)
+{
+    char path[] = "/tmp/settings-XXXXXX";
+    int fd = mkstemp(path);
+
+    cr_assert(fd >= 0);
+    cr_assert_eq(write(fd, item->text, strlen(item->text)),
+                 (ssize_t)strlen(item->text));
+    close(fd);
+    cr_expect_eq(pps_host_settings_load(out, path, findings), item->error,
+                 "%s", item->finding);
+    unlink(path);
+}
+
+Test(host_settings, findings)
+{
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        pps_host_settings_t settings;
+        pps_findings_t *findings;
+        char text[512] = "";
+        FILE *stream = fmemopen(text, sizeof(text), "w");
+
+        cr_assert_eq(pps_findings_new(&findings), 0);
+        load(&settings, &cases[i], findings);
+        pps_findings_sort(findings);
+        pps_findings_print(findings, stream);
+        fclose(stream);
+        cr_expect_not_null(strstr(text, cases[i].finding), "case %zu: %s", i,
+                           text);
+        cr_expect_eq(text[0] == '\0', cases[i].error == 0);
+        pps_findings_free(findings);
+    }
+}
+
+Test(host_settings, values)
+{
+    const case_t item = {NEEDED "[peers]\nseeds=10.0.0.1:3,10.0.0.2:3\n"
+                                "[repeats]\nratio=0.25\n",
+                         0, ""};
+    pps_host_settings_t settings;
+    pps_findings_t *findings;
+
+    cr_assert_eq(pps_findings_new(&findings), 0);
+    load(&settings, &item, findings);
+    cr_expect_eq(settings.seed_count, 2);
+    cr_expect_str_eq(settings.seeds[1], "10.0.0.2:3");
+    cr_expect_eq(settings.gossip_port, 4);
+    cr_expect_float_eq(settings.repeat_ratio, 0.25, 1e-9);
+    cr_expect_eq(settings.confidence_min, 50);
+    pps_findings_free(findings);
+}
+
+Test(host_settings, no_file)
+{
+    pps_host_settings_t settings;
+    pps_findings_t *findings;
+
+    cr_assert_eq(pps_findings_new(&findings), 0);
+    cr_expect_lt(pps_host_settings_load(&settings, "/nowhere", findings), 0);
+    cr_expect_eq(pps_findings_count(findings), 1);
+    pps_findings_free(findings);
+}
--- /dev/null
+++ b/tests/entry/test_pool.c
@@ -0,0 +1,137 @@
+/** @file test_pool.c @brief Workers as a host knows them. */
+#include "clock.h"
+#include "pool/pool.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+
+#define S PPS_US_PER_S
+
+static pps_worker_info_t
+make_info(const char *id, int leaving, int64_t start_ms)
+{
+    pps_worker_info_t info = {
+        .upstream = "s", .address = "10.0.0.1:80", .slots = 8};
+
+    snprintf(info.id, sizeof(info.id), "%s", id);
+    info.leaving = leaving;
+    info.start_ms = start_ms;
+    return info;
+}
+
+static int
+put(pps_pool_t *pool, const char *id, int leaving, int64_t start_ms)
+{
+    pps_worker_info_t info = make_info(id, leaving, start_ms);
+
+    return pps_pool_put(pool, &info);
+}
+
+Test(pool, what_counts_as_a_change)
+{
+    pps_pool_t *pool;
+
+    cr_assert_eq(pps_pool_new(&pool), 0);
+    cr_expect_eq(put(pool, "a", 0, 1), 1);
+    cr_expect_eq(put(pool, "a", 0, 1), 0);
+    cr_expect_eq(put(pool, "a", 1, 1), 1);
+    cr_expect_eq(put(pool, "a", 0, 2), 1);
+    cr_expect_eq(pps_pool_count(pool), 1);
+    cr_expect_eq(pps_pool_remove(pool, "a"), 1);
+    cr_expect_eq(pps_pool_remove(pool, "a"), 0);
+    cr_expect_null(pps_pool_lookup(pool, "a"));
+    pps_pool_free(pool);
+}
+
+/* A lapsed entry that comes back in time keeps its worker; one that doesn't
+ * loses it. */
+Test(pool, lapsed_entries)
+{
+    pps_pool_t *pool;
+
+    cr_assert_eq(pps_pool_new(&pool), 0);
+    put(pool, "a", 0, 1);
+    put(pool, "b", 0, 1);
+    pps_pool_remove_at(pool, "a", 10 * S);
+    pps_pool_remove_at(pool, "b", 10 * S);
+    cr_expect_eq(pps_pool_sweep(pool, 9 * S), 0);
+    put(pool, "a", 0, 1);
+    cr_expect_eq(pps_pool_sweep(pool, 10 * S), 1);
+    cr_expect_not_null(pps_pool_lookup(pool, "a"));
+    cr_expect_null(pps_pool_lookup(pool, "b"));
+    pps_pool_free(pool);
+}
+
+/* A call under way outlives its worker's entry. */
+Test(pool, calls_outlive_entries)
+{
+    pps_pool_t *pool;
+    pps_pool_worker_t *worker;
+
+    cr_assert_eq(pps_pool_new(&pool), 0);
+    put(pool, "a", 0, 1);
+    worker = pps_pool_lookup(pool, "a");
+    pps_pool_call_begins(worker);
+    pps_pool_remove(pool, "a");
+    put(pool, "a", 0, 2);
+    cr_expect_neq(pps_pool_lookup(pool, "a"), worker);
+    pps_pool_call_ends(pool, worker, PPS_WORKER_SERVED, S);
+    cr_expect_eq(pps_pool_count(pool), 1);
+    pps_pool_free(pool);
+}
+
+Test(pool, load_is_corrected_by_own_calls)
+{
+    pps_pool_t *pool;
+    pps_pool_worker_t *worker;
+
+    cr_assert_eq(pps_pool_new(&pool), 0);
+    put(pool, "a", 0, 1);
+    worker = pps_pool_lookup(pool, "a");
+    pps_pool_call_begins(worker);
+    cr_expect_float_eq(pps_pool_worker_busy(worker, S, 4), 4, 1e-9);
+    pps_pool_load_reported(worker, 5, 2, 16, S);
+    cr_expect_eq(worker->slots, 16);
+    pps_pool_call_begins(worker);
+    cr_expect_float_eq(pps_pool_worker_busy(worker, S, 4), 8, 1e-9);
+    cr_expect_float_eq(pps_pool_worker_busy(worker, 9 * S, 4), 8, 1e-9);
+    pps_pool_call_ends(pool, worker, PPS_WORKER_SERVED, S);
+    pps_pool_call_ends(pool, worker, PPS_WORKER_SERVED, S);
+    pps_pool_free(pool);
+}
+
+typedef struct {
+    pps_worker_outcome_t outcome;
+    int avoided;
+    int full;
+    int failing;
+} outcome_case_t;
+
+static const outcome_case_t outcomes[] = {
+    {PPS_WORKER_SERVED, 0, 0, 0}, {PPS_WORKER_FAILED, 0, 0, 1},
+    {PPS_WORKER_FULL, 0, 1, 0},   {PPS_WORKER_UNREACHABLE, 1, 0, 1},
+    {PPS_WORKER_MOVED, 1, 0, 0},  {PPS_WORKER_NO_VERDICT, 0, 0, 0},
+};
+
+Test(pool, outcomes)
+{
+    for (size_t i = 0; i < sizeof(outcomes) / sizeof(*outcomes); i++) {
+        pps_pool_t *pool;
+        pps_pool_worker_t *worker;
+
+        cr_assert_eq(pps_pool_new(&pool), 0);
+        put(pool, "a", 0, 1);
+        worker = pps_pool_lookup(pool, "a");
+        pps_pool_call_begins(worker);
+        pps_pool_call_ends(pool, worker, outcomes[i].outcome, S);
+        cr_expect_eq(worker->avoided_until_us > S, outcomes[i].avoided,
+                     "case %zu", i);
+        cr_expect_eq(worker->full_until_us > S, outcomes[i].full, "case %zu",
+                     i);
+        cr_expect_eq(worker->failing > 0, outcomes[i].failing, "case %zu", i);
+        put(pool, "a", 0, 2);
+        cr_expect_eq(worker->avoided_until_us, 0);
+        cr_expect_eq(worker->failing, 0);
+        pps_pool_free(pool);
+    }
+}
