--- a/src/libpapayaswitch/gossip/gossip.c
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -1,5 +1,5 @@
 /** @file gossip.c @brief Datagrams between hosts. */
-#include "gossip.h"
+#include "gossip_state.h"
 
 #include "clock.h"
 #include "gossip_codec.h"
@@ -11,13 +11,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** A host not heard for so long counts as gone. */
-#define LIVE_US (3500 * PPS_US_PER_MS)
 /** How often an address that never answered, or no longer does, is tried. */
 #define TRY_US (2 * PPS_US_PER_S)
 #define PERIOD_US (1 * PPS_US_PER_S)
-/** Hosts that read the store for all. */
-#define READERS 2
 /** What a reader read longer ago than this is not relied upon, unless set
  * otherwise. */
 #define READ_AGE_MAX_US (1300 * PPS_US_PER_MS)
@@ -31,20 +27,6 @@
 #define DATAGRAM_BYTES 4096
 #define PEERS_MAX 2048
 
-struct pps_gossip {
-    pps_reactor_t *reactor;
-    uv_udp_t udp;
-    unsigned int port;
-    int64_t read_age_max_us;
-    pps_gossip_message_t own;
-    struct cds_list_head peers;
-    size_t peer_count;
-    pps_timer_t timer;
-    pps_rng_t rng;
-    const pps_gossip_ops_t *ops;
-    void *user;
-};
-
 static char datagram[DATAGRAM_BYTES];
 
 static pps_gossip_peer_t *
@@ -86,91 +68,6 @@
     }
 }
 
-int
-pps_gossip_is_live(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
-{
-    return peer->heard_us != 0 &&
-           gossip->reactor->now_us - peer->heard_us < LIVE_US;
-}
-
-static unsigned int
-count_live(const pps_gossip_t *gossip)
-{
-    const pps_gossip_peer_t *peer;
-    unsigned int live = 1;
-
-    cds_list_for_each_entry (peer, &gossip->peers, node) {
-        live += pps_gossip_is_live(gossip, peer) != 0;
-    }
-    return live;
-}
-
-unsigned int
-pps_gossip_live(const pps_gossip_t *gossip)
-{
-    const pps_gossip_peer_t *peer;
-    unsigned int live = count_live(gossip);
-
-    cds_list_for_each_entry (peer, &gossip->peers, node) {
-        if (pps_gossip_is_live(gossip, peer) && peer->state.live > (int)live) {
-            live = (unsigned int)peer->state.live;
-        }
-    }
-    return live;
-}
-
-/* Whether a host reads the store and what it read is new. */
-static int
-is_fresh(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
-{
-    int64_t since_us = gossip->reactor->now_us - peer->heard_us;
-
-    return peer->heard_us != 0 && peer->state.read_age_us >= 0 &&
-           !peer->state.leaving &&
-           peer->state.read_age_us + since_us < gossip->read_age_max_us;
-}
-
-/* Hosts before that id that read. */
-static unsigned int
-readers_before(const pps_gossip_t *gossip, const char *host_id)
-{
-    const pps_gossip_peer_t *peer;
-    unsigned int before = 0;
-
-    cds_list_for_each_entry (peer, &gossip->peers, node) {
-        before +=
-            is_fresh(gossip, peer) && strcmp(peer->state.host_id, host_id) < 0;
-    }
-    return before;
-}
-
-int
-pps_gossip_is_reader(const pps_gossip_t *gossip)
-{
-    return readers_before(gossip, gossip->own.state.host_id) < READERS;
-}
-
-int
-pps_gossip_is_first_reader(const pps_gossip_t *gossip)
-{
-    return gossip->own.state.read_age_us >= 0 &&
-           readers_before(gossip, gossip->own.state.host_id) == 0;
-}
-
-static int
-is_reader(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
-{
-    const pps_gossip_state_t *own = &gossip->own.state;
-    unsigned int before = readers_before(gossip, peer->state.host_id);
-
-    if (!is_fresh(gossip, peer)) {
-        return 0;
-    }
-    before +=
-        own->read_age_us >= 0 && strcmp(own->host_id, peer->state.host_id) < 0;
-    return before < READERS;
-}
-
 struct cds_list_head *
 pps_gossip_peers(pps_gossip_t *gossip)
 {
@@ -302,8 +199,8 @@
 {
     int64_t now_us = gossip->reactor->now_us;
     int regular = gossip->peer_count <= MESH_MAX ||
-                  pps_gossip_is_reader(gossip) || is_reader(gossip, peer) ||
-                  is_near(gossip, peer);
+                  pps_gossip_is_reader(gossip) ||
+                  pps_gossip_reads(gossip, peer) || is_near(gossip, peer);
 
     if (regular && pps_gossip_is_live(gossip, peer)) {
         return 1;
@@ -323,7 +220,7 @@
     pps_gossip_peer_t *peer;
 
     gossip->own.state.rollout_count = 0;
-    gossip->own.state.live = (int)count_live(gossip);
+    gossip->own.state.live = (int)pps_gossip_count_live(gossip);
     gossip->ops->describe(gossip->user, &gossip->own.state);
     choose_hints(gossip);
     if (pps_gossip_encode(&text, &gossip->own, gossip->reactor->now_us) == 0) {
--- a/src/libpapayaswitch/transport/http_server_state.h
+++ b/src/libpapayaswitch/transport/http_server_state.h
@@ -43,6 +43,10 @@
     void *exchange;
 };
 
+/** Collects a request into the connection that `data` of the parser names; a
+ * refusal's status stands in its `refusal`, and the parser stops. */
+extern const http_parser_settings pps_http_conn_parser;
+
 /** Takes a connection from the listener. */
 void
 pps_http_conn_accept(pps_http_server_t *server);
