--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -22,7 +22,7 @@
 
 struct pps_pool {
     struct cds_list_head workers;
-    size_t count;
+    pps_table_t listed;
 };
 
 int
@@ -48,6 +48,9 @@
         return;
     }
     cds_list_for_each_entry_safe (worker, next, &pool->workers, node) {
+        if (worker->listed) {
+            pps_table_remove(&pool->listed, &worker->item);
+        }
         free(worker);
     }
     free(pool);
@@ -65,14 +68,19 @@
 pps_pool_worker_t *
 pps_pool_lookup(pps_pool_t *pool, const char *id)
 {
-    pps_pool_worker_t *worker;
+    pps_table_item_t *item = pps_table_find(&pool->listed, id, strlen(id));
 
-    cds_list_for_each_entry (worker, &pool->workers, node) {
-        if (worker->listed && strcmp(worker->info.id, id) == 0) {
-            return worker;
-        }
-    }
-    return NULL;
+    return item != NULL ? caa_container_of(item, pps_pool_worker_t, item)
+                        : NULL;
+}
+
+/* Takes a worker off the list; calls under way keep it in memory. */
+static void
+unlist(pps_pool_t *pool, pps_pool_worker_t *worker)
+{
+    worker->listed = 0;
+    pps_table_remove(&pool->listed, &worker->item);
+    free_when_unused(worker);
 }
 
 static void
@@ -98,7 +106,8 @@
     worker->digest = XXH64(info->id, strlen(info->id), 0);
     worker->listed = 1;
     cds_list_add_tail(&worker->node, &pool->workers);
-    pool->count++;
+    pps_table_add(&pool->listed, &worker->item, worker->info.id,
+                  strlen(worker->info.id));
     return 1;
 }
 
@@ -130,9 +139,7 @@
     if (worker == NULL) {
         return 0;
     }
-    worker->listed = 0;
-    pool->count--;
-    free_when_unused(worker);
+    unlist(pool, worker);
     return 1;
 }
 
@@ -156,10 +163,8 @@
     cds_list_for_each_entry_safe (worker, next, &pool->workers, node) {
         if (worker->listed && worker->remove_us != 0 &&
             worker->remove_us <= now_us) {
-            worker->listed = 0;
-            pool->count--;
+            unlist(pool, worker);
             removed++;
-            free_when_unused(worker);
         }
     }
     return removed;
@@ -174,7 +179,7 @@
 size_t
 pps_pool_count(const pps_pool_t *pool)
 {
-    return pool->count;
+    return pps_table_count(&pool->listed);
 }
 
 double
--- a/src/libpapayaswitch/pool/pool.h
+++ b/src/libpapayaswitch/pool/pool.h
@@ -7,6 +7,7 @@
 
 #include "deployment/deployment.h"
 #include "read_queue.h"
+#include "table.h"
 
 #include <urcu/list.h>
 
@@ -29,6 +30,7 @@
 /** A worker. Freed when it is gone from the list and no call runs there. */
 typedef struct {
     struct cds_list_head node;
+    pps_table_item_t item; /**< by id, while it is listed */
     pps_worker_info_t info;
     int listed;
     int64_t remove_us;        /**< when it leaves the list; 0: it stays */
