Latency histograms beside the counters

Three histograms: first byte and whole answer from a request's last byte, and a worker's first byte from the send. Test: their totals follow the served requests of test_exchange.

--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "decision_log.h"
 #include "exchange_worker.h"
+#include "histograms.h"
 #include "model_choice.h"
 
 #include <string.h>
@@ -52,6 +53,7 @@
 
     pps_read_rate_learn(&exchange->upstream_state->read_rate,
                         exchange->work + exchange->backlog, elapsed);
+    pps_histogram_observe(PPS_HISTOGRAM_ENTRY_WORKER, elapsed);
     count->timed++;
     count->first_byte_us += (uint64_t)elapsed;
     *usual += ((double)elapsed - *usual) * FIRST_BYTE_WEIGHT;
@@ -184,11 +186,20 @@
     return 0;
 }
 
+static int64_t
+since_request_us(const pps_exchange_t *exchange)
+{
+    return exchange->dispatcher->reactor->now_us -
+           exchange->request->received_us;
+}
+
 static void
 begin_answer(pps_exchange_t *exchange)
 {
     if (!exchange->begun) {
         exchange->begun = 1;
+        pps_histogram_observe(PPS_HISTOGRAM_ENTRY_FIRST_BYTE,
+                              since_request_us(exchange));
         pps_http_conn_begin(exchange->conn, exchange->status,
                             pps_buf_text(&exchange->fields));
     }
@@ -234,6 +245,17 @@
     }
 }
 
+static void
+observe_answer(const pps_exchange_t *exchange)
+{
+    int64_t elapsed_us = since_request_us(exchange);
+
+    if (!exchange->begun) {
+        pps_histogram_observe(PPS_HISTOGRAM_ENTRY_FIRST_BYTE, elapsed_us);
+    }
+    pps_histogram_observe(PPS_HISTOGRAM_ENTRY_ANSWER, elapsed_us);
+}
+
 static void
 finish(pps_exchange_t *exchange)
 {
@@ -245,6 +267,9 @@
 
     exchange->fields = (pps_buf_t)PPS_BUF_INIT;
     exchange->body = (pps_buf_t)PPS_BUF_INIT;
+    if (is_success(status)) {
+        observe_answer(exchange);
+    }
     pps_decision_ended(exchange, status, "answered");
     pps_exchange_drop_attempt(
         exchange, is_success(status) ? PPS_WORKER_SERVED : PPS_WORKER_FAILED);
--- a/tests/entry/test_exchange.c
+++ b/tests/entry/test_exchange.c
@@ -7,8 +7,10 @@
 
 #include "caller_wire.h"
 #include "clock.h"
+#include "counters.h"
 #include "exchange/dispatcher.h"
 #include "exchange/exchange.h"
+#include "histograms.h"
 #include "records.h"
 #include "worker_wire.h"
 
@@ -308,6 +310,10 @@
                      cases[i].name, sends(&world));
         cr_expect_eq(world.dispatcher.exchange_count, 0);
     }
+    cr_expect_eq(pps_histogram_total(PPS_HISTOGRAM_ENTRY_ANSWER),
+                 pps_counter_sum(PPS_COUNTER_ENTRY_SERVED));
+    cr_expect_eq(pps_histogram_total(PPS_HISTOGRAM_ENTRY_FIRST_BYTE),
+                 pps_counter_sum(PPS_COUNTER_ENTRY_SERVED));
 }
 
 /* What workers get: the caller's bytes, the router's own fields, no key. */
--- /dev/null
+++ b/tests/entry/test_histograms.c
@@ -0,0 +1,35 @@
+/** @file test_histograms.c @brief Latency histograms as they are served. */
+#include "clock.h"
+#include "histograms.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+static const struct {
+    int64_t elapsed_us;
+    const char *line; /* of the first bound that holds all times so far */
+} cases[] = {
+    {-5, "_bucket{le=\"0.005\"} 1\n"},
+    {5 * PPS_US_PER_MS, "_bucket{le=\"0.005\"} 2\n"},
+    {5 * PPS_US_PER_MS + 1, "_bucket{le=\"0.01\"} 3\n"},
+    {900 * PPS_US_PER_MS, "_bucket{le=\"1\"} 4\n"},
+    {60 * PPS_US_PER_S, "_bucket{le=\"+Inf\"} 5\n"},
+};
+
+Test(histograms, table)
+{
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        pps_buf_t text = PPS_BUF_INIT;
+        char wanted[128];
+
+        pps_histogram_observe(PPS_HISTOGRAM_ENTRY_ANSWER, cases[i].elapsed_us);
+        cr_assert_eq(pps_histograms_expose(&text), 0);
+        snprintf(wanted, sizeof(wanted), "papayaswitch_entry_answer_seconds%s",
+                 cases[i].line);
+        cr_expect_not_null(strstr(text.data, wanted), "case %zu:\n%s", i,
+                           text.data);
+        cr_expect_eq(pps_histogram_total(PPS_HISTOGRAM_ENTRY_ANSWER), i + 1);
+        pps_buf_clear(&text);
+    }
+}
