--- a/src/libpapayaswitch/deployment/deployment.h
+++ b/src/libpapayaswitch/deployment/deployment.h
@@ -57,9 +57,6 @@
 /** A pool of workers. */
 typedef struct {
     char *name;
-    unsigned int connections_max; /**< a worker takes, from all hosts */
-    unsigned int slots;           /**< of a model engine; 0: plain service */
-    int64_t cache_tokens;         /**< memory of a model engine */
     pps_model_price_t models[PPS_MODELS_MAX];
     size_t model_count;
 } pps_upstream_t;
--- a/src/libpapayaswitch/exchange/call.h
+++ b/src/libpapayaswitch/exchange/call.h
@@ -21,9 +21,7 @@
     int64_t last_event;  /**< the stream goes on behind it; 0: from start */
     int has_last_event;
     int64_t prompt_tokens;
-    int64_t shared_tokens; /**< of the prompt's parts but the last */
-    int64_t output_tokens_max;
-    uint64_t prefix_digest;  /**< of the prompt's first part; 0: none */
+    int64_t shared_tokens;   /**< of the prompt's parts but the last */
     uint64_t session_digest; /**< of the session or shared subject; 0: none */
 } pps_call_t;
 
@@ -49,7 +47,6 @@
     unsigned int waiting;
     unsigned int slots;
     int confidence; /**< of the model in its answer, 0 to 100; -1: unsaid */
-    int64_t weights_version; /**< 0: unsaid */
 } pps_worker_reply_t;
 
 /** The end towards callers. */
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -57,7 +57,6 @@
     pps_buf_t fields;
     pps_buf_t body;
     pps_event_split_t events;
-    int attempt_events; /**< events of this attempt handed on */
 } pps_exchange_t;
 
 /** Takes a request from the server. */
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -280,7 +280,6 @@
              worker->info.id);
     exchange->worker = worker;
     exchange->attempt = PPS_ATTEMPT_SENT;
-    exchange->attempt_events = 0;
     exchange->sent_us = dispatcher->reactor->now_us;
     exchange->heard_us = exchange->sent_us;
     exchange->on_target =
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -215,7 +215,6 @@
     }
     begin_answer(exchange);
     pps_http_conn_chunk(exchange->conn, text, size);
-    exchange->attempt_events++;
     if (id >= 0) {
         exchange->last_event = id;
         exchange->has_last_event = 1;
--- a/src/libpapayaswitch/transport/http_channel.c
+++ b/src/libpapayaswitch/transport/http_channel.c
@@ -371,12 +371,6 @@
     return channel->state == CHANNEL_IDLE;
 }
 
-int
-pps_http_channel_has_sent(const pps_http_channel_t *channel)
-{
-    return channel->sent;
-}
-
 unsigned int
 pps_http_channel_calls(const pps_http_channel_t *channel)
 {
--- a/src/libpapayaswitch/transport/http_channel.h
+++ b/src/libpapayaswitch/transport/http_channel.h
@@ -73,10 +73,6 @@
 int
 pps_http_channel_is_idle(const pps_http_channel_t *channel);
 
-/** Whether a byte of the current call has been written. */
-int
-pps_http_channel_has_sent(const pps_http_channel_t *channel);
-
 /** Calls begun on this channel. */
 unsigned int
 pps_http_channel_calls(const pps_http_channel_t *channel);
--- a/src/libpapayaswitch/transport/http_conn.c
+++ b/src/libpapayaswitch/transport/http_conn.c
@@ -264,12 +264,6 @@
     conn->exchange = exchange;
 }
 
-size_t
-pps_http_conn_unsent(const pps_http_conn_t *conn)
-{
-    return conn->tcp.write_queue_size;
-}
-
 void
 pps_http_conn_respond(pps_http_conn_t *conn, unsigned int status,
                       const char *fields, const void *body, size_t size)
--- a/src/libpapayaswitch/transport/http_server.h
+++ b/src/libpapayaswitch/transport/http_server.h
@@ -72,10 +72,6 @@
 void
 pps_http_conn_attach(pps_http_conn_t *conn, void *exchange);
 
-/** Bytes written that the caller's side has not taken yet. */
-size_t
-pps_http_conn_unsent(const pps_http_conn_t *conn);
-
 /**
  * Answers whole.
  * @param fields header lines, each with CR LF; may be ""
