Health test: the worst cluster is named first, and few workers condemn nobody alone

Now the worst is named (a workspace on equal evidence), what the other sort had of its ratings is forgotten, a worker with nearly all ratings is no reason to doubt them, and when most of a sort are apart the fault is the version's.

--- a/src/libpapayaswitch/evidence/health.c
+++ b/src/libpapayaswitch/evidence/health.c
@@ -16,6 +16,9 @@
 /** Log evidence under which a test is calm. */
 #define CALM 2.0
 
+/** Log evidence within which a workspace and a worker count as equally bad. */
+#define TIE 2.0
+
 /** Drops looked for, in rating. */
 static const double drops[PPS_HEALTH_DROPS] = {0.05, 0.10, 0.20, 0.30};
 
@@ -82,6 +85,9 @@
     cluster->finding = finding;
     /* Until now all ratings came from others. */
     cluster->rest = health->all;
+    for (int i = 0; i < PPS_HEALTH_DROPS; i++) {
+        cluster->rest_ratings[i] = health->all.since[i].ratings;
+    }
     cds_list_add_tail(&cluster->node, &health->clusters);
     health->cluster_count++;
     return cluster;
@@ -177,7 +183,21 @@
     verdict->drop = since.ratings > 0 ? since.shortfall / since.ratings : 0.0;
 }
 
-/** The least evidence that is left without any one cluster. */
+/** Whether the others had so few ratings that they could not have passed
+ * REST_THRESHOLD if the version were bad in general. */
+static int
+rest_is_too_small(const pps_health_t *health,
+                  const pps_health_cluster_t *cluster)
+{
+    int peak = cusum_peak(&health->all);
+    pps_health_sum_t expected = {cluster->rest_ratings[peak],
+                                 cluster->rest_ratings[peak] * drops[peak]};
+
+    return log_ratio(&health->options, expected, drops[peak]) < REST_THRESHOLD;
+}
+
+/** The least evidence that is left without any one cluster. A worker with
+ * nearly all ratings is no reason to doubt them. */
 static const pps_health_cusum_t *
 weakest_rest(const pps_health_t *health)
 {
@@ -185,6 +205,10 @@
     const pps_health_cluster_t *cluster;
 
     cds_list_for_each_entry (cluster, &health->clusters, node) {
+        if (cluster->finding == PPS_HEALTH_AVOID_WORKER &&
+            rest_is_too_small(health, cluster)) {
+            continue;
+        }
         if (cluster->rest.sum[cusum_peak(&cluster->rest)] <
             weakest->sum[cusum_peak(weakest)]) {
             weakest = &cluster->rest;
@@ -193,7 +217,20 @@
     return weakest;
 }
 
-/** Its ratings count no longer, neither those to come nor those before. */
+/** Lowers each sum to that of another. */
+static void
+cusum_lower(pps_health_cusum_t *cusum, const pps_health_cusum_t *other)
+{
+    for (int i = 0; i < PPS_HEALTH_DROPS; i++) {
+        if (other->sum[i] < cusum->sum[i]) {
+            cusum->sum[i] = other->sum[i];
+            cusum->since[i] = other->since[i];
+        }
+    }
+}
+
+/** Its ratings count no longer, neither those to come nor those before. What
+ * clusters of the other sort had of them can't be told apart any more. */
 static void
 set_apart(pps_health_t *health, pps_health_cluster_t *bad)
 {
@@ -202,25 +239,72 @@
     bad->apart = 1;
     health->all = bad->rest;
     cds_list_for_each_entry (cluster, &health->clusters, node) {
-        cluster->rest = health->all;
+        cusum_lower(&cluster->rest, &health->all);
+        if (cluster->finding != bad->finding) {
+            cluster->own = (pps_health_cusum_t){0};
+        }
     }
 }
 
-static void
-judge_clusters(pps_health_t *health)
+/** Whether at least two clusters, and more than half of the sort, were set
+ * apart: then the fault is none of theirs. */
+static int
+most_are_apart(const pps_health_t *health, pps_health_finding_t sort)
 {
-    double limit = threshold(&health->options, (double)health->cluster_count);
+    const pps_health_cluster_t *cluster;
+    size_t count = 0;
+    size_t apart = 0;
+
+    cds_list_for_each_entry (cluster, &health->clusters, node) {
+        count += cluster->finding == sort;
+        apart += cluster->finding == sort && cluster->apart;
+    }
+    return apart >= 2 && 2 * apart > count;
+}
+
+static double
+own_evidence(const pps_health_cluster_t *cluster)
+{
+    double evidence = cluster->own.sum[cusum_peak(&cluster->own)];
+
+    /* A worker is kept off, a workspace only named: on equal evidence the
+     * workspace is. */
+    return cluster->finding == PPS_HEALTH_HOLD_WORKSPACE ? evidence + TIE
+                                                         : evidence;
+}
+
+static pps_health_cluster_t *
+worst_cluster(const pps_health_t *health, double limit)
+{
+    pps_health_cluster_t *worst = NULL;
     pps_health_cluster_t *cluster;
 
     cds_list_for_each_entry (cluster, &health->clusters, node) {
         if (!cluster->apart &&
-            cluster->own.sum[cusum_peak(&cluster->own)] >= limit) {
-            verdict_set(&health->verdict, cluster->finding, cluster->name,
-                        &cluster->own, limit);
-            set_apart(health, cluster);
-            return;
+            cluster->own.sum[cusum_peak(&cluster->own)] >= limit &&
+            (worst == NULL || own_evidence(cluster) > own_evidence(worst))) {
+            worst = cluster;
         }
     }
+    return worst;
+}
+
+static void
+judge_clusters(pps_health_t *health)
+{
+    double limit = threshold(&health->options, (double)health->cluster_count);
+    pps_health_cluster_t *worst = worst_cluster(health, limit);
+
+    if (worst == NULL) {
+        return;
+    }
+    verdict_set(&health->verdict, worst->finding, worst->name, &worst->own,
+                limit);
+    set_apart(health, worst);
+    if (most_are_apart(health, worst->finding)) {
+        health->verdict.finding = PPS_HEALTH_HOLD_VERSION;
+        health->verdict.name[0] = '\0';
+    }
 }
 
 static void
@@ -242,6 +326,16 @@
     judge_clusters(health);
 }
 
+static void
+count_rest(pps_health_cluster_t *cluster, const pps_health_cusum_t *all,
+           double ratings)
+{
+    for (int i = 0; i < PPS_HEALTH_DROPS; i++) {
+        cluster->rest_ratings[i] =
+            all->sum[i] > 0 ? cluster->rest_ratings[i] + ratings : 0.0;
+    }
+}
+
 void
 pps_health_step(pps_health_t *health, pps_health_verdict_t *out)
 {
@@ -255,6 +349,7 @@
 
         cusum_step(&cluster->own, &health->options, cluster->step);
         cusum_step(&cluster->rest, &health->options, others);
+        count_rest(cluster, &health->all, others.ratings);
         cluster->step = (pps_health_sum_t){0.0, 0.0};
     }
     health->step = (pps_health_sum_t){0.0, 0.0};
--- a/src/libpapayaswitch/evidence/health_state.h
+++ b/src/libpapayaswitch/evidence/health_state.h
@@ -30,6 +30,8 @@
     pps_health_sum_t step;
     pps_health_cusum_t own;
     pps_health_cusum_t rest; /**< all the others of its sort */
+    /** Ratings of those others since the sum over all was last zero. */
+    double rest_ratings[PPS_HEALTH_DROPS];
     struct cds_list_head node;
 } pps_health_cluster_t;
 
--- a/tests/unit/test_health.c
+++ b/tests/unit/test_health.c
@@ -152,3 +152,99 @@
     pps_health_free(health);
     pps_tally_free(sink);
 }
+
+/** Ratings of one batch. */
+typedef struct {
+    const char *workspace;
+    const char *worker;
+    double ratings;
+    double drop;
+} batch_t;
+
+#define BATCHES 8
+
+/** Ratings that come in batches over two workers, as hosts pass them on. */
+Test(health, batches_over_two_workers_name_what_is_bad)
+{
+    static const struct {
+        const char *what;
+        batch_t batches[BATCHES];
+        int one_step; /* else a step a batch */
+        int workspaces;
+        int workers;
+        int held;
+    } cases[] = {
+        {"one workspace, seen behind a worker",
+         {{"north", "a", 30, 0.0},
+          {"north", "b", 30, 0.0},
+          {"south", "a", 30, 0.0},
+          {"south", "b", 30, 0.0},
+          {"west", "a", 30, 0.0},
+          {"west", "b", 30, 0.0},
+          {"office", "a", 30, 0.5},
+          {"office", "b", 30, 0.5}},
+         1,
+         1,
+         0,
+         0},
+        {"one workspace, a worker at a time",
+         {{"north", "a", 30, 0.0},
+          {"office", "a", 30, 0.5},
+          {"north", "b", 30, 0.0},
+          {"office", "b", 30, 0.5}},
+         0,
+         1,
+         0,
+         0},
+        {"all, a worker after the other",
+         {{"north", "a", 30, 0.5},
+          {"south", "a", 30, 0.5},
+          {"north", "b", 30, 0.5},
+          {"south", "b", 30, 0.5}},
+         0,
+         -1,
+         -1,
+         1},
+        {"all at once",
+         {{"north", "a", 30, 0.5},
+          {"south", "a", 30, 0.5},
+          {"north", "b", 30, 0.5},
+          {"south", "b", 30, 0.5}},
+         1,
+         0,
+         0,
+         1},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        pps_health_options_t options = PPS_HEALTH_OPTIONS_INIT;
+        pps_health_verdict_t verdict = {.finding = PPS_HEALTH_FINE};
+        int found[4] = {0};
+        pps_health_t *health;
+
+        cr_assert_eq(pps_health_new(&health, &options), 0);
+        for (size_t n = 0; n < BATCHES + 4; n++) {
+            const batch_t *batch = &cases[i].batches[n % BATCHES];
+
+            if (n < BATCHES && batch->workspace != NULL) {
+                cr_assert_eq(pps_health_add(health, batch->workspace,
+                                            batch->worker, batch->ratings,
+                                            batch->ratings * batch->drop),
+                             0);
+            }
+            if (!cases[i].one_step || n + 1 >= BATCHES) {
+                pps_health_step(health, &verdict);
+                found[verdict.finding]++;
+            }
+        }
+        cr_expect_eq(verdict.finding == PPS_HEALTH_HOLD_VERSION, cases[i].held,
+                     "%s: held", cases[i].what);
+        if (cases[i].workspaces >= 0) {
+            cr_expect_eq(found[PPS_HEALTH_HOLD_WORKSPACE], cases[i].workspaces,
+                         "%s: workspaces", cases[i].what);
+            cr_expect_eq(found[PPS_HEALTH_AVOID_WORKER], cases[i].workers,
+                         "%s: workers", cases[i].what);
+        }
+        pps_health_free(health);
+    }
+}
