Repeats are bounded by the hosts of now, and answers in doubt may use more of them

Besides, an upstream's allowance was fixed when it was first asked, with the hosts known then (one), and never followed. Change: bounds are worked out at each use from the hosts of now; doubts may use 0.92 of them, and the threshold falls as they run out, so that the worst answers are given again first. Ruled out: load (under 50 % in 374 of 376 log lines).

--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -51,7 +51,6 @@
 pps_dispatcher_upstream(pps_dispatcher_t *dispatcher, const char *name)
 {
     pps_upstream_state_t *state;
-    const pps_dispatch_options_t *options = &dispatcher->options;
 
     for (size_t i = 0; i < dispatcher->upstream_count; i++) {
         if (strcmp(dispatcher->upstreams[i].name, name) == 0) {
@@ -64,12 +63,22 @@
     state = &dispatcher->upstreams[dispatcher->upstream_count++];
     snprintf(state->name, sizeof(state->name), "%s", name);
     pps_read_rate_init(&state->read_rate);
-    pps_repeat_limit_init(&state->repeats, options->repeat_window_us,
-                          options->repeat_ratio,
-                          (double)options->repeat_more / dispatcher->hosts);
+    pps_repeat_limit_init(&state->repeats,
+                          dispatcher->options.repeat_window_us);
     return state;
 }
 
+pps_repeat_bounds_t
+pps_dispatcher_repeats(const pps_dispatcher_t *dispatcher)
+{
+    const pps_dispatch_options_t *options = &dispatcher->options;
+
+    return (pps_repeat_bounds_t){
+        .ratio = options->repeat_ratio,
+        .allowance = (double)options->repeat_more / dispatcher->hosts,
+    };
+}
+
 void
 pps_dispatcher_noticed(pps_dispatcher_t *dispatcher,
                        const pps_read_notice_t *notice)
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -89,6 +89,10 @@
 pps_upstream_state_t *
 pps_dispatcher_upstream(pps_dispatcher_t *dispatcher, const char *name);
 
+/** This host's part of the repeats that all hosts may add. */
+pps_repeat_bounds_t
+pps_dispatcher_repeats(const pps_dispatcher_t *dispatcher);
+
 /** Another host has sent a long prompt to a worker. */
 void
 pps_dispatcher_noticed(pps_dispatcher_t *dispatcher,
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -72,7 +72,10 @@
 static int
 take_repeat(pps_exchange_t *exchange, double part)
 {
-    return pps_repeat_limit_take(&exchange->upstream_state->repeats,
+    const pps_repeat_bounds_t bounds =
+        pps_dispatcher_repeats(exchange->dispatcher);
+
+    return pps_repeat_limit_take(&exchange->upstream_state->repeats, &bounds,
                                  exchange->dispatcher->reactor->now_us, part);
 }
 
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -13,9 +13,7 @@
 /** Largest answer that is gathered before it is handed on. */
 #define BODY_BYTES_MAX (8U << 20)
 /** Part of the allowed repeats that answers in doubt may use. */
-#define DOUBT_PART 0.7
-/** Part that repeats of failed answers may use. */
-#define FAILURE_PART 0.95
+#define DOUBT_PART 0.92
 #define FIRST_BYTE_WEIGHT 0.05
 
 static int
@@ -75,6 +73,10 @@
 ask_larger_model(pps_exchange_t *exchange, const pps_worker_reply_t *reply)
 {
     const pps_route_t *route = exchange->route;
+    const pps_repeat_bounds_t bounds =
+        pps_dispatcher_repeats(exchange->dispatcher);
+    pps_repeat_limit_t *repeats = &exchange->upstream_state->repeats;
+    int64_t now_us = exchange->dispatcher->reactor->now_us;
     const pps_model_doubt_t doubt = {
         .model = exchange->model,
         .model_count = route->model_count,
@@ -82,6 +84,7 @@
         .attempts_left = route->attempts_max - exchange->runs,
         .confidence_min = exchange->dispatcher->options.confidence_min,
         .load = pps_exchange_load(exchange),
+        .repeats_used = pps_repeat_limit_used(repeats, &bounds, now_us),
     };
     size_t next;
 
@@ -91,9 +94,7 @@
     }
     next = pps_model_next(&doubt);
     if (next == exchange->model ||
-        pps_repeat_limit_take(&exchange->upstream_state->repeats,
-                              exchange->dispatcher->reactor->now_us,
-                              DOUBT_PART) != 0) {
+        pps_repeat_limit_take(repeats, &bounds, now_us, DOUBT_PART) != 0) {
         return 0;
     }
     pps_decision_escalates(exchange, reply->confidence, doubt.load);
--- a/src/libpapayaswitch/exchange/model_choice.h
+++ b/src/libpapayaswitch/exchange/model_choice.h
@@ -3,7 +3,8 @@
  * @brief Which of a route's models answers: the smallest first, and the
  * largest when the smallest one doubts its own answer. Pure.
  *
- * Load it answers: the busier the workers, the fewer answers are given again.
+ * Load it answers: the busier the workers, and the fewer repeats are left, the
+ * surer of a bad answer a model must be for it to be given again.
  */
 #ifndef PPS_EXCHANGE_MODEL_CHOICE_H
 #define PPS_EXCHANGE_MODEL_CHOICE_H
@@ -18,6 +19,7 @@
     unsigned int attempts_left;
     unsigned int confidence_min; /**< on idle workers */
     double load;                 /**< busy share of the upstream's slots */
+    double repeats_used;         /**< share of the allowed repeats in use */
 } pps_model_doubt_t;
 
 /** @return index of the model to ask instead, or `model` to keep the answer
--- a/src/libpapayaswitch/exchange/repeat_limit.c
+++ b/src/libpapayaswitch/exchange/repeat_limit.c
@@ -6,13 +6,10 @@
 #include <string.h>
 
 void
-pps_repeat_limit_init(pps_repeat_limit_t *limit, int64_t window_us,
-                      double ratio, double allowance)
+pps_repeat_limit_init(pps_repeat_limit_t *limit, int64_t window_us)
 {
     memset(limit, 0, sizeof(*limit));
     limit->slice_us = window_us / PPS_REPEAT_SLICES;
-    limit->ratio = ratio;
-    limit->allowance = allowance;
 }
 
 static pps_repeat_slice_t *
@@ -40,20 +37,45 @@
     slice_at(limit, now_us)->requests++;
 }
 
-int
-pps_repeat_limit_take(pps_repeat_limit_t *limit, int64_t now_us, double part)
+static pps_repeat_slice_t
+sum_of(pps_repeat_limit_t *limit, int64_t now_us)
 {
-    pps_repeat_slice_t *slice = slice_at(limit, now_us);
-    double requests = 0;
-    double repeats = 0;
+    pps_repeat_slice_t sum = {0};
 
+    slice_at(limit, now_us);
     for (unsigned int i = 0; i < PPS_REPEAT_SLICES; i++) {
-        requests += limit->slices[i].requests;
-        repeats += limit->slices[i].repeats;
+        sum.requests += limit->slices[i].requests;
+        sum.repeats += limit->slices[i].repeats;
     }
-    if (repeats + 1 > (requests * limit->ratio + limit->allowance) * part) {
+    return sum;
+}
+
+static double
+allowed(pps_repeat_slice_t sum, const pps_repeat_bounds_t *bounds)
+{
+    return sum.requests * bounds->ratio + bounds->allowance;
+}
+
+double
+pps_repeat_limit_used(pps_repeat_limit_t *limit,
+                      const pps_repeat_bounds_t *bounds, int64_t now_us)
+{
+    pps_repeat_slice_t sum = sum_of(limit, now_us);
+    double most = allowed(sum, bounds);
+
+    return most > sum.repeats ? sum.repeats / most : 1;
+}
+
+int
+pps_repeat_limit_take(pps_repeat_limit_t *limit,
+                      const pps_repeat_bounds_t *bounds, int64_t now_us,
+                      double part)
+{
+    pps_repeat_slice_t sum = sum_of(limit, now_us);
+
+    if (sum.repeats + 1 > allowed(sum, bounds) * part) {
         return PPS_ELIMIT;
     }
-    slice->repeats++;
+    slice_at(limit, now_us)->repeats++;
     return PPS_OK;
 }
--- a/tests/entry/test_exchange.c
+++ b/tests/entry/test_exchange.c
@@ -398,3 +398,18 @@
     expect_answer(&item, &client);
     cr_expect_eq(sends(&world), 1);
 }
+
+/* The hosts found after an upstream was first asked share its repeats too. */
+Test(exchange, repeats_are_shared_among_the_hosts_of_now)
+{
+    static const net_answer_t script[] = {{FAILED, NET_KEEP}};
+    world_t world;
+
+    start_world(&world, script, 1);
+    pps_dispatcher_upstream(&world.dispatcher, "s");
+    cr_expect_float_eq(pps_dispatcher_repeats(&world.dispatcher).allowance, 20,
+                       0.01);
+    world.dispatcher.hosts = 10;
+    cr_expect_float_eq(pps_dispatcher_repeats(&world.dispatcher).allowance, 2,
+                       0.01);
+}
--- a/tests/entry/test_exchange_parts.c
+++ b/tests/entry/test_exchange_parts.c
@@ -62,13 +62,23 @@
     size_t next;
 } model_case_t;
 
-/* model, models, confidence, attempts left, threshold, load */
+/* model, models, confidence, attempts left, threshold, load, repeats used */
 static const model_case_t models[] = {
-    {{0, 3, 80, 2, 50, 0.1}, 0}, {{0, 3, 20, 2, 50, 0.1}, 2},
-    {{0, 3, 20, 0, 50, 0.1}, 0}, {{0, 3, -1, 2, 50, 0.1}, 0},
-    {{2, 3, 0, 2, 50, 0.1}, 2},  {{0, 1, 0, 2, 50, 0.1}, 0},
-    {{0, 3, 40, 2, 50, 0.9}, 0}, {{0, 3, 5, 2, 50, 0.9}, 2},
-    {{0, 3, 0, 2, 50, 1.5}, 0},  {{0, 3, 50, 2, 50, 0.0}, 0},
+    {{0, 3, 80, 2, 50, 0.1}, 0},
+    {{0, 3, 20, 2, 50, 0.1}, 2},
+    {{0, 3, 20, 0, 50, 0.1}, 0},
+    {{0, 3, -1, 2, 50, 0.1}, 0},
+    {{2, 3, 0, 2, 50, 0.1}, 2},
+    {{0, 1, 0, 2, 50, 0.1}, 0},
+    {{0, 3, 40, 2, 50, 0.9}, 0},
+    {{0, 3, 5, 2, 50, 0.9}, 2},
+    {{0, 3, 0, 2, 50, 1.5}, 0},
+    {{0, 3, 50, 2, 50, 0.0}, 0},
+    /* The fewer repeats are left, the worse an answer must be. */
+    {{0, 3, 49, 2, 50, 0.1, 0.7}, 2},
+    {{0, 3, 40, 2, 50, 0.1, 0.9}, 0},
+    {{0, 3, 5, 2, 50, 0.1, 0.9}, 2},
+    {{0, 3, 0, 2, 50, 0.1, 1.0}, 0},
 };
 
 Test(model_choice, table)
@@ -81,34 +91,41 @@
 
 Test(repeat_limit, sliding_window)
 {
+    const pps_repeat_bounds_t bounds = {0.5, 2};
     pps_repeat_limit_t limit;
     int taken = 0;
 
-    pps_repeat_limit_init(&limit, 10 * S, 0.5, 2);
-    cr_expect_eq(pps_repeat_limit_take(&limit, S, 1), 0);
-    cr_expect_eq(pps_repeat_limit_take(&limit, S, 1), 0);
-    cr_expect_eq(pps_repeat_limit_take(&limit, S, 1), PPS_ELIMIT);
+    pps_repeat_limit_init(&limit, 10 * S);
+    cr_expect_eq(pps_repeat_limit_take(&limit, &bounds, S, 1), 0);
+    cr_expect_eq(pps_repeat_limit_take(&limit, &bounds, S, 1), 0);
+    cr_expect_eq(pps_repeat_limit_take(&limit, &bounds, S, 1), PPS_ELIMIT);
     for (int i = 0; i < 20; i++) {
         pps_repeat_limit_request(&limit, 2 * S);
     }
-    while (pps_repeat_limit_take(&limit, 3 * S, 1) == 0) {
+    while (pps_repeat_limit_take(&limit, &bounds, 3 * S, 1) == 0) {
         taken++;
     }
     cr_expect_eq(taken, 10);
-    cr_expect_eq(pps_repeat_limit_take(&limit, 14 * S, 1), 0);
+    cr_expect_eq(pps_repeat_limit_take(&limit, &bounds, 14 * S, 1), 0);
 }
 
 /* A kind of repeat that may use a part leaves the rest to the others. */
 Test(repeat_limit, parts)
 {
+    const pps_repeat_bounds_t bounds = {0, 10};
+    const pps_repeat_bounds_t fewer = {0, 5};
     pps_repeat_limit_t limit;
 
-    pps_repeat_limit_init(&limit, 10 * S, 0, 10);
+    pps_repeat_limit_init(&limit, 10 * S);
     for (int i = 0; i < 7; i++) {
-        cr_expect_eq(pps_repeat_limit_take(&limit, S, 0.7), 0);
+        cr_expect_eq(pps_repeat_limit_take(&limit, &bounds, S, 0.7), 0);
     }
-    cr_expect_eq(pps_repeat_limit_take(&limit, S, 0.7), PPS_ELIMIT);
-    cr_expect_eq(pps_repeat_limit_take(&limit, S, 1), 0);
+    cr_expect_eq(pps_repeat_limit_take(&limit, &bounds, S, 0.7), PPS_ELIMIT);
+    cr_expect_eq(pps_repeat_limit_take(&limit, &bounds, S, 1), 0);
+    cr_expect_float_eq(pps_repeat_limit_used(&limit, &bounds, S), 0.8, 0.001);
+    /* More hosts were found: each one's part is smaller at once. */
+    cr_expect_eq(pps_repeat_limit_take(&limit, &fewer, S, 1), PPS_ELIMIT);
+    cr_expect_float_eq(pps_repeat_limit_used(&limit, &fewer, S), 1, 0.001);
 }
 
 Test(read_queue, drains_at_the_learned_rate)
