A host that reaches no worker refuses at once; a refusing store is asked seldom

Four unanswered connections in a row, to different workers, now count as a lost path: refused at once, not run, a call let through each 0.2 s, not ready. Connections wait 0.2 s instead of 0.4 s. Workers are found by a hash of their digest when a host tells of a prompt. Failed try, reverted: hosts told each other what workers said of their load, and full workers were passed over by the time a slot is kept.

--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -84,25 +84,20 @@
                        const pps_read_notice_t *notice)
 {
     int64_t now_us = dispatcher->reactor->now_us;
-    pps_pool_worker_t *worker;
+    pps_pool_worker_t *worker =
+        pps_pool_lookup_digest(dispatcher->pool, notice->worker);
+    pps_upstream_state_t *state =
+        worker != NULL
+            ? pps_dispatcher_upstream(dispatcher, worker->info.upstream)
+            : NULL;
 
     if (notice->prefix != 0) {
         pps_prefix_memory_note(&dispatcher->prefixes, notice->prefix,
                                notice->worker, now_us);
     }
-    cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
-                             node) {
-        pps_upstream_state_t *state;
-
-        if (worker->digest != notice->worker || !worker->listed) {
-            continue;
-        }
-        state = pps_dispatcher_upstream(dispatcher, worker->info.upstream);
-        if (state != NULL) {
-            pps_read_queue_add(&worker->reading, &state->read_rate,
-                               notice->work, now_us);
-        }
-        return;
+    if (state != NULL) {
+        pps_read_queue_add(&worker->reading, &state->read_rate, notice->work,
+                           now_us);
     }
 }
 
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -12,6 +12,7 @@
 #include "deployment/deployment.h"
 #include "pool/pool.h"
 #include "pool/prefix_memory.h"
+#include "pool/reach.h"
 #include "repeat_limit.h"
 #include "rng.h"
 #include "rollout/rollout.h"
@@ -64,6 +65,7 @@
     struct cds_list_head exchanges;
     size_t exchange_count;
     pps_prefix_memory_t prefixes;
+    pps_reach_t reach; /**< of the workers */
     pps_read_notice_fn notice;
     void *notice_user;
     pps_upstream_state_t upstreams[PPS_DISPATCH_UPSTREAMS_MAX];
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -11,6 +11,9 @@
 /** Workers that one request is sent to at most, refusals counted. */
 #define PPS_SENDS_MAX 8
 
+/** Longest wait for a connection to a worker, in microseconds. */
+#define PPS_EXCHANGE_CONNECT_US 200000
+
 /** Where the current attempt stands. */
 typedef enum {
     PPS_ATTEMPT_NONE,
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -12,14 +12,15 @@
 
 #define STATUS_UNAVAILABLE 503
 #define STATUS_BAD_GATEWAY 502
-/** Longest wait for a connection to a worker. */
-#define CONNECT_US (400 * PPS_US_PER_MS)
 /** Longest wait for a worker's host to acknowledge bytes. */
 #define USER_TIMEOUT_MS 2500
 /** A worker is not asked with less time left than this. */
 #define LEFT_MIN_US (15 * PPS_US_PER_MS)
 /** When callers are asked to come back if no worker takes their request. */
 #define RETRY_BUSY_US (400 * PPS_US_PER_MS)
+/** When callers of a host that reaches no worker are asked to come back:
+ * another host takes them. */
+#define RETRY_ELSEWHERE_US (20 * PPS_US_PER_MS)
 /** Part of the allowed repeats that a silent worker may cost. */
 #define SILENCE_PART 0.95
 #define FAILURE_PART 0.95
@@ -37,7 +38,7 @@
 #define PRIORITY_TOKENS 300
 #define PRIORITY_LAST 9
 
-static const pps_channel_options_t channel_options = {CONNECT_US,
+static const pps_channel_options_t channel_options = {PPS_EXCHANGE_CONNECT_US,
                                                       USER_TIMEOUT_MS};
 
 void
@@ -79,6 +80,19 @@
                                  exchange->dispatcher->reactor->now_us, part);
 }
 
+/* Ends a request that no worker gets now. */
+static void
+give_up(pps_exchange_t *exchange, int64_t retry_after_us, const char *reason)
+{
+    if (exchange->runs == 0) {
+        pps_exchange_refuse(exchange, STATUS_UNAVAILABLE, retry_after_us,
+                            reason);
+    }
+    else {
+        pps_exchange_refuse(exchange, STATUS_BAD_GATEWAY, -1, reason);
+    }
+}
+
 void
 pps_exchange_retry(pps_exchange_t *exchange, const char *reason,
                    int may_have_run)
@@ -92,12 +106,7 @@
         pps_exchange_send(exchange);
         return;
     }
-    if (exchange->runs == 0) {
-        pps_exchange_refuse(exchange, STATUS_UNAVAILABLE, RETRY_BUSY_US,
-                            reason);
-        return;
-    }
-    pps_exchange_refuse(exchange, STATUS_BAD_GATEWAY, -1, reason);
+    give_up(exchange, RETRY_BUSY_US, reason);
 }
 
 static void
@@ -270,13 +279,15 @@
 pps_exchange_send(pps_exchange_t *exchange)
 {
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
-    pps_pool_worker_t *worker = pps_exchange_choose(exchange);
+    pps_pool_worker_t *worker;
 
+    if (!pps_reach_try(&dispatcher->reach, dispatcher->reactor->now_us)) {
+        give_up(exchange, RETRY_ELSEWHERE_US, "workers_out_of_reach");
+        return;
+    }
+    worker = pps_exchange_choose(exchange);
     if (worker == NULL) {
-        pps_exchange_refuse(
-            exchange,
-            exchange->runs == 0 ? STATUS_UNAVAILABLE : STATUS_BAD_GATEWAY,
-            exchange->runs == 0 ? RETRY_BUSY_US : -1, "no_worker");
+        give_up(exchange, RETRY_BUSY_US, "no_worker");
         return;
     }
     snprintf(exchange->tried[exchange->sends++], PPS_WORKER_TEXT_BYTES, "%s",
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -164,6 +164,7 @@
     int64_t now_us = exchange->dispatcher->reactor->now_us;
 
     exchange->heard_us = now_us;
+    pps_reach_heard(&exchange->dispatcher->reach);
     exchange->dispatcher->worker->decode(&read, reply);
     if (read.id != NULL && strcmp(read.id, exchange->call.id) != 0) {
         pps_decision_foreign(exchange);
@@ -229,6 +230,7 @@
     int error;
 
     exchange->heard_us = exchange->dispatcher->reactor->now_us;
+    pps_reach_heard(&exchange->dispatcher->reach);
     if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
         error =
             pps_event_split(&exchange->events, data, size, on_event, exchange);
@@ -301,12 +303,25 @@
     finish(exchange);
 }
 
+/* A connection that was refused shows that the path is there. */
+static void
+note_reach(const pps_exchange_t *exchange)
+{
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    int64_t now_us = dispatcher->reactor->now_us;
+
+    if (now_us - exchange->sent_us >= PPS_EXCHANGE_CONNECT_US) {
+        pps_reach_failed(&dispatcher->reach, exchange->worker->digest, now_us);
+    }
+}
+
 void
 pps_exchange_attempt_failed(pps_exchange_t *exchange,
                             pps_channel_failure_t failure)
 {
     if (failure == PPS_CHANNEL_UNSENT) {
         exchange->runs--;
+        note_reach(exchange);
         pps_exchange_drop_attempt(exchange, PPS_WORKER_UNREACHABLE);
         pps_exchange_retry(exchange, "no_connection", 0);
         return;
--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -23,6 +23,7 @@
 struct pps_pool {
     struct cds_list_head workers;
     pps_table_t listed;
+    pps_table_t digests; /* of the listed ones */
 };
 
 int
@@ -50,6 +51,7 @@
     cds_list_for_each_entry_safe (worker, next, &pool->workers, node) {
         if (worker->listed) {
             pps_table_remove(&pool->listed, &worker->item);
+            pps_table_remove(&pool->digests, &worker->digest_item);
         }
         free(worker);
     }
@@ -74,12 +76,24 @@
                         : NULL;
 }
 
+pps_pool_worker_t *
+pps_pool_lookup_digest(pps_pool_t *pool, uint64_t digest)
+{
+    pps_table_item_t *item =
+        pps_table_find(&pool->digests, &digest, sizeof(digest));
+
+    return item != NULL
+               ? caa_container_of(item, pps_pool_worker_t, digest_item)
+               : NULL;
+}
+
 /* Takes a worker off the list; calls under way keep it in memory. */
 static void
 unlist(pps_pool_t *pool, pps_pool_worker_t *worker)
 {
     worker->listed = 0;
     pps_table_remove(&pool->listed, &worker->item);
+    pps_table_remove(&pool->digests, &worker->digest_item);
     free_when_unused(worker);
 }
 
@@ -108,6 +122,8 @@
     cds_list_add_tail(&worker->node, &pool->workers);
     pps_table_add(&pool->listed, &worker->item, worker->info.id,
                   strlen(worker->info.id));
+    pps_table_add(&pool->digests, &worker->digest_item, &worker->digest,
+                  sizeof(worker->digest));
     return 1;
 }
 
--- a/src/libpapayaswitch/pool/pool.h
+++ b/src/libpapayaswitch/pool/pool.h
@@ -31,6 +31,7 @@
 typedef struct {
     struct cds_list_head node;
     pps_table_item_t item; /**< by id, while it is listed */
+    pps_table_item_t digest_item;
     pps_worker_info_t info;
     int listed;
     int64_t remove_us;        /**< when it leaves the list; 0: it stays */
@@ -89,6 +90,10 @@
 pps_pool_worker_t *
 pps_pool_lookup(pps_pool_t *pool, const char *id);
 
+/** The listed worker whose id has that digest, or NULL. */
+pps_pool_worker_t *
+pps_pool_lookup_digest(pps_pool_t *pool, uint64_t digest);
+
 /** All workers, those included that have left while calls run there. */
 struct cds_list_head *
 pps_pool_workers(pps_pool_t *pool);
--- /dev/null
+++ b/src/libpapayaswitch/pool/reach.c
@@ -0,0 +1,45 @@
+/** @file reach.c @brief Connections in a row that nobody answered. */
+#include "reach.h"
+
+#include "clock.h"
+
+/** Unanswered connections, to different workers, that make a lost path. */
+#define FAILURES_LOST 4
+/** How long a lost path is believed to be so without another failure. */
+#define LOST_US (1000 * PPS_US_PER_MS)
+/** From one call that is tried on a lost path to the next. */
+#define TRY_US (200 * PPS_US_PER_MS)
+
+void
+pps_reach_failed(pps_reach_t *reach, uint64_t worker, int64_t now_us)
+{
+    if (reach->failures == 0 || reach->last_worker != worker) {
+        reach->failures++;
+    }
+    reach->last_worker = worker;
+    reach->failed_us = now_us;
+}
+
+void
+pps_reach_heard(pps_reach_t *reach)
+{
+    reach->failures = 0;
+}
+
+int
+pps_reach_is_lost(const pps_reach_t *reach, int64_t now_us)
+{
+    return reach->failures >= FAILURES_LOST &&
+           now_us - reach->failed_us < LOST_US;
+}
+
+int
+pps_reach_try(pps_reach_t *reach, int64_t now_us)
+{
+    if (pps_reach_is_lost(reach, now_us) &&
+        now_us - reach->tried_us < TRY_US) {
+        return 0;
+    }
+    reach->tried_us = now_us;
+    return 1;
+}
--- a/tests/entry/test_exchange.c
+++ b/tests/entry/test_exchange.c
@@ -413,3 +413,33 @@
     cr_expect_float_eq(pps_dispatcher_repeats(&world.dispatcher).allowance, 2,
                        0.01);
 }
+
+/* A host that lost its path to the workers refuses at once, truly not run, and
+ * asks nobody; as soon as a worker is heard it serves again. */
+Test(exchange, a_host_that_reaches_no_worker_refuses_at_once)
+{
+    static const net_answer_t script[] = {{OK_PLAIN, NET_KEEP}};
+    static const case_t refused = {"refused", "/once/", {{0}}, "503", "", 0};
+    static const case_t served = {"served", "/once/", {{0}}, "200", "hi", 1};
+    world_t world;
+    net_client_t client;
+    char text[512];
+
+    start_world(&world, script, 1);
+    for (uint64_t i = 1; i <= 4; i++) {
+        pps_reach_failed(&world.dispatcher.reach, i, world.reactor.now_us);
+    }
+    world.dispatcher.reach.tried_us = world.reactor.now_us;
+    request_text(text, sizeof(text), "/once/", "");
+    net_client_start(&client, &world.reactor,
+                     pps_http_server_port(world.callers), text);
+    net_run_until_ended(&world.reactor, &client, LIMIT_MS);
+    expect_answer(&refused, &client);
+    cr_expect_not_null(strstr(pps_buf_text(&client.got), "Retry-After: 0.02"));
+    cr_expect_eq(sends(&world), 0);
+    pps_reach_heard(&world.dispatcher.reach);
+    net_client_start(&client, &world.reactor,
+                     pps_http_server_port(world.callers), text);
+    net_run_until_ended(&world.reactor, &client, LIMIT_MS);
+    expect_answer(&served, &client);
+}
--- a/tests/entry/test_pool.c
+++ b/tests/entry/test_pool.c
@@ -1,6 +1,7 @@
 /** @file test_pool.c @brief Workers as a host knows them. */
 #include "clock.h"
 #include "pool/pool.h"
+#include "pool/reach.h"
 
 #include <criterion/criterion.h>
 #include <stdio.h>
@@ -135,3 +136,57 @@
         pps_pool_free(pool);
     }
 }
+
+/** What happens to the path to the workers, and what it counts as then. */
+typedef struct {
+    const char *what;
+    unsigned int workers; /* unanswered connections, each to another one */
+    unsigned int again;   /* more to the last one */
+    int heard;            /* a worker was heard then */
+    int64_t later_us;     /* looked at so long after */
+    int lost;
+} reach_case_t;
+
+static const reach_case_t reaches[] = {
+    {"nothing failed", 0, 0, 0, 0, 0},
+    {"some workers are dark", 3, 0, 0, 0, 0},
+    {"one worker is dark for all", 1, 9, 0, 0, 0},
+    {"nobody answers", 4, 0, 0, 0, 1},
+    {"still so", 4, 0, 0, 900000, 1},
+    {"believed in again without calls", 4, 0, 0, 1000000, 0},
+    {"one is heard", 4, 0, 1, 0, 0},
+};
+
+Test(reach, table)
+{
+    for (size_t i = 0; i < sizeof(reaches) / sizeof(*reaches); i++) {
+        const reach_case_t *item = &reaches[i];
+        pps_reach_t reach = {0};
+        int64_t now_us = 50000000;
+
+        for (unsigned int n = 0; n < item->workers + item->again; n++) {
+            pps_reach_failed(&reach, n < item->workers ? n + 1 : item->workers,
+                             now_us);
+        }
+        if (item->heard) {
+            pps_reach_heard(&reach);
+        }
+        cr_expect_eq(pps_reach_is_lost(&reach, now_us + item->later_us),
+                     item->lost, "%s", item->what);
+    }
+}
+
+/* On a lost path one call in a while is tried. */
+Test(reach, tries)
+{
+    pps_reach_t reach = {0};
+    unsigned int tries = 0;
+
+    for (uint64_t i = 1; i <= 4; i++) {
+        pps_reach_failed(&reach, i, 50000000);
+    }
+    for (int64_t ms = 0; ms < 1000; ms++) {
+        tries += pps_reach_try(&reach, 50000000 + ms * 1000) != 0;
+    }
+    cr_expect_eq(tries, 5);
+}
--- a/tests/entry/test_store_topic.c
+++ b/tests/entry/test_store_topic.c
@@ -173,3 +173,25 @@
     cr_expect_eq(server.closed, 1);
     pps_buf_clear(&owner.told);
 }
+
+/* While other hosts read, a store that refuses is asked seldom: the pauses
+ * grow on beyond what they are otherwise. */
+Test(store_topic, a_refusing_store_is_asked_seldom_while_others_read)
+{
+    static const net_answer_t script[] = {
+        {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+         NET_KEEP}};
+    static const int64_t pauses_us = (100 + 200 + 400 + 800) * PPS_US_PER_MS;
+    pps_reactor_t reactor;
+    net_server_t server;
+    pps_store_topic_t *topic;
+    owner_t owner;
+    int64_t begun_us;
+
+    start(&owner, &topic, &server, &reactor, script, 1);
+    pps_store_topic_relax(topic, 1);
+    begun_us = pps_clock_now_us();
+    cr_assert(net_run_until(&reactor, &owner.failures, 5, 2 * LIMIT_MS));
+    cr_expect_geq(pps_clock_now_us() - begun_us, pauses_us);
+    pps_buf_clear(&owner.told);
+}
