Refused callers are told when a place is expected; load is seen on every route alike

Retry-After was a fixed 0.4 or 0.5 s. It is worked out now (exchange/comeback.c): from slots, what waits before it and the usual time of an answer; the more urgent first, spread, within the patience left. Cause 2: load was the upstream's usual time to a first byte against the target of the one route, so long prompts, which have a long target and cost most, were given again however late first bytes came. Each first byte now counts against its own route's target (weight 5). A workspace's own rank now counts in the urgency told to workers.

--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -49,6 +49,8 @@
     pps_rollout_t rollout;
     pps_rollout_tally_t tally; /**< seen by this host */
     double first_byte_us;      /**< smoothed time to a first byte */
+    double first_byte_part;    /**< smoothed part of the route's target */
+    double answer_us;          /**< smoothed time that a call takes there */
     pps_read_rate_t read_rate; /**< of its workers */
 } pps_upstream_state_t;
 
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "decision_log.h"
+#include "exchange_worker.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -12,9 +13,6 @@
 #define STATUS_UNAVAILABLE 503
 #define STATUS_TIMEOUT 504
 #define STATUS_BAD_GATEWAY 502
-/** When a host that knows no deployment yet, or no worker, asks callers to
- * come back. */
-#define RETRY_SOON_US (500 * PPS_US_PER_MS)
 #define LEFT_MAX_US (3600 * PPS_US_PER_S)
 
 int64_t
@@ -26,6 +24,17 @@
     return left < LEFT_MAX_US ? left : LEFT_MAX_US;
 }
 
+unsigned int
+pps_exchange_rank(const pps_exchange_t *exchange)
+{
+    const pps_workspace_t *workspace = exchange->workspace;
+    int rank = workspace != NULL && workspace->priority >= 0
+                   ? workspace->priority
+                   : exchange->route->priority;
+
+    return rank > 0 ? (unsigned int)rank : 0;
+}
+
 int
 pps_exchange_is_repeatable(const pps_exchange_t *exchange)
 {
@@ -86,6 +95,27 @@
     respond(dispatcher, conn, status, retry_after_us);
 }
 
+void
+pps_exchange_give_up(pps_exchange_t *exchange, pps_comeback_reason_t why,
+                     const char *reason)
+{
+    pps_comeback_t comeback = {
+        .reason = why,
+        .left_us = pps_exchange_left_us(exchange),
+        .answer_us = exchange->upstream_state->answer_us,
+        .rank = pps_exchange_rank(exchange),
+        .spread = pps_rng_unit(&exchange->dispatcher->rng),
+    };
+
+    if (exchange->runs > 0) {
+        pps_exchange_refuse(exchange, STATUS_BAD_GATEWAY, -1, reason);
+        return;
+    }
+    pps_exchange_places(exchange, &comeback.busy, &comeback.slots);
+    pps_exchange_refuse(exchange, STATUS_UNAVAILABLE,
+                        pps_comeback_us(&comeback), reason);
+}
+
 void
 pps_exchange_gone(pps_exchange_t *exchange)
 {
@@ -176,7 +206,7 @@
     exchange->has_last_event = exchange->call.has_last_event;
     set_deadline(exchange);
     if (exchange->upstream_state == NULL) {
-        pps_exchange_refuse(exchange, STATUS_UNAVAILABLE, RETRY_SOON_US,
+        pps_exchange_refuse(exchange, STATUS_UNAVAILABLE, -1,
                             "too_many_upstreams");
         return;
     }
@@ -187,6 +217,18 @@
     pps_exchange_send(exchange);
 }
 
+static int64_t
+when_started_us(pps_dispatcher_t *dispatcher, const pps_call_t *call)
+{
+    const pps_comeback_t comeback = {
+        .reason = PPS_COMEBACK_STARTING,
+        .left_us = call->patience_us,
+        .spread = pps_rng_unit(&dispatcher->rng),
+    };
+
+    return pps_comeback_us(&comeback);
+}
+
 static pps_exchange_t *
 exchange_new(pps_dispatcher_t *dispatcher, pps_http_conn_t *conn,
              const pps_http_request_t *request)
@@ -217,7 +259,8 @@
     pps_exchange_t *exchange;
 
     if (status == 0 && dispatcher->deployment == NULL) {
-        respond(dispatcher, conn, STATUS_UNAVAILABLE, RETRY_SOON_US);
+        respond(dispatcher, conn, STATUS_UNAVAILABLE,
+                when_started_us(dispatcher, &call));
         pps_decision_refused(call.id, STATUS_UNAVAILABLE, "no_deployment", 0);
         return;
     }
@@ -234,7 +277,10 @@
     }
     exchange = exchange_new(dispatcher, conn, request);
     if (exchange == NULL) {
-        respond(dispatcher, conn, STATUS_UNAVAILABLE, RETRY_SOON_US);
+        respond(dispatcher, conn, STATUS_UNAVAILABLE,
+                when_started_us(dispatcher, &call));
+        pps_decision_refused(call.id, STATUS_UNAVAILABLE, "out_of_memory",
+                             dispatcher->deployment->revision);
         return;
     }
     exchange->call = call;
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -5,6 +5,7 @@
 #ifndef PPS_EXCHANGE_EXCHANGE_H
 #define PPS_EXCHANGE_EXCHANGE_H
 
+#include "comeback.h"
 #include "dispatcher.h"
 #include "event_split.h"
 
@@ -94,6 +95,13 @@
 pps_exchange_refuse(pps_exchange_t *exchange, unsigned int status,
                     int64_t retry_after_us, const char *reason);
 
+/** Ends a request that no worker gets now: refused with the time to come back
+ * when it has not run, else failed.
+ * @param reason short word for the log */
+void
+pps_exchange_give_up(pps_exchange_t *exchange, pps_comeback_reason_t why,
+                     const char *reason);
+
 /** Frees an exchange whose answer is out. */
 void
 pps_exchange_free(pps_exchange_t *exchange);
@@ -102,6 +110,10 @@
 int64_t
 pps_exchange_left_us(const pps_exchange_t *exchange);
 
+/** Urgency of the request, 0 first: its workspace's, else its route's. */
+unsigned int
+pps_exchange_rank(const pps_exchange_t *exchange);
+
 /** Whether the request may run more than once. */
 int
 pps_exchange_is_repeatable(const pps_exchange_t *exchange);
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -10,17 +10,10 @@
 #include <stdio.h>
 #include <string.h>
 
-#define STATUS_UNAVAILABLE 503
-#define STATUS_BAD_GATEWAY 502
 /** Longest wait for a worker's host to acknowledge bytes. */
 #define USER_TIMEOUT_MS 2500
 /** A worker is not asked with less time left than this. */
 #define LEFT_MIN_US (15 * PPS_US_PER_MS)
-/** When callers are asked to come back if no worker takes their request. */
-#define RETRY_BUSY_US (400 * PPS_US_PER_MS)
-/** When callers of a host that reaches no worker are asked to come back:
- * another host takes them. */
-#define RETRY_ELSEWHERE_US (20 * PPS_US_PER_MS)
 /** Part of the allowed repeats that a silent worker may cost. */
 #define SILENCE_PART 0.95
 #define FAILURE_PART 0.95
@@ -37,6 +30,8 @@
  * step less. */
 #define PRIORITY_TOKENS 300
 #define PRIORITY_LAST 9
+/** Steps of urgency for one rank between a workspace and its route. */
+#define PRIORITY_RANK_STEP 2
 
 static const pps_channel_options_t channel_options = {PPS_EXCHANGE_CONNECT_US,
                                                       USER_TIMEOUT_MS};
@@ -80,19 +75,6 @@
                                  exchange->dispatcher->reactor->now_us, part);
 }
 
-/* Ends a request that no worker gets now. */
-static void
-give_up(pps_exchange_t *exchange, int64_t retry_after_us, const char *reason)
-{
-    if (exchange->runs == 0) {
-        pps_exchange_refuse(exchange, STATUS_UNAVAILABLE, retry_after_us,
-                            reason);
-    }
-    else {
-        pps_exchange_refuse(exchange, STATUS_BAD_GATEWAY, -1, reason);
-    }
-}
-
 void
 pps_exchange_retry(pps_exchange_t *exchange, const char *reason,
                    int may_have_run)
@@ -106,7 +88,7 @@
         pps_exchange_send(exchange);
         return;
     }
-    give_up(exchange, RETRY_BUSY_US, reason);
+    pps_exchange_give_up(exchange, PPS_COMEBACK_FULL, reason);
 }
 
 static void
@@ -187,18 +169,24 @@
                                               on_fail};
 
 /* The shorter the prompt, the more urgent: what is read first holds up little
- * of what is read behind it. */
+ * of what is read behind it. A workspace with a rank of its own goes before or
+ * behind the others of the route. */
 static int
 told_priority(const pps_exchange_t *exchange)
 {
     int64_t tokens = exchange->call.prompt_tokens;
-    int priority = 0;
+    int priority =
+        ((int)pps_exchange_rank(exchange) - exchange->route->priority) *
+        PRIORITY_RANK_STEP;
 
-    while (tokens > PRIORITY_TOKENS && priority < PRIORITY_LAST) {
+    while (tokens > PRIORITY_TOKENS) {
         tokens /= 2;
         priority++;
     }
-    return priority;
+    if (priority < 0) {
+        return 0;
+    }
+    return priority < PRIORITY_LAST ? priority : PRIORITY_LAST;
 }
 
 static int
@@ -282,12 +270,16 @@
     pps_pool_worker_t *worker;
 
     if (!pps_reach_try(&dispatcher->reach, dispatcher->reactor->now_us)) {
-        give_up(exchange, RETRY_ELSEWHERE_US, "workers_out_of_reach");
+        pps_exchange_give_up(exchange, PPS_COMEBACK_ELSEWHERE,
+                             "workers_out_of_reach");
         return;
     }
     worker = pps_exchange_choose(exchange);
     if (worker == NULL) {
-        give_up(exchange, RETRY_BUSY_US, "no_worker");
+        pps_exchange_give_up(exchange,
+                             exchange->sends > 0 ? PPS_COMEBACK_FULL
+                                                 : PPS_COMEBACK_NO_WORKER,
+                             "no_worker");
         return;
     }
     snprintf(exchange->tried[exchange->sends++], PPS_WORKER_TEXT_BYTES, "%s",
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -15,6 +15,7 @@
 /** Part of the allowed repeats that answers in doubt may use. */
 #define DOUBT_PART 0.92
 #define FIRST_BYTE_WEIGHT 0.05
+#define ANSWER_WEIGHT 0.05
 
 static int
 is_success(unsigned int status)
@@ -48,6 +49,8 @@
         exchange->dispatcher->reactor->now_us - exchange->sent_us;
     pps_rollout_count_t *count = evidence_of(exchange);
     double *usual = &exchange->upstream_state->first_byte_us;
+    double *part = &exchange->upstream_state->first_byte_part;
+    int64_t target = exchange->route->target_us;
 
     pps_read_rate_learn(&exchange->upstream_state->read_rate,
                         exchange->work + exchange->backlog, elapsed);
@@ -55,6 +58,10 @@
     count->timed++;
     count->first_byte_us += (uint64_t)elapsed;
     *usual += ((double)elapsed - *usual) * FIRST_BYTE_WEIGHT;
+    if (target > 0) {
+        *part +=
+            ((double)elapsed / (double)target - *part) * FIRST_BYTE_WEIGHT;
+    }
 }
 
 /* The worker says that it has not run the request. */
@@ -258,6 +265,16 @@
     pps_histogram_observe(PPS_HISTOGRAM_ENTRY_ANSWER, elapsed_us);
 }
 
+static void
+time_answer(const pps_exchange_t *exchange)
+{
+    double *usual = &exchange->upstream_state->answer_us;
+    int64_t elapsed =
+        exchange->dispatcher->reactor->now_us - exchange->sent_us;
+
+    *usual += ((double)elapsed - *usual) * ANSWER_WEIGHT;
+}
+
 static void
 finish(pps_exchange_t *exchange)
 {
@@ -271,6 +288,7 @@
     exchange->body = (pps_buf_t)PPS_BUF_INIT;
     if (is_success(status)) {
         observe_answer(exchange);
+        time_answer(exchange);
     }
     pps_decision_ended(exchange, status, "answered");
     pps_exchange_drop_attempt(
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -8,7 +8,7 @@
 #define CANDIDATES_MAX 1024
 /** Load that the usual time to a first byte stands for, in parts of the
  * route's target. */
-#define WAIT_WEIGHT 3.0
+#define WAIT_WEIGHT 5.0
 
 static int
 was_tried(const pps_exchange_t *exchange, const char *id)
@@ -44,17 +44,24 @@
                : exchange->call.model;
 }
 
+/* Whether the worker could serve the request, now or when it is not full. */
 static int
-is_usable(const pps_exchange_t *exchange, const pps_pool_worker_t *worker)
+could_serve(const pps_exchange_t *exchange, const pps_pool_worker_t *worker)
 {
     const char *model = model_of(exchange);
 
     return worker->listed && !worker->info.leaving &&
-           worker->full_until_us <= exchange->dispatcher->reactor->now_us &&
            strcmp(worker->info.upstream, exchange->upstream->name) == 0 &&
            (model == NULL || pps_worker_has_model(&worker->info, model));
 }
 
+static int
+is_usable(const pps_exchange_t *exchange, const pps_pool_worker_t *worker)
+{
+    return worker->full_until_us <= exchange->dispatcher->reactor->now_us &&
+           could_serve(exchange, worker);
+}
+
 static double
 work_of(const pps_exchange_t *exchange, int64_t tokens)
 {
@@ -175,26 +182,34 @@
     return worker;
 }
 
-double
-pps_exchange_load(const pps_exchange_t *exchange)
+void
+pps_exchange_places(const pps_exchange_t *exchange, double *busy,
+                    double *slots)
 {
     const pps_dispatcher_t *dispatcher = exchange->dispatcher;
-    double target_us = (double)exchange->route->target_us;
-    double waits = exchange->upstream_state->first_byte_us * WAIT_WEIGHT;
     pps_pool_worker_t *worker;
-    double busy = 0;
-    double slots = 0;
-    double load;
 
+    *busy = 0;
+    *slots = 0;
     cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
                              node) {
-        if (is_usable(exchange, worker)) {
-            busy += pps_pool_worker_busy(worker, dispatcher->reactor->now_us,
-                                         dispatcher->hosts);
-            slots += worker->slots;
+        if (could_serve(exchange, worker)) {
+            *busy += pps_pool_worker_busy(worker, dispatcher->reactor->now_us,
+                                          dispatcher->hosts);
+            *slots += worker->slots;
         }
     }
+}
+
+double
+pps_exchange_load(const pps_exchange_t *exchange)
+{
+    double waits = exchange->upstream_state->first_byte_part * WAIT_WEIGHT;
+    double busy;
+    double slots;
+    double load;
+
+    pps_exchange_places(exchange, &busy, &slots);
     load = slots > 0 ? busy / slots : 0;
-    return target_us > 0 && waits / target_us > load ? waits / target_us
-                                                     : load;
+    return waits > load ? waits : load;
 }
--- a/src/libpapayaswitch/exchange/exchange_worker.h
+++ b/src/libpapayaswitch/exchange/exchange_worker.h
@@ -17,6 +17,11 @@
 pps_exchange_work(const pps_exchange_t *exchange,
                   const pps_pool_worker_t *worker);
 
+/** Requests at the workers that could serve the request, and their slots. */
+void
+pps_exchange_places(const pps_exchange_t *exchange, double *busy,
+                    double *slots);
+
 /** Load of the workers that could serve the request: the busy share of their
  * slots, or more when first bytes come late. */
 double
--- a/tests/entry/test_exchange_parts.c
+++ b/tests/entry/test_exchange_parts.c
@@ -1,5 +1,6 @@
 /** @file test_exchange_parts.c @brief Decisions within one exchange. */
 #include "clock.h"
+#include "exchange/comeback.h"
 #include "exchange/event_split.h"
 #include "exchange/model_choice.h"
 #include "exchange/repeat_limit.h"
@@ -128,6 +129,84 @@
     cr_expect_float_eq(pps_repeat_limit_used(&limit, &fewer, S), 1, 0.001);
 }
 
+typedef struct {
+    const char *what;
+    pps_comeback_t comeback;
+    int64_t least_us;
+    int64_t most_us;
+} comeback_case_t;
+
+#define MS 1000
+
+/* reason, left, busy, slots, answer, rank, spread */
+static const comeback_case_t comebacks[] = {
+    {"another host has room",
+     {PPS_COMEBACK_ELSEWHERE, 25 * S, 0, 0, 0, 0, 0},
+     1,
+     50 * MS},
+    {"a starting host: when it is likely to serve",
+     {PPS_COMEBACK_STARTING, 25 * S, 0, 0, 0, 0, 0},
+     S,
+     3 * S},
+    {"a starting host, little patience",
+     {PPS_COMEBACK_STARTING, S, 0, 0, 0, 0, 1},
+     200 * MS,
+     S / 3},
+    {"full: a slot of 10 comes free each 0.3 s",
+     {PPS_COMEBACK_FULL, 25 * S, 10, 10, 3.0 * S, 0, 0},
+     300 * MS,
+     300 * MS},
+    {"four wait before it",
+     {PPS_COMEBACK_FULL, 25 * S, 14, 10, 3.0 * S, 0, 0},
+     1500 * MS,
+     1500 * MS},
+    {"less urgent: later",
+     {PPS_COMEBACK_FULL, 25 * S, 10, 10, 3.0 * S, 2, 0},
+     450 * MS,
+     450 * MS},
+    {"a crowd is spread",
+     {PPS_COMEBACK_FULL, 25 * S, 10, 10, 3.0 * S, 0, 1},
+     400 * MS,
+     450 * MS},
+    {"slots unknown",
+     {PPS_COMEBACK_FULL, 25 * S, 0, 0, 3.0 * S, 0, 0},
+     500 * MS,
+     S},
+};
+
+Test(comeback, table)
+{
+    for (size_t i = 0; i < sizeof(comebacks) / sizeof(*comebacks); i++) {
+        int64_t us = pps_comeback_us(&comebacks[i].comeback);
+
+        cr_expect_geq(us, comebacks[i].least_us, "%s", comebacks[i].what);
+        cr_expect_leq(us, comebacks[i].most_us, "%s", comebacks[i].what);
+    }
+}
+
+/* A crowd before full workers: 40 callers beyond 20 slots of 1 s. Each comes
+ * back when it is told; the load is played with the slots' own rate. Nobody
+ * comes back before the first slot can be free, and all within the time that
+ * the slots need for them. */
+Test(comeback, a_crowd_returns_as_slots_come_free)
+{
+    enum { SLOTS = 20, CROWD = 40 };
+    int64_t before_us = 0;
+    int64_t last_us = 0;
+
+    for (int i = 0; i < CROWD; i++) {
+        const pps_comeback_t comeback = {
+            PPS_COMEBACK_FULL, 10 * S, SLOTS + i, SLOTS, S, 0, 0};
+        int64_t us = pps_comeback_us(&comeback);
+
+        cr_expect_geq(us, before_us);
+        cr_expect_geq(us, S / SLOTS);
+        before_us = us;
+        last_us = us;
+    }
+    cr_expect_leq(last_us, (int64_t)CROWD * S / SLOTS);
+}
+
 Test(read_queue, drains_at_the_learned_rate)
 {
     pps_read_rate_t rate = {0.01};
