A host that missed records reads the store for them, not a reader's whole copy

What is missing is read from the store, which answers each host by itself; other hosts are asked when the store is away or late. A gap is acted upon at once.

--- a/tests/entry/test_mirror.c
+++ b/tests/entry/test_mirror.c
@@ -1,4 +1,5 @@
 /** @file test_mirror.c @brief Copies of keyed topics. */
+#include "mirror/catch_up.h"
 #include "mirror/mirror.h"
 #include "papayaswitch/errors.h"
 
@@ -130,3 +131,38 @@
     tear_down(&from);
     tear_down(&to);
 }
+
+typedef struct {
+    const char *what;
+    pps_lag_t lag;
+    unsigned int ways;
+} catch_up_case_t;
+
+#define MS 1000
+
+/* behind, urgent, gap, for how long, known, store failing */
+static const catch_up_case_t catch_ups[] = {
+    {"as new as the others", {0, 1, 0, 0, 1, 0}, 0},
+    {"a record may be on its way", {1, 0, 0, 100 * MS, 1, 0}, 0},
+    {"it did not come: the store has it",
+     {1, 0, 0, 400 * MS, 1, 0},
+     PPS_CATCH_UP_READ},
+    {"one is known to be lost", {1, 0, 1, 0, 1, 0}, PPS_CATCH_UP_READ},
+    {"the store is slow",
+     {1, 0, 1, 1000 * MS, 1, 0},
+     PPS_CATCH_UP_READ | PPS_CATCH_UP_ASK},
+    {"the store is away", {1, 0, 0, 0, 1, 1}, PPS_CATCH_UP_ASK},
+    {"nothing is known yet", {1, 0, 0, 0, 0, 0}, PPS_CATCH_UP_ASK},
+    {"a new configuration", {1, 1, 0, 0, 1, 0}, PPS_CATCH_UP_READ},
+    {"a new configuration, late",
+     {1, 1, 0, 400 * MS, 1, 0},
+     PPS_CATCH_UP_READ | PPS_CATCH_UP_ASK},
+};
+
+Test(catch_up, table)
+{
+    for (size_t i = 0; i < sizeof(catch_ups) / sizeof(*catch_ups); i++) {
+        cr_expect_eq(pps_catch_up(&catch_ups[i].lag), catch_ups[i].ways, "%s",
+                     catch_ups[i].what);
+    }
+}
