--- a/src/libpapayaswitch/gossip/gossip.c
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -279,6 +279,12 @@
     pps_gossip_tell_now(user);
 }
 
+void
+pps_gossip_set_link(pps_gossip_t *gossip, int mbps)
+{
+    gossip->own.state.link_mbps = mbps;
+}
+
 void
 pps_gossip_set_read_age_max(pps_gossip_t *gossip, int64_t age_us)
 {
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -33,10 +33,12 @@
     uint64_t incarnation;
     char failure_domain[PPS_GOSSIP_TEXT_BYTES];
     int64_t topic_marks[PPS_GOSSIP_TOPICS]; /**< see mirror.h */
+    int64_t topic_ends[PPS_GOSSIP_TOPICS];  /**< behind the last record read */
     int live;            /**< hosts that it heard of late, itself included */
     int64_t read_age_us; /**< of its last answered reads of the store; -1: it
                               does not read, or in vain */
     int leaving;
+    int link_mbps; /**< of its network link; 0: unknown */
     pps_gossip_rollout_t rollouts[PPS_GOSSIP_ROLLOUTS];
     size_t rollout_count;
 } pps_gossip_state_t;
@@ -105,14 +107,20 @@
 int
 pps_gossip_record(pps_gossip_t *gossip, const pps_gossip_record_t *record);
 
+/** Sets the speed of this host's link, in Mbit/s. */
+void
+pps_gossip_set_link(pps_gossip_t *gossip, int mbps);
+
 /**
- * Whether this host is one of the few that read the store for all: the first
- * by id of the live hosts that reach it, or one that hears of none.
+ * Whether this host is one of the few that read the store for all: of the live
+ * hosts that reach it the ones with the fastest links, and of these the first
+ * by id; or one that hears of none. What readers pass on goes out to all hosts
+ * and must leave their link room for callers.
  */
 int
 pps_gossip_is_reader(const pps_gossip_t *gossip);
 
-/** Whether this host reads the store and none before it by id does. */
+/** Whether this host reads the store and none goes before it. */
 int
 pps_gossip_is_first_reader(const pps_gossip_t *gossip);
 
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -7,12 +7,12 @@
 #include <msgpack.h>
 #include <string.h>
 
-#define FORMAT_VERSION 1
+#define FORMAT_VERSION 4
 #define NOTICE_VERSION 2
 #define NOTICE_FIELDS 4
 #define RECORD_VERSION 3
 #define RECORD_FIELDS 6
-#define MESSAGE_FIELDS 11
+#define MESSAGE_FIELDS 13
 #define ROLLOUT_FIELDS 12
 #define COUNT_FIELDS 6
 
@@ -107,8 +107,13 @@
     for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
         msgpack_pack_int64(&packer, state->topic_marks[i]);
     }
+    msgpack_pack_array(&packer, PPS_GOSSIP_TOPICS);
+    for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
+        msgpack_pack_int64(&packer, state->topic_ends[i]);
+    }
     msgpack_pack_int64(&packer, state->read_age_us);
     msgpack_pack_int(&packer, state->leaving);
+    msgpack_pack_int(&packer, state->link_mbps);
     msgpack_pack_array(&packer, message->hint_count);
     for (size_t i = 0; i < message->hint_count; i++) {
         pack_text(&packer, message->hints[i]);
@@ -251,8 +256,14 @@
         state->topic_marks[i] = take_number(&list);
     }
     fields->failed |= list.failed;
+    list = take_array(fields);
+    for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
+        state->topic_ends[i] = take_number(&list);
+    }
+    fields->failed |= list.failed;
     state->read_age_us = take_number(fields);
     state->leaving = (int)take_number(fields);
+    state->link_mbps = (int)take_number(fields);
     list = take_array(fields);
     while (list.left > 0 && out->hint_count < PPS_GOSSIP_HINTS) {
         take_text(out->hints[out->hint_count++], &list);
--- a/src/libpapayaswitch/gossip/gossip_readers.c
+++ b/src/libpapayaswitch/gossip/gossip_readers.c
@@ -54,16 +54,25 @@
            peer->state.read_age_us + since_us < gossip->read_age_max_us;
 }
 
-/* Hosts before that id that read. */
+/* Whether a host is to read rather than another one. */
+static int
+goes_before(const pps_gossip_state_t *host, const pps_gossip_state_t *other)
+{
+    if (host->link_mbps != other->link_mbps) {
+        return host->link_mbps > other->link_mbps;
+    }
+    return strcmp(host->host_id, other->host_id) < 0;
+}
+
+/* Hosts before that one that read. */
 static unsigned int
-readers_before(const pps_gossip_t *gossip, const char *host_id)
+readers_before(const pps_gossip_t *gossip, const pps_gossip_state_t *host)
 {
     const pps_gossip_peer_t *peer;
     unsigned int before = 0;
 
     cds_list_for_each_entry (peer, &gossip->peers, node) {
-        before +=
-            is_fresh(gossip, peer) && strcmp(peer->state.host_id, host_id) < 0;
+        before += is_fresh(gossip, peer) && goes_before(&peer->state, host);
     }
     return before;
 }
@@ -71,26 +80,25 @@
 int
 pps_gossip_is_reader(const pps_gossip_t *gossip)
 {
-    return readers_before(gossip, gossip->own.state.host_id) < READERS;
+    return readers_before(gossip, &gossip->own.state) < READERS;
 }
 
 int
 pps_gossip_is_first_reader(const pps_gossip_t *gossip)
 {
     return gossip->own.state.read_age_us >= 0 &&
-           readers_before(gossip, gossip->own.state.host_id) == 0;
+           readers_before(gossip, &gossip->own.state) == 0;
 }
 
 int
 pps_gossip_reads(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
 {
     const pps_gossip_state_t *own = &gossip->own.state;
-    unsigned int before = readers_before(gossip, peer->state.host_id);
+    unsigned int before = readers_before(gossip, &peer->state);
 
     if (!is_fresh(gossip, peer)) {
         return 0;
     }
-    before +=
-        own->read_age_us >= 0 && strcmp(own->host_id, peer->state.host_id) < 0;
+    before += own->read_age_us >= 0 && goes_before(own, &peer->state);
     return before < READERS;
 }
--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -201,6 +201,14 @@
     }
 }
 
+void
+pps_mirror_heard_end(pps_mirror_t *mirror, int64_t mark, int64_t end)
+{
+    if (mirror->end >= 0 && mark >= 0 && mark == mirror->mark) {
+        pps_mirror_advance(mirror, end);
+    }
+}
+
 void
 pps_mirror_listing_begin(pps_mirror_t *mirror)
 {
--- a/src/libpapayaswitch/mirror/mirror.h
+++ b/src/libpapayaswitch/mirror/mirror.h
@@ -54,6 +54,11 @@
 void
 pps_mirror_advance(pps_mirror_t *mirror, int64_t end);
 
+/** Another host's copy has this mark and end: one with the same mark lacks no
+ * record that matters up to that end, and need not read them. */
+void
+pps_mirror_heard_end(pps_mirror_t *mirror, int64_t mark, int64_t end);
+
 /** Begins a full listing: keys that it does not name are gone at its end. */
 void
 pps_mirror_listing_begin(pps_mirror_t *mirror);
--- a/tests/entry/test_gossip_codec.c
+++ b/tests/entry/test_gossip_codec.c
@@ -24,6 +24,8 @@
     message.state.topic_marks[1] = 500;
     message.state.read_age_us = 5;
     message.state.live = 8;
+    message.state.link_mbps = 200;
+    message.state.topic_ends[1] = 512;
     snprintf(message.hints[0], PPS_GOSSIP_TEXT_BYTES, "10.0.0.9");
     message.hint_count = 1;
     message.state.rollout_count = 1;
@@ -54,6 +56,8 @@
     cr_expect_eq(read.state.topic_marks[0], -1);
     cr_expect_eq(read.state.topic_marks[1], 500);
     cr_expect_eq(read.state.live, 8);
+    cr_expect_eq(read.state.link_mbps, 200);
+    cr_expect_eq(read.state.topic_ends[1], 512);
     cr_expect_str_eq(read.hints[0], "10.0.0.9");
     cr_expect_eq(read.state.rollouts[0].rollout.started_us,
                  LATER - 3 * PPS_US_PER_S);
--- a/tests/entry/test_mirror.c
+++ b/tests/entry/test_mirror.c
@@ -166,3 +166,46 @@
                      catch_ups[i].what);
     }
 }
+
+typedef struct {
+    const char *what;
+    int64_t mark;
+    int64_t end;
+    int64_t expected;
+} heard_end_case_t;
+
+/* The copy's mark is 5 and its end 9. */
+static const heard_end_case_t heard_ends[] = {
+    {"alike, and further", 5, 40, 40},
+    {"alike, not as far", 5, 7, 9},
+    {"the other one has more", 30, 40, 9},
+    {"the other one has less", 4, 40, 9},
+    {"the other one knows nothing", -1, -1, 9},
+};
+
+static int
+matters(void *user, const char *key, const char *value, size_t size)
+{
+    return key[0] == 'm';
+}
+
+/* Records that matter to nobody need not be read to know that. */
+Test(mirror, a_like_copy_tells_how_far_it_has_read)
+{
+    for (size_t i = 0; i < sizeof(heard_ends) / sizeof(*heard_ends); i++) {
+        pps_mirror_t *mirror;
+
+        cr_assert_eq(pps_mirror_new(&mirror, matters, NULL), 0);
+        pps_mirror_heard_end(mirror, heard_ends[i].mark, heard_ends[i].end);
+        cr_expect_eq(pps_mirror_end(mirror), -1);
+        pps_mirror_listing_begin(mirror);
+        pps_mirror_listing_end(mirror, 4);
+        pps_mirror_record(mirror, 4, "m", 1, "v", 1);
+        pps_mirror_record(mirror, 8, "x", 1, "v", 1);
+        cr_assert_eq(pps_mirror_mark(mirror), 5);
+        pps_mirror_heard_end(mirror, heard_ends[i].mark, heard_ends[i].end);
+        cr_expect_eq(pps_mirror_end(mirror), heard_ends[i].expected, "%s",
+                     heard_ends[i].what);
+        pps_mirror_free(mirror);
+    }
+}
