--- a/src/cli/timeline.c
+++ b/src/cli/timeline.c
@@ -1,5 +1,6 @@
 /** @file timeline.c @brief `papayaswitch timeline`: all hosts' events. */
 #include "command.h"
+#include "log_line.h"
 #include "papayaswitch/errors.h"
 
 #include <stdio.h>
@@ -132,6 +133,58 @@
     json_decref(saved);
 }
 
+/* Lines of a log on the platform; other lines of the file are counted. */
+static void
+add_log(json_t *all, const char *path, const filter_t filters[FILTER_COUNT])
+{
+    FILE *file = fopen(path, "r");
+    char *line = NULL;
+    size_t size = 0;
+    long long lines = 0;
+    long long skipped = 0;
+
+    if (file == NULL) {
+        fprintf(stderr, "%s: can't be read\n", path);
+        return;
+    }
+    while (getline(&line, &size, file) >= 0) {
+        json_t *event;
+
+        lines++;
+        if (pps_log_line_read(&event, line, lines) != 0) {
+            skipped++;
+            continue;
+        }
+        if (passes(event, filters)) {
+            json_array_append(all, event);
+        }
+        json_decref(event);
+    }
+    free(line);
+    fclose(file);
+    if (skipped > 0) {
+        fprintf(stderr, "%s: %lld of %lld lines are no events\n", path,
+                skipped, lines);
+    }
+}
+
+static int
+collect_all(json_t *all, const char *platform,
+            const filter_t filters[FILTER_COUNT])
+{
+    pps_host_list_t hosts = PPS_HOST_LIST_INIT;
+    int status = PPS_EXIT_OK;
+
+    if (pps_cli_hosts(&hosts, platform) < 0) {
+        status = PPS_EXIT_FINDINGS;
+    }
+    for (size_t i = 0; i < hosts.count; i++) {
+        collect(all, &hosts.hosts[i], filters);
+    }
+    pps_host_list_clear(&hosts);
+    return status;
+}
+
 static void
 print_merged(json_t *all, int as_json)
 {
@@ -164,7 +217,7 @@
 pps_cli_timeline(int argc, char **argv)
 {
     struct arg_str *platform =
-        arg_str1("p", "platform", "URL", "the platform's service");
+        arg_str0("p", "platform", "URL", "ask the hosts that it lists");
     struct arg_str *request =
         arg_str0(NULL, "request", "ID", "only events of this request");
     struct arg_str *session =
@@ -175,12 +228,13 @@
         arg_str0(NULL, "kind", "KIND", "only events of this kind");
     struct arg_file *saved = arg_filen(
         NULL, "file", "FILE", 0, 16, "add events saved from a host that left");
+    struct arg_file *logs =
+        arg_filen(NULL, "log", "FILE", 0, 64, "add lines of a host's log");
     struct arg_lit *as_json = arg_lit0(NULL, "json", "print JSON");
     struct arg_lit *help = arg_lit0("h", "help", "show this help");
     struct arg_end *end = arg_end(8);
     void *table[] = {platform, request, session, note, kind,
-                     saved,    as_json, help,    end};
-    pps_host_list_t hosts = PPS_HOST_LIST_INIT;
+                     saved,    logs,    as_json, help, end};
     json_t *all = json_array();
     int status = pps_cli_parse(argc, argv, table, help, end,
                                "Merges the events of all hosts.");
@@ -192,17 +246,16 @@
             {"note", note->count ? note->sval[0] : NULL},
             {"kind", kind->count ? kind->sval[0] : NULL}};
 
-        status = pps_cli_hosts(&hosts, platform->sval[0]) < 0
-                     ? PPS_EXIT_FINDINGS
+        status = platform->count > 0
+                     ? collect_all(all, platform->sval[0], filters)
                      : PPS_EXIT_OK;
-        for (size_t i = 0; i < hosts.count; i++) {
-            collect(all, &hosts.hosts[i], filters);
-        }
         for (int i = 0; i < saved->count; i++) {
             add_file(all, saved->filename[i], filters);
         }
+        for (int i = 0; i < logs->count; i++) {
+            add_log(all, logs->filename[i], filters);
+        }
         print_merged(all, as_json->count > 0);
-        pps_host_list_clear(&hosts);
     }
     json_decref(all);
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- /dev/null
+++ b/src/util/log_line.c
@@ -0,0 +1,49 @@
+/** @file log_line.c @brief From a log's line to an event. */
+#include "log_line.h"
+
+#include "clock.h"
+#include "papayaswitch/errors.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+/* Time of day as the logger writes it, 2026-12-04T02:36:06.186137Z. */
+static int
+read_time(long long *out, const char *text)
+{
+    struct tm parts = {0};
+    const char *rest =
+        text != NULL ? strptime(text, "%Y-%m-%dT%H:%M:%S", &parts) : NULL;
+    int us;
+
+    if (rest == NULL || sscanf(rest, ".%6dZ", &us) != 1) {
+        return PPS_ECORRUPT;
+    }
+    *out = (long long)timegm(&parts) * PPS_US_PER_S + us;
+    return PPS_OK;
+}
+
+int
+pps_log_line_read(json_t **out, const char *line, long long seq)
+{
+    const char *begin = strchr(line, '{');
+    json_t *event =
+        begin != NULL ? json_loads(begin, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
+    const json_t *name = json_object_get(event, "event");
+    long long time_us;
+
+    if (!json_is_string(name) ||
+        read_time(&time_us,
+                  json_string_value(json_object_get(event, "time"))) != 0) {
+        json_decref(event);
+        return pps_error_set(PPS_ECORRUPT, "no line of a log");
+    }
+    json_object_set_new(event, "kind", json_string(json_string_value(name)));
+    json_object_set_new(event, "time_us", json_integer(time_us));
+    json_object_set_new(event, "seq", json_integer(seq));
+    json_object_del(event, "event");
+    json_object_del(event, "time");
+    *out = event;
+    return PPS_OK;
+}
