--- /dev/null
+++ b/tests/entry/world.c
@@ -0,0 +1,145 @@
+/** @file world.c @brief One host's traffic, with workers by script. */
+#include "world.h"
+
+#include "caller_wire.h"
+#include "clock.h"
+#include "records.h"
+#include "worker_wire.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LIMIT_MS 4000
+
+static const char config[] =
+    "{\"version\":1,\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":8,"
+    "\"models\":[{\"name\":\"m0\",\"cost\":0.1},{\"name\":\"m1\",\"cost\":1}]"
+    "}}],\"routes\":["
+    "{\"name\":\"a\",\"host\":\"h\",\"path_prefix\":\"/safe/\",\"kind\":"
+    "\"safe\",\"service\":\"s\",\"max_attempts\":2,\"timeout_ms\":3000,"
+    "\"target_latency_ms\":2000},"
+    "{\"name\":\"b\",\"host\":\"h\",\"path_prefix\":\"/once/\",\"kind\":"
+    "\"non_idempotent\",\"service\":\"s\",\"max_attempts\":1,"
+    "\"timeout_ms\":3000,\"target_latency_ms\":2000},"
+    "{\"name\":\"c\",\"host\":\"h\",\"path_prefix\":\"/stream/\",\"kind\":"
+    "\"streaming\",\"service\":\"s\",\"max_attempts\":3,\"timeout_ms\":3000,"
+    "\"target_latency_ms\":2000,\"stream_resume\":true,\"gap_aim_ms\":1500},"
+    "{\"name\":\"d\",\"host\":\"h\",\"path_prefix\":\"/sized/\",\"kind\":"
+    "\"streaming\",\"service\":\"s\",\"max_attempts\":3,\"timeout_ms\":3000,"
+    "\"target_latency_ms\":2000,\"stream_resume\":true,\"gap_aim_ms\":1500,"
+    "\"sizes\":[\"m0\",\"m1\"]}"
+    "],\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":4096,"
+    "\"header_timeout_ms\":1000,\"idle_timeout_ms\":2000},\"tenants\":[{"
+    "\"name\":\"team\",\"api_keys\":[\"key\"]}]}";
+
+void
+world_start(world_t *world, const net_answer_t *script, size_t size)
+{
+    const pps_dispatch_options_t options = {
+        .failure_domain = "z",
+        .repeat_ratio = 1,
+        .repeat_more = 20,
+        .repeat_window_us = 10 * PPS_US_PER_S,
+        .confidence_min = 50,
+        .rollout = {0.15, 30},
+    };
+    pps_deployment_t *deployment;
+
+    memset(world, 0, sizeof(*world));
+    cr_assert_eq(pps_reactor_init(&world->reactor), 0);
+    cr_assert_eq(pps_dispatcher_init(&world->dispatcher, &world->reactor,
+                                     &options, &pps_caller_wire_ops,
+                                     &pps_worker_wire_ops),
+                 0);
+    cr_assert_eq(pps_record_deployment(&deployment, config, strlen(config)),
+                 0);
+    pps_dispatcher_deploy(&world->dispatcher, deployment);
+    cr_assert_eq(pps_http_server_new(&world->callers, &world->reactor,
+                                     "127.0.0.1", 0, &world->dispatcher.limits,
+                                     &pps_dispatcher_server_ops,
+                                     &world->dispatcher),
+                 0);
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        pps_worker_info_t info = {.upstream = "s",
+                                  .failure_domain = "z",
+                                  .version = "v1",
+                                  .slots = 8};
+
+        net_server_start(&world->workers[i], &world->reactor, script, size);
+        snprintf(info.id, sizeof(info.id), "w%d", i);
+        snprintf(info.address, sizeof(info.address), "%s",
+                 world->workers[i].address);
+        pps_pool_put(world->dispatcher.pool, &info);
+    }
+}
+
+size_t
+world_sends(const world_t *world)
+{
+    size_t sum = 0;
+
+    for (int i = 0; i < WORLD_WORKERS; i++) {
+        sum += world->workers[i].requests;
+    }
+    return sum;
+}
+
+void
+world_request(world_t *world, net_client_t *client, const char *path,
+              const char *more)
+{
+    char text[1024];
+
+    snprintf(text, sizeof(text),
+             "POST %sx HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+             "X-Deadline-Ms: 3000\r\nAuthorization: Token key\r\n%s"
+             "Connection: close\r\nContent-Length: 4\r\n\r\nbody",
+             path, more);
+    net_client_start(client, &world->reactor,
+                     pps_http_server_port(world->callers), text);
+}
+
+void
+world_ask(world_t *world, net_client_t *client, const char *path,
+          const char *more)
+{
+    world_request(world, client, path, more);
+    net_run_until_ended(&world->reactor, client, LIMIT_MS);
+}
+
+static void
+decode_chunks(pps_buf_t *out, const char *text)
+{
+    size_t size;
+    char *end;
+
+    while ((size = strtoul(text, &end, 16)) > 0) {
+        pps_buf_append(out, end + 2, size);
+        text = end + 2 + size + 2;
+    }
+}
+
+void
+world_expect(const world_answer_t *answer, const net_client_t *client)
+{
+    const char *text = pps_buf_text(&client->got);
+    const char *body = strstr(text, "\r\n\r\n");
+    pps_buf_t plain = PPS_BUF_INIT;
+
+    cr_assert_not_null(body, "%s: no answer", answer->name);
+    cr_expect_eq(strncmp(text + strlen("HTTP/1.1 "), answer->status, 3), 0,
+                 "%s: %.20s", answer->name, text);
+    if (strstr(text, "chunked") != NULL) {
+        decode_chunks(&plain, body + 4);
+    }
+    else {
+        pps_buf_puts(&plain, body + 4);
+    }
+    if (answer->body[0] != '\0') {
+        cr_expect_str_eq(pps_buf_text(&plain), answer->body, "%s",
+                         answer->name);
+    }
+    pps_buf_clear(&plain);
+}
