--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -14,7 +14,7 @@
 
 #include <sys/types.h>
 
-#define SOAK_HOSTS_MAX 16
+#define SOAK_HOSTS_MAX 200
 #define SOAK_WORKERS 5
 #define SOAK_TEXT 64
 
