--- /dev/null
+++ b/src/libpapayaswitch/gossip/cursor.c
@@ -0,0 +1,60 @@
+/** @file cursor.c @brief Members of a msgpack array, checked for their type.
+ */
+#include "cursor.h"
+
+#include <string.h>
+
+const msgpack_object *
+pps_cursor_next(pps_cursor_t *cursor)
+{
+    if (cursor->left == 0) {
+        cursor->failed = 1;
+        return NULL;
+    }
+    cursor->left--;
+    return cursor->at++;
+}
+
+pps_cursor_t
+pps_cursor_array(pps_cursor_t *cursor)
+{
+    const msgpack_object *object = pps_cursor_next(cursor);
+    pps_cursor_t inner = {0};
+
+    if (object == NULL || object->type != MSGPACK_OBJECT_ARRAY) {
+        cursor->failed = 1;
+        return inner;
+    }
+    inner.at = object->via.array.ptr;
+    inner.left = object->via.array.size;
+    return inner;
+}
+
+int64_t
+pps_cursor_number(pps_cursor_t *cursor)
+{
+    const msgpack_object *object = pps_cursor_next(cursor);
+
+    if (object != NULL && object->type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return (int64_t)object->via.u64;
+    }
+    if (object != NULL && object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+        return object->via.i64;
+    }
+    cursor->failed = 1;
+    return 0;
+}
+
+void
+pps_cursor_text(char *out, size_t size, pps_cursor_t *cursor)
+{
+    const msgpack_object *object = pps_cursor_next(cursor);
+
+    if (object == NULL || object->type != MSGPACK_OBJECT_STR ||
+        object->via.str.size >= size) {
+        cursor->failed = 1;
+        return;
+    }
+    memcpy(out, object->via.str.ptr, object->via.str.size);
+    out[object->via.str.size] = '\0';
+}
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -1,6 +1,7 @@
 /** @file gossip_codec.c @brief Datagrams in msgpack. */
 #include "gossip_codec.h"
 
+#include "cursor.h"
 #include "msgpack_check.h"
 #include "papayaswitch/errors.h"
 
@@ -125,74 +126,12 @@
     return out->failed ? PPS_ENOMEM : PPS_OK;
 }
 
-/* A cursor over the members of an array; one wrong type fails them all. */
-typedef struct {
-    const msgpack_object *at;
-    uint32_t left;
-    int failed;
-} cursor_t;
-
-static const msgpack_object *
-next(cursor_t *cursor)
-{
-    if (cursor->left == 0) {
-        cursor->failed = 1;
-        return NULL;
-    }
-    cursor->left--;
-    return cursor->at++;
-}
-
-static cursor_t
-take_array(cursor_t *cursor)
-{
-    const msgpack_object *object = next(cursor);
-    cursor_t inner = {0};
-
-    if (object == NULL || object->type != MSGPACK_OBJECT_ARRAY) {
-        cursor->failed = 1;
-        return inner;
-    }
-    inner.at = object->via.array.ptr;
-    inner.left = object->via.array.size;
-    return inner;
-}
-
-static int64_t
-take_number(cursor_t *cursor)
-{
-    const msgpack_object *object = next(cursor);
-
-    if (object != NULL && object->type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
-        return (int64_t)object->via.u64;
-    }
-    if (object != NULL && object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
-        return object->via.i64;
-    }
-    cursor->failed = 1;
-    return 0;
-}
-
-static void
-take_text(char *out, cursor_t *cursor)
-{
-    const msgpack_object *object = next(cursor);
-
-    if (object == NULL || object->type != MSGPACK_OBJECT_STR ||
-        object->via.str.size >= PPS_GOSSIP_TEXT_BYTES) {
-        cursor->failed = 1;
-        return;
-    }
-    memcpy(out, object->via.str.ptr, object->via.str.size);
-    out[object->via.str.size] = '\0';
-}
-
 static void
-take_count(pps_rollout_tally_t *tally, cursor_t *list)
+take_count(pps_rollout_tally_t *tally, pps_cursor_t *list)
 {
-    cursor_t fields = take_array(list);
-    int target = (int)take_number(&fields);
-    uint64_t kind = (uint64_t)take_number(&fields);
+    pps_cursor_t fields = pps_cursor_array(list);
+    int target = (int)pps_cursor_number(&fields);
+    uint64_t kind = (uint64_t)pps_cursor_number(&fields);
     pps_rollout_count_t *count;
 
     if (fields.failed || kind >= PPS_ROLLOUT_KINDS) {
@@ -200,32 +139,32 @@
         return;
     }
     count = target ? &tally->target[kind] : &tally->before[kind];
-    count->answers = (uint32_t)take_number(&fields);
-    count->failures = (uint32_t)take_number(&fields);
-    count->timed = (uint32_t)take_number(&fields);
-    count->first_byte_us = (uint64_t)take_number(&fields);
+    count->answers = (uint32_t)pps_cursor_number(&fields);
+    count->failures = (uint32_t)pps_cursor_number(&fields);
+    count->timed = (uint32_t)pps_cursor_number(&fields);
+    count->first_byte_us = (uint64_t)pps_cursor_number(&fields);
     list->failed |= fields.failed;
 }
 
 static void
-take_rollout(pps_gossip_rollout_t *out, cursor_t *list, int64_t now_us)
+take_rollout(pps_gossip_rollout_t *out, pps_cursor_t *list, int64_t now_us)
 {
-    cursor_t fields = take_array(list);
+    pps_cursor_t fields = pps_cursor_array(list);
     pps_rollout_t *rollout = &out->rollout;
-    cursor_t counts;
-
-    take_text(rollout->upstream, &fields);
-    take_text(rollout->target, &fields);
-    rollout->state = (pps_rollout_state_t)take_number(&fields);
-    rollout->started_us = now_us - take_number(&fields);
-    rollout->duration_us = take_number(&fields);
-    rollout->share = (unsigned int)take_number(&fields);
-    rollout->held = (int)take_number(&fields);
-    rollout->next_share = (unsigned int)take_number(&fields);
-    rollout->next_age_us = take_number(&fields);
-    out->tally.requests = (uint32_t)take_number(&fields);
-    out->tally.exposed = (uint32_t)take_number(&fields);
-    counts = take_array(&fields);
+    pps_cursor_t counts;
+
+    pps_cursor_text(rollout->upstream, sizeof(rollout->upstream), &fields);
+    pps_cursor_text(rollout->target, sizeof(rollout->target), &fields);
+    rollout->state = (pps_rollout_state_t)pps_cursor_number(&fields);
+    rollout->started_us = now_us - pps_cursor_number(&fields);
+    rollout->duration_us = pps_cursor_number(&fields);
+    rollout->share = (unsigned int)pps_cursor_number(&fields);
+    rollout->held = (int)pps_cursor_number(&fields);
+    rollout->next_share = (unsigned int)pps_cursor_number(&fields);
+    rollout->next_age_us = pps_cursor_number(&fields);
+    out->tally.requests = (uint32_t)pps_cursor_number(&fields);
+    out->tally.exposed = (uint32_t)pps_cursor_number(&fields);
+    counts = pps_cursor_array(&fields);
     while (counts.left > 0 && !counts.failed) {
         take_count(&out->tally, &counts);
     }
@@ -237,39 +176,41 @@
 }
 
 static void
-take_message(pps_gossip_message_t *out, cursor_t *fields, int64_t now_us)
+take_message(pps_gossip_message_t *out, pps_cursor_t *fields, int64_t now_us)
 {
     pps_gossip_state_t *state = &out->state;
-    cursor_t list;
+    pps_cursor_t list;
 
-    if (take_number(fields) != FORMAT_VERSION) {
+    if (pps_cursor_number(fields) != FORMAT_VERSION) {
         fields->failed = 1;
         return;
     }
-    take_text(state->host_id, fields);
-    take_text(state->address, fields);
-    take_text(state->failure_domain, fields);
-    state->live = (int)take_number(fields);
-    state->incarnation = (uint64_t)take_number(fields);
-    list = take_array(fields);
+    pps_cursor_text(state->host_id, sizeof(state->host_id), fields);
+    pps_cursor_text(state->address, sizeof(state->address), fields);
+    pps_cursor_text(state->failure_domain, sizeof(state->failure_domain),
+                    fields);
+    state->live = (int)pps_cursor_number(fields);
+    state->incarnation = (uint64_t)pps_cursor_number(fields);
+    list = pps_cursor_array(fields);
     for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
-        state->topic_marks[i] = take_number(&list);
+        state->topic_marks[i] = pps_cursor_number(&list);
     }
     fields->failed |= list.failed;
-    list = take_array(fields);
+    list = pps_cursor_array(fields);
     for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
-        state->topic_ends[i] = take_number(&list);
+        state->topic_ends[i] = pps_cursor_number(&list);
     }
     fields->failed |= list.failed;
-    state->read_age_us = take_number(fields);
-    state->leaving = (int)take_number(fields);
-    state->link_mbps = (int)take_number(fields);
-    list = take_array(fields);
+    state->read_age_us = pps_cursor_number(fields);
+    state->leaving = (int)pps_cursor_number(fields);
+    state->link_mbps = (int)pps_cursor_number(fields);
+    list = pps_cursor_array(fields);
     while (list.left > 0 && out->hint_count < PPS_GOSSIP_HINTS) {
-        take_text(out->hints[out->hint_count++], &list);
+        pps_cursor_text(out->hints[out->hint_count++], PPS_GOSSIP_TEXT_BYTES,
+                        &list);
     }
     fields->failed |= list.failed;
-    list = take_array(fields);
+    list = pps_cursor_array(fields);
     while (list.left > 0 && state->rollout_count < PPS_GOSSIP_ROLLOUTS) {
         take_rollout(&state->rollouts[state->rollout_count++], &list, now_us);
     }
@@ -281,16 +222,16 @@
                   int64_t now_us)
 {
     msgpack_unpacked unpacked;
-    cursor_t root;
-    cursor_t fields;
+    pps_cursor_t root;
+    pps_cursor_t fields;
 
     memset(out, 0, sizeof(*out));
     if (pps_msgpack_unpack(&unpacked, data, size) != 0) {
         msgpack_unpacked_destroy(&unpacked);
         return PPS_ECORRUPT;
     }
-    root = (cursor_t){&unpacked.data, 1, 0};
-    fields = take_array(&root);
+    root = (pps_cursor_t){&unpacked.data, 1, 0};
+    fields = pps_cursor_array(&root);
     if (!root.failed) {
         take_message(out, &fields, now_us);
     }
@@ -317,21 +258,21 @@
                          size_t size)
 {
     msgpack_unpacked unpacked;
-    cursor_t root;
-    cursor_t fields;
+    pps_cursor_t root;
+    pps_cursor_t fields;
 
     if (pps_msgpack_unpack(&unpacked, data, size) != 0) {
         msgpack_unpacked_destroy(&unpacked);
         return PPS_ECORRUPT;
     }
-    root = (cursor_t){&unpacked.data, 1, 0};
-    fields = take_array(&root);
-    if (take_number(&fields) != NOTICE_VERSION) {
+    root = (pps_cursor_t){&unpacked.data, 1, 0};
+    fields = pps_cursor_array(&root);
+    if (pps_cursor_number(&fields) != NOTICE_VERSION) {
         fields.failed = 1;
     }
-    out->worker = (uint64_t)take_number(&fields);
-    out->prefix = (uint64_t)take_number(&fields);
-    out->work = (uint64_t)take_number(&fields);
+    out->worker = (uint64_t)pps_cursor_number(&fields);
+    out->prefix = (uint64_t)pps_cursor_number(&fields);
+    out->work = (uint64_t)pps_cursor_number(&fields);
     msgpack_unpacked_destroy(&unpacked);
     return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
 }
@@ -358,16 +299,16 @@
 }
 
 static void
-take_record(pps_gossip_record_t *out, cursor_t *fields)
+take_record(pps_gossip_record_t *out, pps_cursor_t *fields)
 {
     const msgpack_object *key;
     const msgpack_object *value;
 
-    out->topic = (unsigned int)take_number(fields);
-    out->offset = take_number(fields);
-    out->mark_before = take_number(fields);
-    key = next(fields);
-    value = next(fields);
+    out->topic = (unsigned int)pps_cursor_number(fields);
+    out->offset = pps_cursor_number(fields);
+    out->mark_before = pps_cursor_number(fields);
+    key = pps_cursor_next(fields);
+    value = pps_cursor_next(fields);
     if (fields->failed || key->type != MSGPACK_OBJECT_BIN ||
         (value->type != MSGPACK_OBJECT_BIN &&
          value->type != MSGPACK_OBJECT_NIL) ||
@@ -387,16 +328,16 @@
 pps_gossip_decode_record(pps_gossip_record_t *out, msgpack_unpacked *memory,
                          const char *data, size_t size)
 {
-    cursor_t root;
-    cursor_t fields;
+    pps_cursor_t root;
+    pps_cursor_t fields;
 
     memset(out, 0, sizeof(*out));
     if (pps_msgpack_unpack(memory, data, size) != 0) {
         return PPS_ECORRUPT;
     }
-    root = (cursor_t){&memory->data, 1, 0};
-    fields = take_array(&root);
-    if (take_number(&fields) != RECORD_VERSION) {
+    root = (pps_cursor_t){&memory->data, 1, 0};
+    fields = pps_cursor_array(&root);
+    if (pps_cursor_number(&fields) != RECORD_VERSION) {
         return PPS_ECORRUPT;
     }
     take_record(out, &fields);
