Requests that come while a host starts wait a little for it to know what to serve

A host that starts is about to know; a request now waits for that for 0.08 of its caller's patience, 2 s at most, up to 400 of them, and is refused then, not run, with the time to come back.

--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -44,6 +44,7 @@
     pps_deployment_free(dispatcher->deployment);
     dispatcher->deployment = deployment;
     dispatcher->limits = deployment->limits;
+    pps_exchange_admit_waiting(dispatcher);
     return 1;
 }
 
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -14,6 +14,11 @@
 #define STATUS_TIMEOUT 504
 #define STATUS_BAD_GATEWAY 502
 #define LEFT_MAX_US (3600 * PPS_US_PER_S)
+/** Part of a caller's patience that it waits for a host that starts, the
+ * longest such wait, and how many may wait. */
+#define START_WAIT_PART 0.08
+#define START_WAIT_MAX_US (2 * PPS_US_PER_S)
+#define START_WAITING_MAX 400
 
 int64_t
 pps_exchange_left_us(const pps_exchange_t *exchange)
@@ -119,6 +124,11 @@
 void
 pps_exchange_gone(pps_exchange_t *exchange)
 {
+    if (exchange->route == NULL) {
+        pps_decision_refused(exchange->call.id, 0, "caller_gone", 0);
+        pps_exchange_free(exchange);
+        return;
+    }
     pps_decision_ended(exchange, 0, "caller_gone");
     if (exchange->attempt != PPS_ATTEMPT_NONE) {
         pps_exchange_drop_attempt(exchange, PPS_WORKER_NO_VERDICT);
@@ -241,50 +251,126 @@
     exchange->dispatcher = dispatcher;
     exchange->conn = conn;
     exchange->request = request;
-    exchange->deployment = pps_deployment_ref(dispatcher->deployment);
     cds_list_add_tail(&exchange->node, &dispatcher->exchanges);
     dispatcher->exchange_count++;
     pps_http_conn_attach(conn, exchange);
     return exchange;
 }
 
+static void
+refuse_unidentified(pps_exchange_t *exchange, unsigned int status,
+                    int64_t retry_after_us, const char *reason)
+{
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    pps_http_conn_t *conn = exchange->conn;
+    int64_t revision =
+        dispatcher->deployment != NULL ? dispatcher->deployment->revision : 0;
+
+    pps_decision_refused(exchange->call.id, status, reason, revision);
+    pps_exchange_free(exchange);
+    respond(dispatcher, conn, status, retry_after_us);
+}
+
+static void
+admit(pps_exchange_t *exchange)
+{
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    unsigned int status;
+
+    exchange->deployment = pps_deployment_ref(dispatcher->deployment);
+    status = identify(exchange->deployment, &exchange->call,
+                      pps_buf_text(&exchange->request->target),
+                      &exchange->route, &exchange->workspace);
+    if (status != 0) {
+        refuse_unidentified(exchange, status, -1, "not_allowed");
+        return;
+    }
+    start(exchange);
+}
+
+static int
+can_serve(const pps_dispatcher_t *dispatcher)
+{
+    return dispatcher->deployment != NULL &&
+           pps_pool_count(dispatcher->pool) > 0;
+}
+
+static void
+on_still_starting(int64_t now_us, void *user)
+{
+    pps_exchange_t *exchange = user;
+
+    if (exchange->dispatcher->deployment != NULL) {
+        admit(exchange);
+        return;
+    }
+    refuse_unidentified(exchange, STATUS_UNAVAILABLE,
+                        when_started_us(exchange->dispatcher, &exchange->call),
+                        "no_deployment");
+}
+
+/* A host that has just started is about to know what to serve: a request waits
+ * for that for a small part of its caller's patience. */
+static void
+wait_for_start(pps_exchange_t *exchange)
+{
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    int64_t wait_us =
+        (int64_t)((double)exchange->call.patience_us * START_WAIT_PART);
+
+    if (wait_us > START_WAIT_MAX_US) {
+        wait_us = START_WAIT_MAX_US;
+    }
+    if (dispatcher->exchange_count > START_WAITING_MAX) {
+        wait_us = 0;
+    }
+    pps_reactor_after(dispatcher->reactor, &exchange->deadline_timer, wait_us,
+                      on_still_starting, exchange);
+}
+
+void
+pps_exchange_admit_waiting(pps_dispatcher_t *dispatcher)
+{
+    pps_exchange_t *exchange;
+    pps_exchange_t *next;
+
+    if (!can_serve(dispatcher)) {
+        return;
+    }
+    cds_list_for_each_entry_safe (exchange, next, &dispatcher->exchanges,
+                                  node) {
+        if (exchange->route == NULL) {
+            pps_timers_cancel(&exchange->deadline_timer);
+            admit(exchange);
+        }
+    }
+}
+
 void
 pps_exchange_begin(pps_dispatcher_t *dispatcher, pps_http_conn_t *conn,
                    const pps_http_request_t *request)
 {
     pps_call_t call = {0};
-    const pps_route_t *route = NULL;
-    const pps_workspace_t *workspace = NULL;
     unsigned int status = dispatcher->caller->decode(&call, request);
     pps_exchange_t *exchange;
 
-    if (status == 0 && dispatcher->deployment == NULL) {
-        respond(dispatcher, conn, STATUS_UNAVAILABLE,
-                when_started_us(dispatcher, &call));
-        pps_decision_refused(call.id, STATUS_UNAVAILABLE, "no_deployment", 0);
-        return;
-    }
-    if (status == 0) {
-        status = identify(dispatcher->deployment, &call,
-                          pps_buf_text(&request->target), &route, &workspace);
-    }
     if (status != 0) {
-        pps_decision_refused(
-            call.id, status, "not_allowed",
-            dispatcher->deployment ? dispatcher->deployment->revision : 0);
+        pps_decision_refused(call.id, status, "malformed", 0);
         respond(dispatcher, conn, status, -1);
         return;
     }
     exchange = exchange_new(dispatcher, conn, request);
     if (exchange == NULL) {
+        pps_decision_refused(call.id, STATUS_UNAVAILABLE, "out_of_memory", 0);
         respond(dispatcher, conn, STATUS_UNAVAILABLE,
                 when_started_us(dispatcher, &call));
-        pps_decision_refused(call.id, STATUS_UNAVAILABLE, "out_of_memory",
-                             dispatcher->deployment->revision);
         return;
     }
     exchange->call = call;
-    exchange->route = route;
-    exchange->workspace = workspace;
-    start(exchange);
+    if (can_serve(dispatcher)) {
+        admit(exchange);
+    }
+    else {
+        wait_for_start(exchange);
+    }
 }
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -68,6 +68,11 @@
 pps_exchange_begin(pps_dispatcher_t *dispatcher, pps_http_conn_t *conn,
                    const pps_http_request_t *request);
 
+/** Requests that came before this host knew what to serve are admitted, once
+ * it does. */
+void
+pps_exchange_admit_waiting(pps_dispatcher_t *dispatcher);
+
 /** The caller has left. */
 void
 pps_exchange_gone(pps_exchange_t *exchange);
--- a/tests/entry/test_exchange_refusals.c
+++ b/tests/entry/test_exchange_refusals.c
@@ -64,4 +64,53 @@
     cr_assert_not_null(field);
     cr_expect_float_eq(strtod(field + strlen("Retry-After: "), NULL), 0.75,
                        0.01);
+    cr_expect_eq(world_sends(&world), 0);
+    cr_expect_eq(world.dispatcher.exchange_count, 0);
+}
+
+/* A request that comes just before the host knows what to serve is served. */
+Test(exchange_refusals, a_request_waits_for_the_start)
+{
+    static const net_answer_t script[] = {{OK_PLAIN, NET_KEEP}};
+    static const world_answer_t served = {"served", "200", "hi"};
+    world_t world;
+    net_client_t client;
+    pps_deployment_t *deployment;
+
+    world_start(&world, script, 1);
+    deployment = world.dispatcher.deployment;
+    world.dispatcher.deployment = NULL;
+    world_request(&world, &client, "/safe/", "");
+    while (world.dispatcher.exchange_count == 0) {
+        net_run_for(&world.reactor, 1);
+    }
+    cr_expect_eq(world_sends(&world), 0);
+    pps_dispatcher_deploy(&world.dispatcher, deployment);
+    net_run_until_ended(&world.reactor, &client, 4000);
+    world_expect(&served, &client);
+    cr_expect_eq(world.dispatcher.exchange_count, 0);
+}
+
+/* One whose caller leaves meanwhile is forgotten. */
+Test(exchange_refusals, a_caller_leaves_a_starting_host)
+{
+    static const net_answer_t script[] = {{OK_PLAIN, NET_KEEP}};
+    world_t world;
+    net_client_t client;
+    pps_deployment_t *deployment;
+
+    world_start(&world, script, 1);
+    deployment = world.dispatcher.deployment;
+    world.dispatcher.deployment = NULL;
+    world_request(&world, &client, "/safe/", "");
+    while (world.dispatcher.exchange_count == 0) {
+        net_run_for(&world.reactor, 1);
+    }
+    net_client_close(&client);
+    while (world.dispatcher.exchange_count > 0) {
+        net_run_for(&world.reactor, 1);
+    }
+    pps_dispatcher_deploy(&world.dispatcher, deployment);
+    net_run_for(&world.reactor, 20);
+    cr_expect_eq(world_sends(&world), 0);
 }
