A request that may have run keeps trying on a host that seems cut off

Cause, found on reading the change: a stream under way whose worker broke off was given up at once while four connections in a row had gone unanswered; only requests that have not run can be taken by another host.

--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -269,7 +269,8 @@
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
     pps_pool_worker_t *worker;
 
-    if (!pps_reach_try(&dispatcher->reach, dispatcher->reactor->now_us)) {
+    if (exchange->runs == 0 &&
+        !pps_reach_try(&dispatcher->reach, dispatcher->reactor->now_us)) {
         pps_exchange_give_up(exchange, PPS_COMEBACK_ELSEWHERE,
                              "workers_out_of_reach");
         return;
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -6,8 +6,8 @@
 #include <string.h>
 
 #define CANDIDATES_MAX 1024
-/** Load that the usual time to a first byte stands for, in parts of the
- * route's target. */
+/** Load that first bytes stand for which usually come at their route's target.
+ */
 #define WAIT_WEIGHT 5.0
 
 static int
