--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "call.h"
 #include "deployment/deployment.h"
+#include "lateness.h"
 #include "pool/pool.h"
 #include "pool/prefix_memory.h"
 #include "pool/reach.h"
@@ -49,7 +50,7 @@
     pps_rollout_t rollout;
     pps_rollout_tally_t tally; /**< seen by this host */
     double first_byte_us;      /**< smoothed time to a first byte */
-    double first_byte_part;    /**< smoothed part of the route's target */
+    pps_lateness_t lateness;
     double answer_us;          /**< smoothed time that a call takes there */
     pps_read_rate_t read_rate; /**< of its workers */
 } pps_upstream_state_t;
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -49,8 +49,6 @@
         exchange->dispatcher->reactor->now_us - exchange->sent_us;
     pps_rollout_count_t *count = evidence_of(exchange);
     double *usual = &exchange->upstream_state->first_byte_us;
-    double *part = &exchange->upstream_state->first_byte_part;
-    int64_t target = exchange->route->target_us;
 
     pps_read_rate_learn(&exchange->upstream_state->read_rate,
                         exchange->work + exchange->backlog, elapsed);
@@ -58,10 +56,8 @@
     count->timed++;
     count->first_byte_us += (uint64_t)elapsed;
     *usual += ((double)elapsed - *usual) * FIRST_BYTE_WEIGHT;
-    if (target > 0) {
-        *part +=
-            ((double)elapsed / (double)target - *part) * FIRST_BYTE_WEIGHT;
-    }
+    pps_lateness_note(&exchange->upstream_state->lateness, elapsed,
+                      exchange->route->target_us);
 }
 
 /* The worker says that it has not run the request. */
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -204,7 +204,7 @@
 double
 pps_exchange_load(const pps_exchange_t *exchange)
 {
-    double waits = exchange->upstream_state->first_byte_part * WAIT_WEIGHT;
+    double waits = exchange->upstream_state->lateness.part * WAIT_WEIGHT;
     double busy;
     double slots;
     double load;
--- a/tests/entry/test_exchange_parts.c
+++ b/tests/entry/test_exchange_parts.c
@@ -2,6 +2,7 @@
 #include "clock.h"
 #include "exchange/comeback.h"
 #include "exchange/event_split.h"
+#include "exchange/lateness.h"
 #include "exchange/model_choice.h"
 #include "exchange/repeat_limit.h"
 #include "papayaswitch/errors.h"
@@ -207,6 +208,49 @@
     cr_expect_leq(last_us, (int64_t)CROWD * S / SLOTS);
 }
 
+typedef struct {
+    const char *what;
+    int64_t elapsed_us;
+    int64_t target_us;
+    double part;
+} lateness_case_t;
+
+/* What a hundred first bytes like this come to. */
+static const lateness_case_t lateness_cases[] = {
+    {"a tenth of the target", 150 * MS, 1500 * MS, 0.1},
+    {"the same on a route of long prompts", 300 * MS, 3 * S, 0.1},
+    {"late", 1500 * MS, 1500 * MS, 1},
+    {"very late is no more than late", 60 * S, 1500 * MS, 1},
+    {"no target", S, 0, 0},
+};
+
+Test(lateness, table)
+{
+    for (size_t i = 0; i < sizeof(lateness_cases) / sizeof(*lateness_cases);
+         i++) {
+        pps_lateness_t lateness = {0};
+
+        for (int n = 0; n < 100; n++) {
+            pps_lateness_note(&lateness, lateness_cases[i].elapsed_us,
+                              lateness_cases[i].target_us);
+        }
+        cr_expect_float_eq(lateness.part, lateness_cases[i].part, 0.01, "%s",
+                           lateness_cases[i].what);
+    }
+}
+
+/* One answer of a silent worker is no load of all the others. */
+Test(lateness, one_very_late_among_many)
+{
+    pps_lateness_t lateness = {0};
+
+    for (int n = 0; n < 100; n++) {
+        pps_lateness_note(&lateness, 75 * MS, 1500 * MS);
+    }
+    pps_lateness_note(&lateness, 20 * S, 1500 * MS);
+    cr_expect_leq(lateness.part, 0.1);
+}
+
 Test(read_queue, drains_at_the_learned_rate)
 {
     pps_read_rate_t rate = {0.01};
