Copies listed before and after a removal are not taken for alike

Two hosts that listed before and after had the same mark, and the first was told that it had read up to the second's end: it skipped the removal for good (by its log: neither unlisted nor a gap). Change: a listing that brought something new marks the topic's end. Test: listings_beside_a_removal_are_not_alike failed before, passes now.

--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -28,6 +28,7 @@
     pps_table_t table;
     int64_t end;
     int64_t mark;
+    int64_t mark_listing; /* when the listing under way began */
     int64_t reading;
     pps_mirror_changed_fn changed;
     void *user;
@@ -218,6 +219,7 @@
     cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
         entry->listed = 0;
     }
+    mirror->mark_listing = mirror->mark;
 }
 
 int
@@ -238,6 +240,10 @@
             drop(mirror, entry, end);
         }
     }
+    /* Keys that are gone leave no entry to tell when they went. */
+    if (mirror->mark != mirror->mark_listing && end > mirror->mark) {
+        mirror->mark = end;
+    }
     pps_mirror_advance(mirror, end);
 }
 
--- a/tests/entry/test_mirror.c
+++ b/tests/entry/test_mirror.c
@@ -209,3 +209,36 @@
         pps_mirror_free(mirror);
     }
 }
+
+static int
+matters_always(void *user, const char *key, const char *value, size_t size)
+{
+    return 1;
+}
+
+/* Two hosts list the topic, one before a key was dropped and one after: the
+ * listings' newest values are alike, the copies are not, and the first one
+ * must not be told that it has read the removal. */
+Test(mirror, listings_beside_a_removal_are_not_alike)
+{
+    pps_mirror_t *before;
+    pps_mirror_t *after;
+    size_t size;
+
+    cr_assert_eq(pps_mirror_new(&before, matters_always, NULL), 0);
+    cr_assert_eq(pps_mirror_new(&after, matters_always, NULL), 0);
+    pps_mirror_listing_begin(before);
+    pps_mirror_listing_entry(before, 3, "gone", 4, "v", 1);
+    pps_mirror_listing_entry(before, 4, "kept", 4, "v", 1);
+    pps_mirror_listing_end(before, 5);
+    pps_mirror_listing_begin(after);
+    pps_mirror_listing_entry(after, 4, "kept", 4, "v", 1);
+    pps_mirror_listing_end(after, 6);
+    pps_mirror_heard_end(before, pps_mirror_mark(after),
+                         pps_mirror_end(after));
+    pps_mirror_record(before, 5, "gone", 4, NULL, 0);
+    cr_expect_null(pps_mirror_get(&size, before, "gone"));
+    cr_expect_eq(pps_mirror_mark(before), pps_mirror_mark(after));
+    pps_mirror_free(before);
+    pps_mirror_free(after);
+}
