--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -129,9 +129,10 @@
     host_t *host = &soak->host[index];
     FILE *file;
 
+    /* By process, so that the same seed can run twice on one machine. */
     snprintf(host->address, sizeof(host->address), "127.%u.%u.%d",
-             1 + (unsigned int)(soak->seed % 200),
-             (unsigned int)(soak->seed / 200 % 250), index + 1);
+             1 + (unsigned int)getpid() % 200,
+             (unsigned int)getpid() / 200 % 250, index + 1);
     snprintf(host->settings, sizeof(host->settings), "%s/host%d.ini",
              soak->folder, index);
     file = fopen(host->settings, "w");
