--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -2,6 +2,7 @@
 #include "exchange.h"
 
 #include "clock.h"
+#include "crash_line.h"
 #include "decision_log.h"
 #include "exchange_worker.h"
 
@@ -125,6 +126,7 @@
 void
 pps_exchange_on_caller_gone(pps_exchange_t *exchange)
 {
+    pps_crash_line_set_request(exchange->call.id);
     if (exchange->route == NULL) {
         pps_decision_log_refused(exchange->call.id, 0, "caller_gone", 0);
         pps_exchange_free(exchange);
@@ -142,6 +144,7 @@
 {
     pps_exchange_t *exchange = user;
 
+    pps_crash_line_set_request(exchange->call.id);
     pps_exchange_refuse(exchange, STATUS_TIMEOUT, -1, "timeout");
 }
 
@@ -282,6 +285,7 @@
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
     unsigned int status;
 
+    pps_crash_line_set_request(exchange->call.id);
     exchange->deployment = pps_deployment_ref(dispatcher->deployment);
     status = find_route_and_workspace(exchange->deployment, &exchange->call,
                                       pps_buf_text(&exchange->request->target),
@@ -305,6 +309,7 @@
 {
     pps_exchange_t *exchange = user;
 
+    pps_crash_line_set_request(exchange->call.id);
     if (exchange->dispatcher->deployment != NULL) {
         admit(exchange);
         return;
@@ -360,6 +365,7 @@
     unsigned int status = dispatcher->caller->decode(&call, request);
     pps_exchange_t *exchange;
 
+    pps_crash_line_set_request(call.id);
     if (status != 0) {
         pps_decision_log_refused(call.id, status, "malformed", 0);
         send_refusal(dispatcher, conn, status, -1);
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -77,7 +77,13 @@
 void
 pps_exchange_on_caller_gone(pps_exchange_t *exchange);
 
-/** Starts an attempt, or ends the request if no worker can take it. */
+/** Returns whether another attempt is allowed: by the route, by PPS_SENDS_MAX
+ * and by the time until the deadline. */
+int
+pps_exchange_has_attempts_left(const pps_exchange_t *exchange);
+
+/** Starts an attempt, or ends the request if no worker can take it. Call it
+ * again for a request only if pps_exchange_has_attempts_left(). */
 void
 pps_exchange_send(pps_exchange_t *exchange);
 
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -2,6 +2,7 @@
 #include "exchange.h"
 
 #include "clock.h"
+#include "crash_line.h"
 #include "decision_log.h"
 #include "exchange_reply.h"
 #include "exchange_worker.h"
@@ -59,8 +60,8 @@
     exchange->body.size = 0;
 }
 
-static int
-has_attempts_left(const pps_exchange_t *exchange)
+int
+pps_exchange_has_attempts_left(const pps_exchange_t *exchange)
 {
     return exchange->runs < exchange->route->attempts_max &&
            exchange->sends < PPS_SENDS_MAX &&
@@ -81,7 +82,7 @@
 pps_exchange_retry(pps_exchange_t *exchange, const char *reason,
                    int may_have_run)
 {
-    int allowed = has_attempts_left(exchange) &&
+    int allowed = pps_exchange_has_attempts_left(exchange) &&
                   (!may_have_run || pps_exchange_is_repeatable(exchange)) &&
                   take_repeat(exchange, FAILURE_REPEAT_SHARE) == 0;
 
@@ -98,7 +99,8 @@
 {
     pps_exchange_t *exchange = user;
 
-    if (!has_attempts_left(exchange) ||
+    pps_crash_line_set_request(exchange->call.id);
+    if (!pps_exchange_has_attempts_left(exchange) ||
         take_repeat(exchange, SILENCE_REPEAT_SHARE) != 0) {
         pps_decision_log_no_repeat(exchange);
         return;
@@ -145,6 +147,7 @@
 {
     pps_exchange_t *exchange = user;
 
+    pps_crash_line_set_request(exchange->call.id);
     exchange->channel = NULL;
     pps_exchange_on_attempt_failed(exchange, failure);
 }
@@ -152,19 +155,28 @@
 static int
 on_head(void *user, const pps_http_reply_t *reply)
 {
-    return pps_exchange_on_reply_head(user, reply);
+    pps_exchange_t *exchange = user;
+
+    pps_crash_line_set_request(exchange->call.id);
+    return pps_exchange_on_reply_head(exchange, reply);
 }
 
 static void
 on_body(void *user, const char *data, size_t size)
 {
-    pps_exchange_on_reply_body(user, data, size);
+    pps_exchange_t *exchange = user;
+
+    pps_crash_line_set_request(exchange->call.id);
+    pps_exchange_on_reply_body(exchange, data, size);
 }
 
 static void
 on_end(void *user)
 {
-    pps_exchange_on_reply_end(user);
+    pps_exchange_t *exchange = user;
+
+    pps_crash_line_set_request(exchange->call.id);
+    pps_exchange_on_reply_end(exchange);
 }
 
 static const pps_channel_ops_t channel_ops = {on_head, on_body, on_end,
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -94,7 +94,8 @@
     size_t next;
 
     if (route->model_count == 0 || exchange->begun ||
-        !pps_exchange_is_repeatable(exchange)) {
+        !pps_exchange_is_repeatable(exchange) ||
+        !pps_exchange_has_attempts_left(exchange)) {
         return 0;
     }
     next = pps_model_choose(&choice);
--- a/tests/entry/test_exchange.c
+++ b/tests/entry/test_exchange.c
@@ -5,6 +5,7 @@
  * answers that are lost, duplicated or belong to another request.
  */
 #include "counters.h"
+#include "exchange/exchange.h"
 #include "exchange_fixture.h"
 #include "histograms.h"
 
@@ -24,7 +25,8 @@
 typedef struct {
     const char *name;
     const char *path;
-    net_answer_t script[4]; /* of the workers, in the order of attempts */
+    net_answer_t
+        script[PPS_SENDS_MAX]; /* of the workers, in the order of attempts */
     const char *status;
     const char *body; /* "" when only the status is checked */
     size_t sends;
@@ -146,6 +148,19 @@
      "200",
      "id: 1\ndata: event 1\n\n",
      1},
+    {"the answer of the last send is kept, whatever its confidence",
+     "/sized/",
+     {{MOVED, NET_KEEP},
+      {MOVED, NET_KEEP},
+      {MOVED, NET_KEEP},
+      {MOVED, NET_KEEP},
+      {MOVED, NET_KEEP},
+      {MOVED, NET_KEEP},
+      {MOVED, NET_KEEP},
+      {STREAM "X-Confidence: 10\r\n\r\n" EVENT("1") LAST_CHUNK, NET_KEEP}},
+     "200",
+     "id: 1\ndata: event 1\n\n",
+     PPS_SENDS_MAX},
     {"no route", "/none/", {{OK_PLAIN, NET_KEEP}}, "404", "", 0},
 };
 
@@ -155,7 +170,7 @@
         fixture_t fixture;
         net_client_t client;
 
-        fixture_start(&fixture, cases[i].script, 4);
+        fixture_start(&fixture, cases[i].script, PPS_SENDS_MAX);
         net_server_share_script(fixture.workers, FIXTURE_WORKERS);
         fixture_run_request(&fixture, &client, cases[i].path, "");
         fixture_expect(
