--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -99,7 +99,7 @@
         return 0;
     }
     next = pps_model_choose(&choice);
-    if (next == exchange->model ||
+    if (next == exchange->model || !pps_exchange_can_ask(exchange, next) ||
         pps_repeat_limit_take(repeats, &bounds, now_us,
                               CONFIDENCE_REPEAT_SHARE) != 0) {
         return 0;
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -186,6 +186,18 @@
     return worker;
 }
 
+int
+pps_exchange_can_ask(pps_exchange_t *exchange, size_t model)
+{
+    size_t current = exchange->model;
+    int found;
+
+    exchange->model = model;
+    found = pps_exchange_choose_worker(exchange) != NULL;
+    exchange->model = current;
+    return found;
+}
+
 void
 pps_exchange_sum_slots(const pps_exchange_t *exchange, double *busy,
                        double *slots)
--- a/src/libpapayaswitch/exchange/exchange_worker.h
+++ b/src/libpapayaswitch/exchange/exchange_worker.h
@@ -8,6 +8,11 @@
 pps_pool_worker_t *
 pps_exchange_choose_worker(const pps_exchange_t *exchange);
 
+/** Returns whether pps_exchange_choose_worker() finds a worker for another of
+ * the route's models. */
+int
+pps_exchange_can_ask(pps_exchange_t *exchange, size_t model);
+
 /** Returns the digest of the shared prompt part and the current model. */
 uint64_t
 pps_exchange_prefix_digest(const pps_exchange_t *exchange);
--- a/tests/entry/test_exchange.c
+++ b/tests/entry/test_exchange.c
@@ -187,6 +187,32 @@
                  pps_counter_sum(PPS_COUNTER_ENTRY_SERVED));
 }
 
+/* An answer of low confidence is better than none: it is dropped only if a
+ * worker can take the request for the larger model. */
+Test(exchange, answer_is_kept_without_a_worker_for_the_larger_model)
+{
+    static const net_answer_t script[] = {
+        {STREAM "X-Confidence: 10\r\n\r\n" EVENT("1") LAST_CHUNK, NET_KEEP}};
+    static const fixture_answer_t kept = {"kept", "200",
+                                          "id: 1\ndata: event 1\n\n"};
+    fixture_t fixture;
+    net_client_t client;
+    pps_pool_worker_t *worker;
+
+    fixture_start(&fixture, script, 1);
+    cds_list_for_each_entry (
+        worker, pps_pool_workers(fixture.dispatcher.pool), node) {
+        pps_worker_info_t info = worker->info;
+
+        snprintf(info.models[0], sizeof(info.models[0]), "m0");
+        info.model_count = 1;
+        pps_pool_put(fixture.dispatcher.pool, &info);
+    }
+    fixture_run_request(&fixture, &client, "/sized/", "");
+    fixture_expect(&kept, &client);
+    cr_expect_eq(fixture_request_count(&fixture), 1);
+}
+
 /* Workers must receive the caller's headers and body and the router's headers,
  * but neither API keys nor forged or hop-by-hop headers. */
 Test(exchange, headers_and_body_sent_to_a_worker)
