--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -10,8 +10,10 @@
 #include <string.h>
 #include <urcu/list.h>
 
-/** Elements of an encoded copy: end, relevant end, entries. */
-#define COPY_FIELDS 3
+/** Elements of an encoded copy: end, relevant end, entries, epoch. Copies of
+ * builds without epochs lack the last one. */
+#define COPY_FIELDS 4
+#define COPY_FIELDS_MIN 3
 
 typedef struct {
     struct cds_list_head node;
@@ -19,16 +21,27 @@
     char *key;
     char *value;
     size_t size;
-    int64_t offset;
-    int listed; /* contained in the current listing or set since it began */
+    int64_t epoch;
+    int64_t offset;   /* in `epoch` */
+    uint64_t listing; /* newest listing that contains or precedes the value */
 } entry_t;
 
+/* A listing in progress. */
+typedef struct {
+    uint64_t number;
+    int64_t epoch;
+    int64_t relevant_end_before;
+    int key_deleted; /* a record deleted a key since the listing began */
+} listing_t;
+
 struct pps_mirror {
     struct cds_list_head entries;
     pps_table_t table;
+    int64_t epoch;
     int64_t end;
     int64_t relevant_end;
-    int64_t listing_relevant_end; /* relevant end when the listing began */
+    uint64_t listing; /* number of the newest listing */
+    listing_t own;    /* the listing between begin and end */
     int64_t current_offset;
     pps_mirror_changed_fn on_changed;
     void *user;
@@ -92,6 +105,12 @@
     return mirror->end;
 }
 
+int64_t
+pps_mirror_epoch(const pps_mirror_t *mirror)
+{
+    return mirror->epoch;
+}
+
 int64_t
 pps_mirror_relevant_end(const pps_mirror_t *mirror)
 {
@@ -140,17 +159,55 @@
     return entry;
 }
 
+/* Returns whether a value at this position is newer than the entry's. */
 static int
-apply_value(pps_mirror_t *mirror, int64_t offset, const char *key,
-            size_t key_size, const char *value, size_t size)
+is_newer(const entry_t *entry, int64_t epoch, int64_t offset)
+{
+    return epoch != entry->epoch ? epoch > entry->epoch
+                                 : offset > entry->offset;
+}
+
+static void
+delete_key(pps_mirror_t *mirror, int64_t offset, const char *key,
+           size_t key_size)
 {
     entry_t *entry = find_entry(mirror, key, key_size);
-    char *stored;
 
-    if (value == NULL) {
-        if (entry != NULL && entry->offset < offset) {
-            delete_entry(mirror, entry, offset + 1);
-        }
+    mirror->own.key_deleted = 1;
+    if (entry != NULL && is_newer(entry, mirror->epoch, offset)) {
+        delete_entry(mirror, entry, offset + 1);
+    }
+}
+
+static int
+set_entry(pps_mirror_t *mirror, entry_t *entry, const char *value, size_t size)
+{
+    char *stored = malloc(size + 1);
+
+    if (stored == NULL) {
+        return PPS_ENOMEM;
+    }
+    memcpy(stored, value, size);
+    stored[size] = '\0';
+    free(entry->value);
+    entry->value = stored;
+    entry->size = size;
+    notify_change(mirror, entry->key, entry->value, entry->size,
+                  entry->offset + 1);
+    return PPS_OK;
+}
+
+static int
+set_value(pps_mirror_t *mirror, int64_t epoch, int64_t offset, const char *key,
+          size_t key_size, const char *value, size_t size)
+{
+    entry_t *entry = find_entry(mirror, key, key_size);
+    int is_same;
+
+    if (memchr(key, '\0', key_size) != NULL) {
+        return PPS_EINVALID;
+    }
+    if (epoch < mirror->epoch) {
         return PPS_OK;
     }
     if (entry == NULL) {
@@ -159,35 +216,34 @@
     if (entry == NULL) {
         return PPS_ENOMEM;
     }
-    entry->listed = 1;
-    if (entry->offset >= offset) {
+    entry->listing = mirror->listing;
+    if (!is_newer(entry, epoch, offset)) {
         return PPS_OK;
     }
-    stored = malloc(size + 1);
-    if (stored == NULL) {
-        return PPS_ENOMEM;
-    }
-    memcpy(stored, value, size);
-    stored[size] = '\0';
-    free(entry->value);
-    entry->value = stored;
-    entry->size = size;
+    is_same = epoch != entry->epoch && entry->value != NULL &&
+              entry->size == size && memcmp(entry->value, value, size) == 0;
+    entry->epoch = epoch;
     entry->offset = offset;
-    notify_change(mirror, entry->key, entry->value, entry->size, offset + 1);
-    return PPS_OK;
+    return is_same ? PPS_OK : set_entry(mirror, entry, value, size);
 }
 
 int
 pps_mirror_apply_record(pps_mirror_t *mirror, int64_t offset, const char *key,
                         size_t key_size, const char *value, size_t size)
 {
-    int error;
+    int error = PPS_OK;
 
     if (offset < mirror->end) {
         return PPS_OK;
     }
     mirror->current_offset = offset;
-    error = apply_value(mirror, offset, key, key_size, value, size);
+    if (value == NULL) {
+        delete_key(mirror, offset, key, key_size);
+    }
+    else {
+        error = set_value(mirror, mirror->epoch, offset, key, key_size, value,
+                          size);
+    }
     mirror->current_offset = -1;
     if (error == 0) {
         mirror->end = offset + 1;
@@ -213,44 +269,86 @@
 }
 
 void
-pps_mirror_begin_listing(pps_mirror_t *mirror)
+pps_mirror_begin_listing(pps_mirror_t *mirror, int64_t epoch)
 {
-    entry_t *entry;
-    entry_t *next;
-
-    cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
-        entry->listed = 0;
-    }
-    mirror->listing_relevant_end = mirror->relevant_end;
+    mirror->listing++;
+    mirror->own = (listing_t){
+        .number = mirror->listing,
+        .epoch = epoch,
+        .relevant_end_before = mirror->relevant_end,
+    };
 }
 
 int
 pps_mirror_apply_listed(pps_mirror_t *mirror, int64_t offset, const char *key,
                         size_t key_size, const char *value, size_t size)
 {
-    return apply_value(mirror, offset, key, key_size, value, size);
+    return set_value(mirror, mirror->own.epoch, offset, key, key_size, value,
+                     size);
 }
 
-void
-pps_mirror_end_listing(pps_mirror_t *mirror, int64_t end)
+static void
+delete_absent(pps_mirror_t *mirror, const listing_t *listing, int64_t end)
 {
     entry_t *entry;
     entry_t *next;
 
     cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
-        if (!entry->listed && entry->offset < end) {
+        if (entry->listing < listing->number &&
+            (entry->epoch < listing->epoch ||
+             (entry->epoch == listing->epoch && entry->offset < end))) {
             delete_entry(mirror, entry, end);
         }
     }
-    /* A listing shows no offsets of deletions. pps_mirror_sync_end() must not
-     * treat copies listed before and after a deletion as equal. */
-    if (mirror->relevant_end != mirror->listing_relevant_end &&
+}
+
+/* Ends a listing in the copy's epoch. A listing shows no offsets of deletions:
+ * pps_mirror_sync_end() must not treat copies listed before and after one as
+ * equal. */
+static void
+end_in_same_epoch(pps_mirror_t *mirror, const listing_t *listing, int64_t end)
+{
+    if (mirror->relevant_end != listing->relevant_end_before &&
         end > mirror->relevant_end) {
         mirror->relevant_end = end;
     }
     pps_mirror_advance(mirror, end);
 }
 
+static int
+end_listing(pps_mirror_t *mirror, const listing_t *listing, int64_t end)
+{
+    if (listing->epoch < mirror->epoch) {
+        return 1;
+    }
+    delete_absent(mirror, listing, end);
+    if (listing->epoch == mirror->epoch) {
+        end_in_same_epoch(mirror, listing, end);
+        return listing->key_deleted;
+    }
+    mirror->epoch = listing->epoch;
+    mirror->end = end;
+    mirror->relevant_end = end;
+    return 0;
+}
+
+int
+pps_mirror_end_listing(pps_mirror_t *mirror, int64_t end)
+{
+    return end_listing(mirror, &mirror->own, end);
+}
+
+void
+pps_mirror_replay(pps_mirror_t *mirror)
+{
+    entry_t *entry;
+    entry_t *next;
+
+    cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
+        notify_change(mirror, entry->key, entry->value, entry->size, 0);
+    }
+}
+
 const char *
 pps_mirror_get(size_t *size, const pps_mirror_t *mirror, const char *key)
 {
@@ -293,6 +391,7 @@
         msgpack_pack_bin_with_body(&packer, entry->key, strlen(entry->key));
         msgpack_pack_bin_with_body(&packer, entry->value, entry->size);
     }
+    msgpack_pack_int64(&packer, mirror->epoch);
     return out->failed ? PPS_ENOMEM : PPS_OK;
 }
 
@@ -309,24 +408,30 @@
 }
 
 static int
-import_entries(pps_mirror_t *mirror, const msgpack_object_array *entries)
+are_entries(const msgpack_object_array *entries)
 {
     for (uint32_t i = 0; i < entries->size; i++) {
-        const msgpack_object *fields = entries->ptr[i].via.array.ptr;
-        int error;
-
         if (!is_entry(&entries->ptr[i])) {
-            return PPS_ECORRUPT;
-        }
-        error = pps_mirror_apply_listed(
-            mirror, (int64_t)fields[0].via.u64, fields[1].via.bin.ptr,
-            fields[1].via.bin.size, fields[2].via.bin.ptr,
-            fields[2].via.bin.size);
-        if (error != 0) {
-            return error;
+            return 0;
         }
     }
-    return PPS_OK;
+    return 1;
+}
+
+static int
+import_entries(pps_mirror_t *mirror, int64_t epoch,
+               const msgpack_object_array *entries)
+{
+    int error = PPS_OK;
+
+    for (uint32_t i = 0; error == 0 && i < entries->size; i++) {
+        const msgpack_object *fields = entries->ptr[i].via.array.ptr;
+
+        error = set_value(mirror, epoch, (int64_t)fields[0].via.u64,
+                          fields[1].via.bin.ptr, fields[1].via.bin.size,
+                          fields[2].via.bin.ptr, fields[2].via.bin.size);
+    }
+    return error;
 }
 
 static int
@@ -335,40 +440,53 @@
     const msgpack_object *fields = object->via.array.ptr;
 
     return object->type == MSGPACK_OBJECT_ARRAY &&
-           object->via.array.size == COPY_FIELDS &&
+           object->via.array.size >= COPY_FIELDS_MIN &&
            fields[0].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
            fields[1].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-           fields[2].type == MSGPACK_OBJECT_ARRAY;
+           fields[2].type == MSGPACK_OBJECT_ARRAY &&
+           (object->via.array.size < COPY_FIELDS ||
+            fields[3].type == MSGPACK_OBJECT_POSITIVE_INTEGER) &&
+           are_entries(&fields[2].via.array);
 }
 
-int
-pps_mirror_import(pps_mirror_t *mirror, const char *data, size_t size)
+static int64_t
+copy_epoch(const msgpack_object_array *copy)
 {
-    msgpack_unpacked unpacked;
-    const msgpack_object *fields;
-    int64_t relevant_end;
-    int error = PPS_ECORRUPT;
+    return copy->size < COPY_FIELDS ? 0 : (int64_t)copy->ptr[3].via.u64;
+}
 
-    if (pps_msgpack_unpack(&unpacked, data, size) != 0) {
-        goto done;
-    }
-    fields = unpacked.data.via.array.ptr;
-    if (!is_copy(&unpacked.data)) {
-        goto done;
-    }
-    error = PPS_OK;
-    relevant_end = (int64_t)fields[1].via.u64;
-    if (relevant_end <= mirror->relevant_end) {
-        goto done;
+static int
+import_copy(pps_mirror_t *mirror, const msgpack_object_array *copy)
+{
+    int64_t relevant_end = (int64_t)copy->ptr[1].via.u64;
+    listing_t listing = {.epoch = copy_epoch(copy),
+                         .relevant_end_before = mirror->relevant_end};
+    int error;
+
+    if (listing.epoch < mirror->epoch ||
+        (listing.epoch == mirror->epoch &&
+         relevant_end <= mirror->relevant_end)) {
+        return PPS_OK;
     }
-    pps_mirror_begin_listing(mirror);
-    error = import_entries(mirror, &fields[2].via.array);
+    listing.number = ++mirror->listing;
+    error = import_entries(mirror, listing.epoch, &copy->ptr[2].via.array);
     if (error == 0) {
-        pps_mirror_end_listing(mirror, (int64_t)fields[0].via.u64);
+        end_listing(mirror, &listing, (int64_t)copy->ptr[0].via.u64);
         mirror->relevant_end = relevant_end;
     }
+    return error;
+}
 
-done:
+int
+pps_mirror_import(pps_mirror_t *mirror, const char *data, size_t size)
+{
+    msgpack_unpacked unpacked;
+    int error = PPS_ECORRUPT;
+
+    if (pps_msgpack_unpack(&unpacked, data, size) == 0 &&
+        is_copy(&unpacked.data)) {
+        error = import_copy(mirror, &unpacked.data.via.array);
+    }
     msgpack_unpacked_destroy(&unpacked);
     return error;
 }
--- a/src/libpapayaswitch/mirror/mirror.h
+++ b/src/libpapayaswitch/mirror/mirror.h
@@ -6,6 +6,11 @@
  * from another host's copy, and reports each changed key to its owner. Offsets
  * order these sources: an older value never replaces a newer one. The offset
  * of a deletion is not kept, so an older listing can add the key again.
+ *
+ * Offsets are comparable within one epoch only. A store that comes back from a
+ * backup starts a higher epoch and assigns offsets again. The copy enters an
+ * epoch with the end of a complete listing in it; until then it keeps its
+ * content. Nothing of a lower epoch replaces what a higher one has set.
  */
 #ifndef PPS_MIRROR_MIRROR_H
 #define PPS_MIRROR_MIRROR_H
@@ -37,6 +42,10 @@
 int64_t
 pps_mirror_end(const pps_mirror_t *mirror);
 
+/** Returns the epoch of the store that the offsets belong to; 0 at first. */
+int64_t
+pps_mirror_epoch(const pps_mirror_t *mirror);
+
 /** Returns the offset after the last relevant record or its listing, or -1. */
 int64_t
 pps_mirror_relevant_end(const pps_mirror_t *mirror);
@@ -45,9 +54,9 @@
 int64_t
 pps_mirror_current_offset(const pps_mirror_t *mirror);
 
-/** Applies one record that follows a listing. Skips records below the end.
- * @param value NULL: deletes the key
- * @return 0 or PPS_ENOMEM */
+/** Applies one record of the copy's epoch that follows a listing. Skips
+ * records below the end. @param value NULL: deletes the key
+ * @return 0, PPS_EINVALID if the key has a NUL byte, or PPS_ENOMEM */
 int
 pps_mirror_apply_record(pps_mirror_t *mirror, int64_t offset, const char *key,
                         size_t key_size, const char *value, size_t size);
@@ -56,24 +65,32 @@
 void
 pps_mirror_advance(pps_mirror_t *mirror, int64_t end);
 
-/** Moves the end forward to that of a peer's copy if both have the same
- * relevant end: no record between the two ends is relevant or need be read. */
+/** Moves the end forward to that of a peer's copy of the same epoch if both
+ * have the same relevant end: no record between the two ends is relevant or
+ * need be read. */
 void
 pps_mirror_sync_end(pps_mirror_t *mirror, int64_t relevant_end, int64_t end);
 
-/** Begins a full listing; pps_mirror_end_listing() deletes absent keys. */
+/** Begins a full listing; pps_mirror_end_listing() deletes absent keys.
+ * @param epoch of the listing; in one above the copy's, listed values replace
+ *        those of the copy whatever their offsets, and an unchanged value is
+ *        not reported; in one below, they are ignored */
 void
-pps_mirror_begin_listing(pps_mirror_t *mirror);
+pps_mirror_begin_listing(pps_mirror_t *mirror, int64_t epoch);
 
-/** Applies one entry of the listing. @return 0 or PPS_ENOMEM */
+/** Applies one entry of the listing.
+ * @return 0, PPS_EINVALID if the key has a NUL byte, or PPS_ENOMEM */
 int
 pps_mirror_apply_listed(pps_mirror_t *mirror, int64_t offset, const char *key,
                         size_t key_size, const char *value, size_t size);
 
 /** Ends a complete listing. Deletes keys that it did not contain, except those
- * written at or after `end`.
- * @param end the topic's end when the listing began */
-void
+ * written at or after `end` in the same epoch.
+ * @param end the topic's end when the listing began
+ * @return 0, or 1 if another listing is needed: the copy is of a higher epoch
+ *         by now, or a record deleted a key that the listing may have added
+ *         again */
+int
 pps_mirror_end_listing(pps_mirror_t *mirror, int64_t end);
 
 /** Returns the value of a key, valid until the key changes, or NULL. */
@@ -88,9 +105,15 @@
 int
 pps_mirror_encode(const pps_mirror_t *mirror, pps_buf_t *out);
 
+/** Calls `on_changed` for each key as if its value had just been set. */
+void
+pps_mirror_replay(pps_mirror_t *mirror);
+
 /** Replaces the content with another host's encoded copy if that has a higher
- * relevant end. Keeps newer entries and, after an error, those applied before.
- * @return 0; PPS_ECORRUPT, also if its relevant end is -1; or PPS_ENOMEM */
+ * epoch, or the same and a higher relevant end. Keeps newer entries. A copy
+ * without an epoch counts as of epoch 0.
+ * @return 0; PPS_ECORRUPT if it is malformed or its relevant end is -1, then
+ *         nothing is applied; or PPS_ENOMEM */
 int
 pps_mirror_import(pps_mirror_t *mirror, const char *data, size_t size);
 
--- a/tests/entry/test_exchange.c
+++ b/tests/entry/test_exchange.c
@@ -200,8 +200,8 @@
     pps_pool_worker_t *worker;
 
     fixture_start(&fixture, script, 1);
-    cds_list_for_each_entry (
-        worker, pps_pool_workers(fixture.dispatcher.pool), node) {
+    cds_list_for_each_entry (worker, pps_pool_workers(fixture.dispatcher.pool),
+                             node) {
         pps_worker_info_t info = worker->info;
 
         snprintf(info.models[0], sizeof(info.models[0]), "m0");
