--- a/src/libpapayaswitch/exchange/call.h
+++ b/src/libpapayaswitch/exchange/call.h
@@ -11,6 +11,9 @@
 
 #include <stdint.h>
 
+/** Longest pause that a worker can ask for. */
+#define PPS_PAUSE_MAX_US (INT64_C(600) * 1000 * 1000)
+
 /** Decoded caller's request. Strings are valid as long as the HTTP request. */
 typedef struct {
     const char *id;
@@ -47,7 +50,12 @@
     unsigned int running;
     unsigned int waiting;
     unsigned int slots;
-    int confidence; /**< stated by the model, 0 to 100; -1: none */
+    int leaving;       /**< the worker is leaving: it wants no new requests */
+    int64_t pause_us;  /**< time for which it wants no requests from this host,
+                            at most PPS_PAUSE_MAX_US; 0: none */
+    int invalid_pause; /**< it stated one that is negative, too long or no
+                            number */
+    int confidence;    /**< stated by the model, 0 to 100; -1: none */
 } pps_worker_reply_t;
 
 /** Protocol functions for the caller's side. */
--- a/src/libpapayaswitch/exchange/decision_log.c
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -154,6 +154,39 @@
                                 PPS_STR("worker", exchange->worker->info.id)));
 }
 
+void
+pps_decision_log_leaving(const pps_pool_worker_t *worker, const char *source)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_WORKERS_LEAVING, 1);
+    pps_logger_write(
+        PPS_LOG_INFO, "worker_leaving",
+        PPS_FIELDS(PPS_STR("worker", worker->info.id),
+                   PPS_STR("upstream", worker->info.upstream),
+                   PPS_STR("source", source),
+                   PPS_INT("listed_leaving", worker->info.leaving),
+                   PPS_INT("start_ms", worker->info.start_ms)));
+}
+
+void
+pps_decision_log_paused(const pps_exchange_t *exchange, int64_t pause_us)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_WORKER_PAUSES, 1);
+    pps_logger_write(PPS_LOG_WARN, "worker_paused",
+                     PPS_FIELDS(PPS_STR("request", exchange->call.id),
+                                PPS_STR("worker", exchange->worker->info.id),
+                                PPS_INT("pause_ms", US_TO_MS(pause_us))));
+}
+
+void
+pps_decision_log_invalid_pause(const pps_exchange_t *exchange,
+                               int64_t pause_us)
+{
+    pps_logger_write(PPS_LOG_WARN, "invalid_pause",
+                     PPS_FIELDS(PPS_STR("request", exchange->call.id),
+                                PPS_STR("worker", exchange->worker->info.id),
+                                PPS_INT("kept_ms", US_TO_MS(pause_us))));
+}
+
 void
 pps_decision_log_ended(const pps_exchange_t *exchange, unsigned int status,
                        const char *outcome)
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -50,4 +50,19 @@
 pps_decision_log_ended(const pps_exchange_t *exchange, unsigned int status,
                        const char *outcome);
 
+/** Logs that a worker said that it is leaving.
+ * @param source "answer" or "host" */
+void
+pps_decision_log_leaving(const pps_pool_worker_t *worker, const char *source);
+
+/** Logs that a worker refused the request and asked for a pause. */
+void
+pps_decision_log_paused(const pps_exchange_t *exchange, int64_t pause_us);
+
+/** Logs that a worker asked for a pause that is negative, too long or no
+ * number. @param pause_us the pause that is kept instead; 0: none */
+void
+pps_decision_log_invalid_pause(const pps_exchange_t *exchange,
+                               int64_t pause_us);
+
 #endif
--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -2,6 +2,7 @@
 #include "dispatcher.h"
 
 #include "clock.h"
+#include "decision_log.h"
 #include "exchange.h"
 
 #include <stdio.h>
@@ -102,6 +103,18 @@
     }
 }
 
+void
+pps_dispatcher_on_leaving(pps_dispatcher_t *dispatcher, uint64_t worker_digest,
+                          int64_t start_ms)
+{
+    pps_pool_worker_t *worker =
+        pps_pool_lookup_digest(dispatcher->pool, worker_digest);
+
+    if (worker != NULL && pps_pool_set_leaving(worker, start_ms)) {
+        pps_decision_log_leaving(worker, "host");
+    }
+}
+
 static void
 on_request(void *user, pps_http_conn_t *conn,
            const pps_http_request_t *request)
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -21,6 +21,9 @@
 /** Maximum number of upstreams with state. */
 #define PPS_DISPATCH_UPSTREAMS_MAX 32
 
+/** Number of superseded roll-outs remembered per upstream. */
+#define PPS_DISPATCH_SUPERSEDED_MAX 8
+
 /** Settings of the routing decisions. */
 typedef struct {
     const char *failure_domain; /**< of this host */
@@ -41,13 +44,20 @@
 typedef void (*pps_prefill_notice_fn)(void *user,
                                       const pps_prefill_notice_t *notice);
 
+/** Tells the other hosts that a worker said that it is leaving. */
+typedef void (*pps_leaving_fn)(void *user, uint64_t worker_digest,
+                               int64_t start_ms);
+
 /** State of an upstream, kept by name across deployment revisions. */
 typedef struct {
     char name[PPS_WORKER_TEXT_BYTES];
     pps_repeat_limit_t repeats;
     pps_rollout_t rollout;
     pps_rollout_tally_t tally; /**< counts of this host only */
-    double first_byte_us;      /**< smoothed time to first byte */
+    /** Digests of the targets of earlier roll-outs, as a ring; 0: none. */
+    uint64_t superseded[PPS_DISPATCH_SUPERSEDED_MAX];
+    unsigned int superseded_next;
+    double first_byte_us; /**< smoothed time to first byte */
     pps_lateness_t lateness;
     double answer_us;                /**< smoothed time to a full answer */
     pps_prefill_rate_t prefill_rate; /**< of its workers */
@@ -68,7 +78,8 @@
     pps_prefix_affinity_t prefixes;
     pps_reachability_t reach;     /**< reachability of the workers */
     pps_prefill_notice_fn notice; /**< sends to the other hosts, or NULL */
-    void *notice_user;
+    pps_leaving_fn leaving;       /**< sends to the other hosts, or NULL */
+    void *notice_user;            /**< of `notice` and `leaving` */
     pps_upstream_state_t upstreams[PPS_DISPATCH_UPSTREAMS_MAX];
     size_t upstream_count;
     pps_http_limits_t limits;
@@ -104,6 +115,13 @@
 pps_dispatcher_on_prefill_notice(pps_dispatcher_t *dispatcher,
                                  const pps_prefill_notice_t *notice);
 
+/** Stops new calls to a worker that another host reports as leaving.
+ * @param worker_digest hash of its id @param start_ms of the worker that said
+ *        it; 0: unknown */
+void
+pps_dispatcher_on_leaving(pps_dispatcher_t *dispatcher, uint64_t worker_digest,
+                          int64_t start_ms);
+
 /** Callbacks for the HTTP server of the callers; `user` is the dispatcher. */
 extern const pps_http_server_ops_t pps_dispatcher_server_ops;
 
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -119,6 +119,9 @@
         return;
     }
     pps_exchange_sum_slots(exchange, &retry.busy, &retry.slots);
+    if (retry_reason != PPS_RETRY_AFTER_OTHER_HOST) {
+        retry.opens_us = pps_exchange_first_opening_us(exchange);
+    }
     pps_exchange_refuse(exchange, STATUS_UNAVAILABLE,
                         pps_retry_after_compute(&retry), reason);
 }
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -51,7 +51,7 @@
 {
     const char *model = model_of(exchange);
 
-    return worker->listed && !worker->info.leaving &&
+    return worker->listed && !pps_pool_worker_is_leaving(worker) &&
            strcmp(worker->info.upstream, exchange->upstream->name) == 0 &&
            (model == NULL || pps_worker_has_model(&worker->info, model));
 }
@@ -59,8 +59,10 @@
 static int
 is_available(const pps_exchange_t *exchange, const pps_pool_worker_t *worker)
 {
-    return worker->full_until_us <= exchange->dispatcher->reactor->now_us &&
-           is_eligible(exchange, worker);
+    int64_t now_us = exchange->dispatcher->reactor->now_us;
+
+    return worker->full_until_us <= now_us &&
+           worker->paused_until_us <= now_us && is_eligible(exchange, worker);
 }
 
 static double
@@ -217,6 +219,31 @@
     }
 }
 
+int64_t
+pps_exchange_first_opening_us(const pps_exchange_t *exchange)
+{
+    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    int64_t first_us = 0;
+    pps_pool_worker_t *worker;
+
+    cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
+                             node) {
+        int64_t pause_us =
+            worker->paused_until_us - dispatcher->reactor->now_us;
+
+        if (!is_eligible(exchange, worker)) {
+            continue;
+        }
+        if (pause_us <= 0) {
+            return 0;
+        }
+        if (first_us == 0 || pause_us < first_us) {
+            first_us = pause_us;
+        }
+    }
+    return first_us;
+}
+
 double
 pps_exchange_estimate_load(const pps_exchange_t *exchange)
 {
--- a/src/libpapayaswitch/exchange/exchange_worker.h
+++ b/src/libpapayaswitch/exchange/exchange_worker.h
@@ -29,6 +29,11 @@
 pps_exchange_sum_slots(const pps_exchange_t *exchange, double *busy,
                        double *slots);
 
+/** Returns the time until the first worker that can serve the request ends the
+ * pause that it asked for; 0 unless all of them are paused. */
+int64_t
+pps_exchange_first_opening_us(const pps_exchange_t *exchange);
+
 /** Returns the load of the workers that can serve the request: requests per
  * slot, or more if first bytes are late. */
 double
--- a/src/libpapayaswitch/exchange/retry_after.c
+++ b/src/libpapayaswitch/exchange/retry_after.c
@@ -52,6 +52,15 @@
     return us > FULL_MAX_US ? FULL_MAX_US : us;
 }
 
+static int64_t
+opening_us(const pps_retry_after_t *request)
+{
+    double order = RANK_WAIT_FRACTION * request->rank +
+                   SPREAD_WAIT_FRACTION * request->spread;
+
+    return request->opens_us + (int64_t)(FULL_MIN_US * order);
+}
+
 int64_t
 pps_retry_after_compute(const pps_retry_after_t *request)
 {
@@ -59,5 +68,8 @@
                 (1 + SPREAD_WAIT_FRACTION * request->spread);
     double max_us = (double)request->time_left_us * TIME_LEFT_FRACTION_MAX;
 
+    if (request->opens_us > 0) {
+        return opening_us(request);
+    }
     return (int64_t)(request->time_left_us > 0 && us > max_us ? max_us : us);
 }
--- a/src/libpapayaswitch/exchange/retry_after.h
+++ b/src/libpapayaswitch/exchange/retry_after.h
@@ -6,7 +6,9 @@
  * Designed for the callers of a host that has just started, and for many
  * callers at once whose workers are full. The retry is due when a slot is
  * expected to be free, earlier for more urgent requests, with a random spread,
- * and early enough before the deadline for the request to be served.
+ * and early enough before the deadline for the request to be served. If all
+ * workers have asked for a pause, the retry is due when the first one ends,
+ * even if that is after the deadline: an earlier retry would be refused again.
  */
 #ifndef PPS_EXCHANGE_RETRY_AFTER_H
 #define PPS_EXCHANGE_RETRY_AFTER_H
@@ -30,6 +32,8 @@
     double answer_us;     /**< usual time that a request occupies a slot */
     unsigned int rank;    /**< priority rank; 0 is the most urgent */
     double spread;        /**< random number, 0 to 1 */
+    int64_t opens_us;     /**< time until the first of the pauses that all
+                               workers asked for ends; 0: not all did */
 } pps_retry_after_t;
 
 /** Computes the time until the caller should retry, in microseconds. */
--- a/src/libpapayaswitch/gossip/gossip.c
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -116,31 +116,69 @@
     return error;
 }
 
+static int
+receive_notice(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_notice_t notice;
+    int error = pps_gossip_decode_notice(&notice, data, size);
+
+    if (error == 0) {
+        gossip->ops->on_notice(gossip->user, &notice);
+    }
+    return error;
+}
+
+static int
+receive_leaving(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_leaving_t leaving;
+    int error = pps_gossip_decode_leaving(&leaving, data, size);
+
+    if (error == 0) {
+        gossip->ops->on_leaving(gossip->user, &leaving);
+    }
+    return error;
+}
+
+static int
+receive(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_message_t message;
+    int error = PPS_ECORRUPT;
+
+    switch (pps_gossip_read_kind(data, size)) {
+    case PPS_GOSSIP_NOTICE:
+        return receive_notice(gossip, data, size);
+    case PPS_GOSSIP_RECORD:
+        return receive_record(gossip, data, size);
+    case PPS_GOSSIP_LEAVING:
+        return receive_leaving(gossip, data, size);
+    case PPS_GOSSIP_STATE:
+        error = pps_gossip_decode_state(&message, data, size,
+                                        gossip->reactor->now_us);
+        break;
+    case PPS_GOSSIP_UNKNOWN:
+        break;
+    }
+    if (error == 0) {
+        receive_state(gossip, &message);
+    }
+    return error;
+}
+
 static void
 on_datagram(uv_udp_t *udp, ssize_t size, const uv_buf_t *buffer,
             const struct sockaddr *from, unsigned int flags)
 {
     pps_gossip_t *gossip = udp->data;
-    pps_gossip_message_t message;
-    pps_gossip_notice_t notice;
 
     if (size <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0) {
         return;
     }
-    if (pps_gossip_decode_notice(&notice, buffer->base, (size_t)size) == 0) {
-        gossip->ops->on_notice(gossip->user, &notice);
-        return;
-    }
-    if (receive_record(gossip, buffer->base, (size_t)size) == 0) {
-        return;
-    }
-    if (pps_gossip_decode_state(&message, buffer->base, (size_t)size,
-                                gossip->reactor->now_us) != 0) {
+    if (receive(gossip, buffer->base, (size_t)size) != 0) {
         pps_logger_write(PPS_LOG_WARN, "datagram_skipped",
                          PPS_FIELDS(PPS_INT("bytes", size)));
-        return;
     }
-    receive_state(gossip, &message);
 }
 
 static void
@@ -256,27 +294,46 @@
     pps_buf_clear(&encoded);
 }
 
+static void
+send_to_live(pps_gossip_t *gossip, const pps_buf_t *encoded)
+{
+    pps_gossip_peer_t *peer;
+
+    cds_list_for_each_entry (peer, &gossip->peers, node) {
+        if (pps_gossip_is_live(gossip, peer)) {
+            send_to(gossip, peer->state.address, encoded);
+        }
+    }
+}
+
 int
 pps_gossip_send_record(pps_gossip_t *gossip, const pps_gossip_record_t *record)
 {
     pps_buf_t encoded = PPS_BUF_INIT;
-    pps_gossip_peer_t *peer;
     int error = pps_gossip_encode_record(&encoded, record);
 
     if (error == 0 && encoded.size > RECORD_BYTES_MAX) {
         error = PPS_ELIMIT;
     }
     if (error == 0) {
-        cds_list_for_each_entry (peer, &gossip->peers, node) {
-            if (pps_gossip_is_live(gossip, peer)) {
-                send_to(gossip, peer->state.address, &encoded);
-            }
-        }
+        send_to_live(gossip, &encoded);
     }
     pps_buf_clear(&encoded);
     return error;
 }
 
+void
+pps_gossip_send_leaving(pps_gossip_t *gossip,
+                        const pps_gossip_leaving_t *leaving)
+{
+    pps_buf_t encoded = PPS_BUF_INIT;
+
+    if (pps_gossip_encode_leaving(&encoded, leaving) == 0) {
+        send_to_live(gossip, &encoded);
+    }
+    pps_buf_clear(&encoded);
+}
+
 static void
 on_timer(int64_t now_us, void *user)
 {
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -35,6 +35,8 @@
     /** Offsets by topic; see pps_mirror_relevant_end(), pps_mirror_end(). */
     int64_t topic_relevant_ends[PPS_GOSSIP_TOPICS];
     int64_t topic_ends[PPS_GOSSIP_TOPICS];
+    /** Epochs of these offsets; 0: unknown, as from hosts of older builds. */
+    int64_t topic_epochs[PPS_GOSSIP_TOPICS];
     int live_hosts;      /**< hosts that it considers live, itself included */
     int64_t read_age_us; /**< of its last store reads; -1: none or failed */
     int leaving;         /**< nonzero: the host is stopping */
@@ -60,6 +62,7 @@
     size_t key_size;
     const char *value; /**< NULL: the key was deleted */
     size_t size;
+    int64_t epoch; /**< of the offsets; 0: unknown, as from older builds */
 } pps_gossip_record_t;
 
 /** Announces that a host has sent a long prompt to a worker. */
@@ -69,6 +72,12 @@
     uint64_t work; /**< in tokens of the largest model; see prefill_queue.h */
 } pps_gossip_notice_t;
 
+/** Reports that a worker has said in an answer that it is leaving. */
+typedef struct {
+    uint64_t worker;  /**< digest of the worker's id */
+    int64_t start_ms; /**< wall-clock start time of the worker; 0: unknown */
+} pps_gossip_leaving_t;
+
 /** Callbacks of the owner, on the reactor's thread. */
 typedef struct {
     /** Fills in the topic offsets, roll-outs, `read_age_us` and `leaving`. */
@@ -79,6 +88,8 @@
     void (*on_notice)(void *user, const pps_gossip_notice_t *notice);
     /** Called with a received record, which is valid during the call only. */
     void (*on_record)(void *user, const pps_gossip_record_t *record);
+    /** Called when another host reports that a worker is leaving. */
+    void (*on_leaving)(void *user, const pps_gossip_leaving_t *leaving);
 } pps_gossip_ops_t;
 
 /** The gossip socket of one host and the peers it knows. */
@@ -111,6 +122,11 @@
 pps_gossip_send_record(pps_gossip_t *gossip,
                        const pps_gossip_record_t *record);
 
+/** Sends to all live peers that a worker is leaving. */
+void
+pps_gossip_send_leaving(pps_gossip_t *gossip,
+                        const pps_gossip_leaving_t *leaving);
+
 /** Sets the speed of this host's link, in Mbit/s. */
 void
 pps_gossip_set_link_speed(pps_gossip_t *gossip, int mbps);
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -8,16 +8,44 @@
 #include <msgpack.h>
 #include <string.h>
 
-/* First element of a datagram; differs between the kinds of datagram. */
+/* First element of a datagram; differs between the kinds of datagram. The
+ * epochs stand last in states and records: hosts of older builds ignore what
+ * follows the elements that they know, and send none. */
 #define STATE_VERSION 4
 #define NOTICE_VERSION 2
 #define RECORD_VERSION 3
+#define LEAVING_VERSION 5
 #define NOTICE_FIELDS 4
-#define RECORD_FIELDS 6
-#define STATE_FIELDS 13
+#define RECORD_FIELDS 7
+#define STATE_FIELDS 14
+#define LEAVING_FIELDS 3
 #define ROLLOUT_FIELDS 12
 #define COUNT_FIELDS 6
 
+/** First byte of a msgpack array of up to 15 elements, without their count. */
+#define SHORT_ARRAY 0x90
+#define SHORT_ARRAY_MASK 0xf0
+
+pps_gossip_kind_t
+pps_gossip_read_kind(const char *data, size_t size)
+{
+    if (size < 2 || (data[0] & SHORT_ARRAY_MASK) != SHORT_ARRAY) {
+        return PPS_GOSSIP_UNKNOWN;
+    }
+    switch (data[1]) {
+    case STATE_VERSION:
+        return PPS_GOSSIP_STATE;
+    case NOTICE_VERSION:
+        return PPS_GOSSIP_NOTICE;
+    case RECORD_VERSION:
+        return PPS_GOSSIP_RECORD;
+    case LEAVING_VERSION:
+        return PPS_GOSSIP_LEAVING;
+    default:
+        return PPS_GOSSIP_UNKNOWN;
+    }
+}
+
 static int
 append(void *user, const char *data, size_t size)
 {
@@ -124,6 +152,10 @@
     for (size_t i = 0; i < state->rollout_count; i++) {
         pack_rollout(&packer, &state->rollouts[i], now_us);
     }
+    msgpack_pack_array(&packer, PPS_GOSSIP_TOPICS);
+    for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
+        msgpack_pack_int64(&packer, state->topic_epochs[i]);
+    }
     return out->failed ? PPS_ENOMEM : PPS_OK;
 }
 
@@ -177,6 +209,21 @@
     list->failed |= fields.failed | counts.failed;
 }
 
+static void
+decode_epochs(pps_gossip_state_t *state, pps_cursor_t *fields)
+{
+    pps_cursor_t list;
+
+    if (fields->failed || fields->unread_count == 0) {
+        return;
+    }
+    list = pps_cursor_read_array(fields);
+    for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
+        state->topic_epochs[i] = pps_cursor_read_integer(&list);
+    }
+    fields->failed |= list.failed;
+}
+
 static void
 decode_state(pps_gossip_message_t *out, pps_cursor_t *fields, int64_t now_us)
 {
@@ -219,6 +266,7 @@
                        now_us);
     }
     fields->failed |= list.failed;
+    decode_epochs(state, fields);
 }
 
 int
@@ -281,6 +329,42 @@
     return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
 }
 
+int
+pps_gossip_encode_leaving(pps_buf_t *out, const pps_gossip_leaving_t *leaving)
+{
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, out, append);
+    msgpack_pack_array(&packer, LEAVING_FIELDS);
+    msgpack_pack_int(&packer, LEAVING_VERSION);
+    msgpack_pack_uint64(&packer, leaving->worker);
+    msgpack_pack_int64(&packer, leaving->start_ms);
+    return out->failed ? PPS_ENOMEM : PPS_OK;
+}
+
+int
+pps_gossip_decode_leaving(pps_gossip_leaving_t *out, const char *data,
+                          size_t size)
+{
+    msgpack_unpacked unpacked;
+    pps_cursor_t root;
+    pps_cursor_t fields;
+
+    if (pps_msgpack_unpack(&unpacked, data, size) != 0) {
+        msgpack_unpacked_destroy(&unpacked);
+        return PPS_ECORRUPT;
+    }
+    root = (pps_cursor_t){&unpacked.data, 1, 0};
+    fields = pps_cursor_read_array(&root);
+    if (pps_cursor_read_integer(&fields) != LEAVING_VERSION) {
+        fields.failed = 1;
+    }
+    out->worker = (uint64_t)pps_cursor_read_integer(&fields);
+    out->start_ms = pps_cursor_read_integer(&fields);
+    msgpack_unpacked_destroy(&unpacked);
+    return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
+}
+
 int
 pps_gossip_encode_record(pps_buf_t *out, const pps_gossip_record_t *record)
 {
@@ -299,6 +383,7 @@
     else {
         msgpack_pack_nil(&packer);
     }
+    msgpack_pack_int64(&packer, record->epoch);
     return out->failed ? PPS_ENOMEM : PPS_OK;
 }
 
@@ -326,6 +411,9 @@
         out->value = value->via.bin.ptr;
         out->size = value->via.bin.size;
     }
+    if (fields->unread_count > 0) {
+        out->epoch = pps_cursor_read_integer(fields);
+    }
 }
 
 int
--- a/src/libpapayaswitch/gossip/gossip_codec.h
+++ b/src/libpapayaswitch/gossip/gossip_codec.h
@@ -17,6 +17,19 @@
     size_t hint_count;
 } pps_gossip_message_t;
 
+/** Kinds of datagram. */
+typedef enum {
+    PPS_GOSSIP_UNKNOWN,
+    PPS_GOSSIP_STATE,
+    PPS_GOSSIP_NOTICE,
+    PPS_GOSSIP_RECORD,
+    PPS_GOSSIP_LEAVING,
+} pps_gossip_kind_t;
+
+/** Returns the kind that the first bytes of a datagram state. */
+pps_gossip_kind_t
+pps_gossip_read_kind(const char *data, size_t size);
+
 /** Appends a state datagram. Start times become ages, because the clocks of
  * hosts differ. @return 0 or PPS_ENOMEM */
 int
@@ -32,6 +45,16 @@
 pps_gossip_decode_notice(pps_gossip_notice_t *out, const char *data,
                          size_t size);
 
+/** Appends the report of a leaving worker. @return 0 or PPS_ENOMEM */
+int
+pps_gossip_encode_leaving(pps_buf_t *out, const pps_gossip_leaving_t *leaving);
+
+/** Decodes the report of a leaving worker. @return 0, or PPS_ECORRUPT if it is
+ * none */
+int
+pps_gossip_decode_leaving(pps_gossip_leaving_t *out, const char *data,
+                          size_t size);
+
 /** Appends a record. @return 0 or PPS_ENOMEM */
 int
 pps_gossip_encode_record(pps_buf_t *out, const pps_gossip_record_t *record);
--- a/src/libpapayaswitch/gossip/gossip_readers.c
+++ b/src/libpapayaswitch/gossip/gossip_readers.c
@@ -45,6 +45,15 @@
     return live;
 }
 
+/* Checks whether a peer's relayed records can be ordered: a peer of an older
+ * build doesn't state the epoch of its offsets. */
+static int
+is_comparable(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
+{
+    return gossip->own.state.topic_epochs[0] == 0 ||
+           peer->state.topic_epochs[0] != 0;
+}
+
 /* Checks whether a peer is not leaving and has read the store recently. */
 static int
 is_reader_candidate(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
@@ -52,7 +61,7 @@
     int64_t state_age_us = gossip->reactor->now_us - peer->last_received_us;
 
     return peer->last_received_us != 0 && peer->state.read_age_us >= 0 &&
-           !peer->state.leaving &&
+           !peer->state.leaving && is_comparable(gossip, peer) &&
            peer->state.read_age_us + state_age_us < gossip->read_age_max_us;
 }
 
--- a/src/libpapayaswitch/mirror/catch_up.c
+++ b/src/libpapayaswitch/mirror/catch_up.c
@@ -8,6 +8,8 @@
 /** `behind_us` at which the store has normally answered a read. */
 #define STORE_TIMEOUT_US (1000 * PPS_US_PER_MS)
 
+/* In a new epoch all hosts list everything again. The store is spared that as
+ * long as another host can send its copy. */
 unsigned int
 pps_catch_up_choose(const pps_lag_t *lag)
 {
@@ -19,6 +21,9 @@
     if (!lag->is_loaded || lag->store_failing) {
         return PPS_CATCH_UP_FROM_PEER;
     }
+    if (lag->is_older_epoch && lag->behind_us < STORE_TIMEOUT_US) {
+        return PPS_CATCH_UP_FROM_PEER;
+    }
     if (lag->is_urgent) {
         return is_late ? PPS_CATCH_UP_FROM_STORE | PPS_CATCH_UP_FROM_PEER
                        : PPS_CATCH_UP_FROM_STORE;
--- a/src/libpapayaswitch/mirror/catch_up.h
+++ b/src/libpapayaswitch/mirror/catch_up.h
@@ -23,9 +23,10 @@
     int is_behind; /**< another host has records that the copy lacks */
     int is_urgent; /**< do not wait for relayed records */
     int has_gap;   /**< a relayed record showed that an earlier one is lost */
-    int64_t behind_us; /**< time for which `is_behind` has been set */
-    int is_loaded;     /**< the copy has been filled: its end is not -1 */
-    int store_failing; /**< this host's reads of the store fail */
+    int64_t behind_us;  /**< time for which `is_behind` has been set */
+    int is_loaded;      /**< the copy has been filled: its end is not -1 */
+    int store_failing;  /**< this host's reads of the store fail */
+    int is_older_epoch; /**< the newer copy is of a higher epoch */
 } pps_lag_t;
 
 /** Chooses the sources to update from now. @return flags of pps_catch_up_t */
--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -21,7 +21,20 @@
 #define SUCCESS_WEIGHT 0.12
 #define SLOTS_DEFAULT 8
 
+/** Number of removed workers that are remembered. */
+#define REMOVED_MAX 256
+
+/* A worker that was removed from the list. */
+typedef struct {
+    uint64_t digest; /* of its id; 0: unused */
+    int64_t start_ms;
+    int said_leaving;
+    int64_t said_leaving_start_ms;
+} removed_t;
+
 struct pps_pool {
+    removed_t removed[REMOVED_MAX]; /* ring */
+    size_t removed_next;
     struct cds_list_head workers;
     pps_table_t listed;  /* by id */
     pps_table_t digests; /* listed workers by digest of the id */
@@ -88,10 +101,38 @@
                : NULL;
 }
 
+static removed_t *
+find_removed(pps_pool_t *pool, uint64_t digest)
+{
+    for (size_t i = 0; i < REMOVED_MAX; i++) {
+        if (pool->removed[i].digest == digest) {
+            return &pool->removed[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+remember_removed(pps_pool_t *pool, const pps_pool_worker_t *worker)
+{
+    removed_t *removed = find_removed(pool, worker->digest);
+
+    if (removed == NULL) {
+        removed = &pool->removed[pool->removed_next++ % REMOVED_MAX];
+    }
+    *removed = (removed_t){
+        .digest = worker->digest,
+        .start_ms = worker->info.start_ms,
+        .said_leaving = worker->said_leaving,
+        .said_leaving_start_ms = worker->said_leaving_start_ms,
+    };
+}
+
 /* Removes a worker from the list. Frees it unless it has calls in flight. */
 static void
 unlist(pps_pool_t *pool, pps_pool_worker_t *worker)
 {
+    remember_removed(pool, worker);
     worker->listed = 0;
     pps_table_remove(&pool->listed, &worker->item);
     pps_table_remove(&pool->digests, &worker->digest_item);
@@ -105,20 +146,34 @@
     worker->failure_share = 0;
     worker->avoided_until_us = 0;
     worker->full_until_us = 0;
+    worker->paused_until_us = 0;
+    worker->is_pause_reported = 0;
     worker->prefill = (pps_prefill_queue_t){0};
 }
 
+static uint64_t
+digest_id(const char *id)
+{
+    return XXH64(id, strlen(id), 0);
+}
+
 static int
 add(pps_pool_t *pool, const pps_worker_info_t *info)
 {
     pps_pool_worker_t *worker = calloc(1, sizeof(*worker));
+    const removed_t *removed;
 
     if (worker == NULL) {
         return PPS_ENOMEM;
     }
     worker->info = *info;
     worker->slots = info->slots ? info->slots : SLOTS_DEFAULT;
-    worker->digest = XXH64(info->id, strlen(info->id), 0);
+    worker->digest = digest_id(info->id);
+    removed = find_removed(pool, worker->digest);
+    if (removed != NULL) {
+        worker->said_leaving = removed->said_leaving;
+        worker->said_leaving_start_ms = removed->said_leaving_start_ms;
+    }
     worker->listed = 1;
     cds_list_add_tail(&worker->node, &pool->workers);
     pps_table_add(&pool->listed, &worker->item, worker->info.id,
@@ -148,6 +203,49 @@
     return changed;
 }
 
+int
+pps_pool_is_outdated(pps_pool_t *pool, const pps_worker_info_t *info)
+{
+    const pps_pool_worker_t *worker = pps_pool_lookup(pool, info->id);
+    const removed_t *removed;
+
+    if (worker != NULL) {
+        return info->start_ms < worker->info.start_ms ||
+               (info->start_ms == worker->info.start_ms &&
+                worker->info.leaving && !info->leaving);
+    }
+    removed = find_removed(pool, digest_id(info->id));
+    return removed != NULL && info->start_ms <= removed->start_ms;
+}
+
+int
+pps_pool_worker_is_leaving(const pps_pool_worker_t *worker)
+{
+    return worker->info.leaving ||
+           (worker->said_leaving &&
+            worker->info.start_ms <= worker->said_leaving_start_ms);
+}
+
+int
+pps_pool_set_leaving(pps_pool_worker_t *worker, int64_t start_ms)
+{
+    if (start_ms < worker->info.start_ms ||
+        (worker->said_leaving && start_ms <= worker->said_leaving_start_ms)) {
+        return 0;
+    }
+    worker->said_leaving = 1;
+    worker->said_leaving_start_ms = start_ms;
+    return 1;
+}
+
+void
+pps_pool_pause(pps_pool_worker_t *worker, int64_t until_us)
+{
+    if (until_us > worker->paused_until_us) {
+        worker->paused_until_us = until_us;
+    }
+}
+
 int
 pps_pool_remove(pps_pool_t *pool, const char *id)
 {
--- a/src/libpapayaswitch/pool/pool.h
+++ b/src/libpapayaswitch/pool/pool.h
@@ -41,8 +41,13 @@
     unsigned int in_flight_at_report; /**< at the last report */
     int64_t reported_us;              /**< time of the last report; 0: none */
     double failure_share;             /**< smoothed share of failed calls */
-    int64_t avoided_until_us;    /**< until then, used if no other can serve */
-    int64_t full_until_us;       /**< no calls until then: it was full */
+    int64_t avoided_until_us; /**< until then, used if no other can serve */
+    int64_t full_until_us;    /**< no calls until then: it was full */
+    int64_t paused_until_us;  /**< no calls until then, as it asked */
+    int is_pause_reported;    /**< an invalid pause was logged */
+    int said_leaving;         /**< it has said so itself, in an answer */
+    int64_t
+        said_leaving_start_ms;   /**< start time of the worker that said it */
     pps_prefill_queue_t prefill; /**< prompts not yet processed */
     uint64_t digest;             /**< hash of the id */
 } pps_pool_worker_t;
@@ -78,6 +83,29 @@
 int
 pps_pool_remove(pps_pool_t *pool, const char *id);
 
+/** Returns whether a record contradicts newer knowledge: the worker has
+ * started again since, is leaving, or was removed. Such a record is outdated
+ * if it comes from a store that is behind. */
+int
+pps_pool_is_outdated(pps_pool_t *pool, const pps_worker_info_t *info);
+
+/** Returns whether the worker is leaving, by its record or by its answers;
+ * then it gets no new calls. */
+int
+pps_pool_worker_is_leaving(const pps_pool_worker_t *worker);
+
+/** Notes that a worker said in an answer that it is leaving. This holds until
+ * a record with a later start time, also if it is removed and listed again.
+ * @param start_ms start time of the worker that said it; 0: unknown
+ * @return 1, or 0 if that was known */
+int
+pps_pool_set_leaving(pps_pool_worker_t *worker, int64_t start_ms);
+
+/** Gives the worker no calls until a time, as it asked. A longer pause that
+ * was asked for before stays. */
+void
+pps_pool_pause(pps_pool_worker_t *worker, int64_t until_us);
+
 /** Schedules a removal unless one is scheduled; pps_pool_put() cancels it. */
 void
 pps_pool_remove_at(pps_pool_t *pool, const char *id, int64_t when_us);
--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -5,6 +5,7 @@
 #include "logger.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 static void
 log_rollout(const char *event, const pps_rollout_t *rollout,
@@ -36,6 +37,54 @@
             PPS_INT("before_failures", baseline.failures)));
 }
 
+static uint64_t
+digest_target(const char *target)
+{
+    return XXH64(target, strlen(target), 0);
+}
+
+static int
+is_superseded(const pps_upstream_state_t *state, const char *target)
+{
+    uint64_t digest = digest_target(target);
+
+    for (size_t i = 0; i < PPS_DISPATCH_SUPERSEDED_MAX; i++) {
+        if (state->superseded[i] == digest) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* Records that the current roll-out is replaced by one to a new target, which
+ * may have been superseded before. */
+static void
+supersede(pps_upstream_state_t *state, const char *new_target)
+{
+    uint64_t digest = digest_target(new_target);
+
+    for (size_t i = 0; i < PPS_DISPATCH_SUPERSEDED_MAX; i++) {
+        if (state->superseded[i] == digest) {
+            state->superseded[i] = 0;
+        }
+    }
+    if (state->rollout.state != PPS_ROLLOUT_NONE) {
+        state->superseded[state->superseded_next++ %
+                          PPS_DISPATCH_SUPERSEDED_MAX] =
+            digest_target(state->rollout.target);
+    }
+}
+
+int
+pps_rollout_controller_is_superseded(pps_dispatcher_t *dispatcher,
+                                     const pps_rollout_t *order)
+{
+    const pps_upstream_state_t *state =
+        pps_dispatcher_upstream(dispatcher, order->upstream);
+
+    return state != NULL && is_superseded(state, order->target);
+}
+
 void
 pps_rollout_controller_apply_order(pps_dispatcher_t *dispatcher,
                                    const pps_rollout_t *order)
@@ -46,6 +95,7 @@
     if (state == NULL || strcmp(state->rollout.target, order->target) == 0) {
         return;
     }
+    supersede(state, order->target);
     state->rollout = *order;
     pps_rollout_begin(&state->rollout, dispatcher->reactor->now_us);
     memset(&state->tally, 0, sizeof(state->tally));
@@ -59,11 +109,12 @@
     pps_upstream_state_t *state =
         pps_dispatcher_upstream(dispatcher, status->upstream);
 
-    if (state == NULL) {
+    if (state == NULL || is_superseded(state, status->target)) {
         return;
     }
     if (strcmp(state->rollout.target, status->target) != 0) {
         /* The status arrived before the order. */
+        supersede(state, status->target);
         state->rollout = *status;
         state->rollout.started_us = dispatcher->reactor->now_us;
     }
--- a/src/libpapayaswitch/rollout/controller.h
+++ b/src/libpapayaswitch/rollout/controller.h
@@ -14,7 +14,14 @@
 pps_rollout_controller_apply_order(pps_dispatcher_t *dispatcher,
                                    const pps_rollout_t *order);
 
-/** Applies the declared state of a roll-out; `status` names its upstream. */
+/** Returns whether the order's target was the upstream's earlier, and another
+ * has been ordered since. */
+int
+pps_rollout_controller_is_superseded(pps_dispatcher_t *dispatcher,
+                                     const pps_rollout_t *order);
+
+/** Applies the declared state of a roll-out; `status` names its upstream. A
+ * status of a superseded roll-out is ignored. */
 void
 pps_rollout_controller_apply_status(pps_dispatcher_t *dispatcher,
                                     const pps_rollout_t *status);
--- a/src/libpapayaswitch/transport/http_requester.c
+++ b/src/libpapayaswitch/transport/http_requester.c
@@ -24,6 +24,8 @@
     pps_timer_t timer;
     pps_http_requester_done_fn done;
     void *user;
+    pps_http_requester_head_fn on_head;
+    void *head_user;
 };
 
 int
@@ -54,6 +56,14 @@
     snprintf(requester->address, sizeof(requester->address), "%s", address);
 }
 
+void
+pps_http_requester_set_head_fn(pps_http_requester_t *requester,
+                               pps_http_requester_head_fn on_head, void *user)
+{
+    requester->on_head = on_head;
+    requester->head_user = user;
+}
+
 int
 pps_http_requester_is_busy(const pps_http_requester_t *requester)
 {
@@ -89,6 +99,9 @@
     pps_http_requester_t *requester = user;
 
     requester->status = reply->status;
+    if (requester->on_head != NULL) {
+        requester->on_head(requester->head_user, reply);
+    }
     return 0;
 }
 
--- a/src/libpapayaswitch/transport/http_requester.h
+++ b/src/libpapayaswitch/transport/http_requester.h
@@ -21,6 +21,10 @@
                                            unsigned int status,
                                            const char *body, size_t size);
 
+/** Receives the head of each response, before its body and `done`. */
+typedef void (*pps_http_requester_head_fn)(void *user,
+                                           const pps_http_reply_t *reply);
+
 /** Creates a requester. @param address IP:PORT @return 0 or PPS_ENOMEM */
 int
 pps_http_requester_new(pps_http_requester_t **out, pps_reactor_t *reactor,
@@ -31,6 +35,12 @@
 pps_http_requester_set_address(pps_http_requester_t *requester,
                                const char *address);
 
+/** Sets who receives the heads of responses, with its own `user`; NULL: no
+ * one. */
+void
+pps_http_requester_set_head_fn(pps_http_requester_t *requester,
+                               pps_http_requester_head_fn on_head, void *user);
+
 /** Checks whether a call is in progress. */
 int
 pps_http_requester_is_busy(const pps_http_requester_t *requester);
--- a/tests/entry/test_gossip_codec.c
+++ b/tests/entry/test_gossip_codec.c
@@ -26,6 +26,7 @@
     message.state.live_hosts = 8;
     message.state.link_mbps = 200;
     message.state.topic_ends[1] = 512;
+    message.state.topic_epochs[1] = 3;
     snprintf(message.hints[0], PPS_GOSSIP_TEXT_BYTES, "10.0.0.9");
     message.hint_count = 1;
     message.state.rollout_count = 1;
@@ -60,6 +61,7 @@
     cr_expect_eq(decoded.state.live_hosts, 8);
     cr_expect_eq(decoded.state.link_mbps, 200);
     cr_expect_eq(decoded.state.topic_ends[1], 512);
+    cr_expect_eq(decoded.state.topic_epochs[1], 3);
     cr_expect_str_eq(decoded.hints[0], "10.0.0.9");
     cr_expect_eq(decoded.state.rollouts[0].rollout.started_us,
                  DECODED_US - 3 * PPS_US_PER_S);
@@ -105,7 +107,7 @@
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
         const pps_gossip_record_t record = {
-            1, 900, 880, "key", 3, cases[i].value, cases[i].size};
+            1, 900, 880, "key", 3, cases[i].value, cases[i].size, 4};
         pps_gossip_record_t decoded;
         msgpack_unpacked unpacked;
         pps_buf_t encoded = PPS_BUF_INIT;
@@ -117,9 +119,65 @@
                      0);
         cr_expect_eq(decoded.offset, 900);
         cr_expect_eq(decoded.relevant_end_before, 880);
+        cr_expect_eq(decoded.epoch, 4);
         cr_expect_eq(decoded.value == NULL, cases[i].value == NULL);
         cr_expect_eq(decoded.size, cases[i].size);
         msgpack_unpacked_destroy(&unpacked);
         pps_buf_clear(&encoded);
     }
 }
+
+/* A datagram of an older build ends before the epochs, and such a build
+ * ignores them. */
+Test(gossip_codec, epochs_are_optional)
+{
+    static const size_t epochs_bytes = 1 + PPS_GOSSIP_TOPICS;
+    static const size_t epoch_bytes = 1;
+    const pps_gossip_record_t record = {1, 900, 880, "key", 3, "v", 1, 4};
+    pps_gossip_message_t message = make_message();
+    pps_gossip_message_t state;
+    pps_gossip_record_t decoded;
+    msgpack_unpacked unpacked;
+    pps_buf_t encoded = PPS_BUF_INIT;
+
+    cr_assert_eq(pps_gossip_encode_state(&encoded, &message, ENCODED_US), 0);
+    encoded.data[0]--;
+    cr_assert_eq(pps_gossip_decode_state(&state, encoded.data,
+                                         encoded.size - epochs_bytes,
+                                         DECODED_US),
+                 0);
+    cr_expect_eq(state.state.topic_ends[1], 512);
+    cr_expect_eq(state.state.topic_epochs[1], 0);
+    pps_buf_clear(&encoded);
+    cr_assert_eq(pps_gossip_encode_record(&encoded, &record), 0);
+    encoded.data[0]--;
+    msgpack_unpacked_init(&unpacked);
+    cr_assert_eq(pps_gossip_decode_record(&decoded, &unpacked, encoded.data,
+                                          encoded.size - epoch_bytes),
+                 0);
+    cr_expect_eq(decoded.offset, 900);
+    cr_expect_eq(decoded.epoch, 0);
+    msgpack_unpacked_destroy(&unpacked);
+    pps_buf_clear(&encoded);
+}
+
+Test(gossip_codec, leaving_round_trip)
+{
+    const pps_gossip_leaving_t leaving = {UINT64_C(0x9123456789abcdef),
+                                          INT64_C(1791000000000)};
+    pps_gossip_leaving_t decoded;
+    pps_buf_t encoded = PPS_BUF_INIT;
+
+    cr_assert_eq(pps_gossip_encode_leaving(&encoded, &leaving), 0);
+    cr_expect_eq(pps_gossip_read_kind(encoded.data, encoded.size),
+                 PPS_GOSSIP_LEAVING);
+    cr_assert_eq(
+        pps_gossip_decode_leaving(&decoded, encoded.data, encoded.size), 0);
+    cr_expect_eq(decoded.worker, leaving.worker);
+    cr_expect_eq(decoded.start_ms, leaving.start_ms);
+    for (size_t length = 0; length < encoded.size; length++) {
+        cr_expect_eq(pps_gossip_decode_leaving(&decoded, encoded.data, length),
+                     PPS_ECORRUPT, "cut at %zu", length);
+    }
+    pps_buf_clear(&encoded);
+}
--- a/tests/entry/test_pool.c
+++ b/tests/entry/test_pool.c
@@ -64,6 +64,106 @@
     pps_pool_free(pool);
 }
 
+typedef struct {
+    const char *what;
+    int64_t start_ms; /* of the worker, listed as ready */
+    int64_t said_ms;  /* start that said that it is leaving; -1: none did */
+    int64_t next_start_ms; /* of the record that follows */
+    int is_removed;        /* before that record */
+    int is_leaving;        /* in the end */
+} leaving_case_t;
+
+static const leaving_case_t leaving_cases[] = {
+    {"nothing said", 5, -1, 5, 0, 0},
+    {"said, the record still says ready", 5, 5, 5, 0, 1},
+    {"said, then a later start", 5, 5, 6, 0, 0},
+    {"said, unlisted and listed again", 5, 5, 5, 1, 1},
+    {"said, unlisted, then a later start", 5, 5, 6, 1, 0},
+    {"said by an earlier start", 5, 4, 5, 0, 0},
+    {"said by a start whose record comes later", 5, 6, 6, 0, 1},
+    {"start unknown", 0, 0, 0, 0, 1},
+};
+
+Test(pool, worker_that_said_leaving_stays_so_until_a_later_start)
+{
+    for (size_t i = 0; i < sizeof(leaving_cases) / sizeof(*leaving_cases);
+         i++) {
+        const leaving_case_t *item = &leaving_cases[i];
+        pps_pool_t *pool;
+
+        cr_assert_eq(pps_pool_new(&pool), 0);
+        put(pool, "a", 0, item->start_ms);
+        if (item->said_ms >= 0) {
+            pps_pool_set_leaving(pps_pool_lookup(pool, "a"), item->said_ms);
+        }
+        if (item->is_removed) {
+            pps_pool_remove(pool, "a");
+        }
+        put(pool, "a", 0, item->next_start_ms);
+        cr_expect_eq(pps_pool_worker_is_leaving(pps_pool_lookup(pool, "a")),
+                     item->is_leaving, "%s", item->what);
+        pps_pool_free(pool);
+    }
+}
+
+typedef struct {
+    const char *what;
+    int is_listed;    /* a worker that started at 5 */
+    int is_leaving;   /* that worker */
+    int is_removed;   /* it was removed */
+    int64_t start_ms; /* of the record */
+    int leaving;      /* the record */
+    int is_outdated;
+} outdated_case_t;
+
+static const outdated_case_t outdated_cases[] = {
+    {"unknown", 0, 0, 0, 5, 0, 0},
+    {"the same", 1, 0, 0, 5, 0, 0},
+    {"now leaving", 1, 0, 0, 5, 1, 0},
+    {"ready again with the same start", 1, 1, 0, 5, 0, 1},
+    {"a later start", 1, 1, 0, 6, 0, 0},
+    {"an earlier start", 1, 0, 0, 4, 0, 1},
+    {"removed", 1, 0, 1, 5, 0, 1},
+    {"removed, then a later start", 1, 0, 1, 6, 0, 0},
+};
+
+Test(pool, records_that_contradict_newer_knowledge)
+{
+    for (size_t i = 0; i < sizeof(outdated_cases) / sizeof(*outdated_cases);
+         i++) {
+        const outdated_case_t *item = &outdated_cases[i];
+        pps_worker_info_t info = make_info("a", item->leaving, item->start_ms);
+        pps_pool_t *pool;
+
+        cr_assert_eq(pps_pool_new(&pool), 0);
+        if (item->is_listed) {
+            put(pool, "a", item->is_leaving, 5);
+        }
+        if (item->is_removed) {
+            pps_pool_remove(pool, "a");
+        }
+        cr_expect_eq(pps_pool_is_outdated(pool, &info), item->is_outdated,
+                     "%s", item->what);
+        pps_pool_free(pool);
+    }
+}
+
+Test(pool, longest_pause_counts_until_a_restart)
+{
+    pps_pool_t *pool;
+    pps_pool_worker_t *worker;
+
+    cr_assert_eq(pps_pool_new(&pool), 0);
+    put(pool, "a", 0, 1);
+    worker = pps_pool_lookup(pool, "a");
+    pps_pool_pause(worker, 9 * S);
+    pps_pool_pause(worker, 4 * S);
+    cr_expect_eq(worker->paused_until_us, 9 * S);
+    put(pool, "a", 0, 2);
+    cr_expect_eq(worker->paused_until_us, 0);
+    pps_pool_free(pool);
+}
+
 /* A worker with calls in flight stays in memory after its removal. */
 Test(pool, workers_outlive_their_entries_during_calls)
 {
--- a/tests/entry/test_rollout.c
+++ b/tests/entry/test_rollout.c
@@ -1,8 +1,10 @@
 /** @file test_rollout.c @brief Tests the steps and evaluation of roll-outs. */
 #include "clock.h"
-#include "rollout/rollout.h"
+#include "rollout/controller.h"
 
 #include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
 
 #define S PPS_US_PER_S
 
@@ -202,3 +204,63 @@
     cr_expect_eq(b.started_us, 10 * S + S / 100);
     cr_expect_eq(late.started_us, 10 * S - S / 200);
 }
+
+typedef struct {
+    const char *what;
+    const char *orders[4]; /* targets in order of arrival */
+    const char *asked;
+    int is_superseded;
+} superseded_case_t;
+
+static const superseded_case_t superseded_cases[] = {
+    {"nothing ordered", {NULL}, "v2", 0},
+    {"the current one", {"v2"}, "v2", 0},
+    {"an earlier one", {"v2", "v3"}, "v2", 1},
+    {"two before", {"v2", "v3", "v4"}, "v2", 1},
+    {"ordered anew since", {"v2", "v3", "v2"}, "v2", 0},
+    {"one never ordered", {"v2", "v3"}, "v4", 0},
+};
+
+/* After the store came back from a backup, the backup's order may be one that
+ * another has replaced. */
+Test(rollout, superseded_orders)
+{
+    for (size_t i = 0;
+         i < sizeof(superseded_cases) / sizeof(*superseded_cases); i++) {
+        const superseded_case_t *item = &superseded_cases[i];
+        static pps_dispatcher_t dispatcher;
+        static pps_reactor_t reactor;
+        pps_rollout_t order = {.upstream = "s"};
+
+        memset(&dispatcher, 0, sizeof(dispatcher));
+        dispatcher.reactor = &reactor;
+        dispatcher.options.repeat_window_us = 10 * S;
+        for (size_t n = 0; n < 4 && item->orders[n] != NULL; n++) {
+            snprintf(order.target, sizeof(order.target), "%s",
+                     item->orders[n]);
+            pps_rollout_controller_apply_order(&dispatcher, &order);
+        }
+        snprintf(order.target, sizeof(order.target), "%s", item->asked);
+        cr_expect_eq(pps_rollout_controller_is_superseded(&dispatcher, &order),
+                     item->is_superseded, "%s", item->what);
+    }
+}
+
+/* A late status of a replaced roll-out must not end the current one. */
+Test(rollout, status_of_a_superseded_rollout_is_ignored)
+{
+    static pps_dispatcher_t dispatcher;
+    static pps_reactor_t reactor;
+    pps_rollout_t order = {.upstream = "s", .target = "v2"};
+    pps_rollout_t status = {
+        .upstream = "s", .target = "v2", .state = PPS_ROLLOUT_COMPLETED};
+
+    dispatcher.reactor = &reactor;
+    dispatcher.options.repeat_window_us = 10 * S;
+    pps_rollout_controller_apply_order(&dispatcher, &order);
+    snprintf(order.target, sizeof(order.target), "v3");
+    pps_rollout_controller_apply_order(&dispatcher, &order);
+    pps_rollout_controller_apply_status(&dispatcher, &status);
+    cr_expect_str_eq(dispatcher.upstreams[0].rollout.target, "v3");
+    cr_expect_eq(dispatcher.upstreams[0].rollout.state, PPS_ROLLOUT_ACTIVE);
+}
--- a/tests/entry/test_store_topic.c
+++ b/tests/entry/test_store_topic.c
@@ -18,6 +18,22 @@
          "\"has_more\":false,\"end\":3     }"
 #define GONE "HTTP/1.1 410 Gone\r\nContent-Length: 11\r\n\r\n{\"first\":9}"
 
+#define EPOCH(n) "HTTP/1.1 200 OK\r\nStore-Era: " n "\r\nContent-Length: "
+#define ONE_KEY(epoch, value, end)                                            \
+    EPOCH(epoch)                                                              \
+    "84\r\n\r\n{\"entries\":[{\"key\":\"a\",\"value\":\"" value               \
+    "\",\"offset\":1}],\"has_more\":false,\"end\":" end "        }"
+/* Answer to a read: end 3, first offset 0, no records. */
+#define NO_RECORDS "16\r\n\r\n0000000300000000"
+#define FIRST_PAGE(epoch)                                                     \
+    EPOCH(epoch)                                                              \
+    "75\r\n\r\n{\"entries\":[{\"key\":\"a\",\"value\":\"MQ==\",\"offset\":1}" \
+    "],"                                                                      \
+    "\"has_more\":true,\"end\":3}"
+#define GONE_IN(epoch)                                                        \
+    "HTTP/1.1 410 Gone\r\nStore-Era: " epoch                                  \
+    "\r\nContent-Length: 11\r\n\r\n{\"first\":0}"
+
 typedef struct {
     pps_buf_t changes;
     pps_mirror_t *mirror;
@@ -47,7 +63,13 @@
     ((owner_t *)user)->failures++;
 }
 
-static const pps_store_topic_ops_t ops = {on_read, on_failed};
+static void
+on_epoch(void *user, int64_t epoch)
+{
+    pps_buf_printf(&((owner_t *)user)->changes, "epoch %d;", (int)epoch);
+}
+
+static const pps_store_topic_ops_t ops = {on_read, on_failed, on_epoch};
 static const pps_store_topic_options_t options = {"keyed.t", 0,
                                                   20 * PPS_US_PER_MS};
 
@@ -88,6 +110,54 @@
      1,
      1,
      "a=1;b=2;"},
+    {"a read is answered in a higher epoch, at offsets passed before",
+     {{ONE_KEY("1", "MQ==", "9"), NET_KEEP},
+      {EPOCH("2") NO_RECORDS, NET_KEEP},
+      {ONE_KEY("2", "OQ==", "3"), NET_KEEP},
+      {NULL, NET_KEEP}},
+     2,
+     0,
+     "epoch 1;a=1;epoch 2;a=9;"},
+    {"the offset does not exist in a higher epoch",
+     {{ONE_KEY("1", "MQ==", "9"), NET_KEEP},
+      {GONE_IN("2"), NET_KEEP},
+      {ONE_KEY("2", "OQ==", "3"), NET_KEEP},
+      {NULL, NET_KEEP}},
+     2,
+     0,
+     "epoch 1;a=1;epoch 2;a=9;"},
+    {"a higher epoch between two pages",
+     {{FIRST_PAGE("1"), NET_KEEP},
+      {ONE_KEY("2", "Mg==", "3"), NET_KEEP},
+      {ONE_KEY("2", "OQ==", "3"), NET_KEEP},
+      {NULL, NET_KEEP}},
+     1,
+     0,
+     "epoch 1;a=1;epoch 2;a=9;"},
+    {"two higher epochs in a row",
+     {{ONE_KEY("1", "MQ==", "9"), NET_KEEP},
+      {EPOCH("2") NO_RECORDS, NET_KEEP},
+      {ONE_KEY("3", "OQ==", "3"), NET_KEEP},
+      {NULL, NET_KEEP}},
+     2,
+     0,
+     "epoch 1;a=1;epoch 2;epoch 3;a=9;"},
+    {"an answer of a lower epoch is not applied",
+     {{ONE_KEY("2", "MQ==", "3"), NET_KEEP},
+      {EPOCH("1") NO_RECORDS, NET_KEEP},
+      {EPOCH("2") NO_RECORDS, NET_KEEP},
+      {NULL, NET_KEEP}},
+     2,
+     1,
+     "epoch 2;a=1;"},
+    {"an empty page that has a successor",
+     {{HEAD "38\r\n\r\n{\"entries\":[],\"has_more\":true,\"end\":9}",
+       NET_KEEP},
+      {LISTING, NET_KEEP},
+      {NULL, NET_KEEP}},
+     1,
+     1,
+     "a=1;b=2;"},
 };
 
 static void
@@ -196,3 +266,54 @@
     cr_expect_geq(pps_clock_now_us() - started_us, delays_us);
     pps_buf_clear(&owner.changes);
 }
+
+/* An epoch that another topic learned: the next read is a listing, and the
+ * answer to the read under way is dropped. */
+Test(store_topic, epoch_learned_elsewhere)
+{
+    static const net_answer_t script[] = {
+        {ONE_KEY("1", "MQ==", "9"), NET_KEEP},
+        {NULL, NET_KEEP},
+        {ONE_KEY("2", "OQ==", "3"), NET_KEEP},
+        {NULL, NET_KEEP}};
+    static const char late[] = EPOCH("1") NO_RECORDS;
+    pps_reactor_t reactor;
+    net_server_t server;
+    pps_store_topic_t *topic;
+    owner_t owner;
+
+    start(&owner, &topic, &server, &reactor, script, 4);
+    cr_assert(net_run_until(&reactor, &server.requests, 2, TIMEOUT_MS));
+    pps_store_topic_set_epoch(topic, 2);
+    net_server_send(&server, late, strlen(late));
+    cr_assert(net_run_until(&reactor, &owner.reads, 2, TIMEOUT_MS));
+    cr_expect_str_eq(pps_buf_text(&owner.changes), "epoch 1;a=1;a=9;");
+    cr_expect_eq(owner.failures, 0);
+    cr_expect_eq(pps_mirror_epoch(owner.mirror), 2);
+    pps_buf_clear(&owner.changes);
+}
+
+/* The place in a listing of several pages must not outlive it: a later listing
+ * would skip the keys before it. */
+Test(store_topic, later_listing_starts_at_the_first_key)
+{
+    static const net_answer_t script[] = {
+        {FIRST_PAGE("1"), NET_KEEP},
+        {ONE_KEY("1", "MQ==", "9"), NET_KEEP},
+        {EPOCH("1") "17\r\n\r\n0000000300000000x", NET_KEEP},
+        {EPOCH("1") "20\r\n\r\n0000000300000000\1\1\1\1", NET_KEEP},
+        {ONE_KEY("1", "OQ==", "9"), NET_KEEP},
+        {NULL, NET_KEEP}};
+    pps_reactor_t reactor;
+    net_server_t server;
+    pps_store_topic_t *topic;
+    owner_t owner;
+
+    start(&owner, &topic, &server, &reactor, script, 6);
+    cr_assert(net_run_until(&reactor, &server.requests, 2, TIMEOUT_MS));
+    cr_expect_not_null(strstr(server.last.data, "&after=%61"));
+    cr_assert(net_run_until(&reactor, &server.requests, 5, TIMEOUT_MS));
+    cr_expect_not_null(strstr(server.last.data, "/-/log-newest"));
+    cr_expect_null(strstr(server.last.data, "after"));
+    pps_buf_clear(&owner.changes);
+}
