--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -18,6 +18,8 @@
 #define FAULT_INTERVAL_US (350 * PPS_US_PER_MS)
 #define REQUEST_INTERVAL_US (15 * PPS_US_PER_MS)
 #define HEARTBEAT_INTERVAL_US (400 * PPS_US_PER_MS)
+/** Mean number of heartbeats between two backups of the store. */
+#define BACKUP_INTERVAL_HEARTBEATS 6
 /** Share of the requests of the recovery phase that must be served. */
 #define SERVED_RATIO_MIN 0.95
 #define HOSTS_DEFAULT 4
@@ -82,6 +84,9 @@
     soak_t *soak = user;
 
     host_restart_ended(soak);
+    if (pps_rng_below(&soak->rng, BACKUP_INTERVAL_HEARTBEATS) == 0) {
+        store_back_up(&soak->store);
+    }
     for (int i = 0; i < SOAK_WORKER_COUNT; i++) {
         if (soak->workers[i].is_listed) {
             worker_write_entry(&soak->workers[i], "ready");
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -66,7 +66,8 @@
     char name[SOAK_TEXT_BYTES];
     record_t *records;
     size_t count;
-    size_t first; /**< offset of the first record that can be read */
+    size_t first;        /**< offset of the first record that can be read */
+    size_t backup_count; /**< records that the last backup contains */
 } topic_t;
 
 #define STORE_TOPICS_MAX 8
@@ -80,6 +81,9 @@
     size_t topic_count;
     store_mode_t mode;
     struct cds_list_head pending_calls;
+    unsigned int epoch; /**< stated in all answers */
+    pps_timer_t rewrite_timer;
+    topic_t lost[STORE_TOPICS_MAX]; /**< records to be written again */
 } store_t;
 
 void
@@ -96,6 +100,16 @@
 void
 store_compact(store_t *store, const char *topic);
 
+/** Makes a backup of all records. */
+void
+store_back_up(store_t *store);
+
+/** Brings the store back from the last backup, in a higher epoch. What the
+ * operator and the workers wrote since is written again soon; what the hosts
+ * wrote is lost. */
+void
+store_restore(store_t *store);
+
 /** A request that was sent, and its executions. */
 typedef struct {
     pps_table_item_t item;
@@ -104,6 +118,10 @@
     int has_valid_key;
     unsigned int run_count; /**< executions that a worker began */
     int was_refused;        /**< reported to the client as not run */
+    int host;               /**< index of the host it was sent to */
+    int64_t sent_us;
+    int leaving_worker; /**< index of the worker that answered that it is
+                             leaving; -1: none */
 } request_t;
 
 /** How a worker fails. */
@@ -128,11 +146,21 @@
     int is_listed;
     int64_t draining_since_us; /**< 0: not draining */
     unsigned int sequence;
+    int64_t start_ms;
+    /* By host: when its client got an answer that says that this worker is
+     * leaving; the pause that this worker asked of it, and requests in it. */
+    int64_t told_leaving_us[SOAK_HOSTS_MAX];
+    int64_t paused_us[SOAK_HOSTS_MAX];
+    unsigned int requests_in_pause[SOAK_HOSTS_MAX];
 } worker_t;
 
 void
 worker_start(worker_t *worker, struct soak *soak, int index);
 
+/** Lets the worker start again: it is ready and holds nothing of before. */
+void
+worker_restart(worker_t *worker);
+
 /** Writes the worker's entry. @param state NULL deletes it */
 void
 worker_write_entry(worker_t *worker, const char *state);
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -32,6 +32,7 @@
     pps_http_channel_t *channel;
     unsigned int status;
     int has_seal;
+    char seal[SOAK_TEXT_BYTES]; /* id of the worker that began the answer */
     pps_buf_t body;
     pps_timer_t timer;
 } client_t;
@@ -81,6 +82,26 @@
     }
 }
 
+/* Notes that the host has passed on the answer of a worker that said that it
+ * is leaving. */
+static void
+note_leaving_worker(const client_t *client)
+{
+    soak_t *soak = client->soak;
+    const request_t *request = soak_find_request(soak, client->id);
+    worker_t *worker;
+
+    if (request->leaving_worker < 0) {
+        return;
+    }
+    worker = &soak->workers[request->leaving_worker];
+    if (strcmp(client->seal, worker->id) == 0 &&
+        worker->draining_since_us != 0 &&
+        worker->told_leaving_us[client->host] == 0) {
+        worker->told_leaving_us[client->host] = soak->reactor.now_us;
+    }
+}
+
 static int
 is_not_run(unsigned int status)
 {
@@ -105,6 +126,7 @@
 
     if (is_served) {
         check_body(client);
+        note_leaving_worker(client);
     }
     if (is_not_run(client->status)) {
         check_refusal(client);
@@ -137,10 +159,11 @@
 {
     client_t *client = user;
     const char *id = pps_headers_get(&reply->headers, "X-Request-Id");
+    const char *seal = pps_headers_get(&reply->headers, "X-Response-Seal");
 
     client->status = reply->status;
-    client->has_seal =
-        pps_headers_get(&reply->headers, "X-Response-Seal") != NULL;
+    client->has_seal = seal != NULL;
+    snprintf(client->seal, sizeof(client->seal), "%s", seal ? seal : "");
     if (reply->status == 200 && (id == NULL || strcmp(id, client->id) != 0)) {
         soak_report_violation(client->soak, "an answer to another request",
                               client->id);
@@ -173,6 +196,9 @@
     snprintf(request->id, sizeof(request->id), "%s", client->id);
     request->at_most_once = client->kind == KIND_ONCE;
     request->has_valid_key = has_valid_key;
+    request->host = client->host;
+    request->sent_us = client->sent_us;
+    request->leaving_worker = -1;
     pps_table_add(&client->soak->requests, &request->item, request->id,
                   strlen(request->id));
 }
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -96,7 +96,10 @@
     static const char *const topics[] = {"keyed.op", "keyed.servers"};
 
     soak->store_changed_us = soak->reactor.now_us;
-    switch (pps_rng_below(&soak->rng, 4)) {
+    switch (pps_rng_below(&soak->rng, 5)) {
+    case 4:
+        store_restore(&soak->store);
+        break;
     case 0:
         store_compact(&soak->store, topics[pps_rng_below(&soak->rng, 2)]);
         break;
@@ -125,10 +128,15 @@
         worker->mode = (worker_mode_t)pps_rng_below(&soak->rng, 5);
         break;
     default:
-        worker->is_listed = !worker->is_listed;
-        worker->draining_since_us =
-            worker->is_listed ? 0 : soak->reactor.now_us;
-        worker_write_entry(worker, worker->is_listed ? "ready" : "draining");
+        if (!worker->is_listed) {
+            worker_restart(worker);
+            break;
+        }
+        worker->is_listed = 0;
+        worker->draining_since_us = soak->reactor.now_us;
+        if (pps_rng_below(&soak->rng, 2) == 0) {
+            worker_write_entry(worker, "draining");
+        }
         break;
     }
 }
@@ -168,10 +176,8 @@
     soak->store_changed_us = soak->reactor.now_us;
     for (int i = 0; i < SOAK_WORKER_COUNT; i++) {
         soak->workers[i].mode = WORKER_OK;
-        soak->workers[i].is_listed = 1;
-        soak->workers[i].draining_since_us = 0;
         proxy_set_mode(&soak->workers[i].proxy, PROXY_PASS);
-        worker_write_entry(&soak->workers[i], "ready");
+        worker_restart(&soak->workers[i]);
     }
     for (int i = 0; i < soak->host_count; i++) {
         if (soak->hosts[i].is_paused) {
@@ -182,4 +188,7 @@
         soak->key2_revoked_us = soak->reactor.now_us;
         soak_publish_config(soak);
     }
+    if (pps_rng_below(&soak->rng, 2) == 0) {
+        store_restore(&soak->store);
+    }
 }
--- a/tests/soak/soak_store.c
+++ b/tests/soak/soak_store.c
@@ -9,6 +9,9 @@
 #include <string.h>
 
 #define POLL_INTERVAL_US (20 * PPS_US_PER_MS)
+/** Time after a restoration at which the operator and the workers write again
+ * what the backup lacks. */
+#define REWRITE_DELAY_US (300 * PPS_US_PER_MS)
 #define SLOW_DELAY_US (250 * PPS_US_PER_MS)
 
 /* A request that has not been answered yet. */
@@ -69,6 +72,92 @@
     found->first = found->count;
 }
 
+void
+store_back_up(store_t *store)
+{
+    for (size_t i = 0; i < store->topic_count; i++) {
+        store->topics[i].backup_count = store->topics[i].count;
+    }
+}
+
+static void
+on_rewrite(int64_t now_us, void *user)
+{
+    store_t *store = user;
+
+    for (size_t i = 0; i < store->topic_count; i++) {
+        topic_t *lost = &store->lost[i];
+
+        for (size_t n = 0; n < lost->count; n++) {
+            record_t *record = &lost->records[n];
+
+            add_record(&store->topics[i], record->key, strlen(record->key),
+                       record->is_tombstone ? NULL
+                                            : pps_buf_text(&record->value),
+                       record->value.size);
+            pps_buf_clear(&record->value);
+        }
+        lost->count = 0;
+    }
+}
+
+static int
+is_written_again(const topic_t *topic)
+{
+    return strcmp(topic->name, "keyed.op") == 0 ||
+           strcmp(topic->name, "keyed.servers") == 0;
+}
+
+/* Moves the last record behind the first `kept` lost ones, which are older. */
+static void
+drop_last(topic_t *topic, topic_t *lost, size_t kept)
+{
+    record_t *record = &topic->records[topic->count - 1];
+
+    if (is_written_again(topic)) {
+        lost->records =
+            realloc(lost->records, (lost->count + 1) * sizeof(*record));
+        memmove(lost->records + kept + 1, lost->records + kept,
+                (lost->count - kept) * sizeof(*record));
+        lost->records[kept] = *record;
+        lost->count++;
+    }
+    else {
+        pps_buf_clear(&record->value);
+    }
+    topic->count--;
+}
+
+void
+store_restore(store_t *store)
+{
+    store->epoch++;
+    for (size_t i = 0; i < store->topic_count; i++) {
+        topic_t *topic = &store->topics[i];
+        size_t lost_before = store->lost[i].count;
+
+        while (topic->count > topic->backup_count) {
+            drop_last(topic, &store->lost[i], lost_before);
+        }
+        if (topic->first > topic->count) {
+            topic->first = topic->count;
+        }
+    }
+    pps_reactor_after(store->reactor, &store->rewrite_timer, REWRITE_DELAY_US,
+                      on_rewrite, store);
+}
+
+/* Responds and states the epoch. */
+static void
+respond_with(const store_t *store, pps_http_conn_t *conn, unsigned int status,
+             const char *body, size_t size)
+{
+    char fields[SOAK_TEXT_BYTES];
+
+    snprintf(fields, sizeof(fields), "Store-Era: %u\r\n", store->epoch);
+    pps_http_conn_respond(conn, status, fields, body, size);
+}
+
 static void
 copy_parameter(char *out, size_t size, const char *target, const char *name)
 {
@@ -105,7 +194,8 @@
 }
 
 static void
-respond_newest(const topic_t *topic, pps_http_conn_t *conn)
+respond_newest(const store_t *store, const topic_t *topic,
+               pps_http_conn_t *conn)
 {
     pps_buf_t body = PPS_BUF_INIT;
     const char *comma = "";
@@ -132,7 +222,7 @@
         free(text);
     }
     pps_buf_printf(&body, "],\"has_more\":false,\"end\":%zu}", topic->count);
-    pps_http_conn_respond(conn, 200, "", body.data, body.size);
+    respond_with(store, conn, 200, body.data, body.size);
     pps_buf_clear(&body);
 }
 
@@ -147,12 +237,13 @@
 }
 
 static void
-respond_read(const topic_t *topic, pps_http_conn_t *conn, size_t from)
+respond_read(const store_t *store, const topic_t *topic, pps_http_conn_t *conn,
+             size_t from)
 {
     pps_buf_t body = PPS_BUF_INIT;
 
-    if (from < topic->first) {
-        pps_http_conn_respond(conn, 410, "", "{}", 2);
+    if (from < topic->first || from > topic->count) {
+        respond_with(store, conn, 410, "{}", 2);
         return;
     }
     append_big_endian(&body, topic->count, 8);
@@ -167,7 +258,7 @@
         pps_buf_append(&body, pps_buf_text(&record->value),
                        record->value.size);
     }
-    pps_http_conn_respond(conn, 200, "", body.data, body.size);
+    respond_with(store, conn, 200, body.data, body.size);
     pps_buf_clear(&body);
 }
 
@@ -181,7 +272,7 @@
 
     if (expected_end >= 0 && (size_t)expected_end != topic->count) {
         snprintf(text, sizeof(text), "{\"end\":%zu}", topic->count);
-        pps_http_conn_respond(call->conn, 412, "", text, strlen(text));
+        respond_with(store, call->conn, 412, text, strlen(text));
         return;
     }
     key_size = data[4];
@@ -193,7 +284,7 @@
     }
     snprintf(text, sizeof(text), "{\"offset\":%zu,\"end\":%zu}",
              topic->count - 1, topic->count);
-    pps_http_conn_respond(call->conn, 200, "", text, strlen(text));
+    respond_with(store, call->conn, 200, text, strlen(text));
 }
 
 static void
@@ -219,13 +310,13 @@
     topic = find_topic(store, name);
     pps_http_conn_attach(call->conn, NULL);
     if (store->mode == STORE_UNAVAILABLE) {
-        pps_http_conn_respond(call->conn, 503, "", "", 0);
+        respond_with(store, call->conn, 503, "", 0);
     }
     else if (strncmp(call->target, "/-/log-newest", 13) == 0) {
-        respond_newest(topic, call->conn);
+        respond_newest(store, topic, call->conn);
     }
     else if (strncmp(call->target, "/-/log-read", 11) == 0) {
-        respond_read(topic, call->conn,
+        respond_read(store, topic, call->conn,
                      (size_t)number_parameter(call->target, "from", 0));
     }
     else {
@@ -289,6 +380,7 @@
 {
     memset(store, 0, sizeof(*store));
     store->reactor = reactor;
+    store->epoch = 1;
     CDS_INIT_LIST_HEAD(&store->pending_calls);
     store->limits = (pps_http_limits_t){8192, 1U << 20, 60 * PPS_US_PER_S,
                                         60 * PPS_US_PER_S};
--- a/tests/soak/soak_worker.c
+++ b/tests/soak/soak_worker.c
@@ -12,6 +12,13 @@
 /** The operator's limit: a draining worker must get no new work after it. */
 #define DRAIN_DEADLINE_US (2 * PPS_US_PER_S)
 
+/** Pause that a full worker asks of a host, and the time after its answer from
+ * which requests in it count; the rule allows two. */
+#define PAUSE_US (2000 * PPS_US_PER_MS)
+#define PAUSE_HEADER "Retry-After: 2.0\r\n"
+#define PAUSE_COUNTS_AFTER_US (500 * PPS_US_PER_MS)
+#define REQUESTS_IN_PAUSE_MAX 2
+
 /* An execution of a request. */
 typedef struct {
     worker_t *worker;
@@ -36,6 +43,25 @@
            pps_rng_below(&run->worker->soak->rng, 6) == 0;
 }
 
+static const char *
+leaving_header(const worker_t *worker)
+{
+    return worker->draining_since_us != 0 ? "Server-Leaving: 1\r\n" : "";
+}
+
+/* Writes the headers of an answer and notes that it says leaving. */
+static void
+write_fields(char *out, size_t size, worker_t *worker, const char *id)
+{
+    request_t *request = soak_find_request(worker->soak, id);
+
+    if (request != NULL && worker->draining_since_us != 0) {
+        request->leaving_worker = (int)(worker - worker->soak->workers);
+    }
+    snprintf(out, size, "X-Request-Id: %s\r\nX-Response-Seal: %s\r\n%s", id,
+             worker->id, leaving_header(worker));
+}
+
 static void
 on_run_timer(int64_t now_us, void *user)
 {
@@ -70,9 +96,7 @@
     else {
         char fields[256];
 
-        snprintf(fields, sizeof(fields),
-                 "X-Request-Id: %s\r\nX-Response-Seal: %s\r\n", run->id,
-                 run->worker->id);
+        write_fields(fields, sizeof(fields), run->worker, run->id);
         snprintf(text, sizeof(text), "answer to %s", run->id);
         pps_http_conn_respond(conn, 200, fields, text, strlen(text));
     }
@@ -80,15 +104,75 @@
 }
 
 static void
-refuse(pps_http_conn_t *conn, unsigned int status, const char *id)
+refuse(pps_http_conn_t *conn, unsigned int status, const char *id,
+       const char *more_fields)
 {
     char fields[256];
 
     snprintf(fields, sizeof(fields),
-             "X-Request-Id: %s\r\nX-Not-Executed: 1\r\n", id);
+             "X-Request-Id: %s\r\nX-Not-Executed: 1\r\n%s", id, more_fields);
     pps_http_conn_respond(conn, status, fields, "", 0);
 }
 
+/* Returns whether a host ran without a signal since a time. */
+static int
+ran_since(const soak_t *soak, int host, int64_t since_us)
+{
+    return soak->hosts[host].pid != 0 &&
+           soak->hosts[host].undisturbed_since_us < since_us;
+}
+
+static void
+check_leaving(const worker_t *worker, const request_t *request)
+{
+    soak_t *soak = worker->soak;
+    int64_t told_us = worker->told_leaving_us[request->host];
+
+    if (told_us != 0 && request->sent_us - told_us > DRAIN_DEADLINE_US &&
+        ran_since(soak, request->host, told_us)) {
+        soak_report_violation(
+            soak, "a request for a worker that told its host that it leaves",
+            request->id);
+    }
+}
+
+static void
+check_pause(worker_t *worker, const request_t *request)
+{
+    soak_t *soak = worker->soak;
+    int64_t paused_us = worker->paused_us[request->host];
+    int64_t in_pause_us = soak->reactor.now_us - paused_us;
+
+    if (paused_us == 0 || in_pause_us < PAUSE_COUNTS_AFTER_US ||
+        in_pause_us > PAUSE_US || !ran_since(soak, request->host, paused_us)) {
+        return;
+    }
+    if (++worker->requests_in_pause[request->host] > REQUESTS_IN_PAUSE_MAX) {
+        soak_report_violation(
+            soak, "requests in the pause that the worker asked for",
+            request->id);
+    }
+}
+
+/* Refuses a request as a full worker does, half of the time with a pause. */
+static void
+refuse_full(worker_t *worker, pps_http_conn_t *conn, const char *id)
+{
+    soak_t *soak = worker->soak;
+    const request_t *request = soak_find_request(soak, id);
+    int asks_pause = request != NULL && pps_rng_below(&soak->rng, 2) == 0;
+    char fields[SOAK_TEXT_BYTES];
+
+    if (asks_pause && worker->proxy.mode == PROXY_PASS &&
+        soak->reactor.now_us - worker->paused_us[request->host] > PAUSE_US) {
+        worker->paused_us[request->host] = soak->reactor.now_us;
+        worker->requests_in_pause[request->host] = 0;
+    }
+    snprintf(fields, sizeof(fields), "%s%s", leaving_header(worker),
+             asks_pause ? PAUSE_HEADER : "");
+    refuse(conn, 503, id, fields);
+}
+
 static void
 check_request(worker_t *worker, const pps_http_request_t *request,
               request_t *recorded, const char *id)
@@ -135,22 +219,27 @@
     const char *expected_id =
         pps_headers_get(&request->headers, "X-Expected-Instance");
     int64_t last_event_id = 0;
+    request_t *recorded;
     char fields[256];
     run_t *run;
 
     if (id == NULL || expected_id == NULL ||
         strcmp(expected_id, worker->id) != 0) {
-        refuse(conn, 421, id ? id : "");
+        refuse(conn, 421, id ? id : "", "");
         return;
     }
+    recorded = soak_find_request(soak, id);
+    if (recorded != NULL) {
+        check_leaving(worker, recorded);
+        check_pause(worker, recorded);
+    }
     if (worker->mode == WORKER_FULL && pps_rng_below(&soak->rng, 2) == 0) {
-        refuse(conn, 503, id);
+        refuse_full(worker, conn, id);
         return;
     }
-    check_request(worker, request, soak_find_request(soak, id), id);
+    check_request(worker, request, recorded, id);
     if (worker->mode == WORKER_ERRORS && pps_rng_below(&soak->rng, 2) == 0) {
-        snprintf(fields, sizeof(fields),
-                 "X-Request-Id: %s\r\nX-Response-Seal: e\r\n", id);
+        write_fields(fields, sizeof(fields), worker, id);
         pps_http_conn_respond(conn, 500, fields, "error", 5);
         return;
     }
@@ -164,9 +253,7 @@
     run->next_event = (int)last_event_id + 1;
     pps_http_conn_attach(conn, run);
     if (run->is_stream) {
-        snprintf(fields, sizeof(fields),
-                 "X-Request-Id: %s\r\nX-Response-Seal: %s\r\n", id,
-                 worker->id);
+        write_fields(fields, sizeof(fields), worker, id);
         pps_http_conn_begin(conn, 200, fields);
     }
     pps_reactor_after(&soak->reactor, &run->timer, EVENT_INTERVAL_US,
@@ -194,12 +281,24 @@
     snprintf(text, sizeof(text),
              "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"z%d\","
              "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
-             "\"sequence\":%u,\"born\":1}",
+             "\"sequence\":%u,\"born\":%lld}",
              worker->proxy.address, worker->id[1] % 2, state,
-             ++worker->sequence);
+             ++worker->sequence, (long long)worker->start_ms);
     store_put(&soak->store, "keyed.servers", worker->id, text);
 }
 
+void
+worker_restart(worker_t *worker)
+{
+    worker->is_listed = 1;
+    worker->draining_since_us = 0;
+    worker->start_ms++;
+    worker->sequence = 0;
+    memset(worker->told_leaving_us, 0, sizeof(worker->told_leaving_us));
+    memset(worker->paused_us, 0, sizeof(worker->paused_us));
+    worker_write_entry(worker, "ready");
+}
+
 void
 worker_start(worker_t *worker, soak_t *soak, int index)
 {
@@ -208,6 +307,7 @@
     memset(worker, 0, sizeof(*worker));
     worker->soak = soak;
     worker->is_listed = 1;
+    worker->start_ms = 1;
     snprintf(worker->id, sizeof(worker->id), "w%d", index);
     worker->limits = (pps_http_limits_t){8192, 1U << 20, 60 * PPS_US_PER_S,
                                          60 * PPS_US_PER_S};
