--- a/src/libpapayaswitch/log/log_reader.c
+++ b/src/libpapayaswitch/log/log_reader.c
@@ -57,13 +57,15 @@
     free(batch);
 }
 
-/* A seek during the read overrides the offset that follows its records. */
+/* Sets the offset of the next read. The records of a failed read are read again;
+ * a seek during the read overrides the offset that follows its records. */
 static void
 advance(pps_log_reader_t *reader, const pps_log_batch_t *batch,
         uint64_t seek_count)
 {
     pthread_mutex_lock(&reader->lock);
-    if (reader->seek_count == seek_count && batch->count > 0) {
+    if (batch->error == 0 && reader->seek_count == seek_count &&
+        batch->count > 0) {
         reader->next_offset = batch->entries[batch->count - 1].offset + 1;
     }
     pthread_mutex_unlock(&reader->lock);
--- a/tests/soak/soak_store.c
+++ b/tests/soak/soak_store.c
@@ -80,6 +80,19 @@
     }
 }
 
+static int
+is_last_of_its_key(const topic_t *lost, size_t index)
+{
+    for (size_t i = index + 1; i < lost->count; i++) {
+        if (strcmp(lost->records[i].key, lost->records[index].key) == 0) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
+/* Writes the newest of the lost records of each key again, so that offsets do
+ * not reach those of before. */
 static void
 on_rewrite(int64_t now_us, void *user)
 {
@@ -91,10 +104,12 @@
         for (size_t n = 0; n < lost->count; n++) {
             record_t *record = &lost->records[n];
 
-            add_record(&store->topics[i], record->key, strlen(record->key),
-                       record->is_tombstone ? NULL
-                                            : pps_buf_text(&record->value),
-                       record->value.size);
+            if (is_last_of_its_key(lost, n)) {
+                add_record(&store->topics[i], record->key, strlen(record->key),
+                           record->is_tombstone ? NULL
+                                                : pps_buf_text(&record->value),
+                           record->value.size);
+            }
             pps_buf_clear(&record->value);
         }
         lost->count = 0;
