--- a/include/papayaswitch/answer.h
+++ b/include/papayaswitch/answer.h
@@ -73,8 +73,9 @@
 
 /** Why an answer could not be opened; no worker opened a stream for it. */
 typedef struct {
-    int error;      /**< error that pps_answer_open() returned */
-    int over_share; /**< enter_pool: over its share, or pool full */
+    int error;        /**< error that pps_answer_open() returned */
+    int over_share;   /**< enter_pool: over its share, or pool full */
+    int may_have_run; /**< a worker that did not answer may run the request */
     pps_refusal_t last_refusal; /**< reason of the last worker tried, if any */
     int64_t retry_after_us; /**< time until a retry; 1 s if none is known */
 } pps_answer_refusal_t;
--- a/src/libpapayaswitch/answer/answer.c
+++ b/src/libpapayaswitch/answer/answer.c
@@ -86,6 +86,7 @@
     if (error < 0) {
         refusal->error = error;
         refusal->over_share = answer->over_share;
+        refusal->may_have_run = answer->may_have_run;
         refusal->last_refusal = answer->last_refusal;
         refusal->retry_after_us = answer->retry_after_us > 0
                                       ? answer->retry_after_us
--- a/src/libpapayaswitch/answer/answer_state.h
+++ b/src/libpapayaswitch/answer/answer_state.h
@@ -25,8 +25,9 @@
     int64_t resume_at_us;  /**< if no stream is open: when to open the next */
     int empty_streams;     /**< consecutive streams without a new token */
     int attempts;
-    int over_share; /**< enter_pool: over its share, or pool full */
-    int accepted;   /**< a worker has opened a stream for the request */
+    int may_have_run; /**< an attempt that opened no stream may have arrived */
+    int over_share;   /**< enter_pool: over its share, or pool full */
+    int accepted;     /**< a worker has opened a stream for the request */
     int complete;
 };
 
--- a/src/libpapayaswitch/answer/answer_worker.c
+++ b/src/libpapayaswitch/answer/answer_worker.c
@@ -96,6 +96,18 @@
     return left_ms < timeout_ms ? (int)left_ms : timeout_ms;
 }
 
+/* Cancels a request that a worker did not answer and may still run. */
+static void
+cancel_unanswered(pps_answer_t *answer)
+{
+    const pps_answer_options_t *options = &answer->options;
+
+    answer->may_have_run = 1;
+    options->engine->cancel(options->engine, answer->worker->address,
+                            answer->worker->port, options->request_id);
+    pps_counter_add(PPS_COUNTER_ANSWERS_CANCELLED, 1);
+}
+
 /* @return 0; PPS_EREFUSED if another worker may be tried; a final error */
 static int
 send_to_worker(pps_answer_t *answer)
@@ -134,6 +146,9 @@
         return PPS_OK;
     }
     pps_worker_end_request(answer->worker);
+    if (error == PPS_ETIMEOUT || error == PPS_EUNKNOWN) {
+        cancel_unanswered(answer);
+    }
     pps_answer_exclude_worker(
         answer,
         error == PPS_EREFUSED ? refusal.reason
--- a/src/libpapayaswitch/log/log_reader.c
+++ b/src/libpapayaswitch/log/log_reader.c
@@ -57,8 +57,9 @@
     free(batch);
 }
 
-/* Sets the offset of the next read. The records of a failed read are read again;
- * a seek during the read overrides the offset that follows its records. */
+/* Sets the offset of the next read. The records of a failed read are read
+ * again; a seek during the read overrides the offset that follows its records.
+ */
 static void
 advance(pps_log_reader_t *reader, const pps_log_batch_t *batch,
         uint64_t seek_count)
--- a/src/libpapayaswitch/router/call.c
+++ b/src/libpapayaswitch/router/call.c
@@ -229,9 +229,12 @@
     pps_pool_t *pool = pps_pool_table_get(call->router->pools, upstream);
     int error;
 
+    if (pool == NULL) {
+        return pps_error_set(PPS_ENOMEM,
+                             "pools: out of memory or name too long");
+    }
     if (pool == call->pool) {
-        return pool ? PPS_OK
-                    : pps_error_set(PPS_ENOMEM, "pools: out of memory");
+        return PPS_OK;
     }
     leave_pool(call);
     error = pps_pool_enter(pool, call->workspace, call->priority,
--- a/src/libpapayaswitch/router/chat.c
+++ b/src/libpapayaswitch/router/chat.c
@@ -91,6 +91,11 @@
 reply_open_error(const pps_chat_t *chat, struct _u_response *response,
                  const pps_answer_refusal_t *refusal)
 {
+    if (refusal->may_have_run) {
+        pps_call_refuse(&chat->call, response, PPS_API_OUTCOME_UNKNOWN, 0,
+                        "a worker did not answer; it may run the request");
+        return;
+    }
     if (refusal->over_share) {
         pps_call_refuse(&chat->call, response, PPS_API_OVERLOADED,
                         refusal->retry_after_us,
--- a/src/libpapayaswitch/work/fold_checkpoint.c
+++ b/src/libpapayaswitch/work/fold_checkpoint.c
@@ -148,7 +148,7 @@
     int kept;
 
     if (item->unread_count == 0 && !item->failed) {
-        return PPS_OK;
+        return claim->state == PPS_CLAIM_COMPLETED ? PPS_ECORRUPT : PPS_OK;
     }
     outcome = calloc(1, sizeof(*outcome));
     if (outcome == NULL) {
--- a/tests/process/test_answers_lost.c
+++ b/tests/process/test_answers_lost.c
@@ -77,6 +77,30 @@
     answer_clear(&reference);
 }
 
+/* The engine is stopped before it reads the request, and may run it once it
+ * continues: the caller must not be told that the request was not run. */
+Test(answers_lost, a_request_that_no_engine_answered_may_have_run,
+     .fini = tear_down)
+{
+    answer_call_t reference;
+    answer_call_t call;
+
+    cluster = answer_cluster_new(1, "1000");
+    call = (answer_call_t){
+        .cluster = cluster,
+        .chat = {.request_id = "r", .prompt = PROMPT, .max_tokens = TOKENS}};
+    answer_call_reference(&reference, cluster, PROMPT, TOKENS);
+    harness_signal(cluster->engines[0], SIGSTOP);
+    answer_call(&call);
+    harness_signal(cluster->engines[0], SIGCONT);
+    cr_expect_eq(call.result.end, ANSWER_ERROR);
+    cr_expect_str_eq(call.result.run, "unknown");
+    cr_expect_str_eq(call.result.code, "outcome_unknown");
+    answer_expect_bills(cluster, 1, "unanswered");
+    answer_clear(&call);
+    answer_clear(&reference);
+}
+
 static int
 is_cancelled(cluster_t *system, void *user)
 {
--- a/tests/unit/test_work_fold.c
+++ b/tests/unit/test_work_fold.c
@@ -1,5 +1,6 @@
 /** @file test_work_fold.c @brief Tests the fold of the stream `work`. */
 #include "papayaswitch/record.h"
+#include "work/fold_state.h"
 #include "work_records.h"
 
 #include <criterion/criterion.h>
@@ -342,3 +343,28 @@
                  PPS_EINVALID);
     pps_work_fold_free(fold);
 }
+
+/* A completed claim without its outcome would lead to an answer from nothing
+ * when the key is used again. */
+Test(work_fold, a_completed_claim_without_an_outcome_is_corrupt)
+{
+    pps_work_fold_t *fold;
+    pps_work_fold_t *decoded;
+    pps_fold_claim_t *claim;
+    void *data;
+    size_t size;
+
+    put_claim("k", "a", 1, 1);
+    fold = fold_all();
+    cr_assert_eq(pps_fold_encode(fold, &data, &size), 0);
+    cr_assert_eq(pps_fold_decode(&decoded, data, size), 0);
+    pps_work_fold_free(decoded);
+    free(data);
+    cds_list_for_each_entry (claim, &fold->claim_list, node) {
+        claim->state = PPS_CLAIM_COMPLETED;
+    }
+    cr_assert_eq(pps_fold_encode(fold, &data, &size), 0);
+    cr_expect_eq(pps_fold_decode(&decoded, data, size), PPS_ECORRUPT);
+    free(data);
+    pps_work_fold_free(fold);
+}
