--- a/src/cli/key_hash.c
+++ b/src/cli/key_hash.c
@@ -5,26 +5,28 @@
 
 #include <sodium.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
-#define KEY_BYTES_MAX 512
-
 /* Reads the key from standard input, because process lists show arguments. */
 static int
 hash_input(void)
 {
-    char key[KEY_BYTES_MAX];
+    char *key = NULL;
+    size_t capacity = 0;
     unsigned char hash[PPS_KEY_HASH_BYTES];
     char text[2 * PPS_KEY_HASH_BYTES + 1];
 
-    if (fgets(key, sizeof(key), stdin) == NULL) {
+    if (getline(&key, &capacity, stdin) < 0) {
         fputs("key hash: no key on standard input\n", stderr);
+        free(key);
         return PPS_EXIT_FINDINGS;
     }
     key[strcspn(key, "\r\n")] = '\0';
     crypto_generichash(hash, sizeof(hash), (const unsigned char *)key,
                        strlen(key), NULL, 0);
-    sodium_memzero(key, sizeof(key));
+    sodium_memzero(key, capacity);
+    free(key);
     puts(sodium_bin2hex(text, sizeof(text), hash, sizeof(hash)));
     return PPS_EXIT_OK;
 }
--- a/src/cli/timeline.c
+++ b/src/cli/timeline.c
@@ -92,7 +92,8 @@
     putchar('\n');
 }
 
-static void
+/* Returns the exit status: a host that is not reached is a finding. */
+static int
 add_host(json_t *all, const pps_host_t *host,
          const filter_t filters[FILTER_COUNT])
 {
@@ -102,7 +103,7 @@
 
     if (response == NULL) {
         fprintf(stderr, "%s: %s\n", host->id, pps_error_last());
-        return;
+        return PPS_EXIT_FINDINGS;
     }
     json_array_foreach(json_object_get(response, "events"), index, event)
     {
@@ -111,6 +112,7 @@
         }
     }
     json_decref(response);
+    return PPS_EXIT_OK;
 }
 
 static void
@@ -180,7 +182,9 @@
         status = PPS_EXIT_FINDINGS;
     }
     for (size_t i = 0; i < hosts.count; i++) {
-        add_host(all, &hosts.hosts[i], filters);
+        if (add_host(all, &hosts.hosts[i], filters) != PPS_EXIT_OK) {
+            status = PPS_EXIT_FINDINGS;
+        }
     }
     pps_host_list_clear(&hosts);
     return status;
--- a/src/util/histograms.c
+++ b/src/util/histograms.c
@@ -21,8 +21,13 @@
 
 static histogram_t histograms[PPS_HISTOGRAM_COUNT];
 
-static const char *const names[] = {
-#define X(id, name, help) name,
+typedef struct {
+    const char *name;
+    const char *help;
+} description_t;
+
+static const description_t descriptions[] = {
+#define X(id, name, help) {name, help},
 #include "histograms.def"
 #undef X
 };
@@ -56,15 +61,20 @@
 }
 
 static void
-append_histogram(pps_buf_t *out, const char *name, const histogram_t *counts)
+append_histogram(pps_buf_t *out, const description_t *description,
+                 const histogram_t *counts)
 {
+    const char *name = description->name;
     uint64_t cumulative = 0;
     uint64_t total =
         atomic_load_explicit(&counts->total, memory_order_relaxed);
     uint64_t sum_us =
         atomic_load_explicit(&counts->sum_us, memory_order_relaxed);
 
-    pps_buf_printf(out, "# TYPE papayaswitch_%s histogram\n", name);
+    pps_buf_printf(out,
+                   "# HELP papayaswitch_%s %s\n"
+                   "# TYPE papayaswitch_%s histogram\n",
+                   name, description->help, name);
     for (size_t i = 0; i < BOUNDS; i++) {
         cumulative += atomic_load_explicit(&counts->bucket_counts[i],
                                            memory_order_relaxed);
@@ -82,7 +92,7 @@
 pps_histograms_expose(pps_buf_t *out)
 {
     for (size_t i = 0; i < PPS_HISTOGRAM_COUNT; i++) {
-        append_histogram(out, names[i], &histograms[i]);
+        append_histogram(out, &descriptions[i], &histograms[i]);
     }
     return out->failed ? PPS_ENOMEM : PPS_OK;
 }
--- a/src/util/log_line.c
+++ b/src/util/log_line.c
@@ -4,10 +4,29 @@
 #include "clock.h"
 #include "papayaswitch/errors.h"
 
-#include <stdio.h>
+#include <ctype.h>
 #include <string.h>
 #include <time.h>
 
+#define US_PER_S 1000000
+
+/* Reads ".5Z", ".500000Z" or "Z" as microseconds; further digits are cut.
+ * @return 0 or PPS_ECORRUPT */
+static int
+parse_fraction(int *out, const char *text)
+{
+    int unit = US_PER_S / 10;
+
+    *out = 0;
+    if (*text == '.') {
+        for (text++; isdigit((unsigned char)*text); text++) {
+            *out += (*text - '0') * unit;
+            unit /= 10;
+        }
+    }
+    return *text == 'Z' ? PPS_OK : PPS_ECORRUPT;
+}
+
 /* Parses the timestamp of the logger, 2026-12-04T02:36:06.186137Z. */
 static int
 parse_timestamp(long long *out, const char *text)
@@ -17,7 +36,7 @@
         text != NULL ? strptime(text, "%Y-%m-%dT%H:%M:%S", &utc) : NULL;
     int us;
 
-    if (fraction == NULL || sscanf(fraction, ".%6dZ", &us) != 1) {
+    if (fraction == NULL || parse_fraction(&us, fraction) != 0) {
         return PPS_ECORRUPT;
     }
     *out = (long long)timegm(&utc) * PPS_US_PER_S + us;
--- a/tests/entry/test_histograms.c
+++ b/tests/entry/test_histograms.c
@@ -33,3 +33,21 @@
         pps_buf_clear(&text);
     }
 }
+
+Test(histograms, each_has_a_help_line)
+{
+    pps_buf_t text = PPS_BUF_INIT;
+    size_t types = 0;
+    size_t helps = 0;
+
+    cr_assert_eq(pps_histograms_expose(&text), 0);
+    for (const char *at = text.data; (at = strstr(at, "# TYPE ")); at++) {
+        types++;
+    }
+    for (const char *at = text.data; (at = strstr(at, "# HELP ")); at++) {
+        helps++;
+    }
+    cr_expect_eq(types, PPS_HISTOGRAM_COUNT);
+    cr_expect_eq(helps, PPS_HISTOGRAM_COUNT);
+    pps_buf_clear(&text);
+}
--- a/tests/entry/test_records.c
+++ b/tests/entry/test_records.c
@@ -158,5 +158,12 @@
     }
     cr_expect_eq(pps_record_parse_order(&rollout, order, strlen(order)), 0);
     cr_expect_eq(rollout.duration_us, 12 * PPS_US_PER_S);
+    snprintf(rollout.target, sizeof(rollout.target), "v\"2\\");
+    rollout.state = PPS_ROLLOUT_ACTIVE;
+    text.size = 0;
+    pps_record_write_status(&text, &rollout);
+    cr_expect_eq(pps_record_parse_status(&rollout, text.data, text.size), 0,
+                 "a target with characters that JSON escapes");
+    cr_expect_str_eq(rollout.target, "v\"2\\");
     pps_buf_clear(&text);
 }
--- a/tests/unit/test_log_line.c
+++ b/tests/unit/test_log_line.c
@@ -22,6 +22,13 @@
      "   1.2 host-3 {\"time\":\"1970-01-02T00:00:00.500000Z\",\"event\":"
      "\"sent\"}\n",
      86400500000},
+    {"a short fraction",
+     "{\"time\":\"1970-01-01T00:00:02.5Z\",\"event\":\"sent\"}", 2500000},
+    {"a long fraction",
+     "{\"time\":\"1970-01-01T00:00:02.123456789Z\",\"event\":\"sent\"}",
+     2123456},
+    {"no fraction", "{\"time\":\"1970-01-01T00:00:02Z\",\"event\":\"sent\"}",
+     2000000},
     {"no event", "{\"time\":\"1970-01-01T00:00:02.000345Z\"}", -1},
     {"no time", "{\"event\":\"sent\"}", -1},
     {"another time", "{\"time\":\"yesterday\",\"event\":\"sent\"}", -1},
