--- a/tests/entry/test_host_settings.c
+++ b/tests/entry/test_host_settings.c
@@ -22,6 +22,8 @@
 static const case_t cases[] = {
     {REQUIRED, 0, ""},
     {REQUIRED "[peers]\nseeds=10.0.0.1:3, 10.0.0.2:3\n", 0, ""},
+    {REQUIRED "[listen]\nmetrics=10.0.0.1:9464\n", 0, ""},
+    {REQUIRED "[listen]\nmetrics=\n", 0, ""},
     {"", PPS_EINVALID, "host.id is missing"},
     {REQUIRED "[cascade]\nconfidence_min=101\n", PPS_EINVALID,
      ":14: invalid value '101'"},
--- a/tests/process/test_peer_frames.c
+++ b/tests/process/test_peer_frames.c
@@ -195,12 +195,26 @@
            2 * (ROUTERS - 1);
 }
 
-/* A link opens before the first pong reports the other host's incarnation. */
+static int
+count_text(const char *text, const char *part)
+{
+    int count = 0;
+
+    while ((text = strstr(text, part)) != NULL) {
+        text++;
+        count++;
+    }
+    return count;
+}
+
+/* A link opens before the list of hosts is published, and before the first
+ * pong reports the other host's incarnation. */
 static int
 peers_have_answered(cluster_t *unused, void *user)
 {
     char *hosts = known_hosts();
-    int answered = strstr(hosts, "\"incarnation\": 0,") == NULL &&
+    int answered = count_text(hosts, "\"incarnation\": ") == ROUTERS - 1 &&
+                   strstr(hosts, "\"incarnation\": 0,") == NULL &&
                    strstr(hosts, "\"revision\": 0,") == NULL;
 
     free(hosts);
