--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -54,6 +54,7 @@
     int on_target; /**< the worker runs the version being rolled out */
     int64_t sent_us;
     int64_t last_received_us; /**< when bytes last arrived from the worker */
+    int event_arrived;        /**< a complete event since the last check */
     double work;    /**< prompt tokens, weighted as in prefill_queue.h */
     double backlog; /**< work queued ahead of it at the worker */
     pps_timer_t silence_timer;
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -275,6 +275,7 @@
 {
     pps_exchange_t *exchange = user;
 
+    exchange->event_arrived = 1;
     if (id >= 0 && exchange->has_last_event && id <= exchange->last_event) {
         return;
     }
@@ -286,6 +287,22 @@
     }
 }
 
+/* Forwards events. Only a complete event shows that the stream goes on: a
+ * stalled worker may send a byte now and then. */
+static int
+feed_events(pps_exchange_t *exchange, const char *data, size_t size)
+{
+    int error;
+
+    exchange->event_arrived = 0;
+    error = pps_event_split_feed(&exchange->events, data, size, on_event,
+                                 exchange);
+    if (exchange->event_arrived) {
+        pps_exchange_restart_silence_timer(exchange);
+    }
+    return error;
+}
+
 void
 pps_exchange_on_reply_body(pps_exchange_t *exchange, const char *data,
                            size_t size)
@@ -295,9 +312,7 @@
     exchange->last_received_us = exchange->dispatcher->reactor->now_us;
     pps_reachability_record_reply(&exchange->dispatcher->reach);
     if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
-        error = pps_event_split_feed(&exchange->events, data, size, on_event,
-                                     exchange);
-        pps_exchange_restart_silence_timer(exchange);
+        error = feed_events(exchange, data, size);
     }
     else {
         error = exchange->body.size + size > BODY_BYTES_MAX
--- a/tests/entry/test_exchange.c
+++ b/tests/entry/test_exchange.c
@@ -272,6 +272,76 @@
     cr_expect_eq(fixture.dispatcher.exchange_count, 0);
 }
 
+/* A worker that sends bytes of an event now and then, but no event, is
+ * stalled. The stream is resumed at another worker well before the deadline.
+ */
+Test(exchange, stream_that_sends_bytes_but_no_event_is_resumed)
+{
+    static const net_answer_t script[] = {
+        {STREAM "\r\n" EVENT("1"), NET_KEEP},
+        {STREAM "\r\n" EVENT("2") LAST_CHUNK, NET_KEEP}};
+    static const fixture_answer_t whole = {
+        "stalled", "200", "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n"};
+    static const char chunk[] = "1\r\nx\r\n";
+    fixture_t fixture;
+    net_client_t client;
+    net_server_t *stalled = NULL;
+
+    fixture_start(&fixture, script, 2);
+    net_server_share_script(fixture.workers, FIXTURE_WORKERS);
+    fixture_request(&fixture, &client, "/stream/", "");
+    for (int i = 0; i < 100 && fixture_request_count(&fixture) == 0; i++) {
+        net_run_for(&fixture.reactor, 5);
+    }
+    for (int i = 0; i < FIXTURE_WORKERS; i++) {
+        if (fixture.workers[i].requests > 0) {
+            stalled = &fixture.workers[i];
+        }
+    }
+    cr_assert_not_null(stalled);
+    for (int i = 0; i < 28 && !client.ended; i++) {
+        if (fixture_request_count(&fixture) == 1) {
+            net_server_send(stalled, chunk, strlen(chunk));
+        }
+        net_run_for(&fixture.reactor, 100);
+    }
+    cr_expect_eq(fixture_request_count(&fixture), 2);
+    fixture_expect(&whole, &client);
+}
+
+/* A worker that sends an event before each limit is sound, however long the
+ * stream takes. */
+Test(exchange, slow_but_steady_stream_is_not_cut)
+{
+    static const net_answer_t script[] = {{STREAM "\r\n", NET_KEEP}};
+    static const char *const events[] = {EVENT("1"), EVENT("2"), EVENT("3"),
+                                         LAST_CHUNK};
+    static const fixture_answer_t whole = {
+        "slow", "200",
+        "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event "
+        "3\n\n"};
+    fixture_t fixture;
+    net_client_t client;
+    int worker = 0;
+
+    fixture_start(&fixture, script, 1);
+    fixture_request(&fixture, &client, "/stream/", "");
+    for (int i = 0; i < 100 && fixture_request_count(&fixture) == 0; i++) {
+        net_run_for(&fixture.reactor, 5);
+    }
+    while (fixture.workers[worker].requests == 0) {
+        worker++;
+    }
+    for (size_t i = 0; i < sizeof(events) / sizeof(*events); i++) {
+        net_run_for(&fixture.reactor, 700);
+        net_server_send(&fixture.workers[worker], events[i],
+                        strlen(events[i]));
+    }
+    net_run_until_ended(&fixture.reactor, &client, 500);
+    cr_expect_eq(fixture_request_count(&fixture), 1);
+    fixture_expect(&whole, &client);
+}
+
 /* At the route's timeout the router answers 504, which does not state whether
  * the request was run. */
 Test(exchange, silent_worker_ends_in_504)
