--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -294,9 +294,10 @@
     entry_t *next;
 
     cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
-        if (entry->listing < listing->number &&
-            (entry->epoch < listing->epoch ||
-             (entry->epoch == listing->epoch && entry->offset < end))) {
+        int is_absent = entry->listing < listing->number &&
+                        entry->epoch == listing->epoch && entry->offset < end;
+
+        if (is_absent || entry->epoch < listing->epoch) {
             delete_entry(mirror, entry, end);
         }
     }
--- a/tests/entry/test_mirror.c
+++ b/tests/entry/test_mirror.c
@@ -313,6 +313,31 @@
     tear_down(&f);
 }
 
+/* A copy of the lower epoch that is imported between two pages of a listing in
+ * a higher one must not keep a key that the higher epoch lacks. */
+Test(mirror, import_of_a_lower_epoch_during_a_listing)
+{
+    fixture_t from;
+    fixture_t f;
+    pps_buf_t copy = PPS_BUF_INIT;
+
+    set_up(&from);
+    set_up(&f);
+    apply_record(from.mirror, 3, "gone", "1");
+    apply_record(from.mirror, 4, "a", "old");
+    cr_assert_eq(pps_mirror_encode(from.mirror, &copy), 0);
+    apply_record(f.mirror, 1, "a", "1");
+    pps_mirror_begin_listing(f.mirror, 1);
+    pps_mirror_apply_listed(f.mirror, 0, "a", 1, "9", 1);
+    cr_expect_eq(pps_mirror_import(f.mirror, copy.data, copy.size), 0);
+    cr_expect_eq(pps_mirror_end_listing(f.mirror, 2), 0);
+    cr_expect_str_eq(pps_buf_text(&f.changes), "a=1;a=9;gone=1;gone-;");
+    cr_expect_eq(pps_mirror_end(f.mirror), 2);
+    pps_buf_clear(&copy);
+    tear_down(&from);
+    tear_down(&f);
+}
+
 Test(mirror, key_with_a_nul_byte_is_refused)
 {
     fixture_t f;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -118,11 +118,36 @@
                       on_recovery_end, soak);
 }
 
+static void
+order_rollout(soak_t *soak)
+{
+    store_put(&soak->store, "keyed.op", SOAK_ROLLOUT_KEY,
+              "{\"service\":\"pool\",\"target\":\"v2\",\"duration_s\":4}");
+}
+
+/* The roll-out must have ended, and its first final status must stand in the
+ * store, also if the store lost it in between. */
+static void
+check_rollout(soak_t *soak)
+{
+    const char *status =
+        store_get(&soak->store, SOAK_STATUS_TOPIC, SOAK_ROLLOUT_KEY);
+
+    if (soak->store.final_status[0] == '\0' || status == NULL ||
+        strcmp(status, soak->store.final_status) != 0) {
+        soak_report_violation(soak,
+                              "the final status of a roll-out is missing",
+                              status != NULL ? status : "none");
+    }
+}
+
 static void
 on_start_phase_end(int64_t now_us, void *user)
 {
     soak_t *soak = user;
 
+    order_rollout(soak);
+
     pps_reactor_every(&soak->reactor, &request_timer, REQUEST_INTERVAL_US,
                       on_request_timer, soak);
     pps_reactor_every(&soak->reactor, &fault_timer, FAULT_INTERVAL_US,
@@ -224,6 +249,7 @@
                       on_start_phase_end, &soak);
     pps_reactor_run(&soak.reactor);
     kill_hosts(&soak);
+    check_rollout(&soak);
     served_ratio =
         soak.recovery_sent_count > 0
             ? (double)soak.recovery_served_count / soak.recovery_sent_count
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -17,6 +17,9 @@
 #define SOAK_HOSTS_MAX 200
 #define SOAK_WORKER_COUNT 5
 #define SOAK_TEXT_BYTES 64
+/** Topic and key of the roll-out's status. */
+#define SOAK_STATUS_TOPIC "keyed.status"
+#define SOAK_ROLLOUT_KEY "rollout/pool"
 
 /** How a proxy treats connections and their bytes. */
 typedef enum {
@@ -84,6 +87,7 @@
     unsigned int epoch; /**< stated in all answers */
     pps_timer_t rewrite_timer;
     topic_t lost[STORE_TOPICS_MAX]; /**< records to be written again */
+    char final_status[256]; /**< first final status of the roll-out, or "" */
 } store_t;
 
 void
@@ -110,6 +114,10 @@
 void
 store_restore(store_t *store);
 
+/** Returns the newest value of a key, or NULL. */
+const char *
+store_get(store_t *store, const char *topic, const char *key);
+
 /** A request that was sent, and its executions. */
 typedef struct {
     pps_table_item_t item;
--- a/tests/soak/soak_store.c
+++ b/tests/soak/soak_store.c
@@ -56,12 +56,28 @@
     }
 }
 
+/* Forgets lost records of a key that is written anew: their writer does not
+ * write an older value behind a newer one. */
+static void
+forget_lost(store_t *store, const topic_t *topic, const char *key)
+{
+    topic_t *lost = &store->lost[topic - store->topics];
+
+    for (size_t i = 0; i < lost->count; i++) {
+        if (strcmp(lost->records[i].key, key) == 0) {
+            lost->records[i].key[0] = '\0';
+        }
+    }
+}
+
 void
 store_put(store_t *store, const char *topic, const char *key,
           const char *value)
 {
-    add_record(find_topic(store, topic), key, strlen(key), value,
-               value ? strlen(value) : 0);
+    topic_t *found = find_topic(store, topic);
+
+    forget_lost(store, found, key);
+    add_record(found, key, strlen(key), value, value ? strlen(value) : 0);
 }
 
 void
@@ -104,7 +120,7 @@
         for (size_t n = 0; n < lost->count; n++) {
             record_t *record = &lost->records[n];
 
-            if (is_last_of_its_key(lost, n)) {
+            if (record->key[0] != '\0' && is_last_of_its_key(lost, n)) {
                 add_record(&store->topics[i], record->key, strlen(record->key),
                            record->is_tombstone ? NULL
                                                 : pps_buf_text(&record->value),
@@ -277,6 +293,40 @@
     pps_buf_clear(&body);
 }
 
+const char *
+store_get(store_t *store, const char *topic, const char *key)
+{
+    const topic_t *found = find_topic(store, topic);
+
+    for (size_t i = found->count; i > 0; i--) {
+        const record_t *record = &found->records[i - 1];
+
+        if (strcmp(record->key, key) == 0) {
+            return record->is_tombstone ? NULL : pps_buf_text(&record->value);
+        }
+    }
+    return NULL;
+}
+
+static int
+is_final_status(const char *value)
+{
+    return value != NULL && (strstr(value, "completed") != NULL ||
+                             strstr(value, "rolled_back") != NULL);
+}
+
+/* Remembers the first final status of the roll-out. */
+static void
+note_final_status(store_t *store)
+{
+    const char *value = store_get(store, SOAK_STATUS_TOPIC, SOAK_ROLLOUT_KEY);
+
+    if (is_final_status(value) && store->final_status[0] == '\0') {
+        snprintf(store->final_status, sizeof(store->final_status), "%s",
+                 value);
+    }
+}
+
 static void
 respond_append(store_t *store, topic_t *topic, const call_t *call)
 {
@@ -294,6 +344,7 @@
     add_record(topic, (const char *)data + 5, key_size,
                (const char *)data + 5 + key_size,
                call->body.size - 5 - key_size);
+    note_final_status(store);
     if (store->mode == STORE_LOSES_RESPONSE) {
         return;
     }
--- a/tests/soak/soak_worker.c
+++ b/tests/soak/soak_worker.c
@@ -19,6 +19,9 @@
 #define PAUSE_COUNTS_AFTER_US (500 * PPS_US_PER_MS)
 #define REQUESTS_IN_PAUSE_MAX 2
 
+/** Number of workers of the version that the roll-out replaces. */
+#define OLD_VERSION_WORKERS 3
+
 /* An execution of a request. */
 typedef struct {
     worker_t *worker;
@@ -280,9 +283,10 @@
     }
     snprintf(text, sizeof(text),
              "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"z%d\","
-             "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+             "\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
              "\"sequence\":%u,\"born\":%lld}",
-             worker->proxy.address, worker->id[1] % 2, state,
+             worker->proxy.address, worker->id[1] % 2,
+             worker - soak->workers < OLD_VERSION_WORKERS ? "v1" : "v2", state,
              ++worker->sequence, (long long)worker->start_ms);
     store_put(&soak->store, "keyed.servers", worker->id, text);
 }
