--- /dev/null
+++ b/src/libpapayaswitch/exchange/exchange_notes.c
@@ -0,0 +1,54 @@
+/** @file exchange_notes.c @brief Tells the pool and the other hosts. */
+#include "exchange_notes.h"
+
+#include "decision_log.h"
+
+void
+pps_exchange_note_leaving(const pps_exchange_t *exchange)
+{
+    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    pps_pool_worker_t *worker = exchange->worker;
+
+    if (pps_pool_set_leaving(worker, worker->info.start_ms)) {
+        pps_decision_log_leaving(worker, "answer");
+        if (dispatcher->leaving != NULL) {
+            dispatcher->leaving(dispatcher->notice_user, worker->digest,
+                                worker->info.start_ms);
+        }
+    }
+}
+
+/* Reports a pause to the other hosts as a backlog of prompts: they prefer
+ * other workers, but may call this one. */
+static void
+send_backlog(const pps_exchange_t *exchange, int64_t pause_us)
+{
+    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    const pps_prefill_notice_t notice = {
+        .worker = exchange->worker->digest,
+        .work = (double)pause_us *
+                exchange->upstream_state->prefill_rate.tokens_per_us,
+    };
+
+    if (dispatcher->notice != NULL) {
+        dispatcher->notice(dispatcher->notice_user, &notice);
+    }
+}
+
+void
+pps_exchange_note_pause(pps_exchange_t *exchange,
+                        const pps_worker_reply_t *reply)
+{
+    pps_pool_worker_t *worker = exchange->worker;
+    int64_t now_us = exchange->dispatcher->reactor->now_us;
+
+    if (reply->invalid_pause && !worker->is_pause_reported) {
+        worker->is_pause_reported = 1;
+        pps_decision_log_invalid_pause(exchange, reply->pause_us);
+    }
+    if (reply->pause_us > 0) {
+        pps_pool_pause(worker, now_us + reply->pause_us);
+        pps_decision_log_paused(exchange, reply->pause_us);
+        send_backlog(exchange, reply->pause_us);
+    }
+}
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "decision_log.h"
+#include "exchange_notes.h"
 #include "exchange_worker.h"
 #include "histograms.h"
 #include "model_choice.h"
@@ -61,57 +62,6 @@
                         exchange->route->target_us);
 }
 
-/* Stops new calls to a worker that says that it is leaving. Its calls under
- * way continue. */
-static void
-note_leaving(const pps_exchange_t *exchange)
-{
-    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
-    pps_pool_worker_t *worker = exchange->worker;
-
-    if (pps_pool_set_leaving(worker, worker->info.start_ms)) {
-        pps_decision_log_leaving(worker, "answer");
-        if (dispatcher->leaving != NULL) {
-            dispatcher->leaving(dispatcher->notice_user, worker->digest,
-                                worker->info.start_ms);
-        }
-    }
-}
-
-/* Reports a pause to the other hosts as a backlog of prompts: they prefer
- * other workers, but may call this one. */
-static void
-send_backlog(const pps_exchange_t *exchange, int64_t pause_us)
-{
-    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
-    const pps_prefill_notice_t notice = {
-        .worker = exchange->worker->digest,
-        .work = (double)pause_us *
-                exchange->upstream_state->prefill_rate.tokens_per_us,
-    };
-
-    if (dispatcher->notice != NULL) {
-        dispatcher->notice(dispatcher->notice_user, &notice);
-    }
-}
-
-static void
-note_pause(pps_exchange_t *exchange, const pps_worker_reply_t *reply)
-{
-    pps_pool_worker_t *worker = exchange->worker;
-    int64_t now_us = exchange->dispatcher->reactor->now_us;
-
-    if (reply->invalid_pause && !worker->is_pause_reported) {
-        worker->is_pause_reported = 1;
-        pps_decision_log_invalid_pause(exchange, reply->pause_us);
-    }
-    if (reply->pause_us > 0) {
-        pps_pool_pause(worker, now_us + reply->pause_us);
-        pps_decision_log_paused(exchange, reply->pause_us);
-        send_backlog(exchange, reply->pause_us);
-    }
-}
-
 /* Retries a request that has not run, as stated by the worker. */
 static void
 retry_refused(pps_exchange_t *exchange, const pps_worker_reply_t *reply)
@@ -225,7 +175,7 @@
     pps_reachability_record_reply(&exchange->dispatcher->reach);
     exchange->dispatcher->worker->decode(&decoded, reply);
     if (decoded.leaving) {
-        note_leaving(exchange);
+        pps_exchange_note_leaving(exchange);
     }
     if (decoded.id != NULL && strcmp(decoded.id, exchange->call.id) != 0) {
         pps_decision_log_foreign_answer(exchange);
@@ -235,7 +185,7 @@
         pps_pool_record_load(exchange->worker, decoded.running,
                              decoded.waiting, decoded.slots, now_us);
     }
-    note_pause(exchange, &decoded);
+    pps_exchange_note_pause(exchange, &decoded);
     pps_decision_log_answer_began(exchange, reply->status, decoded.confidence);
     pps_timers_cancel(&exchange->silence_timer);
     if (decoded.not_run) {
--- a/src/libpapayaswitch/gossip/gossip.c
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -28,8 +28,8 @@
 
 static char datagram[DATAGRAM_BYTES_MAX];
 
-static pps_gossip_peer_t *
-find_peer(pps_gossip_t *gossip, const char *address)
+pps_gossip_peer_t *
+pps_gossip_find_peer(pps_gossip_t *gossip, const char *address)
 {
     pps_gossip_peer_t *peer;
 
@@ -41,8 +41,8 @@
     return NULL;
 }
 
-static pps_gossip_peer_t *
-add_peer(pps_gossip_t *gossip, const char *address)
+pps_gossip_peer_t *
+pps_gossip_add_peer(pps_gossip_t *gossip, const char *address)
 {
     pps_gossip_peer_t *peer = NULL;
 
@@ -62,8 +62,8 @@
 pps_gossip_add_address(pps_gossip_t *gossip, const char *address)
 {
     if (strcmp(address, gossip->own.state.address) != 0 &&
-        find_peer(gossip, address) == NULL) {
-        add_peer(gossip, address);
+        pps_gossip_find_peer(gossip, address) == NULL) {
+        pps_gossip_add_peer(gossip, address);
     }
 }
 
@@ -73,99 +73,6 @@
     return &gossip->peers;
 }
 
-static void
-receive_state(pps_gossip_t *gossip, const pps_gossip_message_t *message)
-{
-    pps_gossip_peer_t *peer = find_peer(gossip, message->state.address);
-
-    if (strcmp(message->state.address, gossip->own.state.address) == 0) {
-        return;
-    }
-    if (peer == NULL) {
-        peer = add_peer(gossip, message->state.address);
-    }
-    if (peer == NULL) {
-        return;
-    }
-    if (!pps_gossip_is_live(gossip, peer)) {
-        pps_logger_write(PPS_LOG_INFO, "peer_heard",
-                         PPS_FIELDS(PPS_STR("peer", message->state.host_id),
-                                    PPS_STR("at", message->state.address)));
-    }
-    peer->state = message->state;
-    peer->last_received_us = gossip->reactor->now_us;
-    for (size_t i = 0; i < message->hint_count; i++) {
-        pps_gossip_add_address(gossip, message->hints[i]);
-    }
-    gossip->ops->on_state(gossip->user, peer);
-}
-
-static int
-receive_record(pps_gossip_t *gossip, const char *data, size_t size)
-{
-    pps_gossip_record_t record;
-    msgpack_unpacked unpacked;
-    int error;
-
-    msgpack_unpacked_init(&unpacked);
-    error = pps_gossip_decode_record(&record, &unpacked, data, size);
-    if (error == 0) {
-        gossip->ops->on_record(gossip->user, &record);
-    }
-    msgpack_unpacked_destroy(&unpacked);
-    return error;
-}
-
-static int
-receive_notice(pps_gossip_t *gossip, const char *data, size_t size)
-{
-    pps_gossip_notice_t notice;
-    int error = pps_gossip_decode_notice(&notice, data, size);
-
-    if (error == 0) {
-        gossip->ops->on_notice(gossip->user, &notice);
-    }
-    return error;
-}
-
-static int
-receive_leaving(pps_gossip_t *gossip, const char *data, size_t size)
-{
-    pps_gossip_leaving_t leaving;
-    int error = pps_gossip_decode_leaving(&leaving, data, size);
-
-    if (error == 0) {
-        gossip->ops->on_leaving(gossip->user, &leaving);
-    }
-    return error;
-}
-
-static int
-receive(pps_gossip_t *gossip, const char *data, size_t size)
-{
-    pps_gossip_message_t message;
-    int error = PPS_ECORRUPT;
-
-    switch (pps_gossip_read_kind(data, size)) {
-    case PPS_GOSSIP_NOTICE:
-        return receive_notice(gossip, data, size);
-    case PPS_GOSSIP_RECORD:
-        return receive_record(gossip, data, size);
-    case PPS_GOSSIP_LEAVING:
-        return receive_leaving(gossip, data, size);
-    case PPS_GOSSIP_STATE:
-        error = pps_gossip_decode_state(&message, data, size,
-                                        gossip->reactor->now_us);
-        break;
-    case PPS_GOSSIP_UNKNOWN:
-        break;
-    }
-    if (error == 0) {
-        receive_state(gossip, &message);
-    }
-    return error;
-}
-
 static void
 on_datagram(uv_udp_t *udp, ssize_t size, const uv_buf_t *buffer,
             const struct sockaddr *from, unsigned int flags)
@@ -175,7 +82,7 @@
     if (size <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0) {
         return;
     }
-    if (receive(gossip, buffer->base, (size_t)size) != 0) {
+    if (pps_gossip_receive(gossip, buffer->base, (size_t)size) != 0) {
         pps_logger_write(PPS_LOG_WARN, "datagram_skipped",
                          PPS_FIELDS(PPS_INT("bytes", size)));
     }
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -1,57 +1,20 @@
-/** @file gossip_codec.c @brief Encodes gossip datagrams as msgpack arrays. */
+/** @file gossip_codec.c @brief Encodes state datagrams as msgpack arrays. */
 #include "gossip_codec.h"
 
 #include "cursor.h"
+#include "gossip_versions.h"
 #include "msgpack_check.h"
 #include "papayaswitch/errors.h"
 
 #include <msgpack.h>
 #include <string.h>
 
-/* First element of a datagram; differs between the kinds of datagram. The
- * epochs stand last in states and records: hosts of older builds ignore what
- * follows the elements that they know, and send none. */
-#define STATE_VERSION 4
-#define NOTICE_VERSION 2
-#define RECORD_VERSION 3
-#define LEAVING_VERSION 5
-#define NOTICE_FIELDS 4
-#define RECORD_FIELDS 7
+/** The epochs stand last: hosts of older builds ignore what follows the
+ * elements that they know, and send none. */
 #define STATE_FIELDS 14
-#define LEAVING_FIELDS 3
 #define ROLLOUT_FIELDS 12
 #define COUNT_FIELDS 6
 
-/** First byte of a msgpack array of up to 15 elements, without their count. */
-#define SHORT_ARRAY 0x90
-#define SHORT_ARRAY_MASK 0xf0
-
-pps_gossip_kind_t
-pps_gossip_read_kind(const char *data, size_t size)
-{
-    if (size < 2 || (data[0] & SHORT_ARRAY_MASK) != SHORT_ARRAY) {
-        return PPS_GOSSIP_UNKNOWN;
-    }
-    switch (data[1]) {
-    case STATE_VERSION:
-        return PPS_GOSSIP_STATE;
-    case NOTICE_VERSION:
-        return PPS_GOSSIP_NOTICE;
-    case RECORD_VERSION:
-        return PPS_GOSSIP_RECORD;
-    case LEAVING_VERSION:
-        return PPS_GOSSIP_LEAVING;
-    default:
-        return PPS_GOSSIP_UNKNOWN;
-    }
-}
-
-static int
-append(void *user, const char *data, size_t size)
-{
-    return pps_buf_append(user, data, size);
-}
-
 static void
 pack_string(msgpack_packer *packer, const char *text)
 {
@@ -125,9 +88,9 @@
     const pps_gossip_state_t *state = &message->state;
     msgpack_packer packer;
 
-    msgpack_packer_init(&packer, out, append);
+    msgpack_packer_init(&packer, out, pps_gossip_append);
     msgpack_pack_array(&packer, STATE_FIELDS);
-    msgpack_pack_int(&packer, STATE_VERSION);
+    msgpack_pack_int(&packer, PPS_GOSSIP_STATE_VERSION);
     pack_string(&packer, state->host_id);
     pack_string(&packer, state->address);
     pack_string(&packer, state->failure_domain);
@@ -230,7 +193,7 @@
     pps_gossip_state_t *state = &out->state;
     pps_cursor_t list;
 
-    if (pps_cursor_read_integer(fields) != STATE_VERSION) {
+    if (pps_cursor_read_integer(fields) != PPS_GOSSIP_STATE_VERSION) {
         fields->failed = 1;
         return;
     }
@@ -290,148 +253,3 @@
     msgpack_unpacked_destroy(&unpacked);
     return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
 }
-
-int
-pps_gossip_encode_notice(pps_buf_t *out, const pps_gossip_notice_t *notice)
-{
-    msgpack_packer packer;
-
-    msgpack_packer_init(&packer, out, append);
-    msgpack_pack_array(&packer, NOTICE_FIELDS);
-    msgpack_pack_int(&packer, NOTICE_VERSION);
-    msgpack_pack_uint64(&packer, notice->worker);
-    msgpack_pack_uint64(&packer, notice->prefix);
-    msgpack_pack_uint64(&packer, notice->work);
-    return out->failed ? PPS_ENOMEM : PPS_OK;
-}
-
-int
-pps_gossip_decode_notice(pps_gossip_notice_t *out, const char *data,
-                         size_t size)
-{
-    msgpack_unpacked unpacked;
-    pps_cursor_t root;
-    pps_cursor_t fields;
-
-    if (pps_msgpack_unpack(&unpacked, data, size) != 0) {
-        msgpack_unpacked_destroy(&unpacked);
-        return PPS_ECORRUPT;
-    }
-    root = (pps_cursor_t){&unpacked.data, 1, 0};
-    fields = pps_cursor_read_array(&root);
-    if (pps_cursor_read_integer(&fields) != NOTICE_VERSION) {
-        fields.failed = 1;
-    }
-    out->worker = (uint64_t)pps_cursor_read_integer(&fields);
-    out->prefix = (uint64_t)pps_cursor_read_integer(&fields);
-    out->work = (uint64_t)pps_cursor_read_integer(&fields);
-    msgpack_unpacked_destroy(&unpacked);
-    return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
-}
-
-int
-pps_gossip_encode_leaving(pps_buf_t *out, const pps_gossip_leaving_t *leaving)
-{
-    msgpack_packer packer;
-
-    msgpack_packer_init(&packer, out, append);
-    msgpack_pack_array(&packer, LEAVING_FIELDS);
-    msgpack_pack_int(&packer, LEAVING_VERSION);
-    msgpack_pack_uint64(&packer, leaving->worker);
-    msgpack_pack_int64(&packer, leaving->start_ms);
-    return out->failed ? PPS_ENOMEM : PPS_OK;
-}
-
-int
-pps_gossip_decode_leaving(pps_gossip_leaving_t *out, const char *data,
-                          size_t size)
-{
-    msgpack_unpacked unpacked;
-    pps_cursor_t root;
-    pps_cursor_t fields;
-
-    if (pps_msgpack_unpack(&unpacked, data, size) != 0) {
-        msgpack_unpacked_destroy(&unpacked);
-        return PPS_ECORRUPT;
-    }
-    root = (pps_cursor_t){&unpacked.data, 1, 0};
-    fields = pps_cursor_read_array(&root);
-    if (pps_cursor_read_integer(&fields) != LEAVING_VERSION) {
-        fields.failed = 1;
-    }
-    out->worker = (uint64_t)pps_cursor_read_integer(&fields);
-    out->start_ms = pps_cursor_read_integer(&fields);
-    msgpack_unpacked_destroy(&unpacked);
-    return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
-}
-
-int
-pps_gossip_encode_record(pps_buf_t *out, const pps_gossip_record_t *record)
-{
-    msgpack_packer packer;
-
-    msgpack_packer_init(&packer, out, append);
-    msgpack_pack_array(&packer, RECORD_FIELDS);
-    msgpack_pack_int(&packer, RECORD_VERSION);
-    msgpack_pack_unsigned_int(&packer, record->topic);
-    msgpack_pack_int64(&packer, record->offset);
-    msgpack_pack_int64(&packer, record->relevant_end_before);
-    msgpack_pack_bin_with_body(&packer, record->key, record->key_size);
-    if (record->value != NULL) {
-        msgpack_pack_bin_with_body(&packer, record->value, record->size);
-    }
-    else {
-        msgpack_pack_nil(&packer);
-    }
-    msgpack_pack_int64(&packer, record->epoch);
-    return out->failed ? PPS_ENOMEM : PPS_OK;
-}
-
-static void
-decode_record(pps_gossip_record_t *out, pps_cursor_t *fields)
-{
-    const msgpack_object *key;
-    const msgpack_object *value;
-
-    out->topic = (unsigned int)pps_cursor_read_integer(fields);
-    out->offset = pps_cursor_read_integer(fields);
-    out->relevant_end_before = pps_cursor_read_integer(fields);
-    key = pps_cursor_read(fields);
-    value = pps_cursor_read(fields);
-    if (fields->failed || key->type != MSGPACK_OBJECT_BIN ||
-        (value->type != MSGPACK_OBJECT_BIN &&
-         value->type != MSGPACK_OBJECT_NIL) ||
-        out->topic >= PPS_GOSSIP_TOPICS) {
-        fields->failed = 1;
-        return;
-    }
-    out->key = key->via.bin.ptr;
-    out->key_size = key->via.bin.size;
-    if (value->type == MSGPACK_OBJECT_BIN) {
-        out->value = value->via.bin.ptr;
-        out->size = value->via.bin.size;
-    }
-    if (fields->unread_count > 0) {
-        out->epoch = pps_cursor_read_integer(fields);
-    }
-}
-
-int
-pps_gossip_decode_record(pps_gossip_record_t *out, msgpack_unpacked *unpacked,
-                         const char *data, size_t size)
-{
-    pps_cursor_t root;
-    pps_cursor_t fields;
-
-    memset(out, 0, sizeof(*out));
-    if (pps_msgpack_unpack(unpacked, data, size) != 0) {
-        return PPS_ECORRUPT;
-    }
-    root = (pps_cursor_t){&unpacked->data, 1, 0};
-    fields = pps_cursor_read_array(&root);
-    if (pps_cursor_read_integer(&fields) != RECORD_VERSION) {
-        return PPS_ECORRUPT;
-    }
-    decode_record(out, &fields);
-    return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
-}
--- a/src/libpapayaswitch/gossip/gossip_state.h
+++ b/src/libpapayaswitch/gossip/gossip_state.h
@@ -29,4 +29,17 @@
 pps_gossip_is_peer_reader(const pps_gossip_t *gossip,
                           const pps_gossip_peer_t *peer);
 
+/** Finds a peer by address, or NULL. */
+pps_gossip_peer_t *
+pps_gossip_find_peer(pps_gossip_t *gossip, const char *address);
+
+/** Adds a peer; NULL when there are too many or memory is exhausted. */
+pps_gossip_peer_t *
+pps_gossip_add_peer(pps_gossip_t *gossip, const char *address);
+
+/** Decodes a datagram and calls the owner's callbacks.
+ * @return 0 or PPS_ECORRUPT */
+int
+pps_gossip_receive(pps_gossip_t *gossip, const char *data, size_t size);
+
 #endif
--- /dev/null
+++ b/src/libpapayaswitch/gossip/gossip_versions.h
@@ -0,0 +1,17 @@
+/** @file gossip_versions.h @brief Kinds of datagram on the wire. */
+#ifndef PPS_GOSSIP_GOSSIP_VERSIONS_H
+#define PPS_GOSSIP_GOSSIP_VERSIONS_H
+
+#include <stddef.h>
+
+/** First element of a datagram; differs between the kinds. */
+#define PPS_GOSSIP_STATE_VERSION 4
+#define PPS_GOSSIP_NOTICE_VERSION 2
+#define PPS_GOSSIP_RECORD_VERSION 3
+#define PPS_GOSSIP_LEAVING_VERSION 5
+
+/** Writes packed bytes to a pps_buf_t, as msgpack_packer_init() expects. */
+int
+pps_gossip_append(void *user, const char *data, size_t size);
+
+#endif
--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -1,51 +1,10 @@
 /** @file mirror.c @brief Keeps a keyed topic in a hash table. */
-#include "mirror.h"
+#include "mirror_state.h"
 
-#include "msgpack_check.h"
 #include "papayaswitch/errors.h"
-#include "table.h"
 
-#include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
-#include <urcu/list.h>
-
-/** Elements of an encoded copy: end, relevant end, entries, epoch. Copies of
- * builds without epochs lack the last one. */
-#define COPY_FIELDS 4
-#define COPY_FIELDS_MIN 3
-
-typedef struct {
-    struct cds_list_head node;
-    pps_table_item_t item;
-    char *key;
-    char *value;
-    size_t size;
-    int64_t epoch;
-    int64_t offset;   /* in `epoch` */
-    uint64_t listing; /* newest listing that contains or precedes the value */
-} entry_t;
-
-/* A listing in progress. */
-typedef struct {
-    uint64_t number;
-    int64_t epoch;
-    int64_t relevant_end_before;
-    int key_deleted; /* a record deleted a key since the listing began */
-} listing_t;
-
-struct pps_mirror {
-    struct cds_list_head entries;
-    pps_table_t table;
-    int64_t epoch;
-    int64_t end;
-    int64_t relevant_end;
-    uint64_t listing; /* number of the newest listing */
-    listing_t own;    /* the listing between begin and end */
-    int64_t current_offset;
-    pps_mirror_changed_fn on_changed;
-    void *user;
-};
 
 int
 pps_mirror_new(pps_mirror_t **out, pps_mirror_changed_fn on_changed,
@@ -66,16 +25,17 @@
     return PPS_OK;
 }
 
-static entry_t *
+static pps_mirror_entry_t *
 find_entry(const pps_mirror_t *mirror, const char *key, size_t size)
 {
     pps_table_item_t *item = pps_table_find(&mirror->table, key, size);
 
-    return item != NULL ? caa_container_of(item, entry_t, item) : NULL;
+    return item != NULL ? caa_container_of(item, pps_mirror_entry_t, item)
+                        : NULL;
 }
 
 static void
-free_entry(pps_mirror_t *mirror, entry_t *entry)
+free_entry(pps_mirror_t *mirror, pps_mirror_entry_t *entry)
 {
     pps_table_remove(&mirror->table, &entry->item);
     cds_list_del(&entry->node);
@@ -87,8 +47,8 @@
 void
 pps_mirror_free(pps_mirror_t *mirror)
 {
-    entry_t *entry;
-    entry_t *next;
+    pps_mirror_entry_t *entry;
+    pps_mirror_entry_t *next;
 
     if (mirror == NULL) {
         return;
@@ -134,16 +94,17 @@
 }
 
 static void
-delete_entry(pps_mirror_t *mirror, entry_t *entry, int64_t next_offset)
+delete_entry(pps_mirror_t *mirror, pps_mirror_entry_t *entry,
+             int64_t next_offset)
 {
     notify_change(mirror, entry->key, NULL, 0, next_offset);
     free_entry(mirror, entry);
 }
 
-static entry_t *
+static pps_mirror_entry_t *
 add_entry(pps_mirror_t *mirror, const char *key, size_t key_size)
 {
-    entry_t *entry = calloc(1, sizeof(*entry));
+    pps_mirror_entry_t *entry = calloc(1, sizeof(*entry));
 
     if (entry == NULL) {
         return NULL;
@@ -161,7 +122,7 @@
 
 /* Returns whether a value at this position is newer than the entry's. */
 static int
-is_newer(const entry_t *entry, int64_t epoch, int64_t offset)
+is_newer(const pps_mirror_entry_t *entry, int64_t epoch, int64_t offset)
 {
     return epoch != entry->epoch ? epoch > entry->epoch
                                  : offset > entry->offset;
@@ -171,7 +132,7 @@
 delete_key(pps_mirror_t *mirror, int64_t offset, const char *key,
            size_t key_size)
 {
-    entry_t *entry = find_entry(mirror, key, key_size);
+    pps_mirror_entry_t *entry = find_entry(mirror, key, key_size);
 
     mirror->own.key_deleted = 1;
     if (entry != NULL && is_newer(entry, mirror->epoch, offset)) {
@@ -180,7 +141,8 @@
 }
 
 static int
-set_entry(pps_mirror_t *mirror, entry_t *entry, const char *value, size_t size)
+set_entry(pps_mirror_t *mirror, pps_mirror_entry_t *entry, const char *value,
+          size_t size)
 {
     char *stored = malloc(size + 1);
 
@@ -197,11 +159,12 @@
     return PPS_OK;
 }
 
-static int
-set_value(pps_mirror_t *mirror, int64_t epoch, int64_t offset, const char *key,
-          size_t key_size, const char *value, size_t size)
+int
+pps_mirror_set_value(pps_mirror_t *mirror, int64_t epoch, int64_t offset,
+                     const char *key, size_t key_size, const char *value,
+                     size_t size)
 {
-    entry_t *entry = find_entry(mirror, key, key_size);
+    pps_mirror_entry_t *entry = find_entry(mirror, key, key_size);
     int is_same;
 
     if (memchr(key, '\0', key_size) != NULL) {
@@ -241,8 +204,8 @@
         delete_key(mirror, offset, key, key_size);
     }
     else {
-        error = set_value(mirror, mirror->epoch, offset, key, key_size, value,
-                          size);
+        error = pps_mirror_set_value(mirror, mirror->epoch, offset, key,
+                                     key_size, value, size);
     }
     mirror->current_offset = -1;
     if (error == 0) {
@@ -272,7 +235,7 @@
 pps_mirror_begin_listing(pps_mirror_t *mirror, int64_t epoch)
 {
     mirror->listing++;
-    mirror->own = (listing_t){
+    mirror->own = (pps_mirror_listing_t){
         .number = mirror->listing,
         .epoch = epoch,
         .relevant_end_before = mirror->relevant_end,
@@ -283,15 +246,16 @@
 pps_mirror_apply_listed(pps_mirror_t *mirror, int64_t offset, const char *key,
                         size_t key_size, const char *value, size_t size)
 {
-    return set_value(mirror, mirror->own.epoch, offset, key, key_size, value,
-                     size);
+    return pps_mirror_set_value(mirror, mirror->own.epoch, offset, key,
+                                key_size, value, size);
 }
 
 static void
-delete_absent(pps_mirror_t *mirror, const listing_t *listing, int64_t end)
+delete_absent(pps_mirror_t *mirror, const pps_mirror_listing_t *listing,
+              int64_t end)
 {
-    entry_t *entry;
-    entry_t *next;
+    pps_mirror_entry_t *entry;
+    pps_mirror_entry_t *next;
 
     cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
         int is_absent = entry->listing < listing->number &&
@@ -307,7 +271,8 @@
  * pps_mirror_sync_end() must not treat copies listed before and after one as
  * equal. */
 static void
-end_in_same_epoch(pps_mirror_t *mirror, const listing_t *listing, int64_t end)
+end_in_same_epoch(pps_mirror_t *mirror, const pps_mirror_listing_t *listing,
+                  int64_t end)
 {
     if (mirror->relevant_end != listing->relevant_end_before &&
         end > mirror->relevant_end) {
@@ -316,8 +281,9 @@
     pps_mirror_advance(mirror, end);
 }
 
-static int
-end_listing(pps_mirror_t *mirror, const listing_t *listing, int64_t end)
+int
+pps_mirror_finish_listing(pps_mirror_t *mirror,
+                          const pps_mirror_listing_t *listing, int64_t end)
 {
     if (listing->epoch < mirror->epoch) {
         return 1;
@@ -336,14 +302,14 @@
 int
 pps_mirror_end_listing(pps_mirror_t *mirror, int64_t end)
 {
-    return end_listing(mirror, &mirror->own, end);
+    return pps_mirror_finish_listing(mirror, &mirror->own, end);
 }
 
 void
 pps_mirror_replay(pps_mirror_t *mirror)
 {
-    entry_t *entry;
-    entry_t *next;
+    pps_mirror_entry_t *entry;
+    pps_mirror_entry_t *next;
 
     cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
         notify_change(mirror, entry->key, entry->value, entry->size, 0);
@@ -353,7 +319,7 @@
 const char *
 pps_mirror_get(size_t *size, const pps_mirror_t *mirror, const char *key)
 {
-    const entry_t *entry = find_entry(mirror, key, strlen(key));
+    const pps_mirror_entry_t *entry = find_entry(mirror, key, strlen(key));
 
     if (entry == NULL) {
         return NULL;
@@ -367,127 +333,3 @@
 {
     return pps_table_count(&mirror->table);
 }
-
-static int
-append(void *user, const char *data, size_t size)
-{
-    return pps_buf_append(user, data, size);
-}
-
-int
-pps_mirror_encode(const pps_mirror_t *mirror, pps_buf_t *out)
-{
-    msgpack_packer packer;
-    entry_t *entry;
-    entry_t *next;
-
-    msgpack_packer_init(&packer, out, append);
-    msgpack_pack_array(&packer, COPY_FIELDS);
-    msgpack_pack_int64(&packer, mirror->end);
-    msgpack_pack_int64(&packer, mirror->relevant_end);
-    msgpack_pack_array(&packer, pps_table_count(&mirror->table));
-    cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
-        msgpack_pack_array(&packer, 3);
-        msgpack_pack_int64(&packer, entry->offset);
-        msgpack_pack_bin_with_body(&packer, entry->key, strlen(entry->key));
-        msgpack_pack_bin_with_body(&packer, entry->value, entry->size);
-    }
-    msgpack_pack_int64(&packer, mirror->epoch);
-    return out->failed ? PPS_ENOMEM : PPS_OK;
-}
-
-static int
-is_entry(const msgpack_object *object)
-{
-    const msgpack_object *fields = object->via.array.ptr;
-
-    return object->type == MSGPACK_OBJECT_ARRAY &&
-           object->via.array.size == 3 &&
-           fields[0].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-           fields[1].type == MSGPACK_OBJECT_BIN &&
-           fields[2].type == MSGPACK_OBJECT_BIN;
-}
-
-static int
-are_entries(const msgpack_object_array *entries)
-{
-    for (uint32_t i = 0; i < entries->size; i++) {
-        if (!is_entry(&entries->ptr[i])) {
-            return 0;
-        }
-    }
-    return 1;
-}
-
-static int
-import_entries(pps_mirror_t *mirror, int64_t epoch,
-               const msgpack_object_array *entries)
-{
-    int error = PPS_OK;
-
-    for (uint32_t i = 0; error == 0 && i < entries->size; i++) {
-        const msgpack_object *fields = entries->ptr[i].via.array.ptr;
-
-        error = set_value(mirror, epoch, (int64_t)fields[0].via.u64,
-                          fields[1].via.bin.ptr, fields[1].via.bin.size,
-                          fields[2].via.bin.ptr, fields[2].via.bin.size);
-    }
-    return error;
-}
-
-static int
-is_copy(const msgpack_object *object)
-{
-    const msgpack_object *fields = object->via.array.ptr;
-
-    return object->type == MSGPACK_OBJECT_ARRAY &&
-           object->via.array.size >= COPY_FIELDS_MIN &&
-           fields[0].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-           fields[1].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-           fields[2].type == MSGPACK_OBJECT_ARRAY &&
-           (object->via.array.size < COPY_FIELDS ||
-            fields[3].type == MSGPACK_OBJECT_POSITIVE_INTEGER) &&
-           are_entries(&fields[2].via.array);
-}
-
-static int64_t
-copy_epoch(const msgpack_object_array *copy)
-{
-    return copy->size < COPY_FIELDS ? 0 : (int64_t)copy->ptr[3].via.u64;
-}
-
-static int
-import_copy(pps_mirror_t *mirror, const msgpack_object_array *copy)
-{
-    int64_t relevant_end = (int64_t)copy->ptr[1].via.u64;
-    listing_t listing = {.epoch = copy_epoch(copy),
-                         .relevant_end_before = mirror->relevant_end};
-    int error;
-
-    if (listing.epoch < mirror->epoch ||
-        (listing.epoch == mirror->epoch &&
-         relevant_end <= mirror->relevant_end)) {
-        return PPS_OK;
-    }
-    listing.number = ++mirror->listing;
-    error = import_entries(mirror, listing.epoch, &copy->ptr[2].via.array);
-    if (error == 0) {
-        end_listing(mirror, &listing, (int64_t)copy->ptr[0].via.u64);
-        mirror->relevant_end = relevant_end;
-    }
-    return error;
-}
-
-int
-pps_mirror_import(pps_mirror_t *mirror, const char *data, size_t size)
-{
-    msgpack_unpacked unpacked;
-    int error = PPS_ECORRUPT;
-
-    if (pps_msgpack_unpack(&unpacked, data, size) == 0 &&
-        is_copy(&unpacked.data)) {
-        error = import_copy(mirror, &unpacked.data.via.array);
-    }
-    msgpack_unpacked_destroy(&unpacked);
-    return error;
-}
--- /dev/null
+++ b/src/libpapayaswitch/mirror/mirror_state.h
@@ -0,0 +1,55 @@
+/** @file mirror_state.h @brief Private state shared by the mirror files. */
+#ifndef PPS_MIRROR_MIRROR_STATE_H
+#define PPS_MIRROR_MIRROR_STATE_H
+
+#include "mirror.h"
+#include "table.h"
+
+#include <urcu/list.h>
+
+/** A key and its newest value. */
+typedef struct {
+    struct cds_list_head node;
+    pps_table_item_t item;
+    char *key;
+    char *value;
+    size_t size;
+    int64_t epoch;
+    int64_t offset;   /* in `epoch` */
+    uint64_t listing; /* newest listing that contains or precedes the value */
+} pps_mirror_entry_t;
+
+/** A listing in progress. */
+typedef struct {
+    uint64_t number;
+    int64_t epoch;
+    int64_t relevant_end_before;
+    int key_deleted; /* a record deleted a key since the listing began */
+} pps_mirror_listing_t;
+
+struct pps_mirror {
+    struct cds_list_head entries;
+    pps_table_t table;
+    int64_t epoch;
+    int64_t end;
+    int64_t relevant_end;
+    uint64_t listing;         /* number of the newest listing */
+    pps_mirror_listing_t own; /* the listing between begin and end */
+    int64_t current_offset;
+    pps_mirror_changed_fn on_changed;
+    void *user;
+};
+
+/** Sets a value unless the entry's is newer: by epoch, then by offset.
+ * @return 0, PPS_EINVALID if the key has a NUL byte, or PPS_ENOMEM */
+int
+pps_mirror_set_value(pps_mirror_t *mirror, int64_t epoch, int64_t offset,
+                     const char *key, size_t key_size, const char *value,
+                     size_t size);
+
+/** Ends a listing as pps_mirror_end_listing(). */
+int
+pps_mirror_finish_listing(pps_mirror_t *mirror,
+                          const pps_mirror_listing_t *listing, int64_t end);
+
+#endif
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -104,6 +104,16 @@
 void
 store_compact(store_t *store, const char *topic);
 
+/** Appends a record. @param value NULL deletes the key */
+void
+store_add_record(topic_t *topic, const char *key, size_t key_size,
+                 const char *value, size_t size);
+
+/** Forgets lost records of a key that is written anew: their writer does not
+ * write an older value behind a newer one. */
+void
+store_forget_lost(store_t *store, const topic_t *topic, const char *key);
+
 /** Makes a backup of all records. */
 void
 store_back_up(store_t *store);
