Log the evidence that a roll-out is judged by, once a second

The lines of an active roll-out said what was decided, not on what: a completed one was logged with the counts of one host only, and neither calls that still wait nor the load of the target's workers were to be seen. rollout_evidence now has both, and the age of the oldest state of a live host.

No decision is changed.

--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -54,6 +54,7 @@
     pps_repeat_limit_t repeats;
     pps_rollout_t rollout;
     pps_rollout_tally_t tally; /**< counts of this host only */
+    int64_t next_evidence_log_us;
     /** Digests of the targets of earlier roll-outs, as a ring; 0: none. */
     uint64_t superseded[PPS_DISPATCH_SUPERSEDED_MAX];
     unsigned int superseded_next;
--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -312,6 +312,13 @@
     return busy > worker->in_flight ? busy : worker->in_flight;
 }
 
+double
+pps_pool_worker_load(const pps_pool_worker_t *worker, int64_t now_us,
+                     unsigned int hosts)
+{
+    return pps_pool_worker_busy(worker, now_us, hosts) / worker->slots;
+}
+
 void
 pps_pool_begin_call(pps_pool_worker_t *worker)
 {
--- a/src/libpapayaswitch/pool/pool.h
+++ b/src/libpapayaswitch/pool/pool.h
@@ -137,6 +137,11 @@
 pps_pool_worker_busy(const pps_pool_worker_t *worker, int64_t now_us,
                      unsigned int hosts);
 
+/** Estimates the requests running and queued at a worker per slot. */
+double
+pps_pool_worker_load(const pps_pool_worker_t *worker, int64_t now_us,
+                     unsigned int hosts);
+
 /** Counts a new call to the worker. */
 void
 pps_pool_begin_call(pps_pool_worker_t *worker);
--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -2,40 +2,13 @@
 #include "controller.h"
 
 #include "clock.h"
-#include "logger.h"
+#include "exchange/exchange.h"
+#include "rollout_log.h"
 
 #include <string.h>
 #include <xxhash.h>
 
-static void
-log_rollout(const char *event, const pps_rollout_t *rollout,
-            const pps_rollout_tally_t *tally)
-{
-    pps_rollout_count_t target = {0};
-    pps_rollout_count_t baseline = {0};
-
-    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
-        target.answers += tally->target[i].answers;
-        target.failures += tally->target[i].failures;
-        baseline.answers += tally->baseline[i].answers;
-        baseline.failures += tally->baseline[i].failures;
-    }
-    pps_logger_write(
-        PPS_LOG_WARN, event,
-        PPS_FIELDS(
-            PPS_STR("upstream", rollout->upstream),
-            PPS_STR("target", rollout->target),
-            PPS_INT("state", rollout->state), PPS_INT("share", rollout->share),
-            PPS_INT("duration_ms", rollout->duration_us / PPS_US_PER_MS),
-            PPS_INT("next_share", rollout->next_share),
-            PPS_INT("next_age_ms", rollout->next_age_us / PPS_US_PER_MS),
-            PPS_INT("requests", tally->requests),
-            PPS_INT("exposed", tally->exposed),
-            PPS_INT("target_answers", target.answers),
-            PPS_INT("target_failures", target.failures),
-            PPS_INT("before_answers", baseline.answers),
-            PPS_INT("before_failures", baseline.failures)));
-}
+#define EVIDENCE_LOG_PERIOD_US (1 * PPS_US_PER_S)
 
 static uint64_t
 digest_target(const char *target)
@@ -99,7 +72,7 @@
     state->rollout = *order;
     pps_rollout_begin(&state->rollout, dispatcher->reactor->now_us);
     memset(&state->tally, 0, sizeof(state->tally));
-    log_rollout("rollout_ordered", &state->rollout, &state->tally);
+    pps_rollout_log("rollout_ordered", &state->rollout, &state->tally);
 }
 
 void
@@ -120,7 +93,7 @@
     }
     if (status->state > state->rollout.state) {
         state->rollout.state = status->state;
-        log_rollout("rollout_declared", &state->rollout, &state->tally);
+        pps_rollout_log("rollout_declared", &state->rollout, &state->tally);
     }
 }
 
@@ -131,12 +104,12 @@
 
     if (remote->state > local->state) {
         local->state = remote->state;
-        log_rollout("rollout_heard", local, &state->tally);
+        pps_rollout_log("rollout_heard", local, &state->tally);
     }
     pps_rollout_merge(local, remote);
     if (remote->held && !local->held) {
         local->held = 1;
-        log_rollout("rollout_held", local, &state->tally);
+        pps_rollout_log("rollout_held", local, &state->tally);
     }
 }
 
@@ -183,6 +156,77 @@
     }
 }
 
+static void
+view_exchanges(pps_rollout_view_t *out, const pps_dispatcher_t *dispatcher,
+               const pps_upstream_state_t *state)
+{
+    const pps_exchange_t *exchange;
+
+    cds_list_for_each_entry (exchange, &dispatcher->exchanges, node) {
+        int64_t wait_us = dispatcher->reactor->now_us - exchange->sent_us;
+
+        if (exchange->upstream_state != state || !exchange->on_target ||
+            exchange->attempt != PPS_ATTEMPT_SENT) {
+            continue;
+        }
+        out->waiting++;
+        if (wait_us > out->longest_wait_us) {
+            out->longest_wait_us = wait_us;
+        }
+    }
+}
+
+static void
+view_workers(pps_rollout_view_t *out, const pps_dispatcher_t *dispatcher,
+             const pps_upstream_state_t *state)
+{
+    const pps_pool_worker_t *worker;
+
+    cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
+                             node) {
+        double load = pps_pool_worker_load(worker, dispatcher->reactor->now_us,
+                                           dispatcher->hosts);
+
+        if (strcmp(worker->info.upstream, state->name) == 0 &&
+            strcmp(worker->info.version, state->rollout.target) == 0 &&
+            load > out->target_load) {
+            out->target_load = load;
+        }
+    }
+}
+
+static void
+view_peers(pps_rollout_view_t *out, pps_gossip_t *gossip, int64_t now_us)
+{
+    const pps_gossip_peer_t *peer;
+
+    cds_list_for_each_entry (peer, pps_gossip_peers(gossip), node) {
+        int64_t age_us = now_us - peer->last_received_us;
+
+        if (pps_gossip_is_live(gossip, peer) && age_us > out->oldest_peer_us) {
+            out->oldest_peer_us = age_us;
+        }
+    }
+}
+
+static void
+log_evidence(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
+             const pps_rollout_tally_t *sum, pps_gossip_t *gossip)
+{
+    int64_t now_us = dispatcher->reactor->now_us;
+    pps_rollout_view_t view = {0};
+
+    if (state->rollout.state != PPS_ROLLOUT_ACTIVE ||
+        now_us < state->next_evidence_log_us) {
+        return;
+    }
+    state->next_evidence_log_us = now_us + EVIDENCE_LOG_PERIOD_US;
+    view_exchanges(&view, dispatcher, state);
+    view_workers(&view, dispatcher, state);
+    view_peers(&view, gossip, now_us);
+    pps_rollout_log_evidence(&state->rollout, sum, &view);
+}
+
 pps_rollout_verdict_t
 pps_rollout_controller_step(pps_dispatcher_t *dispatcher,
                             pps_upstream_state_t *state, pps_gossip_t *gossip)
@@ -194,19 +238,20 @@
     pps_rollout_verdict_t verdict;
 
     pps_rollout_controller_sum(&sum, state, gossip);
+    log_evidence(dispatcher, state, &sum, gossip);
     verdict =
         pps_rollout_step(&state->rollout, &sum, &dispatcher->options.rollout,
                          dispatcher->reactor->now_us);
     if (old_held != state->rollout.held) {
-        log_rollout("rollout_held", &state->rollout, &sum);
+        pps_rollout_log("rollout_held", &state->rollout, &sum);
         pps_gossip_send_state(gossip);
     }
     if (old_next_share != state->rollout.next_share) {
-        log_rollout("rollout_planned", &state->rollout, &sum);
+        pps_rollout_log("rollout_planned", &state->rollout, &sum);
         pps_gossip_send_state(gossip);
     }
     if (old_share != state->rollout.share) {
-        log_rollout("rollout_step", &state->rollout, &sum);
+        pps_rollout_log("rollout_step", &state->rollout, &sum);
     }
     return verdict;
 }
