--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -17,6 +17,7 @@
 #include "repeat_limit.h"
 #include "rng.h"
 #include "rollout/rollout.h"
+#include "rollout/usual_times.h"
 
 /** Maximum number of upstreams with state. */
 #define PPS_DISPATCH_UPSTREAMS_MAX 32
@@ -24,6 +25,9 @@
 /** Number of superseded roll-outs remembered per upstream. */
 #define PPS_DISPATCH_SUPERSEDED_MAX 8
 
+/** Number of models of a route whose usual times are kept apart. */
+#define PPS_DISPATCH_MODELS 4
+
 /** Settings of the routing decisions. */
 typedef struct {
     const char *failure_domain; /**< of this host */
@@ -54,7 +58,11 @@
     pps_repeat_limit_t repeats;
     pps_rollout_t rollout;
     pps_rollout_tally_t tally; /**< counts of this host only */
+    /** Of the baseline, by kind of request and model of its route. */
+    pps_usual_times_t usual[PPS_ROLLOUT_KINDS][PPS_DISPATCH_MODELS];
     int64_t next_evidence_log_us;
+    int64_t complete_since_us; /**< the roll-out can be completed since then
+                                    without an objection; 0: it can't */
     /** Digests of the targets of earlier roll-outs, as a ring; 0: none. */
     uint64_t superseded[PPS_DISPATCH_SUPERSEDED_MAX];
     unsigned int superseded_next;
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -231,7 +231,6 @@
                             "too_many_upstreams");
         return;
     }
-    exchange->upstream_state->tally.requests++;
     pps_repeat_limit_count_request(&exchange->upstream_state->repeats,
                                    dispatcher->reactor->now_us);
     pps_decision_log_admitted(exchange);
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -23,6 +23,13 @@
     PPS_ATTEMPT_STREAMING, /**< forwarding events as they arrive */
 } pps_attempt_state_t;
 
+/** Whether the current attempt is counted as evidence on its version. */
+typedef enum {
+    PPS_EVIDENCE_NONE,
+    PPS_EVIDENCE_GOOD,
+    PPS_EVIDENCE_BAD,
+} pps_evidence_state_t;
+
 /** An active request. */
 typedef struct pps_exchange {
     struct cds_list_head node;
@@ -52,7 +59,10 @@
     pps_http_channel_t *channel;
     pps_pool_worker_t *worker;
     int64_t worker_start_ms; /**< the worker's start time at the send */
-    int on_target; /**< the worker runs the version being rolled out */
+    int on_target;        /**< the worker runs the version being rolled out */
+    int is_worker_loaded; /**< see PPS_ROLLOUT_LOADED */
+    pps_evidence_state_t counted;
+    int is_counted_loaded; /**< it is counted with those of loaded workers */
     int64_t sent_us;
     int64_t last_received_us; /**< when bytes last arrived from the worker */
     int event_arrived;        /**< a complete event since the last check */
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "crash_line.h"
 #include "decision_log.h"
+#include "exchange_evidence.h"
 #include "exchange_reply.h"
 #include "exchange_worker.h"
 #include "papayaswitch/errors.h"
@@ -106,6 +107,7 @@
         return;
     }
     pps_decision_log_repeated(exchange, "silence", 1);
+    pps_exchange_evidence_count_failure(exchange);
     pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
     pps_exchange_send(exchange);
 }
@@ -306,12 +308,8 @@
     exchange->attempt = PPS_ATTEMPT_SENT;
     exchange->sent_us = dispatcher->reactor->now_us;
     exchange->last_received_us = exchange->sent_us;
-    exchange->on_target =
-        exchange->upstream_state->rollout.state == PPS_ROLLOUT_ACTIVE &&
-        strcmp(worker->info.version,
-               exchange->upstream_state->rollout.target) == 0;
-    exchange->upstream_state->tally.exposed += exchange->on_target;
     pps_pool_begin_call(worker);
+    pps_exchange_evidence_begin(exchange);
     queue_prompt(exchange, worker);
     exchange->runs++;
     pps_decision_log_sent(exchange);
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "decision_log.h"
+#include "exchange_evidence.h"
 #include "exchange_notes.h"
 #include "exchange_worker.h"
 #include "histograms.h"
@@ -24,38 +25,19 @@
     return status >= 200 && status < 300;
 }
 
-static pps_rollout_count_t *
-rollout_count(pps_exchange_t *exchange)
-{
-    pps_rollout_tally_t *tally = &exchange->upstream_state->tally;
-    size_t kind = (size_t)(exchange->route - exchange->deployment->routes) %
-                  PPS_ROLLOUT_KINDS;
-
-    return exchange->on_target ? &tally->target[kind] : &tally->baseline[kind];
-}
-
-static void
-count_rollout_answer(pps_exchange_t *exchange, int failed)
-{
-    pps_rollout_count_t *count = rollout_count(exchange);
-
-    count->answers++;
-    count->failures += failed != 0;
-}
-
 static void
 record_first_byte_time(pps_exchange_t *exchange)
 {
     int64_t elapsed_us =
         exchange->dispatcher->reactor->now_us - exchange->sent_us;
-    pps_rollout_count_t *count = rollout_count(exchange);
     double *smoothed_us = &exchange->upstream_state->first_byte_us;
 
-    pps_prefill_rate_update(&exchange->upstream_state->prefill_rate,
-                            exchange->work + exchange->backlog, elapsed_us);
+    if (!exchange->on_target) {
+        pps_prefill_rate_update(&exchange->upstream_state->prefill_rate,
+                                exchange->work + exchange->backlog,
+                                elapsed_us);
+    }
     pps_histogram_observe(PPS_HISTOGRAM_ENTRY_WORKER, elapsed_us);
-    count->timed++;
-    count->first_byte_us += (uint64_t)elapsed_us;
     *smoothed_us +=
         ((double)elapsed_us - *smoothed_us) * FIRST_BYTE_SMOOTHING_WEIGHT;
     pps_lateness_record(&exchange->upstream_state->lateness, elapsed_us,
@@ -117,7 +99,7 @@
                const pps_worker_reply_t *decoded)
 {
     record_first_byte_time(exchange);
-    count_rollout_answer(exchange, 0);
+    pps_exchange_evidence_count_head(exchange);
     if (ask_larger_model(exchange, decoded)) {
         return;
     }
@@ -149,7 +131,7 @@
     int error = reply->status >= 500 || untrusted;
 
     if (error) {
-        count_rollout_answer(exchange, 1);
+        pps_exchange_evidence_count_failure(exchange);
     }
     if ((error && pps_exchange_is_repeatable(exchange) &&
          exchange->runs < exchange->route->attempts_max) ||
@@ -185,6 +167,7 @@
         pps_pool_record_load(exchange->worker, decoded.running,
                              decoded.waiting, decoded.slots, now_us);
     }
+    pps_exchange_evidence_note_load(exchange, &decoded);
     pps_exchange_note_pause(exchange, &decoded);
     pps_decision_log_answer_began(exchange, reply->status, decoded.confidence);
     pps_timers_cancel(&exchange->silence_timer);
@@ -311,6 +294,7 @@
     if (is_success(status)) {
         observe_latency(exchange);
         record_answer_time(exchange);
+        pps_exchange_evidence_count_end(exchange);
     }
     pps_decision_log_ended(exchange, status, "answered");
     pps_exchange_drop_attempt(
@@ -368,6 +352,7 @@
         pps_exchange_retry(exchange, "no_connection", 0);
         return;
     }
+    pps_exchange_evidence_count_failure(exchange);
     pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
     pps_exchange_retry(exchange,
                        failure == PPS_CHANNEL_MALFORMED ? "malformed_answer"
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -2,6 +2,7 @@
 #include "exchange_worker.h"
 
 #include "pool/placement.h"
+#include "rollout/trial_worker.h"
 
 #include <string.h>
 
@@ -141,6 +142,38 @@
     int avoided;       /* workers to avoid for a time, or tried */
 } pass_t;
 
+/* Returns whether the request is one of those that try an unproven version. */
+static int
+is_on_trial(const pps_exchange_t *exchange)
+{
+    const pps_rollout_t *rollout = &exchange->upstream_state->rollout;
+    int64_t now_us = exchange->dispatcher->reactor->now_us;
+
+    return pps_rollout_is_on_trial(rollout) &&
+           pps_rollout_has_moved(rollout, exchange->call.session_digest,
+                                 now_us);
+}
+
+static int
+choose_for_trial(const pps_exchange_t *exchange,
+                 const pps_placement_candidate_t *candidates,
+                 pps_pool_worker_t *const *workers, size_t count)
+{
+    static pps_trial_worker_t trial[CANDIDATES_MAX];
+    int64_t now_us = exchange->dispatcher->reactor->now_us;
+    double target_us = (double)exchange->route->target_us;
+
+    for (size_t i = 0; i < count; i++) {
+        trial[i] = (pps_trial_worker_t){
+            .digest = workers[i]->digest,
+            .load = pps_pool_worker_load(workers[i], now_us),
+            .wait_share =
+                target_us > 0 ? candidates[i].wait_us / target_us : 0,
+        };
+    }
+    return pps_trial_worker_choose(trial, count);
+}
+
 static pps_pool_worker_t *
 choose_in_pass(const pps_exchange_t *exchange, const pass_t *pass)
 {
@@ -153,7 +186,7 @@
         dispatcher->reactor->now_us);
     pps_pool_worker_t *worker;
     size_t count = 0;
-    int chosen;
+    int chosen = -1;
 
     cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
                              node) {
@@ -170,8 +203,13 @@
                            prefix_worker);
         workers[count++] = worker;
     }
-    chosen =
-        pps_placement_choose(candidates, count, &options, &dispatcher->rng);
+    if (!pass->other_version && is_on_trial(exchange)) {
+        chosen = choose_for_trial(exchange, candidates, workers, count);
+    }
+    if (chosen < 0) {
+        chosen = pps_placement_choose(candidates, count, &options,
+                                      &dispatcher->rng);
+    }
     return chosen < 0 ? NULL : workers[chosen];
 }
 
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -9,11 +9,12 @@
 #include <msgpack.h>
 #include <string.h>
 
-/** The epochs stand last: hosts of older builds ignore what follows the
- * elements that they know, and send none. */
+/** The epochs stand last, and so do the slow answers of a count and the counts
+ * of loaded workers: hosts of older builds ignore what follows the elements
+ * that they know, and send none. */
 #define STATE_FIELDS 14
-#define ROLLOUT_FIELDS 12
-#define COUNT_FIELDS 6
+#define ROLLOUT_FIELDS 14
+#define COUNT_FIELDS 7
 
 static void
 pack_string(msgpack_packer *packer, const char *text)
@@ -32,6 +33,7 @@
     msgpack_pack_uint32(packer, count->failures);
     msgpack_pack_uint32(packer, count->timed);
     msgpack_pack_uint64(packer, count->first_byte_us);
+    msgpack_pack_uint32(packer, count->slow);
 }
 
 static int
@@ -79,6 +81,10 @@
     msgpack_pack_uint32(packer, item->tally.requests);
     msgpack_pack_uint32(packer, item->tally.exposed);
     pack_counts(packer, &item->tally);
+    msgpack_pack_array(packer, 2);
+    pack_count(packer, 0, 0, &item->tally.loaded_baseline);
+    pack_count(packer, 1, 0, &item->tally.loaded_target);
+    msgpack_pack_int(packer, rollout->proven);
 }
 
 int
@@ -122,8 +128,24 @@
     return out->failed ? PPS_ENOMEM : PPS_OK;
 }
 
+typedef pps_rollout_count_t *(*find_count_fn)(pps_rollout_tally_t *tally,
+                                              int is_target, uint64_t kind);
+
+static pps_rollout_count_t *
+find_kind(pps_rollout_tally_t *tally, int is_target, uint64_t kind)
+{
+    return is_target ? &tally->target[kind] : &tally->baseline[kind];
+}
+
+static pps_rollout_count_t *
+find_loaded(pps_rollout_tally_t *tally, int is_target, uint64_t kind)
+{
+    return is_target ? &tally->loaded_target : &tally->loaded_baseline;
+}
+
 static void
-decode_count(pps_rollout_tally_t *tally, pps_cursor_t *list)
+decode_count(pps_rollout_tally_t *tally, pps_cursor_t *list,
+             find_count_fn find)
 {
     pps_cursor_t fields = pps_cursor_read_array(list);
     int is_target = (int)pps_cursor_read_integer(&fields);
@@ -134,20 +156,34 @@
         list->failed = 1;
         return;
     }
-    count = is_target ? &tally->target[kind] : &tally->baseline[kind];
+    count = find(tally, is_target, kind);
     count->answers = (uint32_t)pps_cursor_read_integer(&fields);
     count->failures = (uint32_t)pps_cursor_read_integer(&fields);
     count->timed = (uint32_t)pps_cursor_read_integer(&fields);
     count->first_byte_us = (uint64_t)pps_cursor_read_integer(&fields);
+    if (fields.unread_count > 0) {
+        count->slow = (uint32_t)pps_cursor_read_integer(&fields);
+    }
     list->failed |= fields.failed;
 }
 
+static void
+decode_counts(pps_rollout_tally_t *tally, pps_cursor_t *fields,
+              find_count_fn find)
+{
+    pps_cursor_t counts = pps_cursor_read_array(fields);
+
+    while (counts.unread_count > 0 && !counts.failed) {
+        decode_count(tally, &counts, find);
+    }
+    fields->failed |= counts.failed;
+}
+
 static void
 decode_rollout(pps_gossip_rollout_t *out, pps_cursor_t *list, int64_t now_us)
 {
     pps_cursor_t fields = pps_cursor_read_array(list);
     pps_rollout_t *rollout = &out->rollout;
-    pps_cursor_t counts;
 
     pps_cursor_read_string(rollout->upstream, sizeof(rollout->upstream),
                            &fields);
@@ -161,15 +197,16 @@
     rollout->next_age_us = pps_cursor_read_integer(&fields);
     out->tally.requests = (uint32_t)pps_cursor_read_integer(&fields);
     out->tally.exposed = (uint32_t)pps_cursor_read_integer(&fields);
-    counts = pps_cursor_read_array(&fields);
-    while (counts.unread_count > 0 && !counts.failed) {
-        decode_count(&out->tally, &counts);
+    decode_counts(&out->tally, &fields, find_kind);
+    if (!fields.failed && fields.unread_count > 0) {
+        decode_counts(&out->tally, &fields, find_loaded);
+        rollout->proven = (int)pps_cursor_read_integer(&fields);
     }
     if (rollout->state < PPS_ROLLOUT_NONE ||
         rollout->state > PPS_ROLLOUT_ROLLED_BACK) {
         list->failed = 1;
     }
-    list->failed |= fields.failed | counts.failed;
+    list->failed |= fields.failed;
 }
 
 static void
--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -313,10 +313,9 @@
 }
 
 double
-pps_pool_worker_load(const pps_pool_worker_t *worker, int64_t now_us,
-                     unsigned int hosts)
+pps_pool_worker_load(const pps_pool_worker_t *worker, int64_t now_us)
 {
-    return pps_pool_worker_busy(worker, now_us, hosts) / worker->slots;
+    return pps_pool_worker_busy(worker, now_us, 1) / worker->slots;
 }
 
 void
--- a/src/libpapayaswitch/pool/pool.h
+++ b/src/libpapayaswitch/pool/pool.h
@@ -137,10 +137,11 @@
 pps_pool_worker_busy(const pps_pool_worker_t *worker, int64_t now_us,
                      unsigned int hosts);
 
-/** Estimates the requests running and queued at a worker per slot. */
+/** Returns the requests per slot that are known of a worker: its last report
+ * corrected by this host's calls since; without a recent report these calls
+ * alone. */
 double
-pps_pool_worker_load(const pps_pool_worker_t *worker, int64_t now_us,
-                     unsigned int hosts);
+pps_pool_worker_load(const pps_pool_worker_t *worker, int64_t now_us);
 
 /** Counts a new call to the worker. */
 void
--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -2,13 +2,19 @@
 #include "controller.h"
 
 #include "clock.h"
-#include "exchange/exchange.h"
+#include "exchange/exchange_evidence.h"
 #include "rollout_log.h"
 
 #include <string.h>
 #include <xxhash.h>
 
 #define EVIDENCE_LOG_PERIOD_US (1 * PPS_US_PER_S)
+/** Oldest state of a live host on which a completion may rest: some datagrams
+ * in a row may be lost. */
+#define OBJECTION_AGE_MAX_US (1500 * PPS_US_PER_MS)
+/** Time for which a roll-out must be due for completion before it is declared,
+ * so that other hosts can object. */
+#define OBJECTION_TIME_US (500 * PPS_US_PER_MS)
 
 static uint64_t
 digest_target(const char *target)
@@ -71,6 +77,7 @@
     supersede(state, order->target);
     state->rollout = *order;
     pps_rollout_begin(&state->rollout, dispatcher->reactor->now_us);
+    state->complete_since_us = 0;
     memset(&state->tally, 0, sizeof(state->tally));
     pps_rollout_log("rollout_ordered", &state->rollout, &state->tally);
 }
@@ -184,8 +191,8 @@
 
     cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
                              node) {
-        double load = pps_pool_worker_load(worker, dispatcher->reactor->now_us,
-                                           dispatcher->hosts);
+        double load =
+            pps_pool_worker_load(worker, dispatcher->reactor->now_us);
 
         if (strcmp(worker->info.upstream, state->name) == 0 &&
             strcmp(worker->info.version, state->rollout.target) == 0 &&
@@ -227,6 +234,28 @@
     pps_rollout_log_evidence(&state->rollout, sum, &view);
 }
 
+/* Returns whether a completion can be declared: the state of each live host is
+ * recent, none objects, and this has been so for a time. A hold that arrives
+ * within that time wins. */
+static int
+is_unopposed(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
+             pps_gossip_t *gossip, pps_rollout_verdict_t verdict)
+{
+    int64_t now_us = dispatcher->reactor->now_us;
+    pps_rollout_view_t view = {0};
+
+    view_peers(&view, gossip, now_us);
+    if (verdict != PPS_ROLLOUT_COMPLETE ||
+        view.oldest_peer_us > OBJECTION_AGE_MAX_US) {
+        state->complete_since_us = 0;
+        return 0;
+    }
+    if (state->complete_since_us == 0) {
+        state->complete_since_us = now_us;
+    }
+    return now_us - state->complete_since_us >= OBJECTION_TIME_US;
+}
+
 pps_rollout_verdict_t
 pps_rollout_controller_step(pps_dispatcher_t *dispatcher,
                             pps_upstream_state_t *state, pps_gossip_t *gossip)
@@ -235,13 +264,17 @@
     unsigned int old_share = state->rollout.share;
     unsigned int old_next_share = state->rollout.next_share;
     int old_held = state->rollout.held;
+    const pps_rollout_basis_t basis = {
+        .bounds = dispatcher->options.rollout,
+        .knows_all_hosts = pps_gossip_is_reader(gossip),
+    };
     pps_rollout_verdict_t verdict;
 
+    pps_exchange_evidence_count_waiting(dispatcher, state);
     pps_rollout_controller_sum(&sum, state, gossip);
     log_evidence(dispatcher, state, &sum, gossip);
-    verdict =
-        pps_rollout_step(&state->rollout, &sum, &dispatcher->options.rollout,
-                         dispatcher->reactor->now_us);
+    verdict = pps_rollout_step(&state->rollout, &sum, &basis,
+                               dispatcher->reactor->now_us);
     if (old_held != state->rollout.held) {
         pps_rollout_log("rollout_held", &state->rollout, &sum);
         pps_gossip_send_state(gossip);
@@ -253,6 +286,10 @@
     if (old_share != state->rollout.share) {
         pps_rollout_log("rollout_step", &state->rollout, &sum);
     }
+    if (!is_unopposed(dispatcher, state, gossip, verdict) &&
+        verdict == PPS_ROLLOUT_COMPLETE) {
+        return PPS_ROLLOUT_CONTINUE;
+    }
     return verdict;
 }
 
--- a/src/libpapayaswitch/rollout/rollout.c
+++ b/src/libpapayaswitch/rollout/rollout.c
@@ -1,135 +1,53 @@
-/** @file rollout.c @brief Steps and evaluation of a roll-out. */
+/** @file rollout.c @brief Steps of a roll-out. */
 #include "rollout.h"
 
 #include "clock.h"
 
-#include <math.h>
-
 /** Delay before the first move: a fraction of the duration and a margin. */
 #define START_DELAY_FRACTION 0.5
 #define START_DELAY_MARGIN_US (200 * PPS_US_PER_MS)
 /** Time between the earliest completion and the operator's deadline. */
 #define END_MARGIN_US (1500 * PPS_US_PER_MS)
-/** Shares of the first two moves, per thousand, and the fractions of the
- * moving time before which they are not raised. */
-#define FIRST_SHARE 250
-#define SECOND_SHARE 600
-#define FIRST_UNTIL 0.4
-#define SECOND_UNTIL 0.65
+/** Share of an unproven target, per thousand, and the fraction of the moving
+ * time before which it isn't raised. */
+#define FIRST_SHARE 200
+#define FIRST_UNTIL 0.3
 /** Time from planning a move, which is announced to all hosts, to the move. */
 #define MOVE_NOTICE_US (1000 * PPS_US_PER_MS)
 /** Remote starts earlier by at most this are ignored as timing errors of the
  * messages. Otherwise repeated merges would move the start ever earlier. */
 #define START_TOLERANCE_US (300 * PPS_US_PER_MS)
-/** Answers of the target required before each move after the first. */
+/** Answers of an unproven target required before all sessions are moved. */
 #define TARGET_ANSWERS_MIN 20
-/** Minimum failures of a bad target, and the minimum excess of its failure
- * rate over the baseline's, absolute and in standard errors. */
-#define FAILURES_MIN 4
-#define FAILURE_EXCESS_MIN 0.12
-#define STANDARD_ERRORS_MIN 2.6
-/** Minimum timed answers of both target and baseline. The target is too slow
- * if its mean time to the first byte exceeds the baseline's by both limits. */
-#define TIMED_ANSWERS_MIN 6
-#define SLOW_FACTOR 3.0
-#define SLOW_EXCESS_US (200.0 * PPS_US_PER_MS)
-/** Fraction of the exposure bound above which no second move is planned. */
+/** Fraction of the exposure bound that an unproven target may use. The rest
+ * covers requests that hosts send before they learn that it is used up. */
 #define EXPOSURE_FRACTION 0.8
+/** Fraction of the rate of requests so far that is expected to go on. */
+#define EXPECTED_FRACTION 0.75
 
-static void
-add_count(pps_rollout_count_t *sum, const pps_rollout_count_t *count)
+/* Returns the requests to be expected until the end of the duration, over
+ * which the bound is counted: at least a part of the requests so far comes
+ * again. */
+static double
+expected_requests(const pps_rollout_t *rollout,
+                  const pps_rollout_tally_t *tally, int64_t age_us)
 {
-    sum->answers += count->answers;
-    sum->failures += count->failures;
-    sum->timed += count->timed;
-    sum->first_byte_us += count->first_byte_us;
-}
+    double remaining_us = (double)(rollout->duration_us - age_us);
 
-void
-pps_rollout_tally_add(pps_rollout_tally_t *sum,
-                      const pps_rollout_tally_t *tally)
-{
-    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
-        add_count(&sum->baseline[i], &tally->baseline[i]);
-        add_count(&sum->target[i], &tally->target[i]);
-    }
-    sum->requests += tally->requests;
-    sum->exposed += tally->exposed;
+    return remaining_us <= 0 || age_us <= 0
+               ? tally->requests
+               : tally->requests *
+                     (1 + remaining_us / (double)age_us * EXPECTED_FRACTION);
 }
 
 static int
-fails_more_often(const pps_rollout_count_t *target,
-                 const pps_rollout_count_t *baseline)
-{
-    double n = target->answers;
-    double m = baseline->answers;
-    double target_rate = n > 0 ? target->failures / n : 0;
-    double base_rate = m > 0 ? baseline->failures / m : 0;
-    double pooled;
-    double error;
-
-    if (target->failures < FAILURES_MIN ||
-        target_rate < base_rate + FAILURE_EXCESS_MIN) {
-        return 0;
-    }
-    if (m < 1) {
-        return 1;
-    }
-    pooled = (target->failures + baseline->failures) / (n + m);
-    error = sqrt(pooled * (1 - pooled) * (1 / n + 1 / m));
-    return target_rate - base_rate > STANDARD_ERRORS_MIN * error;
-}
-
-static int
-is_slower(const pps_rollout_count_t *target,
-          const pps_rollout_count_t *baseline)
-{
-    double mean;
-    double base_mean;
-
-    if (target->timed < TIMED_ANSWERS_MIN ||
-        baseline->timed < TIMED_ANSWERS_MIN) {
-        return 0;
-    }
-    mean = (double)target->first_byte_us / target->timed;
-    base_mean = (double)baseline->first_byte_us / baseline->timed;
-    return mean > base_mean * SLOW_FACTOR && mean > base_mean + SLOW_EXCESS_US;
-}
-
-int
-pps_rollout_is_bad(const pps_rollout_tally_t *tally)
-{
-    pps_rollout_count_t target = {0};
-    pps_rollout_count_t baseline = {0};
-
-    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
-        if (fails_more_often(&tally->target[i], &tally->baseline[i]) ||
-            is_slower(&tally->target[i], &tally->baseline[i])) {
-            return 1;
-        }
-        add_count(&target, &tally->target[i]);
-        add_count(&baseline, &tally->baseline[i]);
-    }
-    return fails_more_often(&target, &baseline);
-}
-
-static uint32_t
-target_answers(const pps_rollout_tally_t *tally)
-{
-    uint32_t answers = 0;
-
-    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
-        answers += tally->target[i].answers;
-    }
-    return answers;
-}
-
-static int
-is_exposure_near_bound(const pps_rollout_tally_t *tally,
-                       const pps_rollout_bounds_t *bounds)
+is_exposure_used_up(const pps_rollout_t *rollout,
+                    const pps_rollout_tally_t *tally,
+                    const pps_rollout_bounds_t *bounds, int64_t age_us)
 {
     double allowed =
-        tally->requests * bounds->exposure_share + bounds->exposure_more;
+        expected_requests(rollout, tally, age_us) * bounds->exposure_share +
+        bounds->exposure_more;
 
     return tally->exposed > allowed * EXPOSURE_FRACTION;
 }
@@ -158,6 +76,7 @@
     rollout->started_us = now_us;
     rollout->share = 0;
     rollout->held = 0;
+    rollout->proven = 0;
     rollout->next_share = FIRST_SHARE;
     rollout->next_age_us = start_delay_us(rollout);
 }
@@ -171,24 +90,21 @@
     }
 }
 
+/* Plans to move all sessions once the target is proven, or for the rest of the
+ * trial: at most sites only then are its workers loaded. */
 static void
 plan_next_move(pps_rollout_t *rollout, const pps_rollout_tally_t *tally,
-               const pps_rollout_bounds_t *bounds, int64_t age_us)
+               int64_t age_us)
 {
     double progress =
         (double)(age_us + MOVE_NOTICE_US - start_delay_us(rollout)) /
         (double)moving_us(rollout);
 
-    if (target_answers(tally) < TARGET_ANSWERS_MIN) {
-        return;
-    }
-    if (progress >= SECOND_UNTIL) {
+    if (rollout->proven ||
+        (progress >= FIRST_UNTIL &&
+         pps_rollout_sum_kinds(tally->target).answers >= TARGET_ANSWERS_MIN)) {
         plan_move(rollout, PPS_ROLLOUT_SHARE_MAX, age_us);
     }
-    else if (progress >= FIRST_UNTIL &&
-             !is_exposure_near_bound(tally, bounds)) {
-        plan_move(rollout, SECOND_SHARE, age_us);
-    }
 }
 
 void
@@ -197,6 +113,7 @@
     if (remote->started_us < rollout->started_us - START_TOLERANCE_US) {
         rollout->started_us = remote->started_us;
     }
+    rollout->proven |= remote->proven;
     if (remote->share > rollout->share) {
         rollout->share = remote->share;
     }
@@ -208,24 +125,40 @@
     }
 }
 
+/* Returns whether the target has to be rolled back: it is bad, or the requests
+ * or the time are used up in which it could be proven. */
+static int
+must_hold(const pps_rollout_t *rollout, const pps_rollout_tally_t *tally,
+          const pps_rollout_basis_t *basis, int64_t age_us)
+{
+    if (rollout->held || pps_rollout_is_bad(tally)) {
+        return 1;
+    }
+    return !rollout->proven &&
+           (is_exposure_used_up(rollout, tally, &basis->bounds, age_us) ||
+            (basis->knows_all_hosts && age_us >= rollout->duration_us));
+}
+
 pps_rollout_verdict_t
 pps_rollout_step(pps_rollout_t *rollout, const pps_rollout_tally_t *tally,
-                 const pps_rollout_bounds_t *bounds, int64_t now_us)
+                 const pps_rollout_basis_t *basis, int64_t now_us)
 {
     int64_t age_us = now_us - rollout->started_us;
+    int is_sound = pps_rollout_is_sound(tally);
 
     if (rollout->state != PPS_ROLLOUT_ACTIVE) {
         return PPS_ROLLOUT_CONTINUE;
     }
-    if (rollout->held || pps_rollout_is_bad(tally)) {
+    rollout->proven |= is_sound;
+    if (must_hold(rollout, tally, basis, age_us)) {
         rollout->held = 1;
         return PPS_ROLLOUT_ROLL_BACK;
     }
     if (age_us >= rollout->next_age_us) {
         rollout->share = rollout->next_share;
     }
-    plan_next_move(rollout, tally, bounds, age_us);
-    return rollout->share == PPS_ROLLOUT_SHARE_MAX &&
+    plan_next_move(rollout, tally, age_us);
+    return is_sound && rollout->share == PPS_ROLLOUT_SHARE_MAX &&
                    age_us >= start_delay_us(rollout) + moving_us(rollout)
                ? PPS_ROLLOUT_COMPLETE
                : PPS_ROLLOUT_CONTINUE;
@@ -255,3 +188,9 @@
     }
     return 0;
 }
+
+int
+pps_rollout_is_on_trial(const pps_rollout_t *rollout)
+{
+    return rollout->state == PPS_ROLLOUT_ACTIVE && !rollout->proven;
+}
--- a/src/libpapayaswitch/rollout/rollout.h
+++ b/src/libpapayaswitch/rollout/rollout.h
@@ -1,8 +1,7 @@
 /**
  * @file rollout.h
- * @brief Moves an upstream's sessions to a new version step by step and
- * evaluates that version by the results of all hosts. Does no I/O and reads no
- * clock.
+ * @brief Moves an upstream's sessions to a new version step by step, by the
+ * results of all hosts. Does no I/O and reads no clock.
  *
  * Sessions are selected by their digest, so that all hosts move the same ones.
  * A moved session stays on the target unless the target is held or rolled
@@ -12,11 +11,11 @@
 #ifndef PPS_ROLLOUT_ROLLOUT_H
 #define PPS_ROLLOUT_ROLLOUT_H
 
+#include "verdict.h"
+
 #include <stddef.h>
 #include <stdint.h>
 
-/** Kinds of request counted separately: the route's index modulo this. */
-#define PPS_ROLLOUT_KINDS 8
 #define PPS_ROLLOUT_TEXT_BYTES 64
 /** Share of all sessions; shares are per thousand. */
 #define PPS_ROLLOUT_SHARE_MAX 1000
@@ -29,22 +28,6 @@
     PPS_ROLLOUT_ROLLED_BACK,
 } pps_rollout_state_t;
 
-/** Results of the target or the baseline for one kind of request. */
-typedef struct {
-    uint32_t answers;
-    uint32_t failures;
-    uint32_t timed;         /**< answers with a time to the first byte */
-    uint64_t first_byte_us; /**< sum of these times */
-} pps_rollout_count_t;
-
-/** Results since the roll-out began. */
-typedef struct {
-    pps_rollout_count_t baseline[PPS_ROLLOUT_KINDS]; /**< other versions */
-    pps_rollout_count_t target[PPS_ROLLOUT_KINDS];
-    uint32_t requests; /**< callers' requests to the upstream */
-    uint32_t exposed;  /**< calls sent to the target */
-} pps_rollout_tally_t;
-
 /** A roll-out of one upstream to a target version. */
 typedef struct {
     char upstream[PPS_ROLLOUT_TEXT_BYTES];
@@ -55,7 +38,9 @@
     unsigned int share;      /**< sessions on the target, per thousand */
     unsigned int next_share; /**< planned share, announced in advance */
     int64_t next_age_us;     /**< time from the start to the planned move */
-    int held;                /**< target failed, gets no sessions; final */
+    int proven;              /**< target is shown to be sound; final */
+    int held;                /**< target failed or could not be proven, gets
+                                  no sessions; final */
 } pps_rollout_t;
 
 /** Action that a step calls for. */
@@ -71,20 +56,29 @@
     unsigned int exposure_more; /**< requests allowed on top of the fraction */
 } pps_rollout_bounds_t;
 
-/** Adds `tally` to `sum`. */
-void
-pps_rollout_tally_add(pps_rollout_tally_t *sum,
-                      const pps_rollout_tally_t *tally);
-
-/** Returns whether the target is much slower than the baseline in a kind of
- * request, or fails more often in a kind or in all kinds together. */
-int
-pps_rollout_is_bad(const pps_rollout_tally_t *tally);
+/** What a step of a roll-out rests on. */
+typedef struct {
+    pps_rollout_bounds_t bounds;
+    /** The results of all hosts are known, rather than those of the hosts that
+     * send theirs to this one. Only then are roll-outs ended for lack of
+     * evidence. */
+    int knows_all_hosts;
+} pps_rollout_basis_t;
 
-/** Updates share and hold, plans the next move. @return the due action */
+/**
+ * Updates share and hold, plans the next move. An unproven target gets at most
+ * a fraction of the requests that the operator allows a bad one; if that or
+ * the operator's duration is used up, it is held and rolled back. Only a
+ * target that is shown to be sound gets all sessions and is completed.
+ * @return the due action
+ */
 pps_rollout_verdict_t
 pps_rollout_step(pps_rollout_t *rollout, const pps_rollout_tally_t *tally,
-                 const pps_rollout_bounds_t *bounds, int64_t now_us);
+                 const pps_rollout_basis_t *basis, int64_t now_us);
+
+/** Returns whether the roll-out is active and its target unproven. */
+int
+pps_rollout_is_on_trial(const pps_rollout_t *rollout);
 
 /** Returns whether the session with this digest is on the target. A planned
  * move takes effect at its time, without a step. */
@@ -97,7 +91,7 @@
 pps_rollout_begin(pps_rollout_t *rollout, int64_t now_us);
 
 /** Adopts another host's start if it is clearly earlier, its share if larger,
- * and its planned move if it is to a larger share or earlier. */
+ * its planned move if it is to a larger share or earlier, and its proof. */
 void
 pps_rollout_merge(pps_rollout_t *rollout, const pps_rollout_t *remote);
 
--- a/src/libpapayaswitch/rollout/rollout_log.c
+++ b/src/libpapayaswitch/rollout/rollout_log.c
@@ -4,34 +4,21 @@
 #include "clock.h"
 #include "logger.h"
 
-/* Adds the results of all kinds of request. */
-static pps_rollout_count_t
-add_kinds(const pps_rollout_count_t *counts)
-{
-    pps_rollout_count_t sum = {0};
-
-    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
-        sum.answers += counts[i].answers;
-        sum.failures += counts[i].failures;
-        sum.timed += counts[i].timed;
-        sum.first_byte_us += counts[i].first_byte_us;
-    }
-    return sum;
-}
-
 void
 pps_rollout_log(const char *event, const pps_rollout_t *rollout,
                 const pps_rollout_tally_t *tally)
 {
-    pps_rollout_count_t target = add_kinds(tally->target);
-    pps_rollout_count_t baseline = add_kinds(tally->baseline);
+    pps_rollout_count_t target = pps_rollout_sum_kinds(tally->target);
+    pps_rollout_count_t baseline = pps_rollout_sum_kinds(tally->baseline);
 
     pps_logger_write(
         PPS_LOG_WARN, event,
         PPS_FIELDS(
             PPS_STR("upstream", rollout->upstream),
             PPS_STR("target", rollout->target),
-            PPS_INT("state", rollout->state), PPS_INT("share", rollout->share),
+            PPS_INT("state", rollout->state),
+            PPS_INT("proven", rollout->proven),
+            PPS_INT("share", rollout->share),
             PPS_INT("duration_ms", rollout->duration_us / PPS_US_PER_MS),
             PPS_INT("next_share", rollout->next_share),
             PPS_INT("next_age_ms", rollout->next_age_us / PPS_US_PER_MS),
@@ -39,8 +26,13 @@
             PPS_INT("exposed", tally->exposed),
             PPS_INT("target_answers", target.answers),
             PPS_INT("target_failures", target.failures),
+            PPS_INT("target_slow", target.slow),
+            PPS_INT("loaded_answers", tally->loaded_target.answers),
+            PPS_INT("loaded_bad",
+                    tally->loaded_target.failures + tally->loaded_target.slow),
             PPS_INT("before_answers", baseline.answers),
-            PPS_INT("before_failures", baseline.failures)));
+            PPS_INT("before_failures", baseline.failures),
+            PPS_INT("before_slow", baseline.slow)));
 }
 
 static int64_t
@@ -56,8 +48,8 @@
                          const pps_rollout_tally_t *tally,
                          const pps_rollout_view_t *view)
 {
-    pps_rollout_count_t target = add_kinds(tally->target);
-    pps_rollout_count_t baseline = add_kinds(tally->baseline);
+    pps_rollout_count_t target = pps_rollout_sum_kinds(tally->target);
+    pps_rollout_count_t baseline = pps_rollout_sum_kinds(tally->baseline);
 
     pps_logger_write(
         PPS_LOG_INFO, "rollout_evidence",
@@ -65,13 +57,19 @@
             PPS_STR("upstream", rollout->upstream),
             PPS_STR("target", rollout->target),
             PPS_INT("share", rollout->share), PPS_INT("held", rollout->held),
+            PPS_INT("proven", rollout->proven),
             PPS_INT("requests", tally->requests),
             PPS_INT("exposed", tally->exposed),
             PPS_INT("target_answers", target.answers),
             PPS_INT("target_failures", target.failures),
+            PPS_INT("target_slow", target.slow),
+            PPS_INT("loaded_answers", tally->loaded_target.answers),
+            PPS_INT("loaded_bad",
+                    tally->loaded_target.failures + tally->loaded_target.slow),
             PPS_INT("target_first_byte_ms", mean_ms(&target)),
             PPS_INT("before_answers", baseline.answers),
             PPS_INT("before_failures", baseline.failures),
+            PPS_INT("before_slow", baseline.slow),
             PPS_INT("before_first_byte_ms", mean_ms(&baseline)),
             PPS_INT("waiting", view->waiting),
             PPS_INT("longest_wait_ms", view->longest_wait_us / PPS_US_PER_MS),
--- a/tests/entry/test_rollout.c
+++ b/tests/entry/test_rollout.c
@@ -1,5 +1,7 @@
 /** @file test_rollout.c @brief Tests the steps and evaluation of roll-outs. */
 #include "clock.h"
+#include "gossip/gossip_codec.h"
+#include "gossip/gossip_state.h"
 #include "rollout/controller.h"
 
 #include <criterion/criterion.h>
@@ -8,7 +10,7 @@
 
 #define S PPS_US_PER_S
 
-static const pps_rollout_bounds_t bounds = {0.15, 30};
+static const pps_rollout_basis_t basis = {{0.15, 30}, 1};
 
 typedef struct {
     const char *name;
@@ -62,19 +64,23 @@
     const char *name;
     int64_t age_us;
     uint32_t answers;
+    uint32_t loaded; /* of these, at loaded workers */
     uint32_t exposed;
     unsigned int share;
     pps_rollout_verdict_t verdict;
 } step_case_t;
 
 static const step_case_t steps[] = {
-    {"first half", 11 * S, 0, 0, 0, PPS_ROLLOUT_CONTINUE},
-    {"just after the first half", 13 * S, 0, 0, 250, PPS_ROLLOUT_CONTINUE},
-    {"too few answers", 20 * S, 10, 10, 250, PPS_ROLLOUT_CONTINUE},
-    {"enough answers", 17 * S, 60, 60, 600, PPS_ROLLOUT_CONTINUE},
-    {"exposure used up", 17 * S, 60, 4000, 250, PPS_ROLLOUT_CONTINUE},
-    {"all sessions", 20 * S, 100, 100, 1000, PPS_ROLLOUT_CONTINUE},
-    {"completed", 23 * S, 300, 300, 1000, PPS_ROLLOUT_COMPLETE},
+    {"first half", 11 * S, 0, 0, 0, 0, PPS_ROLLOUT_CONTINUE},
+    {"after the first half", 13 * S, 0, 0, 0, 200, PPS_ROLLOUT_CONTINUE},
+    {"too few answers", 20 * S, 10, 0, 10, 200, PPS_ROLLOUT_CONTINUE},
+    {"enough answers", 17 * S, 60, 0, 60, 1000, PPS_ROLLOUT_CONTINUE},
+    {"exposure used up", 17 * S, 60, 0, 200, 0, PPS_ROLLOUT_ROLL_BACK},
+    {"all sessions", 20 * S, 100, 0, 100, 1000, PPS_ROLLOUT_CONTINUE},
+    {"due, but never loaded", 23 * S, 300, 0, 100, 1000, PPS_ROLLOUT_CONTINUE},
+    {"unproven at the end", 24 * S, 300, 0, 100, 1000, PPS_ROLLOUT_ROLL_BACK},
+    {"proven, exposed more", 20 * S, 300, 60, 300, 1000, PPS_ROLLOUT_CONTINUE},
+    {"completed", 23 * S, 300, 60, 300, 1000, PPS_ROLLOUT_COMPLETE},
 };
 
 /* Steps each roll-out from its start to the age of the case. */
@@ -88,9 +94,10 @@
 
         tally.baseline[0] = (pps_rollout_count_t){800, 3, 0, 0};
         tally.target[0] = (pps_rollout_count_t){steps[i].answers, 0, 0, 0};
+        tally.loaded_target.answers = steps[i].loaded;
         pps_rollout_begin(&rollout, 0);
         for (int64_t now = 0; now <= steps[i].age_us; now += S / 4) {
-            verdict = pps_rollout_step(&rollout, &tally, &bounds, now);
+            verdict = pps_rollout_step(&rollout, &tally, &basis, now);
         }
         cr_expect_eq(verdict, steps[i].verdict, "%s", steps[i].name);
         cr_expect_eq(rollout.share, steps[i].share, "%s: %u", steps[i].name,
@@ -98,6 +105,56 @@
     }
 }
 
+/* A host that does not hear all others can't tell that evidence is lacking. */
+Test(rollout, host_without_all_results_ends_no_rollout_for_lack_of_evidence)
+{
+    const pps_rollout_basis_t partial = {{0.15, 30}, 0};
+    pps_rollout_t rollout = {.duration_us = 24 * S};
+    pps_rollout_tally_t tally = {.requests = 1000, .exposed = 20};
+
+    pps_rollout_begin(&rollout, 0);
+    cr_expect_eq(pps_rollout_step(&rollout, &tally, &partial, 25 * S),
+                 PPS_ROLLOUT_CONTINUE);
+    cr_expect_eq(pps_rollout_step(&rollout, &tally, &basis, 25 * S),
+                 PPS_ROLLOUT_ROLL_BACK);
+}
+
+typedef struct {
+    const char *name;
+    pps_rollout_count_t target;
+    pps_rollout_count_t loaded;
+    uint32_t other_kind; /* answers of the target in a second kind */
+    int is_sound;
+} sound_case_t;
+
+/* answers, failures, timed, first_byte_us, slow */
+static const sound_case_t sound_cases[] = {
+    {"nothing", {0}, {0}, 0, 0},
+    {"never loaded", {200, 0, 0, 0, 0}, {0}, 50, 0},
+    {"loaded and good", {200, 0, 0, 0, 0}, {40, 0, 0, 0, 0}, 50, 1},
+    {"a third fails when loaded", {200, 9, 0, 0, 0}, {27, 9, 0, 0, 0}, 50, 0},
+    {"a fifth is slow", {200, 0, 0, 0, 40}, {40, 0, 0, 0, 0}, 50, 0},
+    {"as many are slow as usual", {200, 0, 0, 0, 4}, {40, 0, 0, 0, 0}, 50, 1},
+    {"a kind is missing", {200, 0, 0, 0, 0}, {40, 0, 0, 0, 0}, 0, 0},
+    {"too few answers", {20, 0, 0, 0, 0}, {15, 0, 0, 0, 0}, 10, 0},
+};
+
+Test(rollout, only_evidence_for_the_target_makes_it_sound)
+{
+    for (size_t i = 0; i < sizeof(sound_cases) / sizeof(*sound_cases); i++) {
+        const sound_case_t *item = &sound_cases[i];
+        pps_rollout_tally_t tally = {0};
+
+        tally.baseline[0] = (pps_rollout_count_t){900, 3, 0, 0, 18};
+        tally.baseline[1] = (pps_rollout_count_t){300, 1, 0, 0, 6};
+        tally.target[0] = item->target;
+        tally.target[1].answers = item->other_kind;
+        tally.loaded_target = item->loaded;
+        cr_expect_eq(pps_rollout_is_sound(&tally), item->is_sound, "%s",
+                     item->name);
+    }
+}
+
 Test(rollout, a_held_target_gets_no_sessions_and_stays_held)
 {
     pps_rollout_t rollout = {
@@ -106,10 +163,10 @@
 
     tally.baseline[0] = (pps_rollout_count_t){800, 3, 0, 0};
     tally.target[0] = (pps_rollout_count_t){20, 10, 0, 0};
-    cr_expect_eq(pps_rollout_step(&rollout, &tally, &bounds, 15 * S),
+    cr_expect_eq(pps_rollout_step(&rollout, &tally, &basis, 15 * S),
                  PPS_ROLLOUT_ROLL_BACK);
     tally.target[0] = (pps_rollout_count_t){0};
-    cr_expect_eq(pps_rollout_step(&rollout, &tally, &bounds, 16 * S),
+    cr_expect_eq(pps_rollout_step(&rollout, &tally, &basis, 16 * S),
                  PPS_ROLLOUT_ROLL_BACK);
     for (uint64_t digest = 0; digest < 10000; digest++) {
         cr_assert_not(pps_rollout_has_moved(&rollout, digest, 20 * S));
@@ -162,10 +219,10 @@
     pps_rollout_begin(&b, 0);
     for (int64_t now = 0; now < 23 * S; now += S / 20) {
         if (now % (S / 4) == 0) {
-            pps_rollout_step(&a, &tally, &bounds, now);
+            pps_rollout_step(&a, &tally, &basis, now);
         }
         if (now % (S / 4) == S / 5) {
-            pps_rollout_step(&b, &tally, &bounds, now);
+            pps_rollout_step(&b, &tally, &basis, now);
         }
         if (now % (2 * S / 5) == 0) {
             pps_rollout_merge(&a, &b);
@@ -264,3 +321,100 @@
     cr_expect_str_eq(dispatcher.upstreams[0].rollout.target, "v3");
     cr_expect_eq(dispatcher.upstreams[0].rollout.state, PPS_ROLLOUT_ACTIVE);
 }
+
+static void
+fill_state(void *user, pps_gossip_state_t *out)
+{
+    pps_rollout_controller_export(user, out);
+}
+
+static void
+on_state(void *user, const pps_gossip_peer_t *peer)
+{
+    pps_rollout_controller_merge_peer(user, peer);
+}
+
+static const pps_gossip_ops_t gossip_ops = {.fill_state = fill_state,
+                                            .on_state = on_state};
+
+/* Makes the host receive the state of another one, which holds the target or
+ * does not. */
+static void
+hear_host(pps_gossip_t *gossip, const pps_rollout_t *rollout, int held,
+          int64_t now_us)
+{
+    static pps_gossip_message_t message;
+    pps_buf_t encoded = PPS_BUF_INIT;
+
+    memset(&message, 0, sizeof(message));
+    snprintf(message.state.host_id, sizeof(message.state.host_id), "b");
+    snprintf(message.state.address, sizeof(message.state.address),
+             "127.0.0.2");
+    message.state.rollout_count = 1;
+    message.state.rollouts[0].rollout = *rollout;
+    message.state.rollouts[0].rollout.held = held;
+    cr_assert_eq(pps_gossip_encode_state(&encoded, &message, now_us), 0);
+    cr_assert_eq(pps_gossip_receive(gossip, encoded.data, encoded.size), 0);
+    pps_buf_clear(&encoded);
+}
+
+typedef struct {
+    const char *name;
+    int64_t heard_until_us; /* since the roll-out is due */
+    int64_t held_at_us;     /* -1: never */
+    pps_rollout_verdict_t verdict;
+} completion_case_t;
+
+static const completion_case_t completions[] = {
+    {"all hosts agree", 10 * S, -1, PPS_ROLLOUT_COMPLETE},
+    {"a host holds in time", 10 * S, S / 4, PPS_ROLLOUT_ROLL_BACK},
+    {"a live host was not heard for long", -2 * S, -1, PPS_ROLLOUT_CONTINUE},
+};
+
+/** Age at which a roll-out of 24 s can be completed. */
+#define DUE_AGE_US (24 * S - 1500 * PPS_US_PER_MS)
+
+/* A completion can't be taken back, so a hold that another host sends within
+ * the time to object has to win. */
+Test(rollout, completion_on_the_view_of_one_host)
+{
+    for (size_t i = 0; i < sizeof(completions) / sizeof(*completions); i++) {
+        const completion_case_t *item = &completions[i];
+        static pps_dispatcher_t dispatcher;
+        static pps_reactor_t reactor;
+        pps_rollout_t order = {
+            .upstream = "s", .target = "v2", .duration_us = 24 * S};
+        const pps_dispatch_options_t options = {.repeat_window_us = 10 * S,
+                                                .rollout = {0.15, 30}};
+        pps_rollout_verdict_t verdict = PPS_ROLLOUT_CONTINUE;
+        pps_upstream_state_t *state;
+        pps_gossip_t *gossip;
+
+        cr_assert_eq(pps_reactor_init(&reactor), 0);
+        cr_assert_eq(
+            pps_dispatcher_init(&dispatcher, &reactor, &options, NULL, NULL),
+            0);
+        cr_assert_eq(pps_gossip_new(&gossip, &reactor, "a", "127.0.0.1", "z",
+                                    0, &gossip_ops, &dispatcher),
+                     0);
+        reactor.now_us = S;
+        pps_rollout_controller_apply_order(&dispatcher, &order);
+        state = pps_dispatcher_upstream(&dispatcher, "s");
+        state->tally.requests = 2000;
+        state->tally.baseline[0].answers = 1700;
+        state->tally.target[0].answers = 300;
+        state->tally.loaded_target.answers = 60;
+        for (int64_t due = -12 * S; due <= 3 * S / 4; due += S / 4) {
+            reactor.now_us = S + DUE_AGE_US + due;
+            if (due <= item->heard_until_us) {
+                hear_host(gossip, &state->rollout,
+                          item->held_at_us >= 0 && due >= item->held_at_us,
+                          reactor.now_us);
+            }
+            verdict = pps_rollout_controller_step(&dispatcher, state, gossip);
+            cr_expect(due >= S / 2 || verdict != PPS_ROLLOUT_COMPLETE,
+                      "%s: declared at once", item->name);
+        }
+        cr_expect_eq(verdict, item->verdict, "%s: %d", item->name, verdict);
+    }
+}
--- a/tests/entry/test_rollout_exposure.c
+++ b/tests/entry/test_rollout_exposure.c
@@ -3,6 +3,8 @@
 #include "clock.h"
 #include "rng.h"
 #include "rollout/rollout.h"
+#include "rollout/trial_worker.h"
+#include "rollout/usual_times.h"
 
 #include <criterion/criterion.h>
 #include <stdlib.h>
@@ -20,7 +22,7 @@
 /** Time after which a failing version answers. */
 #define FAILURE_US (5 * MS)
 
-static const pps_rollout_bounds_t bounds = {0.15, 30};
+static const pps_rollout_basis_t basis = {{0.15, 30}, 1};
 
 typedef enum {
     SOUND,
@@ -47,7 +49,9 @@
     int is_active;
     int on_target;
     int failed;
+    int is_loaded;
     int first_counted;
+    int is_slow;
     unsigned int host;
     unsigned int kind;
     unsigned int worker;
@@ -63,6 +67,7 @@
     pps_rollout_tally_t received[HOSTS]; /* as last sent to the others */
     play_call_t calls[CALLS_MAX];
     size_t call_count; /* of `calls`, with those that have ended */
+    pps_usual_times_t usual[HOSTS][KINDS];
     unsigned int busy[WORKERS_MAX]; /* at the target's workers */
     uint32_t requests;
     uint32_t exposed;
@@ -78,9 +83,20 @@
 }
 
 static unsigned int
-choose_worker(const play_case_t *item, unsigned int host, int64_t now_us)
+choose_worker(const play_case_t *item, unsigned int host)
 {
-    return (unsigned int)pps_rng_below(&play.rng, WORKERS_MAX);
+    pps_trial_worker_t workers[WORKERS_MAX];
+    int chosen = -1;
+
+    for (unsigned int i = 0; i < WORKERS_MAX; i++) {
+        workers[i] =
+            (pps_trial_worker_t){i, (double)play.busy[i] / item->slots, 0};
+    }
+    if (pps_rollout_is_on_trial(&play.rollouts[host])) {
+        chosen = pps_trial_worker_choose(workers, WORKERS_MAX);
+    }
+    return chosen >= 0 ? (unsigned int)chosen
+                       : (unsigned int)pps_rng_below(&play.rng, WORKERS_MAX);
 }
 
 static int
@@ -109,8 +125,10 @@
 static void
 send_to_target(const play_case_t *item, play_call_t *call, int64_t now_us)
 {
-    call->worker = choose_worker(item, call->host, now_us);
+    call->worker = choose_worker(item, call->host);
     play.busy[call->worker]++;
+    call->is_loaded =
+        play.busy[call->worker] >= item->slots * PPS_ROLLOUT_LOADED;
     play.tallies[call->host].exposed++;
     play.exposed += now_us <= item->duration_us;
 }
@@ -149,31 +167,56 @@
     call->end_us = now_us + answer_us;
 }
 
-static pps_rollout_count_t *
-count_of(const play_call_t *call)
+/* Counts what is known of a call, as hosts do: once, and again if it turns out
+ * to be slow. */
+static void
+count_call(play_call_t *call, int64_t now_us)
 {
+    pps_usual_times_t *usual = &play.usual[call->host][call->kind];
+    const pps_rollout_sample_t sample = {call->on_target, call->is_loaded,
+                                         call->kind};
     pps_rollout_tally_t *tally = &play.tallies[call->host];
+    int has_first = now_us >= call->first_us;
+    int is_late = now_us - call->sent_us >
+                  pps_usual_time_limit_us(
+                      has_first ? &usual->answer : &usual->first_byte, 0);
 
-    return call->on_target ? &tally->target[call->kind]
-                           : &tally->baseline[call->kind];
+    if (!call->first_counted && (has_first || is_late)) {
+        call->first_counted = 1;
+        call->is_slow = is_late && !has_first;
+        pps_rollout_tally_count(tally, &sample,
+                                call->failed && has_first ? PPS_ROLLOUT_FAILED
+                                : call->is_slow           ? PPS_ROLLOUT_SLOW
+                                                          : PPS_ROLLOUT_GOOD);
+        if (has_first && !call->failed) {
+            pps_rollout_tally_time(tally, &sample,
+                                   call->first_us - call->sent_us);
+        }
+    }
+    else if (call->first_counted && is_late && !call->is_slow &&
+             !call->failed) {
+        call->is_slow = 1;
+        pps_rollout_tally_correct(tally, &sample, PPS_ROLLOUT_SLOW);
+    }
 }
 
 static void
-advance_call(const play_case_t *item, play_call_t *call, int64_t now_us)
+advance_call(play_call_t *call, int64_t now_us)
 {
-    pps_rollout_count_t *count = count_of(call);
+    pps_usual_times_t *usual = &play.usual[call->host][call->kind];
 
-    if (!call->first_counted && now_us >= call->first_us) {
-        call->first_counted = 1;
-        count->answers++;
-        count->failures += call->failed != 0;
-        count->timed += call->failed == 0;
-        count->first_byte_us +=
-            call->failed ? 0 : (uint64_t)(call->first_us - call->sent_us);
+    count_call(call, now_us);
+    if (now_us < call->end_us) {
+        return;
+    }
+    call->is_active = 0;
+    if (call->on_target) {
+        play.busy[call->worker]--;
     }
-    if (now_us >= call->end_us) {
-        call->is_active = 0;
-        play.busy[call->worker] -= call->on_target != 0;
+    else {
+        pps_usual_time_record(&usual->first_byte,
+                              call->first_us - call->sent_us);
+        pps_usual_time_record(&usual->answer, call->end_us - call->sent_us);
     }
 }
 
@@ -189,7 +232,7 @@
             pps_rollout_merge(&play.rollouts[host], &play.rollouts[i]);
         }
     }
-    verdict = pps_rollout_step(&play.rollouts[host], &sum, &bounds, now_us);
+    verdict = pps_rollout_step(&play.rollouts[host], &sum, &basis, now_us);
     if (verdict == PPS_ROLLOUT_COMPLETE) {
         play.ended_as = PPS_ROLLOUT_COMPLETED;
     }
@@ -244,7 +287,7 @@
         }
         for (size_t i = 0; i < play.call_count; i++) {
             if (play.calls[i].is_active) {
-                advance_call(item, &play.calls[i], now);
+                advance_call(&play.calls[i], now);
             }
         }
         step_hosts(item, now);
@@ -253,7 +296,10 @@
 
 #define S PPS_US_PER_S
 #define STREAMS 74, 2000 * MS, 0.08, 64, 1
+#define BUSY_STREAMS 300, 2000 * MS, 0.08, 64, 1
+#define BUSY_QUICK 120, 25 * MS, 0.9, 6, 6
 #define QUICK 27, 25 * MS, 0.9, 6, 4
+#define QUIET 10, 25 * MS, 0.9, 6, 1
 
 static const play_case_t bad_versions[] = {
     {"streams, errors", ERRORS, 0.5, 1, 15 * S, STREAMS},
@@ -263,6 +309,9 @@
     {"streams, slow, 10 s", SLOW, 0.6, 8, 10 * S, STREAMS},
     {"streams, under load", UNDER_LOAD, 0.5, 1, 15 * S, STREAMS},
     {"streams, under load, 24 s", UNDER_LOAD, 0.3, 1, 24 * S, STREAMS},
+    {"busy streams, under load", UNDER_LOAD, 0.5, 1, 15 * S, BUSY_STREAMS},
+    {"busy streams, 4 times as slow", SLOW, 0.4, 4, 15 * S, BUSY_STREAMS},
+    {"busy quick, under load", UNDER_LOAD, 0.5, 1, 15 * S, BUSY_QUICK},
     {"quick answers, errors", ERRORS, 0.5, 1, 15 * S, QUICK},
     {"quick answers, 8 times as slow", SLOW, 0.5, 8, 15 * S, QUICK},
     {"quick answers, 4 times as slow", SLOW, 0.4, 4, 15 * S, QUICK},
@@ -280,8 +329,8 @@
             double allowed;
 
             run_play(item, seed);
-            allowed =
-                play.requests * bounds.exposure_share + bounds.exposure_more;
+            allowed = play.requests * basis.bounds.exposure_share +
+                      basis.bounds.exposure_more;
             cr_expect(play.exposed <= allowed,
                       "%s, seed %d: %u of %u, allowed %.0f", item->name,
                       (int)seed, play.exposed, play.requests, allowed);
@@ -293,11 +342,11 @@
 }
 
 static const play_case_t sound_versions[] = {
-    {"streams, 10 s", SOUND, 0, 1, 10 * S, STREAMS},
-    {"streams, 15 s", SOUND, 0, 1, 15 * S, STREAMS},
-    {"streams, 24 s", SOUND, 0, 1, 24 * S, STREAMS},
-    {"quick answers, 15 s", SOUND, 0, 1, 15 * S, QUICK},
-    {"quick answers, 24 s", SOUND, 0, 1, 24 * S, QUICK},
+    {"streams, 10 s", SOUND, 0, 1, 10 * S, BUSY_STREAMS},
+    {"streams, 15 s", SOUND, 0, 1, 15 * S, BUSY_STREAMS},
+    {"streams, 24 s", SOUND, 0, 1, 24 * S, BUSY_STREAMS},
+    {"quick answers, 15 s", SOUND, 0, 1, 15 * S, BUSY_QUICK},
+    {"quick answers, 24 s", SOUND, 0, 1, 24 * S, BUSY_QUICK},
 };
 
 Test(rollout_exposure, sound_version_completes)
@@ -314,3 +363,16 @@
                   sound_versions[i].name, completed, SEEDS);
     }
 }
+
+/* With too little traffic to load a worker, nothing shows how the version does
+ * under load: it must not be completed. */
+Test(rollout_exposure, version_that_was_never_loaded_is_rolled_back)
+{
+    static const play_case_t quiet = {"quiet", SOUND, 0, 1, 15 * S, QUIET};
+
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        run_play(&quiet, seed);
+        cr_expect_eq(play.ended_as, PPS_ROLLOUT_ROLLED_BACK, "seed %d: %d",
+                     (int)seed, play.ended_as);
+    }
+}
