Move requests without a session one by one in a roll-out

Callers of orders-app, whose requests have no session, all got the new version at the first move: the digest 0 that stands for no session is below any share.

A request without a session now draws a digest of its own, once, so that its repeats go where it was sent first.

--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -204,7 +204,7 @@
 }
 
 static uint64_t
-upstream_digest(const pps_exchange_t *exchange)
+session_or_random_digest(const pps_exchange_t *exchange)
 {
     return exchange->call.session_digest != 0
                ? exchange->call.session_digest
@@ -217,11 +217,12 @@
     const pps_route_t *route = exchange->route;
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
     unsigned int index =
-        pps_route_choose_upstream(route, upstream_digest(exchange));
+        pps_route_choose_upstream(route, session_or_random_digest(exchange));
 
     exchange->upstream = &exchange->deployment->upstreams[index];
     exchange->upstream_state =
         pps_dispatcher_upstream(dispatcher, exchange->upstream->name);
+    exchange->version_digest = session_or_random_digest(exchange);
     exchange->model = first_model(route);
     exchange->last_event = exchange->call.last_event;
     exchange->has_last_event = exchange->call.has_last_event;
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -49,7 +49,9 @@
     unsigned int sends; /**< attempts, including those not run */
     unsigned int runs;  /**< attempts that may have run */
     char tried[PPS_SENDS_MAX][PPS_WORKER_TEXT_BYTES]; /**< ids of workers */
-    size_t model;       /**< index in the route's models */
+    uint64_t version_digest; /**< decides whether a roll-out moves it: of the
+                                  session, or random */
+    size_t model;            /**< index in the route's models */
     int begun;          /**< the head of the answer was sent to the caller */
     int64_t last_event; /**< id of the last event that the caller has */
     int has_last_event;
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -33,7 +33,7 @@
     if (rollout->state == PPS_ROLLOUT_NONE) {
         return 0;
     }
-    has_moved = pps_rollout_has_moved(rollout, exchange->call.session_digest,
+    has_moved = pps_rollout_has_moved(rollout, exchange->version_digest,
                                       exchange->dispatcher->reactor->now_us);
     return (strcmp(info->version, rollout->target) == 0) != has_moved;
 }
@@ -150,8 +150,7 @@
     int64_t now_us = exchange->dispatcher->reactor->now_us;
 
     return pps_rollout_is_on_trial(rollout) &&
-           pps_rollout_has_moved(rollout, exchange->call.session_digest,
-                                 now_us);
+           pps_rollout_has_moved(rollout, exchange->version_digest, now_us);
 }
 
 static int
