Keep requests from an unproven version when the old one is full

Callers whose session was not moved got the new version, held or rolled back as it might be, as soon as each worker of the old one was full, paused or unreachable for a moment.

The fallback to the target is left for the case that no worker of the old version is listed. Moved sessions still fall back to the old version.

--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -22,20 +22,25 @@
     return 0;
 }
 
+/* Returns whether the roll-out has moved the session to its target. */
+static int
+has_moved(const pps_exchange_t *exchange)
+{
+    return pps_rollout_has_moved(&exchange->upstream_state->rollout,
+                                 exchange->version_digest,
+                                 exchange->dispatcher->reactor->now_us);
+}
+
 /* Returns 1 if the roll-out assigns the session to another version. */
 static int
 has_other_version(const pps_exchange_t *exchange,
                   const pps_worker_info_t *info)
 {
     const pps_rollout_t *rollout = &exchange->upstream_state->rollout;
-    int has_moved;
 
-    if (rollout->state == PPS_ROLLOUT_NONE) {
-        return 0;
-    }
-    has_moved = pps_rollout_has_moved(rollout, exchange->version_digest,
-                                      exchange->dispatcher->reactor->now_us);
-    return (strcmp(info->version, rollout->target) == 0) != has_moved;
+    return rollout->state != PPS_ROLLOUT_NONE &&
+           (strcmp(info->version, rollout->target) == 0) !=
+               has_moved(exchange);
 }
 
 static const char *
@@ -146,11 +151,8 @@
 static int
 is_on_trial(const pps_exchange_t *exchange)
 {
-    const pps_rollout_t *rollout = &exchange->upstream_state->rollout;
-    int64_t now_us = exchange->dispatcher->reactor->now_us;
-
-    return pps_rollout_is_on_trial(rollout) &&
-           pps_rollout_has_moved(rollout, exchange->version_digest, now_us);
+    return pps_rollout_is_on_trial(&exchange->upstream_state->rollout) &&
+           has_moved(exchange);
 }
 
 static int
@@ -212,6 +214,30 @@
     return chosen < 0 ? NULL : workers[chosen];
 }
 
+static int
+has_workers_of_own_version(const pps_exchange_t *exchange)
+{
+    pps_pool_worker_t *worker;
+
+    cds_list_for_each_entry (
+        worker, pps_pool_workers(exchange->dispatcher->pool), node) {
+        if (is_eligible(exchange, worker) &&
+            !has_other_version(exchange, &worker->info)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* Returns whether the request may run on the other version when its own has no
+ * free worker. The target of a roll-out gets no more than what is moved to it,
+ * as long as the old version has workers at all. */
+static int
+may_use_other_version(const pps_exchange_t *exchange)
+{
+    return has_moved(exchange) || !has_workers_of_own_version(exchange);
+}
+
 pps_pool_worker_t *
 pps_exchange_choose_worker(const pps_exchange_t *exchange)
 {
@@ -220,6 +246,9 @@
 
     for (size_t i = 0; worker == NULL && i < sizeof(passes) / sizeof(*passes);
          i++) {
+        if (passes[i].other_version && !may_use_other_version(exchange)) {
+            break;
+        }
         worker = choose_in_pass(exchange, &passes[i]);
     }
     return worker;
