--- a/src/libpapayaswitch/exchange/call.h
+++ b/src/libpapayaswitch/exchange/call.h
@@ -11,6 +11,9 @@
 
 #include <stdint.h>
 
+/** Largest limit that a worker can name, in requests a second. */
+#define PPS_LIMIT_MAX_PER_S 1e6
+
 /** Longest pause that a worker can ask for. */
 #define PPS_PAUSE_MAX_US (INT64_C(600) * 1000 * 1000)
 
@@ -55,7 +58,12 @@
                             at most PPS_PAUSE_MAX_US; 0: none */
     int invalid_pause; /**< it stated one that is negative, too long or no
                             number */
-    int confidence;    /**< stated by the model, 0 to 100; -1: none */
+    int has_limit;     /**< the worker names a limit */
+    double limit_per_s; /**< requests a second that it takes from all hosts
+                             together, at most PPS_LIMIT_MAX_PER_S */
+    int invalid_limit;  /**< it named one that is negative, too large or no
+                             number */
+    int confidence;     /**< stated by the model, 0 to 100; -1: none */
 } pps_worker_reply_t;
 
 /** Protocol functions for the caller's side. */
--- a/src/libpapayaswitch/exchange/decision_log.c
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -5,6 +5,8 @@
 #include "counters.h"
 #include "logger.h"
 
+/** Limits are logged per minute, since they may be fractions. */
+#define SECONDS_PER_MINUTE 60
 #define US_TO_MS(us) ((us) / PPS_US_PER_MS)
 #define NO_REPORT_AGE (-1)
 
@@ -216,3 +218,23 @@
             PPS_INT("after_ms", US_TO_MS(now_us(exchange) -
                                          exchange->request->received_us))));
 }
+
+void
+pps_decision_log_limit(const pps_pool_worker_t *worker, double limit_per_s,
+                       const char *source)
+{
+    pps_logger_write(
+        PPS_LOG_INFO, "worker_limit",
+        PPS_FIELDS(PPS_STR("worker", worker->info.id),
+                   PPS_STR("upstream", worker->info.upstream),
+                   PPS_STR("source", source),
+                   PPS_INT("per_minute", limit_per_s * SECONDS_PER_MINUTE)));
+}
+
+void
+pps_decision_log_invalid_limit(const pps_exchange_t *exchange)
+{
+    pps_logger_write(PPS_LOG_WARN, "worker_limit_invalid",
+                     PPS_FIELDS(PPS_STR("request", exchange->call.id),
+                                PPS_STR("worker", exchange->worker->info.id)));
+}
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -59,6 +59,17 @@
 void
 pps_decision_log_paused(const pps_exchange_t *exchange, int64_t pause_us);
 
+/** Logs that a worker names another limit than before, or none any more.
+ * @param limit_per_s requests a second; negative: none
+ * @param source "answer" or "host" */
+void
+pps_decision_log_limit(const pps_pool_worker_t *worker, double limit_per_s,
+                       const char *source);
+
+/** Logs that a worker named a limit that is no valid number. */
+void
+pps_decision_log_invalid_limit(const pps_exchange_t *exchange);
+
 /** Logs that a worker asked for a pause that is negative, too long or no
  * number. @param pause_us the pause that is kept instead; 0: none */
 void
--- a/src/libpapayaswitch/exchange/exchange_notes.c
+++ b/src/libpapayaswitch/exchange/exchange_notes.c
@@ -52,3 +52,26 @@
         send_backlog(exchange, reply->pause_us);
     }
 }
+
+void
+pps_exchange_note_limit(pps_exchange_t *exchange,
+                        const pps_worker_reply_t *reply)
+{
+    pps_pool_worker_t *worker = exchange->worker;
+    int64_t now_us = exchange->dispatcher->reactor->now_us;
+
+    if (reply->invalid_limit && !worker->is_limit_reported) {
+        worker->is_limit_reported = 1;
+        pps_decision_log_invalid_limit(exchange);
+    }
+    if (reply->has_limit) {
+        if (pps_worker_limit_name(&worker->limit, reply->limit_per_s,
+                                  now_us)) {
+            pps_decision_log_limit(worker, reply->limit_per_s, "answer");
+        }
+    }
+    else if (!reply->invalid_limit &&
+             pps_worker_limit_end(&worker->limit, exchange->sent_us)) {
+        pps_decision_log_limit(worker, -1, "answer");
+    }
+}
--- a/src/libpapayaswitch/exchange/exchange_notes.h
+++ b/src/libpapayaswitch/exchange/exchange_notes.h
@@ -1,7 +1,7 @@
 /**
  * @file exchange_notes.h
  * @brief Notes what workers say of themselves in replies: that they are
- * leaving, and pauses.
+ * leaving, pauses and limits.
  */
 #ifndef PPS_EXCHANGE_EXCHANGE_NOTES_H
 #define PPS_EXCHANGE_EXCHANGE_NOTES_H
@@ -13,6 +13,11 @@
 void
 pps_exchange_note_leaving(const pps_exchange_t *exchange);
 
+/** Notes the limit that the attempt's worker names, or that it names none. */
+void
+pps_exchange_note_limit(pps_exchange_t *exchange,
+                        const pps_worker_reply_t *reply);
+
 /** Pauses the attempt's worker if the reply asks for it. */
 void
 pps_exchange_note_pause(pps_exchange_t *exchange,
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -168,6 +168,9 @@
                              decoded.waiting, decoded.slots, now_us);
     }
     pps_exchange_evidence_note_load(exchange, &decoded);
+    if (!decoded.other_worker) {
+        pps_exchange_note_limit(exchange, &decoded);
+    }
     pps_exchange_note_pause(exchange, &decoded);
     pps_decision_log_answer_began(exchange, reply->status, decoded.confidence);
     pps_timers_cancel(&exchange->silence_timer);
--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -148,6 +148,8 @@
     worker->full_until_us = 0;
     worker->paused_until_us = 0;
     worker->is_pause_reported = 0;
+    worker->limit = (pps_worker_limit_t){0};
+    worker->is_limit_reported = 0;
     worker->prefill = (pps_prefill_queue_t){0};
 }
 
--- a/src/libpapayaswitch/pool/pool.h
+++ b/src/libpapayaswitch/pool/pool.h
@@ -8,6 +8,7 @@
 #include "deployment/deployment.h"
 #include "prefill_queue.h"
 #include "table.h"
+#include "worker_limit.h"
 
 #include <urcu/list.h>
 
@@ -45,6 +46,8 @@
     int64_t full_until_us;    /**< no calls until then: it was full */
     int64_t paused_until_us;  /**< no calls until then, as it asked */
     int is_pause_reported;    /**< an invalid pause was logged */
+    pps_worker_limit_t limit; /**< on requests, as it named it */
+    int is_limit_reported;    /**< an invalid limit was logged */
     int said_leaving;         /**< it has said so itself, in an answer */
     int64_t
         said_leaving_start_ms;   /**< start time of the worker that said it */
--- a/tests/entry/test_worker_wire.c
+++ b/tests/entry/test_worker_wire.c
@@ -1,5 +1,5 @@
 /** @file test_worker_wire.c @brief Tests what a worker's reply says of the
- * worker: that it leaves, and the pause that it wants. */
+ * worker: that it leaves, the pause that it wants and the limit it names. */
 #include "worker_wire.h"
 
 #include "clock.h"
@@ -93,3 +93,52 @@
         pps_headers_clear(&reply.headers);
     }
 }
+
+typedef struct {
+    const char *what;
+    unsigned int status;
+    const char *value; /* NULL: absent */
+    int has_limit;
+    double per_s;
+    int is_invalid;
+} limit_case_t;
+
+static const limit_case_t limits[] = {
+    {"none", 200, NULL, 0, 0, 0},
+    {"a whole number", 200, "12", 1, 12, 0},
+    {"a fraction", 200, "1.3", 1, 1.3, 0},
+    {"zero", 200, "0", 1, 0, 0},
+    {"on a failure", 500, "2", 1, 2, 0},
+    {"on a refusal", 503, "2", 1, 2, 0},
+    {"another worker at the address", 421, "2", 0, 0, 0},
+    {"negative", 200, "-1", 0, 0, 1},
+    {"huge", 200, "1e300", 0, 0, 1},
+    {"infinite", 200, "inf", 0, 0, 1},
+    {"not a number", 200, "nan", 0, 0, 1},
+    {"a number with a unit", 200, "3/s", 0, 0, 1},
+    {"empty", 200, "", 0, 0, 1},
+};
+
+Test(worker_wire, limit)
+{
+    for (size_t i = 0; i < sizeof(limits) / sizeof(*limits); i++) {
+        const limit_case_t *item = &limits[i];
+        pps_http_reply_t reply = {.status = item->status};
+        pps_worker_reply_t decoded;
+        pps_buf_t forwarded = PPS_BUF_INIT;
+
+        if (item->value != NULL) {
+            add_header(&reply, "Server-Limit", item->value);
+        }
+        pps_headers_end(&reply.headers);
+        pps_worker_wire_ops.decode(&decoded, &reply);
+        cr_expect_eq(decoded.has_limit, item->has_limit, "%s", item->what);
+        cr_expect_eq(decoded.limit_per_s, item->per_s, "%s", item->what);
+        cr_expect_eq(decoded.invalid_limit, item->is_invalid, "%s",
+                     item->what);
+        pps_worker_wire_ops.fields(&forwarded, &reply);
+        cr_expect_str_eq(pps_buf_text(&forwarded), "");
+        pps_buf_clear(&forwarded);
+        pps_headers_clear(&reply.headers);
+    }
+}
