Keep all hosts together to the limit that a worker names

Cause: hosts did not read the limit, and no host keeping to it alone is enough, as it is one of the sum. The class is that of the budget of repeats and of the exposure: a bound on a sum that each host checks by its own part. Those two divide by the live hosts or sum over them; the pause of a worker is each host's own by its rule.

Change: of the live hosts as many as the limit has requests a second share it, chosen by a hash of host and worker, which all compute alike; the others send nothing there. A sender saves up one request at most and begins with none, so that the sum stays below nine tenths of the limit and one request a sender. With many hosts only those of the worker's failure domain are asked, as hosts do not hear the others. What an answer says of the limit goes to all hosts at once, and once a second while it holds and for five seconds after its end; an answer to a request from before the limit does not end it. Without news for 30 s all hosts share it, to find out. If a route's workers all are limited, its callers are refused at once with the time of the first opening, or sent to another host.

Ruled out: to divide by all live hosts, with one saved request each (95 hosts: 2.2 times what is allowed, in the test of the sum, 300 cut and restarted ones: 2.3 times).

--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -52,6 +52,25 @@
 typedef void (*pps_leaving_fn)(void *user, uint64_t worker_digest,
                                int64_t start_ms);
 
+/** What a worker's answer to this host said of its limit. */
+typedef struct {
+    uint64_t worker;  /**< digest of the worker's id */
+    int64_t start_ms; /**< of the worker that said it; 0: unknown */
+    int is_named;
+    double per_s;
+    int64_t age_us; /**< if named, since the answer, else since its request */
+} pps_limit_notice_t;
+
+/** Tells the other hosts of a worker's limit. */
+typedef void (*pps_limit_notice_fn)(void *user,
+                                    const pps_limit_notice_t *notice);
+
+/** Returns the hosts that may share the limit of a worker, and how many of
+ * them rank before this host for it. Returns negative `before` if this host is
+ * none of them. */
+typedef void (*pps_limit_rank_fn)(void *user, const pps_pool_worker_t *worker,
+                                  unsigned int *hosts, int *before);
+
 /** State of an upstream, kept by name across deployment revisions. */
 typedef struct {
     char name[PPS_WORKER_TEXT_BYTES];
@@ -85,10 +104,12 @@
     struct cds_list_head exchanges;
     size_t exchange_count;
     pps_prefix_affinity_t prefixes;
-    pps_reachability_t reach;     /**< reachability of the workers */
-    pps_prefill_notice_fn notice; /**< sends to the other hosts, or NULL */
-    pps_leaving_fn leaving;       /**< sends to the other hosts, or NULL */
-    void *notice_user;            /**< of `notice` and `leaving` */
+    pps_reachability_t reach;         /**< reachability of the workers */
+    pps_prefill_notice_fn notice;     /**< sends to the other hosts, or NULL */
+    pps_leaving_fn leaving;           /**< sends to the other hosts, or NULL */
+    pps_limit_notice_fn limit_notice; /**< sends to the other hosts, or NULL */
+    pps_limit_rank_fn limit_rank;     /**< NULL: this host is the only one */
+    void *notice_user;                /**< of these functions */
     pps_upstream_state_t upstreams[PPS_DISPATCH_UPSTREAMS_MAX];
     size_t upstream_count;
     pps_http_limits_t limits;
@@ -131,6 +152,11 @@
 pps_dispatcher_on_leaving(pps_dispatcher_t *dispatcher, uint64_t worker_digest,
                           int64_t start_ms);
 
+/** Notes what another host was told of a worker's limit. */
+void
+pps_dispatcher_on_limit(pps_dispatcher_t *dispatcher,
+                        const pps_limit_notice_t *notice);
+
 /** Callbacks for the HTTP server of the callers; `user` is the dispatcher. */
 extern const pps_http_server_ops_t pps_dispatcher_server_ops;
 
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -309,6 +309,7 @@
     exchange->sent_us = dispatcher->reactor->now_us;
     exchange->last_received_us = exchange->sent_us;
     pps_pool_begin_call(worker);
+    pps_worker_limit_take(&worker->limit);
     pps_exchange_evidence_begin(exchange);
     queue_prompt(exchange, worker);
     exchange->runs++;
--- a/src/libpapayaswitch/exchange/exchange_notes.c
+++ b/src/libpapayaswitch/exchange/exchange_notes.c
@@ -2,6 +2,7 @@
 #include "exchange_notes.h"
 
 #include "decision_log.h"
+#include "worker_share.h"
 
 void
 pps_exchange_note_leaving(const pps_exchange_t *exchange)
@@ -58,20 +59,18 @@
                         const pps_worker_reply_t *reply)
 {
     pps_pool_worker_t *worker = exchange->worker;
-    int64_t now_us = exchange->dispatcher->reactor->now_us;
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
 
     if (reply->invalid_limit && !worker->is_limit_reported) {
         worker->is_limit_reported = 1;
         pps_decision_log_invalid_limit(exchange);
     }
     if (reply->has_limit) {
-        if (pps_worker_limit_name(&worker->limit, reply->limit_per_s,
-                                  now_us)) {
-            pps_decision_log_limit(worker, reply->limit_per_s, "answer");
-        }
+        pps_worker_share_name(dispatcher, worker, exchange->worker_start_ms,
+                              reply->limit_per_s);
     }
-    else if (!reply->invalid_limit &&
-             pps_worker_limit_end(&worker->limit, exchange->sent_us)) {
-        pps_decision_log_limit(worker, -1, "answer");
+    else if (!reply->invalid_limit) {
+        pps_worker_share_end(dispatcher, worker, exchange->worker_start_ms,
+                             exchange->sent_us);
     }
 }
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -1,12 +1,17 @@
 /** @file exchange_worker.c @brief Choice of a worker for an attempt. */
 #include "exchange_worker.h"
 
+#include "clock.h"
 #include "pool/placement.h"
 #include "rollout/trial_worker.h"
+#include "worker_share.h"
 
 #include <string.h>
 
 #define CANDIDATES_MAX 1024
+/** Time after which a caller is sent to another host, which may send to a
+ * worker whose limit this host has no share of. */
+#define OTHER_HOST_US (50 * PPS_US_PER_MS)
 /** Load that corresponds to a lateness ratio of 1, where first bytes usually
  * arrive at the route's target or later. */
 #define LATENESS_LOAD_FACTOR 5.0
@@ -63,12 +68,14 @@
 }
 
 static int
-is_available(const pps_exchange_t *exchange, const pps_pool_worker_t *worker)
+is_available(const pps_exchange_t *exchange, pps_pool_worker_t *worker)
 {
     int64_t now_us = exchange->dispatcher->reactor->now_us;
 
     return worker->full_until_us <= now_us &&
-           worker->paused_until_us <= now_us && is_eligible(exchange, worker);
+           worker->paused_until_us <= now_us &&
+           is_eligible(exchange, worker) &&
+           pps_worker_share_wait_us(exchange->dispatcher, worker) == 0;
 }
 
 static double
@@ -285,6 +292,20 @@
     }
 }
 
+/* Returns the time until this host may send to the worker. If only other hosts
+ * may, that is a time in which the caller reaches one of them. */
+static int64_t
+opening_us(const pps_dispatcher_t *dispatcher, pps_pool_worker_t *worker)
+{
+    int64_t pause_us = worker->paused_until_us - dispatcher->reactor->now_us;
+    int64_t limit_us = pps_worker_share_wait_us(dispatcher, worker);
+
+    if (limit_us == INT64_MAX) {
+        limit_us = OTHER_HOST_US;
+    }
+    return pause_us > limit_us ? pause_us : limit_us;
+}
+
 int64_t
 pps_exchange_first_opening_us(const pps_exchange_t *exchange)
 {
@@ -294,8 +315,7 @@
 
     cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
                              node) {
-        int64_t pause_us =
-            worker->paused_until_us - dispatcher->reactor->now_us;
+        int64_t pause_us = opening_us(dispatcher, worker);
 
         if (!is_eligible(exchange, worker)) {
             continue;
--- a/src/libpapayaswitch/exchange/exchange_worker.h
+++ b/src/libpapayaswitch/exchange/exchange_worker.h
@@ -30,7 +30,8 @@
                        double *slots);
 
 /** Returns the time until the first worker that can serve the request ends the
- * pause that it asked for; 0 unless all of them are paused. */
+ * pause that it asked for, and this host may send to it under the limit that
+ * it named; 0 if one of them takes requests now. */
 int64_t
 pps_exchange_first_opening_us(const pps_exchange_t *exchange);
 
--- a/src/libpapayaswitch/gossip/gossip.c
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -16,9 +16,7 @@
 /** Defaults of pps_gossip_set_period() and pps_gossip_set_read_age_max(). */
 #define PERIOD_US (1 * PPS_US_PER_S)
 #define READ_AGE_MAX_US (1300 * PPS_US_PER_MS)
-/** With more peers than this, a host sends its state only to the readers and
- * its own failure domain; readers still send theirs to all. */
-#define FULL_MESH_PEERS_MAX 12
+
 /** Maximum number of peers that one notice is sent to. */
 #define NOTICE_PEERS_MAX 24
 /** Largest encoded record that is sent. */
@@ -142,7 +140,7 @@
 is_due(const pps_gossip_t *gossip, pps_gossip_peer_t *peer)
 {
     int64_t now_us = gossip->reactor->now_us;
-    int is_target = gossip->peer_count <= FULL_MESH_PEERS_MAX ||
+    int is_target = gossip->peer_count <= PPS_GOSSIP_FULL_MESH_PEERS_MAX ||
                     pps_gossip_is_reader(gossip) ||
                     pps_gossip_is_peer_reader(gossip, peer) ||
                     is_same_domain(gossip, peer);
@@ -191,7 +189,7 @@
     if (pps_gossip_encode_notice(&encoded, notice) == 0) {
         cds_list_for_each_entry (peer, &gossip->peers, node) {
             if (pps_gossip_is_live(gossip, peer) && sent < NOTICE_PEERS_MAX &&
-                (gossip->peer_count <= FULL_MESH_PEERS_MAX ||
+                (gossip->peer_count <= PPS_GOSSIP_FULL_MESH_PEERS_MAX ||
                  is_same_domain(gossip, peer))) {
                 send_to(gossip, peer->state.address, &encoded);
                 sent++;
@@ -241,6 +239,17 @@
     pps_buf_clear(&encoded);
 }
 
+void
+pps_gossip_send_limit(pps_gossip_t *gossip, const pps_gossip_limit_t *limit)
+{
+    pps_buf_t encoded = PPS_BUF_INIT;
+
+    if (pps_gossip_encode_limit(&encoded, limit) == 0) {
+        send_to_live(gossip, &encoded);
+    }
+    pps_buf_clear(&encoded);
+}
+
 static void
 on_timer(int64_t now_us, void *user)
 {
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -78,6 +78,24 @@
     int64_t start_ms; /**< wall-clock start time of the worker; 0: unknown */
 } pps_gossip_leaving_t;
 
+/** Reports what a worker has said in an answer of the requests that it takes
+ * from all hosts together. */
+typedef struct {
+    uint64_t worker;  /**< digest of the worker's id */
+    int64_t start_ms; /**< wall-clock start time of the worker; 0: unknown */
+    int is_named;     /**< it named a limit; else it named none */
+    uint64_t milli_per_s; /**< requests in 1,000 s */
+    int64_t age_us;       /**< if named, since the answer, else since its
+                               request was sent */
+} pps_gossip_limit_t;
+
+/** The hosts among which a few are chosen for a key. */
+typedef struct {
+    unsigned int hosts; /**< live hosts that can be chosen */
+    int before;         /**< how many of them rank before this one; negative:
+                             this host can't be chosen */
+} pps_gossip_rank_t;
+
 /** Callbacks of the owner, on the reactor's thread. */
 typedef struct {
     /** Fills in the topic offsets, roll-outs, `read_age_us` and `leaving`. */
@@ -90,6 +108,8 @@
     void (*on_record)(void *user, const pps_gossip_record_t *record);
     /** Called when another host reports that a worker is leaving. */
     void (*on_leaving)(void *user, const pps_gossip_leaving_t *leaving);
+    /** Called when another host reports the limit of a worker. */
+    void (*on_limit)(void *user, const pps_gossip_limit_t *limit);
 } pps_gossip_ops_t;
 
 /** The gossip socket of one host and the peers it knows. */
@@ -127,6 +147,20 @@
 pps_gossip_send_leaving(pps_gossip_t *gossip,
                         const pps_gossip_leaving_t *leaving);
 
+/** Sends to all live peers what a worker has said of its limit. */
+void
+pps_gossip_send_limit(pps_gossip_t *gossip, const pps_gossip_limit_t *limit);
+
+/**
+ * Ranks this host among the live hosts for a key, by a hash of both, so that
+ * all hosts choose the same few without asking each other. With many peers,
+ * hosts do not know all others, and only those of the failure domain can be
+ * chosen.
+ */
+pps_gossip_rank_t
+pps_gossip_rank(const pps_gossip_t *gossip, uint64_t key,
+                const char *failure_domain);
+
 /** Sets the speed of this host's link, in Mbit/s. */
 void
 pps_gossip_set_link_speed(pps_gossip_t *gossip, int mbps);
--- a/src/libpapayaswitch/gossip/gossip_codec.h
+++ b/src/libpapayaswitch/gossip/gossip_codec.h
@@ -24,6 +24,7 @@
     PPS_GOSSIP_NOTICE,
     PPS_GOSSIP_RECORD,
     PPS_GOSSIP_LEAVING,
+    PPS_GOSSIP_LIMIT,
 } pps_gossip_kind_t;
 
 /** Returns the kind that the first bytes of a datagram state. */
@@ -55,6 +56,16 @@
 pps_gossip_decode_leaving(pps_gossip_leaving_t *out, const char *data,
                           size_t size);
 
+/** Appends the report of a worker's limit. @return 0 or PPS_ENOMEM */
+int
+pps_gossip_encode_limit(pps_buf_t *out, const pps_gossip_limit_t *limit);
+
+/** Decodes the report of a worker's limit. @return 0, or PPS_ECORRUPT if it is
+ * none */
+int
+pps_gossip_decode_limit(pps_gossip_limit_t *out, const char *data,
+                        size_t size);
+
 /** Appends a record. @return 0 or PPS_ENOMEM */
 int
 pps_gossip_encode_record(pps_buf_t *out, const pps_gossip_record_t *record);
--- a/src/libpapayaswitch/gossip/gossip_event_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_event_codec.c
@@ -14,6 +14,7 @@
 /** The epoch stands last; see STATE_FIELDS. */
 #define RECORD_FIELDS 7
 #define LEAVING_FIELDS 3
+#define LIMIT_FIELDS 6
 /** First byte of a msgpack array of up to 15 elements, without their count. */
 #define SHORT_ARRAY 0x90
 #define SHORT_ARRAY_MASK 0xf0
@@ -39,6 +40,8 @@
         return PPS_GOSSIP_RECORD;
     case PPS_GOSSIP_LEAVING_VERSION:
         return PPS_GOSSIP_LEAVING;
+    case PPS_GOSSIP_LIMIT_VERSION:
+        return PPS_GOSSIP_LIMIT;
     default:
         return PPS_GOSSIP_UNKNOWN;
     }
@@ -124,6 +127,42 @@
     return error;
 }
 
+int
+pps_gossip_encode_limit(pps_buf_t *out, const pps_gossip_limit_t *limit)
+{
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, out, pps_gossip_append);
+    msgpack_pack_array(&packer, LIMIT_FIELDS);
+    msgpack_pack_int(&packer, PPS_GOSSIP_LIMIT_VERSION);
+    msgpack_pack_uint64(&packer, limit->worker);
+    msgpack_pack_int64(&packer, limit->start_ms);
+    msgpack_pack_int(&packer, limit->is_named);
+    msgpack_pack_uint64(&packer, limit->milli_per_s);
+    msgpack_pack_int64(&packer, limit->age_us);
+    return out->failed ? PPS_ENOMEM : PPS_OK;
+}
+
+int
+pps_gossip_decode_limit(pps_gossip_limit_t *out, const char *data, size_t size)
+{
+    msgpack_unpacked unpacked;
+    pps_cursor_t fields;
+    int error =
+        open_event(&unpacked, &fields, PPS_GOSSIP_LIMIT_VERSION, data, size);
+
+    if (error == 0) {
+        out->worker = (uint64_t)pps_cursor_read_integer(&fields);
+        out->start_ms = pps_cursor_read_integer(&fields);
+        out->is_named = (int)pps_cursor_read_integer(&fields);
+        out->milli_per_s = (uint64_t)pps_cursor_read_integer(&fields);
+        out->age_us = pps_cursor_read_integer(&fields);
+        error = fields.failed || out->age_us < 0 ? PPS_ECORRUPT : PPS_OK;
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return error;
+}
+
 int
 pps_gossip_encode_record(pps_buf_t *out, const pps_gossip_record_t *record)
 {
--- /dev/null
+++ b/src/libpapayaswitch/gossip/gossip_rank.c
@@ -0,0 +1,42 @@
+/** @file gossip_rank.c @brief Ranks the live hosts for a key. */
+#include "gossip_state.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+static uint64_t
+rank_of(const pps_gossip_state_t *host, uint64_t key)
+{
+    return XXH64(host->host_id, strlen(host->host_id), key);
+}
+
+static int
+can_be_chosen(const pps_gossip_t *gossip, const pps_gossip_state_t *host,
+              const char *failure_domain)
+{
+    return !host->leaving &&
+           (gossip->peer_count <= PPS_GOSSIP_FULL_MESH_PEERS_MAX ||
+            strcmp(host->failure_domain, failure_domain) == 0);
+}
+
+pps_gossip_rank_t
+pps_gossip_rank(const pps_gossip_t *gossip, uint64_t key,
+                const char *failure_domain)
+{
+    const pps_gossip_state_t *own = &gossip->own.state;
+    int is_candidate = can_be_chosen(gossip, own, failure_domain);
+    pps_gossip_rank_t rank = {is_candidate != 0, 0};
+    const pps_gossip_peer_t *peer;
+
+    cds_list_for_each_entry (peer, &gossip->peers, node) {
+        if (pps_gossip_is_live(gossip, peer) &&
+            can_be_chosen(gossip, &peer->state, failure_domain)) {
+            rank.hosts++;
+            rank.before += rank_of(&peer->state, key) < rank_of(own, key);
+        }
+    }
+    if (!is_candidate) {
+        rank.before = -1;
+    }
+    return rank;
+}
--- a/src/libpapayaswitch/gossip/gossip_receive.c
+++ b/src/libpapayaswitch/gossip/gossip_receive.c
@@ -74,6 +74,18 @@
     return error;
 }
 
+static int
+receive_limit(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_limit_t limit;
+    int error = pps_gossip_decode_limit(&limit, data, size);
+
+    if (error == 0) {
+        gossip->ops->on_limit(gossip->user, &limit);
+    }
+    return error;
+}
+
 int
 pps_gossip_receive(pps_gossip_t *gossip, const char *data, size_t size)
 {
@@ -87,6 +99,8 @@
         return receive_record(gossip, data, size);
     case PPS_GOSSIP_LEAVING:
         return receive_leaving(gossip, data, size);
+    case PPS_GOSSIP_LIMIT:
+        return receive_limit(gossip, data, size);
     case PPS_GOSSIP_STATE:
         error = pps_gossip_decode_state(&message, data, size,
                                         gossip->reactor->now_us);
--- a/src/libpapayaswitch/gossip/gossip_state.h
+++ b/src/libpapayaswitch/gossip/gossip_state.h
@@ -20,6 +20,10 @@
     void *user;
 };
 
+/** With more peers than this, a host sends its state only to the readers and
+ * its own failure domain; readers still send theirs to all. */
+#define PPS_GOSSIP_FULL_MESH_PEERS_MAX 12
+
 /** Counts the hosts that this host considers live, itself included. */
 unsigned int
 pps_gossip_count_locally_live_hosts(const pps_gossip_t *gossip);
--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -150,6 +150,9 @@
     worker->is_pause_reported = 0;
     worker->limit = (pps_worker_limit_t){0};
     worker->is_limit_reported = 0;
+    worker->share_until_us = 0;
+    worker->limit_told_us = 0;
+    worker->limit_ended_us = 0;
     worker->prefill = (pps_prefill_queue_t){0};
 }
 
--- a/src/libpapayaswitch/pool/pool.h
+++ b/src/libpapayaswitch/pool/pool.h
@@ -48,7 +48,11 @@
     int is_pause_reported;    /**< an invalid pause was logged */
     pps_worker_limit_t limit; /**< on requests, as it named it */
     int is_limit_reported;    /**< an invalid limit was logged */
-    int said_leaving;         /**< it has said so itself, in an answer */
+    pps_limit_share_t limit_share; /**< this host's, until `share_until_us` */
+    int64_t share_until_us;
+    int64_t limit_told_us;  /**< when other hosts were last told of it */
+    int64_t limit_ended_us; /**< when it ended; 0: never */
+    int said_leaving;       /**< it has said so itself, in an answer */
     int64_t
         said_leaving_start_ms;   /**< start time of the worker that said it */
     pps_prefill_queue_t prefill; /**< prompts not yet processed */
--- a/tests/entry/test_exchange_limit.c
+++ b/tests/entry/test_exchange_limit.c
@@ -44,3 +44,73 @@
     }
     cr_expect(served >= FIXTURE_WORKERS);
 }
+
+static unsigned int limit_reports;
+
+static void
+on_limit_notice(void *user, const pps_limit_notice_t *notice)
+{
+    limit_reports++;
+}
+
+static void
+rank_last(void *user, const pps_pool_worker_t *worker, unsigned int *hosts,
+          int *before)
+{
+    *hosts = 6;
+    *before = 5;
+}
+
+static void
+report_limit(fixture_t *fixture, const char *id, int is_named)
+{
+    const pps_limit_notice_t notice = {
+        .worker = pps_pool_lookup(fixture->dispatcher.pool, id)->digest,
+        .is_named = is_named,
+        .per_s = 2,
+    };
+
+    pps_dispatcher_on_limit(&fixture->dispatcher, &notice);
+}
+
+/* A host without a share sends its callers on to another one at once, until it
+ * hears that the limit has ended. */
+Test(exchange_limit, limit_reported_by_another_host)
+{
+    static const net_answer_t script[] = {{OK_PLAIN, NET_KEEP}};
+    fixture_t fixture;
+
+    fixture_start(&fixture, script, 1);
+    fixture.dispatcher.limit_rank = rank_last;
+    for (int i = 0; i < FIXTURE_WORKERS; i++) {
+        report_limit(&fixture, (const char *[]){"w0", "w1", "w2"}[i], 1);
+    }
+    cr_expect_eq(status_of(&fixture, "/once/"), 503);
+    cr_expect_eq(fixture_request_count(&fixture), 0);
+    net_run_for(&fixture.reactor, 5);
+    report_limit(&fixture, "w1", 0);
+    cr_expect_eq(status_of(&fixture, "/once/"), 200);
+    cr_expect_eq(fixture.workers[1].requests, 1);
+}
+
+/* The worker names a limit once, and none when it is asked again. */
+Test(exchange_limit, limit_ends_with_an_answer_that_names_none)
+{
+    static const net_answer_t script[] = {{LIMITED_OK, NET_KEEP},
+                                          {OK_PLAIN, NET_KEEP}};
+    fixture_t fixture;
+
+    limit_reports = 0;
+    fixture_start(&fixture, script, 2);
+    fixture.dispatcher.limit_notice = on_limit_notice;
+    pps_pool_remove(fixture.dispatcher.pool, "w1");
+    pps_pool_remove(fixture.dispatcher.pool, "w2");
+    cr_expect_eq(status_of(&fixture, "/safe/"), 200);
+    cr_expect_eq(limit_reports, 1);
+    cr_expect_eq(status_of(&fixture, "/safe/"), 503);
+    net_run_for(&fixture.reactor, 1300);
+    cr_expect_eq(status_of(&fixture, "/safe/"), 200);
+    cr_expect_eq(limit_reports, 2);
+    cr_expect_eq(status_of(&fixture, "/safe/"), 200);
+    cr_expect_eq(status_of(&fixture, "/safe/"), 200);
+}
--- a/tests/entry/test_gossip_codec.c
+++ b/tests/entry/test_gossip_codec.c
@@ -38,8 +38,11 @@
     item->rollout.share = 250;
     item->tally.requests = 1000;
     item->tally.exposed = 20;
-    item->tally.target[3] = (pps_rollout_count_t){10, 2, 9, 123456};
-    item->tally.baseline[0] = (pps_rollout_count_t){90, 1, 80, 99999};
+    item->rollout.proven = 1;
+    item->tally.target[3] = (pps_rollout_count_t){10, 2, 9, 123456, 1};
+    item->tally.baseline[0] = (pps_rollout_count_t){90, 1, 80, 99999, 7};
+    item->tally.loaded_target = (pps_rollout_count_t){4, 1, 0, 0, 1};
+    item->tally.loaded_baseline = (pps_rollout_count_t){5, 0, 0, 0, 0};
     return message;
 }
 
@@ -66,6 +69,7 @@
     cr_expect_eq(decoded.state.rollouts[0].rollout.started_us,
                  DECODED_US - 3 * PPS_US_PER_S);
     cr_expect_eq(decoded.state.rollouts[0].rollout.share, 250);
+    cr_expect_eq(decoded.state.rollouts[0].rollout.proven, 1);
     cr_expect_eq(memcmp(&decoded.state.rollouts[0].tally,
                         &message.state.rollouts[0].tally,
                         sizeof(decoded.state.rollouts[0].tally)),
@@ -181,3 +185,27 @@
     }
     pps_buf_clear(&encoded);
 }
+
+Test(gossip_codec, limit_round_trip)
+{
+    const pps_gossip_limit_t limit = {UINT64_C(0x9123456789abcdef),
+                                      INT64_C(1791000000000), 1, 1300, 250};
+    pps_gossip_limit_t decoded;
+    pps_buf_t encoded = PPS_BUF_INIT;
+
+    cr_assert_eq(pps_gossip_encode_limit(&encoded, &limit), 0);
+    cr_expect_eq(pps_gossip_read_kind(encoded.data, encoded.size),
+                 PPS_GOSSIP_LIMIT);
+    cr_assert_eq(pps_gossip_decode_limit(&decoded, encoded.data, encoded.size),
+                 0);
+    cr_expect_eq(decoded.worker, limit.worker);
+    cr_expect_eq(decoded.start_ms, limit.start_ms);
+    cr_expect_eq(decoded.is_named, 1);
+    cr_expect_eq(decoded.milli_per_s, 1300);
+    cr_expect_eq(decoded.age_us, 250);
+    for (size_t length = 0; length < encoded.size; length++) {
+        cr_expect_eq(pps_gossip_decode_limit(&decoded, encoded.data, length),
+                     PPS_ECORRUPT, "cut at %zu", length);
+    }
+    pps_buf_clear(&encoded);
+}
