End answers that are no answer before they hold callers or memory

A worker may send bytes without end that are no answer. Interim answers and answers to other requests were skipped without a limit, so the caller waited for as long as they came; a body was kept up to 8 MB for each request, more in all than a host of 88 MB has; and a request that may be repeated got 502 instead of another worker.

Now at most 1 MB is read before the head, 32 MB of answers are kept in all, and what is over goes the way of a broken answer: to another worker if the request may be repeated, else 502, which does not say that it has not run.

--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -56,9 +56,17 @@
     return 0;
 }
 
+void
+pps_exchange_discard_body(pps_exchange_t *exchange)
+{
+    exchange->dispatcher->buffered_bytes -= exchange->body.size;
+    exchange->body.size = 0;
+}
+
 void
 pps_exchange_free(pps_exchange_t *exchange)
 {
+    pps_exchange_discard_body(exchange);
     pps_timers_cancel(&exchange->deadline_timer);
     pps_timers_cancel(&exchange->silence_timer);
     cds_list_del(&exchange->node);
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -129,6 +129,10 @@
                      pps_retry_after_reason_t retry_reason,
                      const char *reason);
 
+/** Discards the buffered part of the answer. */
+void
+pps_exchange_discard_body(pps_exchange_t *exchange);
+
 /** Frees an exchange without answering it. */
 void
 pps_exchange_free(pps_exchange_t *exchange);
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -8,12 +8,13 @@
 #include "exchange_worker.h"
 #include "histograms.h"
 #include "model_choice.h"
+#include "papayaswitch/errors.h"
 
 #include <string.h>
 
-#define STATUS_BAD_GATEWAY 502
-/** Largest answer body that is buffered. */
+/** Largest answer body that is buffered, and the sum of all that are. */
 #define BODY_BYTES_MAX (8U << 20)
+#define BUFFERED_BYTES_MAX (32U << 20)
 /** Share of the repeat limit that answers of low confidence may use. */
 #define CONFIDENCE_REPEAT_SHARE 0.92
 #define FIRST_BYTE_SMOOTHING_WEIGHT 0.05
@@ -239,6 +240,24 @@
     return error;
 }
 
+/* Buffers a part of an answer, as long as this answer and all answers together
+ * stay within their limits. */
+static int
+buffer_body(pps_exchange_t *exchange, const char *data, size_t size)
+{
+    size_t *all_bytes = &exchange->dispatcher->buffered_bytes;
+
+    if (exchange->body.size + size > BODY_BYTES_MAX ||
+        *all_bytes + size > BUFFERED_BYTES_MAX) {
+        return PPS_ELIMIT;
+    }
+    if (pps_buf_append(&exchange->body, data, size) != 0) {
+        return PPS_ENOMEM;
+    }
+    *all_bytes += size;
+    return PPS_OK;
+}
+
 void
 pps_exchange_on_reply_body(pps_exchange_t *exchange, const char *data,
                            size_t size)
@@ -251,13 +270,10 @@
         error = feed_events(exchange, data, size);
     }
     else {
-        error = exchange->body.size + size > BODY_BYTES_MAX
-                    ? -1
-                    : pps_buf_append(&exchange->body, data, size);
+        error = buffer_body(exchange, data, size);
     }
     if (error != 0) {
-        pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
-        pps_exchange_refuse(exchange, STATUS_BAD_GATEWAY, -1, "too_large");
+        pps_exchange_on_attempt_failed(exchange, PPS_CHANNEL_TOO_LARGE);
     }
 }
 
@@ -293,6 +309,7 @@
     int begun = exchange->begun;
 
     exchange->fields = (pps_buf_t)PPS_BUF_INIT;
+    exchange->dispatcher->buffered_bytes -= body.size;
     exchange->body = (pps_buf_t)PPS_BUF_INIT;
     if (is_success(status)) {
         observe_latency(exchange);
@@ -344,6 +361,21 @@
     }
 }
 
+static const char *
+failure_reason(pps_channel_failure_t failure)
+{
+    switch (failure) {
+    case PPS_CHANNEL_MALFORMED:
+        return "malformed_answer";
+    case PPS_CHANNEL_TOO_LARGE:
+        return "too_large";
+    case PPS_CHANNEL_UNSENT:
+    case PPS_CHANNEL_BROKEN:
+        break;
+    }
+    return "connection_lost";
+}
+
 void
 pps_exchange_on_attempt_failed(pps_exchange_t *exchange,
                                pps_channel_failure_t failure)
@@ -357,8 +389,5 @@
     }
     pps_exchange_evidence_count_failure(exchange);
     pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
-    pps_exchange_retry(exchange,
-                       failure == PPS_CHANNEL_MALFORMED ? "malformed_answer"
-                                                        : "connection_lost",
-                       1);
+    pps_exchange_retry(exchange, failure_reason(failure), 1);
 }
--- a/src/libpapayaswitch/transport/http_channel.c
+++ b/src/libpapayaswitch/transport/http_channel.c
@@ -14,6 +14,9 @@
 /** An idle channel expires this long before the server would close it. */
 #define KEEP_ALIVE_MARGIN_US (700 * PPS_US_PER_MS)
 #define ADDRESS_BYTES 64
+/** Bytes that a server may send before the head of the answer: interim answers
+ * and answers to other requests. */
+#define BEFORE_HEAD_BYTES_MAX (1U << 20)
 
 typedef enum {
     CHANNEL_CONNECTING,
@@ -30,8 +33,10 @@
     channel_state_t state;
     const pps_channel_ops_t *ops; /* of the call in progress, or NULL */
     void *user;
-    pps_buf_t unsent; /* request of a call made while connecting */
-    int sent;         /* nonzero if bytes of the call may have been written */
+    pps_buf_t unsent;         /* request of a call made while connecting */
+    size_t before_head_bytes; /* received before the head of the response */
+    int has_head;
+    int sent;     /* nonzero if bytes of the call may have been written */
     int skipping; /* the response being read is interim or of another call */
     int reusable; /* the response allows keep-alive */
     unsigned int call_count;
@@ -150,6 +155,7 @@
     read_keep_alive(channel);
     channel->reusable = http_should_keep_alive(parser);
     channel->skipping = channel->ops->on_head(channel->user, &channel->reply);
+    channel->has_head = !channel->skipping;
     /* The owner may have closed the channel in on_head. */
     return channel->state == CHANNEL_CLOSED ? -1 : 0;
 }
@@ -234,6 +240,13 @@
         pps_http_channel_close(channel);
         return;
     }
+    if (!channel->has_head && size > 0) {
+        channel->before_head_bytes += (size_t)size;
+    }
+    if (channel->before_head_bytes > BEFORE_HEAD_BYTES_MAX) {
+        fail_call(channel, PPS_CHANNEL_MALFORMED);
+        return;
+    }
     used = http_parser_execute(&channel->parser, &parser_settings,
                                buffer->base, size < 0 ? 0 : (size_t)size);
     if (channel->state == CHANNEL_CLOSED) {
@@ -361,6 +374,8 @@
     channel->ops = ops;
     channel->user = user;
     channel->sent = 0;
+    channel->before_head_bytes = 0;
+    channel->has_head = 0;
     channel->call_count++;
     if (channel->state == CHANNEL_CONNECTING) {
         return pps_buf_append(&channel->unsent, text, size);
--- a/src/libpapayaswitch/transport/http_channel.h
+++ b/src/libpapayaswitch/transport/http_channel.h
@@ -24,7 +24,10 @@
 typedef enum {
     PPS_CHANNEL_UNSENT, /**< no byte of the call was written */
     PPS_CHANNEL_BROKEN, /**< the connection failed before the response ended */
-    PPS_CHANNEL_MALFORMED /**< invalid HTTP, or over PPS_HEADERS_MAX fields */
+    PPS_CHANNEL_MALFORMED, /**< invalid HTTP, over PPS_HEADERS_MAX fields, or
+                                too much before the head of the answer */
+    PPS_CHANNEL_TOO_LARGE, /**< more than the owner takes; reported by itself
+                            */
 } pps_channel_failure_t;
 
 /** Callbacks of one call, which ends with one `on_end` or `on_fail` unless the
