--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -152,6 +152,7 @@
                       on_request_timer, soak);
     pps_reactor_every(&soak->reactor, &fault_timer, FAULT_INTERVAL_US,
                       on_fault_timer, soak);
+    limit_start(soak);
     pps_reactor_after(&soak->reactor, &phase_timer, FAULT_PHASE_US,
                       on_fault_phase_end, soak);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -138,6 +138,8 @@
     int was_refused;        /**< reported to the client as not run */
     int host;               /**< index of the host it was sent to */
     int64_t sent_us;
+    int limited_worker; /**< index of the worker that answered with its limit;
+                             -1: none */
     int leaving_worker; /**< index of the worker that answered that it is
                              leaving; -1: none */
 } request_t;
@@ -153,6 +155,9 @@
 
 struct soak;
 
+/** Most requests in a window that a worker with a limit remembers. */
+#define SOAK_LIMITED_MAX 256
+
 /** A stand-in for a worker. */
 typedef struct {
     struct soak *soak;
@@ -170,6 +175,11 @@
     int64_t told_leaving_us[SOAK_HOSTS_MAX];
     int64_t paused_us[SOAK_HOSTS_MAX];
     unsigned int requests_in_pause[SOAK_HOSTS_MAX];
+    unsigned int limit_per_s; /**< requests a second that it takes; 0: any */
+    int64_t limit_named_us;
+    int64_t told_limit_us[SOAK_HOSTS_MAX]; /**< as `told_leaving_us` */
+    int64_t limited_us[SOAK_LIMITED_MAX];  /**< times of requests that count */
+    size_t limited_count;
 } worker_t;
 
 void
@@ -179,6 +189,30 @@
 void
 worker_restart(worker_t *worker);
 
+/** Starts to draw workers that name a limit, or none any more. */
+void
+limit_start(struct soak *soak);
+
+/** Ends a worker's limit. */
+void
+limit_end(worker_t *worker);
+
+/** Counts a worker's limit anew, after a disturbance of its connections. */
+void
+limit_reset(worker_t *worker);
+
+/** Writes the header line of the worker's limit, or "". */
+void
+limit_write_field(char *out, size_t size, const worker_t *worker);
+
+/** Notes that a host has passed on an answer with the worker's limit. */
+void
+limit_note_told(worker_t *worker, int host);
+
+/** Counts a request and reports more than the worker's limit allows. */
+void
+limit_check(worker_t *worker, const request_t *request);
+
 /** Writes the worker's entry. @param state NULL deletes it */
 void
 worker_write_entry(worker_t *worker, const char *state);
--- a/tests/soak/soak_worker.c
+++ b/tests/soak/soak_worker.c
@@ -57,12 +57,17 @@
 write_fields(char *out, size_t size, worker_t *worker, const char *id)
 {
     request_t *request = soak_find_request(worker->soak, id);
+    char limit[SOAK_TEXT_BYTES];
 
     if (request != NULL && worker->draining_since_us != 0) {
         request->leaving_worker = (int)(worker - worker->soak->workers);
     }
-    snprintf(out, size, "X-Request-Id: %s\r\nX-Response-Seal: %s\r\n%s", id,
-             worker->id, leaving_header(worker));
+    limit_write_field(limit, sizeof(limit), worker);
+    if (request != NULL && worker->limit_per_s > 0) {
+        request->limited_worker = (int)(worker - worker->soak->workers);
+    }
+    snprintf(out, size, "X-Request-Id: %s\r\nX-Response-Seal: %s\r\n%s%s", id,
+             worker->id, leaving_header(worker), limit);
 }
 
 static void
@@ -235,6 +240,7 @@
     if (recorded != NULL) {
         check_leaving(worker, recorded);
         check_pause(worker, recorded);
+        limit_check(worker, recorded);
     }
     if (worker->mode == WORKER_FULL && pps_rng_below(&soak->rng, 2) == 0) {
         refuse_full(worker, conn, id);
@@ -300,6 +306,7 @@
     worker->sequence = 0;
     memset(worker->told_leaving_us, 0, sizeof(worker->told_leaving_us));
     memset(worker->paused_us, 0, sizeof(worker->paused_us));
+    limit_end(worker);
     worker_write_entry(worker, "ready");
 }
 
