--- a/src/libpapayaswitch/rollout/verdict.c
+++ b/src/libpapayaswitch/rollout/verdict.c
@@ -5,13 +5,13 @@
 
 #include <math.h>
 
-/** Minimum bad answers of a bad target, and the minimum excess of its rate of
- * bad answers over the baseline's, absolute and in standard errors. */
+/** Minimum failed or slow answers of a bad target, and the minimum excess of
+ * their rate over the baseline's, absolute and in standard errors. */
 #define FAILURES_MIN 4
 #define FAILURE_EXCESS_MIN 0.12
 #define STANDARD_ERRORS_MIN 3.0
-/** The same for failures and slow answers together: time varies more, also
- * with the load of the worker and with what it has cached. */
+/** Standard errors for slow answers: times vary more, with the load of the
+ * worker and with what it has cached. */
 #define SLOW_STANDARD_ERRORS_MIN 3.5
 /** Minimum timed answers of both target and baseline. The target is too slow
  * if its mean time to the first byte exceeds the baseline's by both limits. */
@@ -48,7 +48,6 @@
 } sound_test_t;
 
 static const sound_test_t test_failed = {0.25, 0.02};
-
 static const sound_test_t test_loaded = {0.3, 0.005};
 static const sound_test_t test_kind = {0.35, 0.02};
 
