--- a/src/libpapayaswitch/exchange/call.h
+++ b/src/libpapayaswitch/exchange/call.h
@@ -17,6 +17,9 @@
 /** Longest pause that a worker can ask for. */
 #define PPS_PAUSE_MAX_US (INT64_C(600) * 1000 * 1000)
 
+/** Number of shared parts of a prompt that are known one by one. */
+#define PPS_CALL_PARTS_MAX 32
+
 /** Decoded caller's request. Strings are valid as long as the HTTP request. */
 typedef struct {
     const char *id;
@@ -27,7 +30,10 @@
     int64_t last_event;        /**< id of the last event that the caller has */
     int has_last_event;
     int64_t prompt_tokens;
-    int64_t shared_tokens;   /**< tokens of all prompt parts but the last */
+    int64_t shared_tokens; /**< tokens of all prompt parts but the last */
+    /** Digests of the ids of these parts. */
+    uint64_t parts[PPS_CALL_PARTS_MAX];
+    size_t part_count;
     uint64_t session_digest; /**< of session or shared parts; 0: unknown */
 } pps_call_t;
 
--- a/src/libpapayaswitch/exchange/decision_log.c
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -5,10 +5,17 @@
 #include "counters.h"
 #include "logger.h"
 
+#include <inttypes.h>
+#include <stdio.h>
+
 /** Limits are logged per minute, since they may be fractions. */
 #define SECONDS_PER_MINUTE 60
 #define US_TO_MS(us) ((us) / PPS_US_PER_MS)
 #define NO_REPORT_AGE (-1)
+#define NO_ANSWER (-1)
+/** Number of a prompt's parts that a line has, from the last on. */
+#define LOGGED_PARTS_MAX 8
+#define DIGEST_TEXT_BYTES 18
 
 static int64_t
 now_us(const pps_exchange_t *exchange)
@@ -238,3 +245,56 @@
                      PPS_FIELDS(PPS_STR("request", exchange->call.id),
                                 PPS_STR("worker", exchange->worker->info.id)));
 }
+
+/* Writes the digests of the last parts, with blanks between them. */
+static void
+write_parts(char *out, size_t size, const pps_call_t *call)
+{
+    size_t first = call->part_count > LOGGED_PARTS_MAX
+                       ? call->part_count - LOGGED_PARTS_MAX
+                       : 0;
+    size_t used = 0;
+
+    out[0] = '\0';
+    for (size_t i = first; i < call->part_count; i++) {
+        used += (size_t)snprintf(out + used, size - used, "%s%016" PRIx64,
+                                 i > first ? " " : "", call->parts[i]);
+    }
+}
+
+void
+pps_decision_log_broken(const pps_exchange_t *exchange)
+{
+    int64_t answer_ms = exchange->answer_us != 0
+                            ? US_TO_MS(now_us(exchange) - exchange->answer_us)
+                            : NO_ANSWER;
+    char parts[LOGGED_PARTS_MAX * DIGEST_TEXT_BYTES];
+
+    write_parts(parts, sizeof(parts), &exchange->call);
+    pps_logger_write(
+        PPS_LOG_WARN, "answer_broken",
+        PPS_FIELDS(
+            PPS_STR("request", exchange->call.id),
+            PPS_STR("worker", exchange->worker->info.id),
+            PPS_INT("start_ms", exchange->worker_start_ms),
+            PPS_INT("sent_ms", US_TO_MS(now_us(exchange) - exchange->sent_us)),
+            PPS_INT("answer_ms", answer_ms), PPS_STR("parts", parts)));
+}
+
+void
+pps_decision_log_worker_probed(const pps_worker_info_t *worker,
+                               pps_probe_result_t result, unsigned int answers)
+{
+    static const char *const results[] = {
+        [PPS_PROBE_ACCEPTED] = "accepted",
+        [PPS_PROBE_REFUSED] = "refused",
+        [PPS_PROBE_UNANSWERED] = "unanswered",
+    };
+
+    pps_logger_write(PPS_LOG_WARN, "worker_probed",
+                     PPS_FIELDS(PPS_STR("worker", worker->id),
+                                PPS_STR("upstream", worker->upstream),
+                                PPS_INT("start_ms", worker->start_ms),
+                                PPS_STR("result", results[result]),
+                                PPS_INT("answers", answers)));
+}
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -7,6 +7,7 @@
 #define PPS_EXCHANGE_DECISION_LOG_H
 
 #include "exchange.h"
+#include "transport/connect_probe.h"
 
 /** Logs a refusal before a route is known. @param id may be NULL @param
  * status 0: the caller disconnected */
@@ -76,4 +77,15 @@
 pps_decision_log_invalid_pause(const pps_exchange_t *exchange,
                                int64_t pause_us);
 
+/** Logs that the answer of the current attempt broke off, with the digests of
+ * the prompt's shared parts. */
+void
+pps_decision_log_broken(const pps_exchange_t *exchange);
+
+/** Logs whether a worker has ended whose answers broke off. */
+void
+pps_decision_log_worker_probed(const pps_worker_info_t *worker,
+                               pps_probe_result_t result,
+                               unsigned int answers);
+
 #endif
--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -29,6 +29,7 @@
     dispatcher->limits = (pps_http_limits_t){
         HEADER_BYTES_MAX, BODY_BYTES_MAX, HEADER_TIMEOUT_US, IDLE_TIMEOUT_US};
     CDS_INIT_LIST_HEAD(&dispatcher->exchanges);
+    CDS_INIT_LIST_HEAD(&dispatcher->breaks);
     pps_rng_init(&dispatcher->rng, pps_rng_system_seed());
     return pps_pool_new(&dispatcher->pool);
 }
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -103,7 +103,8 @@
     unsigned int hosts; /**< live hosts that share the workers */
     struct cds_list_head exchanges;
     size_t exchange_count;
-    size_t buffered_bytes; /**< of answers, over all exchanges */
+    struct cds_list_head breaks; /**< workers being probed; crash_watch.h */
+    size_t buffered_bytes;       /**< of answers, over all exchanges */
     pps_prefix_affinity_t prefixes;
     pps_reachability_t reach;         /**< reachability of the workers */
     pps_prefill_notice_fn notice;     /**< sends to the other hosts, or NULL */
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -68,6 +68,7 @@
                                 fails at one worker often does at the next */
     pps_rollout_sample_t counted_as; /**< where it is counted */
     int64_t sent_us;
+    int64_t answer_us;        /**< when its answer began; 0: not yet */
     int64_t last_received_us; /**< when bytes last arrived from the worker */
     int event_arrived;        /**< a complete event since the last check */
     double work;    /**< prompt tokens, weighted as in prefill_queue.h */
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -307,6 +307,7 @@
     exchange->worker_start_ms = worker->info.start_ms;
     exchange->attempt = PPS_ATTEMPT_SENT;
     exchange->sent_us = dispatcher->reactor->now_us;
+    exchange->answer_us = 0;
     exchange->last_received_us = exchange->sent_us;
     pps_pool_begin_call(worker);
     pps_worker_limit_take(&worker->limit);
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -2,6 +2,7 @@
 #include "exchange_reply.h"
 
 #include "clock.h"
+#include "crash_watch.h"
 #include "decision_log.h"
 #include "exchange_evidence.h"
 #include "exchange_notes.h"
@@ -164,6 +165,7 @@
         pps_decision_log_foreign_answer(exchange);
         return 1;
     }
+    exchange->answer_us = now_us;
     if (decoded.has_load) {
         pps_pool_record_load(exchange->worker, decoded.running,
                              decoded.waiting, decoded.slots, now_us);
@@ -387,6 +389,9 @@
         pps_exchange_retry(exchange, "no_connection", 0);
         return;
     }
+    if (failure == PPS_CHANNEL_BROKEN) {
+        pps_crash_watch_note_break(exchange);
+    }
     pps_exchange_evidence_count_failure(exchange);
     pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
     pps_exchange_retry(exchange, failure_reason(failure), 1);
--- a/src/libpapayaswitch/transport/http_channel.c
+++ b/src/libpapayaswitch/transport/http_channel.c
@@ -1,6 +1,7 @@
 /** @file http_channel.c @brief HTTP client connection on libuv. */
 #include "http_channel.h"
 
+#include "address.h"
 #include "clock.h"
 #include "papayaswitch/errors.h"
 #include "tcp_write.h"
@@ -13,7 +14,6 @@
 
 /** An idle channel expires this long before the server would close it. */
 #define KEEP_ALIVE_MARGIN_US (700 * PPS_US_PER_MS)
-#define ADDRESS_BYTES 64
 /** Bytes that a server may send before the head of the answer: interim answers
  * and answers to other requests. */
 #define BEFORE_HEAD_BYTES_MAX (1U << 20)
@@ -312,23 +312,6 @@
     close_and_report(user, PPS_CHANNEL_UNSENT);
 }
 
-static int
-parse_address(struct sockaddr_in *out, const char *address)
-{
-    char text[ADDRESS_BYTES];
-    const char *colon = strrchr(address, ':');
-    size_t length = colon ? (size_t)(colon - address) : 0;
-
-    if (length == 0 || length >= sizeof(text)) {
-        return PPS_EINVALID;
-    }
-    memcpy(text, address, length);
-    text[length] = '\0';
-    return uv_ip4_addr(text, (int)strtol(colon + 1, NULL, 10), out) == 0
-               ? PPS_OK
-               : PPS_EINVALID;
-}
-
 int
 pps_http_channel_new(pps_http_channel_t **out, pps_reactor_t *reactor,
                      const char *address, const pps_channel_options_t *options,
@@ -337,7 +320,7 @@
     struct sockaddr_in endpoint;
     pps_http_channel_t *channel;
 
-    if (parse_address(&endpoint, address) != 0) {
+    if (pps_address_parse(&endpoint, address) != 0) {
         return pps_error_set(PPS_EINVALID, "%s: not an IPv4 address and port",
                              address);
     }
