Add a failing test of requests with one part that end worker after worker

Ten requests, no two alike, share a part of the prompt; each worker that begins an answer to one of them ends. The scripted servers can end and start again for it.

--- a/tests/entry/net.c
+++ b/tests/entry/net.c
@@ -8,7 +8,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define CRASH_DELAY_MS 10
+
 typedef struct {
+    struct cds_list_head node;
     uv_tcp_t tcp;
     net_server_t *server;
     pps_buf_t got;
@@ -20,6 +23,7 @@
 {
     peer_t *peer = handle->data;
 
+    cds_list_del(&peer->node);
     pps_buf_clear(&peer->got);
     free(peer);
 }
@@ -48,6 +52,9 @@
     }
 }
 
+static void
+start_listening(net_server_t *server);
+
 /* Returns the length of the first request, or 0 if it is incomplete. */
 static size_t
 request_size(const pps_buf_t *got)
@@ -79,6 +86,69 @@
     }
 }
 
+/* Sends a text, with the request's id in the place of "%s". */
+static void
+send_text(peer_t *peer, const char *text, const char *id)
+{
+    const char *placeholder = strstr(text, "%s");
+    pps_buf_t filled = PPS_BUF_INIT;
+    uv_buf_t piece;
+
+    if (placeholder != NULL) {
+        pps_buf_append(&filled, text, (size_t)(placeholder - text));
+        pps_buf_puts(&filled, id);
+        pps_buf_puts(&filled, placeholder + 2);
+    }
+    else {
+        pps_buf_puts(&filled, text);
+    }
+    piece = uv_buf_init(filled.data, (unsigned int)filled.size);
+    pps_tcp_write(&peer->tcp, &piece, 1);
+    pps_buf_clear(&filled);
+}
+
+static void
+listen_again(uv_timer_t *timer)
+{
+    net_server_t *server = timer->data;
+
+    start_listening(server);
+    server->is_down = 0;
+    if (server->on_restart != NULL) {
+        server->on_restart(server->user, server);
+    }
+}
+
+static void
+on_crash_due(uv_timer_t *timer)
+{
+    net_server_t *server = timer->data;
+    peer_t *peer;
+    peer_t *next;
+
+    cds_list_for_each_entry_safe (peer, next, &server->peers, node) {
+        reset_peer(peer);
+    }
+    uv_close((uv_handle_t *)&server->listener, NULL);
+    uv_timer_start(&server->restart_timer, listen_again, server->restart_ms,
+                   0);
+}
+
+/* Ends the server a moment after the head of the answer. */
+static void
+crash(net_server_t *server, peer_t *peer, const char *id)
+{
+    if (server->is_down) {
+        return;
+    }
+    server->is_down = 1;
+    server->crashes++;
+    if (server->crash_head != NULL) {
+        send_text(peer, server->crash_head, id);
+    }
+    uv_timer_start(&server->restart_timer, on_crash_due, CRASH_DELAY_MS, 0);
+}
+
 static void
 answer(peer_t *peer, size_t size)
 {
@@ -88,9 +158,7 @@
                        ? script_index
                        : server->script_size - 1;
     const net_answer_t *script = &server->script[index];
-    pps_buf_t text = PPS_BUF_INIT;
     char id[64];
-    uv_buf_t piece;
 
     server->last.size = 0;
     pps_buf_append(&server->last, peer->got.data, size);
@@ -98,21 +166,13 @@
     server->requests++;
     server->last_peer = peer;
     pps_buf_consume(&peer->got, size);
+    if (server->crash_text != NULL &&
+        strstr(server->last.data, server->crash_text) != NULL) {
+        crash(server, peer, id);
+        return;
+    }
     if (script->text != NULL) {
-        const char *placeholder = strstr(script->text, "%s");
-
-        if (placeholder != NULL) {
-            pps_buf_append(&text, script->text,
-                           (size_t)(placeholder - script->text));
-            pps_buf_puts(&text, id);
-            pps_buf_puts(&text, placeholder + 2);
-        }
-        else {
-            pps_buf_puts(&text, script->text);
-        }
-        piece = uv_buf_init(text.data, (unsigned int)text.size);
-        pps_tcp_write(&peer->tcp, &piece, 1);
-        pps_buf_clear(&text);
+        send_text(peer, script->text, id);
     }
     if (script->end == NET_CLOSE) {
         close_peer(peer);
@@ -146,6 +206,7 @@
     peer_t *peer = calloc(1, sizeof(*peer));
 
     cr_assert_not_null(peer);
+    cds_list_add_tail(&peer->node, &server->peers);
     peer->server = server;
     uv_tcp_init(&server->reactor->loop, &peer->tcp);
     peer->tcp.data = peer;
@@ -154,21 +215,17 @@
                   on_peer_read);
 }
 
-void
-net_server_start(net_server_t *server, pps_reactor_t *reactor,
-                 const net_answer_t *script, size_t script_size)
+/* Listens at the server's address, or at a free port if it has none. */
+static void
+start_listening(net_server_t *server)
 {
     struct sockaddr_in endpoint;
+    const char *colon = strchr(server->address, ':');
     int size = sizeof(endpoint);
 
-    memset(server, 0, sizeof(*server));
-    server->reactor = reactor;
-    server->script = script;
-    server->script_size = script_size;
-    server->script_index = &server->own_script_index;
-    uv_tcp_init(&reactor->loop, &server->listener);
+    uv_tcp_init(&server->reactor->loop, &server->listener);
     server->listener.data = server;
-    uv_ip4_addr("127.0.0.1", 0, &endpoint);
+    uv_ip4_addr("127.0.0.1", colon != NULL ? atoi(colon + 1) : 0, &endpoint);
     cr_assert_eq(
         uv_tcp_bind(&server->listener, (struct sockaddr *)&endpoint, 0), 0);
     cr_assert_eq(
@@ -178,6 +235,21 @@
              ntohs(endpoint.sin_port));
 }
 
+void
+net_server_start(net_server_t *server, pps_reactor_t *reactor,
+                 const net_answer_t *script, size_t script_size)
+{
+    memset(server, 0, sizeof(*server));
+    server->reactor = reactor;
+    server->script = script;
+    server->script_size = script_size;
+    server->script_index = &server->own_script_index;
+    CDS_INIT_LIST_HEAD(&server->peers);
+    uv_timer_init(&reactor->loop, &server->restart_timer);
+    server->restart_timer.data = server;
+    start_listening(server);
+}
+
 void
 net_server_share_script(net_server_t *servers, size_t count)
 {
--- a/tests/entry/net.h
+++ b/tests/entry/net.h
@@ -9,6 +9,8 @@
 #include "buf.h"
 #include "transport/reactor.h"
 
+#include <urcu/list.h>
+
 #define NET_ADDRESS_BYTES 32
 
 /** What a server does with the connection after a response. */
@@ -24,9 +26,11 @@
     net_end_t end;
 } net_answer_t;
 
+typedef struct net_server net_server_t;
+
 /** A server that sends the next response of its script to each request and
  * repeats the last one. */
-typedef struct {
+struct net_server {
     uv_tcp_t listener;
     pps_reactor_t *reactor;
     char address[NET_ADDRESS_BYTES];
@@ -37,8 +41,19 @@
     pps_buf_t last;       /**< text of the last request */
     size_t *script_index; /**< next script index, may be shared */
     size_t own_script_index;
-    void *last_peer; /**< connection of the last request */
-} net_server_t;
+    void *last_peer;         /**< connection of the last request */
+    const char *crash_text;  /**< a request with it ends the server: the
+                                  head, then all connections are reset and
+                                  refused; NULL: none */
+    const char *crash_head;  /**< sent before, with "%s"; NULL: nothing */
+    unsigned int restart_ms; /**< time until it listens again */
+    size_t crashes;          /**< times that it has ended */
+    int is_down;
+    void (*on_restart)(void *user, net_server_t *server); /**< or NULL */
+    void *user;
+    uv_timer_t restart_timer;
+    struct cds_list_head peers;
+};
 
 /** Starts a server on a free port. */
 void
--- /dev/null
+++ b/tests/entry/test_crashing_part.c
@@ -0,0 +1,116 @@
+/** @file test_crashing_part.c @brief Tests that workers are kept from requests
+ * with a part of the prompt that ends each worker which answers them. */
+#include "clock.h"
+#include "exchange_fixture.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HEAD STREAM "\r\n"
+#define SOUND HEAD EVENT("1") LAST_CHUNK
+#define RESTART_MS 60
+/** More requests may reach workers than this, once five have ended. */
+#define SENDS_AFTER_MAX 3
+#define CRASHES_MAX 5
+#define BAD_REQUESTS 10
+
+typedef struct {
+    const char *name;
+    const char *bad;   /* prompt parts but the last */
+    const char *sound; /* shares all but the bad part with it */
+} prompt_case_t;
+
+/* The part "bad" ends workers; "%d" makes requests differ. */
+static const prompt_case_t prompts[] = {
+    {"the bad part first", "bad:7,aa:9,bb:5", "aa:9,bb:5"},
+    {"the bad part in the middle", "aa:9,bad:7,bb:5", "aa:9,bb:5"},
+    {"the bad part last but one", "aa:9,bb:5,bad:7", "aa:9,bb:5"},
+    {"the bad part in another case", "aa:9,BAD:7,bb:5", "aa:9,bb:5"},
+    {"parts that nobody else has", "a%d:9,bad:7", "aa:9"},
+    {"no other part", "bad:7", "aa:9"},
+    {"empty and malformed entries", ",,aa:9,: ,bad:x, ", "aa:9"},
+};
+
+static void
+on_restart(void *user, net_server_t *server)
+{
+    fixture_t *fixture = user;
+    char id[8];
+    pps_worker_info_t info;
+
+    snprintf(id, sizeof(id), "w%d", (int)(server - fixture->workers));
+    info = pps_pool_lookup(fixture->dispatcher.pool, id)->info;
+    info.start_ms++;
+    pps_pool_put(fixture->dispatcher.pool, &info);
+}
+
+static void
+start(fixture_t *fixture, const char *crash_text)
+{
+    static const net_answer_t script[] = {{SOUND, NET_KEEP}};
+
+    fixture_start(fixture, script, 1);
+    for (int i = 0; i < FIXTURE_WORKERS; i++) {
+        fixture->workers[i].crash_text = crash_text;
+        fixture->workers[i].crash_head = HEAD;
+        fixture->workers[i].restart_ms = RESTART_MS;
+        fixture->workers[i].on_restart = on_restart;
+        fixture->workers[i].user = fixture;
+    }
+}
+
+static size_t
+count_crashes(const fixture_t *fixture)
+{
+    size_t sum = 0;
+
+    for (int i = 0; i < FIXTURE_WORKERS; i++) {
+        sum += fixture->workers[i].crashes;
+    }
+    return sum;
+}
+
+/* Sends a request whose last part is its own. Returns the answer's status. */
+static unsigned int
+request(fixture_t *fixture, const char *parts, int number)
+{
+    char shared[128];
+    char headers[256];
+    net_client_t client;
+
+    snprintf(shared, sizeof(shared), parts, number);
+    snprintf(headers, sizeof(headers),
+             "X-Token-Usage: 20,5\r\nX-Prefix-Hash: %s,%x:3\r\n", shared,
+             0x1000 + number);
+    fixture_run_request(fixture, &client, "/stream/", headers);
+    return (unsigned int)strtoul(
+        pps_buf_text(&client.got) + strlen("HTTP/1.1 "), NULL, 10);
+}
+
+static void
+wait_for_workers(fixture_t *fixture)
+{
+    net_run_for(&fixture->reactor, 2 * RESTART_MS);
+}
+
+Test(crashing_part, requests_with_it_are_sent_on_after_five_crashes)
+{
+    for (size_t i = 0; i < sizeof(prompts) / sizeof(*prompts); i++) {
+        fixture_t fixture;
+
+        start(&fixture, strstr(prompts[i].bad, "BAD") ? "BAD" : "bad");
+        for (int n = 0; n < BAD_REQUESTS; n++) {
+            cr_expect_neq(request(&fixture, prompts[i].bad, n), 200, "%s",
+                          prompts[i].name);
+            wait_for_workers(&fixture);
+        }
+        cr_expect_leq(count_crashes(&fixture), CRASHES_MAX, "%s: %zu",
+                      prompts[i].name, count_crashes(&fixture));
+        for (int n = 0; n < 3; n++) {
+            cr_expect_eq(request(&fixture, prompts[i].sound, 100 + n), 200,
+                         "%s", prompts[i].name);
+        }
+    }
+}
