--- a/src/libpapayaswitch/exchange/crash_watch.c
+++ b/src/libpapayaswitch/exchange/crash_watch.c
@@ -2,13 +2,24 @@
 #include "crash_watch.h"
 
 #include "clock.h"
+#include "crash_line.h"
 #include "decision_log.h"
+#include "exchange_poison.h"
 #include "transport/connect_probe.h"
 
 #include <stdlib.h>
+#include <xxhash.h>
 
 /** Time to answer a probe. A longer silence says nothing of the worker. */
-#define PROBE_TIMEOUT_US (200 * PPS_US_PER_MS)
+#define PROBE_TIMEOUT_US (50 * PPS_US_PER_MS)
+/** Number of keys that are noted for one end of a worker. */
+#define SUSPECTS_MAX 128
+
+/* A key of a request whose answer was at its beginning. */
+typedef struct {
+    uint64_t key;
+    int64_t begun_us;
+} suspect_t;
 
 /* The answers of one worker that broke off while it is probed. */
 typedef struct pps_worker_break {
@@ -16,7 +27,11 @@
     pps_dispatcher_t *dispatcher;
     pps_worker_info_t worker;
     uint64_t worker_digest;
+    int64_t at_us;
     unsigned int answers;
+    struct cds_list_head waiting; /* exchanges, by probe_node */
+    size_t suspect_count;
+    suspect_t suspects[SUSPECTS_MAX];
 } worker_break_t;
 
 static worker_break_t *
@@ -34,6 +49,50 @@
     return NULL;
 }
 
+/* Returns a number for the worker's end that all hosts agree on. */
+static uint64_t
+crash_id(const worker_break_t *found)
+{
+    return XXH64(&found->worker.start_ms, sizeof(found->worker.start_ms),
+                 found->worker_digest);
+}
+
+static void
+report_crash(const worker_break_t *found)
+{
+    pps_dispatcher_t *dispatcher = found->dispatcher;
+    uint64_t keys[SUSPECTS_MAX];
+
+    for (size_t i = 0; i < found->suspect_count; i++) {
+        const pps_poison_evidence_t evidence = {
+            .key = found->suspects[i].key,
+            .crashes = {{crash_id(found), found->suspects[i].begun_us,
+                         found->at_us}},
+            .crash_count = 1,
+        };
+
+        pps_dispatcher_merge_poison(dispatcher, &evidence, "answer");
+        keys[i] = evidence.key;
+    }
+    if (found->suspect_count > 0 && dispatcher->poison_notice != NULL) {
+        dispatcher->poison_notice(dispatcher->notice_user, keys,
+                                  found->suspect_count);
+    }
+}
+
+static void
+resume_waiting(worker_break_t *found)
+{
+    while (!cds_list_empty(&found->waiting)) {
+        pps_exchange_t *exchange =
+            cds_list_first_entry(&found->waiting, pps_exchange_t, probe_node);
+
+        cds_list_del_init(&exchange->probe_node);
+        pps_crash_line_set_request(exchange->call.id);
+        pps_exchange_retry(exchange, "connection_lost", 1);
+    }
+}
+
 static void
 on_probed(void *user, pps_probe_result_t result)
 {
@@ -41,6 +100,10 @@
 
     pps_decision_log_worker_probed(&found->worker, result, found->answers);
     cds_list_del(&found->node);
+    if (result == PPS_PROBE_REFUSED) {
+        report_crash(found);
+    }
+    resume_waiting(found);
     free(found);
 }
 
@@ -54,9 +117,11 @@
         return NULL;
     }
     begun->dispatcher = dispatcher;
+    begun->at_us = dispatcher->reactor->now_us;
     begun->worker = exchange->worker->info;
     begun->worker.start_ms = exchange->worker_start_ms;
     begun->worker_digest = exchange->worker->digest;
+    CDS_INIT_LIST_HEAD(&begun->waiting);
     if (pps_connect_probe_start(dispatcher->reactor, begun->worker.address,
                                 PROBE_TIMEOUT_US, on_probed, begun) != 0) {
         free(begun);
@@ -66,7 +131,32 @@
     return begun;
 }
 
-void
+static int
+is_noted(const worker_break_t *found, uint64_t key)
+{
+    for (size_t i = 0; i < found->suspect_count; i++) {
+        if (found->suspects[i].key == key) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static void
+note_suspects(worker_break_t *found, const pps_exchange_t *exchange)
+{
+    uint64_t keys[PPS_EXCHANGE_KEYS_MAX];
+    size_t count = pps_exchange_poison_keys(exchange, keys);
+
+    for (size_t i = 0; i < count && found->suspect_count < SUSPECTS_MAX; i++) {
+        if (!is_noted(found, keys[i])) {
+            found->suspects[found->suspect_count++] =
+                (suspect_t){keys[i], exchange->answer_us};
+        }
+    }
+}
+
+int
 pps_crash_watch_note_break(pps_exchange_t *exchange)
 {
     worker_break_t *found =
@@ -80,7 +170,16 @@
     if (found == NULL) {
         pps_decision_log_worker_probed(&exchange->worker->info,
                                        PPS_PROBE_UNANSWERED, 0);
-        return;
+        return 0;
     }
     found->answers++;
+    if (!pps_exchange_is_at_begin(exchange)) {
+        return 0;
+    }
+    note_suspects(found, exchange);
+    if (!pps_exchange_is_suspected(exchange)) {
+        return 0;
+    }
+    cds_list_add_tail(&exchange->probe_node, &found->waiting);
+    return 1;
 }
--- a/src/libpapayaswitch/exchange/crash_watch.h
+++ b/src/libpapayaswitch/exchange/crash_watch.h
@@ -12,8 +12,10 @@
 
 /** Notes that the current attempt broke off after its request was sent, and
  * probes the worker unless a probe of it is under way. Call it before the
- * attempt is dropped. */
-void
+ * attempt is dropped.
+ * @return whether the request is under suspicion, so that it is not to be
+ * repeated yet: pps_exchange_retry() is called when the probe has ended */
+int
 pps_crash_watch_note_break(pps_exchange_t *exchange);
 
 #endif
--- a/src/libpapayaswitch/exchange/decision_log.c
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -16,6 +16,7 @@
 /** Number of a prompt's parts that a line has, from the last on. */
 #define LOGGED_PARTS_MAX 8
 #define DIGEST_TEXT_BYTES 18
+#define DIGEST_FORMAT "%016" PRIx64
 
 static int64_t
 now_us(const pps_exchange_t *exchange)
@@ -257,7 +258,7 @@
 
     out[0] = '\0';
     for (size_t i = first; i < call->part_count; i++) {
-        used += (size_t)snprintf(out + used, size - used, "%s%016" PRIx64,
+        used += (size_t)snprintf(out + used, size - used, "%s" DIGEST_FORMAT,
                                  i > first ? " " : "", call->parts[i]);
     }
 }
@@ -298,3 +299,31 @@
                                 PPS_STR("result", results[result]),
                                 PPS_INT("answers", answers)));
 }
+
+void
+pps_decision_log_convicted(const pps_poison_evidence_t *evidence,
+                           const char *source)
+{
+    char key[DIGEST_TEXT_BYTES];
+
+    snprintf(key, sizeof(key), DIGEST_FORMAT, evidence->key);
+    pps_counter_add(PPS_COUNTER_ENTRY_POISON_FOUND, 1);
+    pps_logger_write(
+        PPS_LOG_WARN, "poison_found",
+        PPS_FIELDS(PPS_STR("key", key), PPS_STR("source", source),
+                   PPS_INT("crashes", evidence->crash_count),
+                   PPS_INT("known_good", evidence->good_us != 0)));
+}
+
+void
+pps_decision_log_poison_refused(const pps_exchange_t *exchange, uint64_t key)
+{
+    char text[DIGEST_TEXT_BYTES];
+
+    snprintf(text, sizeof(text), DIGEST_FORMAT, key);
+    pps_counter_add(PPS_COUNTER_ENTRY_POISON_REFUSED, 1);
+    pps_logger_write(PPS_LOG_WARN, "poison_refused",
+                     PPS_FIELDS(PPS_STR("request", exchange->call.id),
+                                PPS_STR("key", text),
+                                PPS_INT("runs", exchange->runs)));
+}
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -88,4 +88,14 @@
                                pps_probe_result_t result,
                                unsigned int answers);
 
+/** Logs that a key was convicted of ending workers. @param source of the
+ * evidence that sufficed */
+void
+pps_decision_log_convicted(const pps_poison_evidence_t *evidence,
+                           const char *source);
+
+/** Logs and counts that a request is kept from workers, and by which key. */
+void
+pps_decision_log_poison_refused(const pps_exchange_t *exchange, uint64_t key);
+
 #endif
--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "decision_log.h"
 #include "exchange.h"
+#include "papayaswitch/errors.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -31,6 +32,9 @@
     CDS_INIT_LIST_HEAD(&dispatcher->exchanges);
     CDS_INIT_LIST_HEAD(&dispatcher->breaks);
     pps_rng_init(&dispatcher->rng, pps_rng_system_seed());
+    if (pps_poison_table_new(&dispatcher->poison) != 0) {
+        return PPS_ENOMEM;
+    }
     return pps_pool_new(&dispatcher->pool);
 }
 
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -11,6 +11,7 @@
 #include "call.h"
 #include "deployment/deployment.h"
 #include "lateness.h"
+#include "poison/poison_table.h"
 #include "pool/pool.h"
 #include "pool/prefix_affinity.h"
 #include "pool/reachability.h"
@@ -71,6 +72,10 @@
 typedef void (*pps_limit_rank_fn)(void *user, const pps_pool_worker_t *worker,
                                   unsigned int *hosts, int *before);
 
+/** Tells the other hosts what is known of these keys. */
+typedef void (*pps_poison_notice_fn)(void *user, const uint64_t *keys,
+                                     size_t count);
+
 /** State of an upstream, kept by name across deployment revisions. */
 typedef struct {
     char name[PPS_WORKER_TEXT_BYTES];
@@ -111,7 +116,10 @@
     pps_leaving_fn leaving;           /**< sends to the other hosts, or NULL */
     pps_limit_notice_fn limit_notice; /**< sends to the other hosts, or NULL */
     pps_limit_rank_fn limit_rank;     /**< NULL: this host is the only one */
-    void *notice_user;                /**< of these functions */
+    pps_poison_notice_fn poison_notice; /**< sends to the other hosts, or NULL
+                                         */
+    void *notice_user;                  /**< of these functions */
+    pps_poison_table_t *poison; /**< requests under which workers end */
     pps_upstream_state_t upstreams[PPS_DISPATCH_UPSTREAMS_MAX];
     size_t upstream_count;
     pps_http_limits_t limits;
@@ -159,6 +167,14 @@
 pps_dispatcher_on_limit(pps_dispatcher_t *dispatcher,
                         const pps_limit_notice_t *notice);
 
+/** Adds evidence on what ends workers, and ends the requests that it shows to
+ * be the cause. @param source where it comes from, for the log
+ * @return whether it was new */
+int
+pps_dispatcher_merge_poison(pps_dispatcher_t *dispatcher,
+                            const pps_poison_evidence_t *evidence,
+                            const char *source);
+
 /** Callbacks for the HTTP server of the callers; `user` is the dispatcher. */
 extern const pps_http_server_ops_t pps_dispatcher_server_ops;
 
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -21,6 +21,13 @@
 #define START_WAIT_MAX_US (2 * PPS_US_PER_S)
 /** Number of exchanges above which requests don't wait for the start. */
 #define START_EXCHANGES_MAX 400
+/** Bodies of the answers to requests that are known to end workers. */
+#define REFUSED_HARMFUL_BODY                                                  \
+    "Workers ended each time they began to answer such a request. It was "    \
+    "not sent to one.\n"
+#define FAILED_HARMFUL_BODY                                                   \
+    "Workers ended each time they began to answer such a request. It is not " \
+    "sent to another one.\n"
 
 int64_t
 pps_exchange_time_left_us(const pps_exchange_t *exchange)
@@ -70,6 +77,7 @@
     pps_timers_cancel(&exchange->deadline_timer);
     pps_timers_cancel(&exchange->silence_timer);
     cds_list_del(&exchange->node);
+    cds_list_del(&exchange->probe_node);
     exchange->dispatcher->exchange_count--;
     pps_deployment_unref(exchange->deployment);
     pps_buf_clear(&exchange->fields);
@@ -81,18 +89,19 @@
 /* Refuses a request that has no exchange, or whose exchange was freed. */
 static void
 send_refusal(pps_dispatcher_t *dispatcher, pps_http_conn_t *conn,
-             unsigned int status, int64_t retry_after_us)
+             unsigned int status, int64_t retry_after_us, const char *body)
 {
     pps_buf_t fields = PPS_BUF_INIT;
 
     dispatcher->caller->refusal(&fields, retry_after_us);
-    pps_http_conn_respond(conn, status, pps_buf_text(&fields), "", 0);
+    pps_http_conn_respond(conn, status, pps_buf_text(&fields), body,
+                          strlen(body));
     pps_buf_clear(&fields);
 }
 
-void
-pps_exchange_refuse(pps_exchange_t *exchange, unsigned int status,
-                    int64_t retry_after_us, const char *reason)
+static void
+end_with_error(pps_exchange_t *exchange, unsigned int status,
+               int64_t retry_after_us, const char *reason, const char *body)
 {
     pps_http_conn_t *conn = exchange->conn;
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
@@ -107,7 +116,26 @@
         return;
     }
     pps_exchange_free(exchange);
-    send_refusal(dispatcher, conn, status, retry_after_us);
+    send_refusal(dispatcher, conn, status, retry_after_us, body);
+}
+
+void
+pps_exchange_refuse(pps_exchange_t *exchange, unsigned int status,
+                    int64_t retry_after_us, const char *reason)
+{
+    end_with_error(exchange, status, retry_after_us, reason, "");
+}
+
+void
+pps_exchange_refuse_harmful(pps_exchange_t *exchange, int64_t rest_us)
+{
+    if (exchange->runs > 0) {
+        end_with_error(exchange, STATUS_BAD_GATEWAY, -1, "ends_workers",
+                       FAILED_HARMFUL_BODY);
+        return;
+    }
+    end_with_error(exchange, STATUS_UNAVAILABLE, rest_us, "ends_workers",
+                   REFUSED_HARMFUL_BODY);
 }
 
 void
@@ -271,6 +299,7 @@
     exchange->conn = conn;
     exchange->request = request;
     cds_list_add_tail(&exchange->node, &dispatcher->exchanges);
+    CDS_INIT_LIST_HEAD(&exchange->probe_node);
     dispatcher->exchange_count++;
     pps_http_conn_attach(conn, exchange);
     return exchange;
@@ -287,7 +316,7 @@
 
     pps_decision_log_refused(exchange->call.id, status, reason, revision);
     pps_exchange_free(exchange);
-    send_refusal(dispatcher, conn, status, retry_after_us);
+    send_refusal(dispatcher, conn, status, retry_after_us, "");
 }
 
 static void
@@ -379,7 +408,7 @@
     pps_crash_line_set_request(call.id);
     if (status != 0) {
         pps_decision_log_refused(call.id, status, "malformed", 0);
-        send_refusal(dispatcher, conn, status, -1);
+        send_refusal(dispatcher, conn, status, -1, "");
         return;
     }
     exchange = exchange_new(dispatcher, conn, request);
@@ -387,7 +416,7 @@
         pps_decision_log_refused(call.id, STATUS_UNAVAILABLE, "out_of_memory",
                                  0);
         send_refusal(dispatcher, conn, STATUS_UNAVAILABLE,
-                     start_retry_after_us(dispatcher, &call));
+                     start_retry_after_us(dispatcher, &call), "");
         return;
     }
     exchange->call = call;
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -45,6 +45,8 @@
     int64_t deadline_us;        /**< INT64_MAX: none */
     pps_timer_t deadline_timer; /**< also ends the wait for the start */
 
+    struct cds_list_head probe_node; /**< waits for a probe; crash_watch.h */
+
     /* These fields cover all attempts. */
     unsigned int sends; /**< attempts, including those not run */
     unsigned int runs;  /**< attempts that may have run */
@@ -69,6 +71,7 @@
     pps_rollout_sample_t counted_as; /**< where it is counted */
     int64_t sent_us;
     int64_t answer_us;        /**< when its answer began; 0: not yet */
+    int went_on;              /**< its answer went on or is whole */
     int64_t last_received_us; /**< when bytes last arrived from the worker */
     int event_arrived;        /**< a complete event since the last check */
     double work;    /**< prompt tokens, weighted as in prefill_queue.h */
@@ -124,6 +127,12 @@
 pps_exchange_refuse(pps_exchange_t *exchange, unsigned int status,
                     int64_t retry_after_us, const char *reason);
 
+/** Ends a request that is known to end workers, with an error that says so:
+ * that it has not run if no attempt may have run.
+ * @param rest_us time for which it stays refused */
+void
+pps_exchange_refuse_harmful(pps_exchange_t *exchange, int64_t rest_us);
+
 /** Ends a request that no worker can take: refuses it with a retry time if it
  * has not run, else fails it.
  * @param reason cause, for the log */
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -5,6 +5,7 @@
 #include "crash_line.h"
 #include "decision_log.h"
 #include "exchange_evidence.h"
+#include "exchange_poison.h"
 #include "exchange_reply.h"
 #include "exchange_worker.h"
 #include "papayaswitch/errors.h"
@@ -286,6 +287,9 @@
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
     pps_pool_worker_t *worker;
 
+    if (pps_exchange_refuse_poison(exchange)) {
+        return;
+    }
     if (exchange->runs == 0 &&
         !pps_reachability_admit_call(&dispatcher->reach,
                                      dispatcher->reactor->now_us)) {
@@ -308,6 +312,7 @@
     exchange->attempt = PPS_ATTEMPT_SENT;
     exchange->sent_us = dispatcher->reactor->now_us;
     exchange->answer_us = 0;
+    exchange->went_on = 0;
     exchange->last_received_us = exchange->sent_us;
     pps_pool_begin_call(worker);
     pps_worker_limit_take(&worker->limit);
--- /dev/null
+++ b/src/libpapayaswitch/exchange/exchange_poison.c
@@ -0,0 +1,158 @@
+/** @file exchange_poison.c @brief Requests under which workers end. */
+#include "exchange_poison.h"
+
+#include "clock.h"
+#include "decision_log.h"
+
+#include <string.h>
+
+/** Time after its begin from which an answer has gone on. */
+#define WENT_ON_US (400 * PPS_US_PER_MS)
+/** Time after its begin up to which an answer counts as just begun if nothing
+ * of it has arrived since. */
+#define JUST_BEGUN_US (1000 * PPS_US_PER_MS)
+
+size_t
+pps_exchange_poison_keys(const pps_exchange_t *exchange, uint64_t *out)
+{
+    const pps_call_t *call = &exchange->call;
+
+    memcpy(out, call->parts, call->part_count * sizeof(*out));
+    return call->part_count;
+}
+
+static uint64_t
+find_block(const pps_exchange_t *exchange)
+{
+    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    uint64_t keys[PPS_EXCHANGE_KEYS_MAX];
+
+    if (pps_poison_table_count(dispatcher->poison) == 0) {
+        return 0;
+    }
+    return pps_poison_table_find_block(
+        dispatcher->poison, keys, pps_exchange_poison_keys(exchange, keys),
+        dispatcher->reactor->now_us);
+}
+
+int
+pps_exchange_refuse_poison(pps_exchange_t *exchange)
+{
+    uint64_t key = find_block(exchange);
+    int64_t rest_us;
+
+    if (key == 0) {
+        return 0;
+    }
+    rest_us = pps_poison_evidence_rest_us(
+        pps_poison_table_lookup(exchange->dispatcher->poison, key),
+        exchange->dispatcher->reactor->now_us);
+    pps_decision_log_poison_refused(exchange, key);
+    pps_exchange_refuse_harmful(exchange, rest_us);
+    return 1;
+}
+
+static void
+note_good(pps_exchange_t *exchange)
+{
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    uint64_t keys[PPS_EXCHANGE_KEYS_MAX];
+    size_t count = pps_exchange_poison_keys(exchange, keys);
+    size_t told = 0;
+
+    exchange->went_on = 1;
+    for (size_t i = 0; i < count; i++) {
+        if (pps_poison_table_note_good(dispatcher->poison, keys[i],
+                                       exchange->answer_us)) {
+            keys[told++] = keys[i];
+        }
+    }
+    if (told > 0 && dispatcher->poison_notice != NULL) {
+        dispatcher->poison_notice(dispatcher->notice_user, keys, told);
+    }
+}
+
+void
+pps_exchange_note_progress(pps_exchange_t *exchange)
+{
+    int64_t now_us = exchange->dispatcher->reactor->now_us;
+
+    if (!exchange->went_on && exchange->answer_us != 0 &&
+        now_us - exchange->answer_us >= WENT_ON_US) {
+        note_good(exchange);
+    }
+}
+
+void
+pps_exchange_note_whole(pps_exchange_t *exchange)
+{
+    if (!exchange->went_on && exchange->answer_us != 0) {
+        note_good(exchange);
+    }
+}
+
+int
+pps_exchange_is_suspected(const pps_exchange_t *exchange)
+{
+    uint64_t keys[PPS_EXCHANGE_KEYS_MAX];
+    size_t count = pps_exchange_poison_keys(exchange, keys);
+
+    for (size_t i = 0; i < count; i++) {
+        if (pps_poison_table_lookup(exchange->dispatcher->poison, keys[i]) !=
+            NULL) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+int
+pps_exchange_is_at_begin(const pps_exchange_t *exchange)
+{
+    int64_t now_us = exchange->dispatcher->reactor->now_us;
+
+    return exchange->answer_us != 0 && !exchange->went_on &&
+           now_us - exchange->answer_us < JUST_BEGUN_US;
+}
+
+/* Returns whether a worker may yet end under a request that was sent to it. */
+static int
+is_exposed(const pps_exchange_t *exchange)
+{
+    return exchange->route != NULL && !exchange->went_on &&
+           exchange->attempt != PPS_ATTEMPT_NONE;
+}
+
+/* Takes requests back that were sent before their key was convicted: most
+ * workers drop a request that waits when its connection closes. */
+static void
+drop_exposed(pps_dispatcher_t *dispatcher)
+{
+    pps_exchange_t *exchange;
+    pps_exchange_t *next;
+
+    cds_list_for_each_entry_safe (exchange, next, &dispatcher->exchanges,
+                                  node) {
+        if (is_exposed(exchange)) {
+            pps_exchange_refuse_poison(exchange);
+        }
+    }
+}
+
+int
+pps_dispatcher_merge_poison(pps_dispatcher_t *dispatcher,
+                            const pps_poison_evidence_t *evidence,
+                            const char *source)
+{
+    int convicted = 0;
+    int is_new =
+        pps_poison_table_merge(dispatcher->poison, evidence, &convicted);
+
+    if (convicted) {
+        pps_decision_log_convicted(
+            pps_poison_table_lookup(dispatcher->poison, evidence->key),
+            source);
+        drop_exposed(dispatcher);
+    }
+    return is_new > 0;
+}
--- /dev/null
+++ b/src/libpapayaswitch/exchange/exchange_poison.h
@@ -0,0 +1,41 @@
+/**
+ * @file exchange_poison.h
+ * @brief Keeps requests from workers that would end under them, and collects
+ * the evidence for that.
+ */
+#ifndef PPS_EXCHANGE_EXCHANGE_POISON_H
+#define PPS_EXCHANGE_EXCHANGE_POISON_H
+
+#include "exchange.h"
+
+/** Largest number of keys of a request. */
+#define PPS_EXCHANGE_KEYS_MAX PPS_CALL_PARTS_MAX
+
+/** Copies the keys of a request under which workers may end.
+ * @param out space for PPS_EXCHANGE_KEYS_MAX @return the number of keys */
+size_t
+pps_exchange_poison_keys(const pps_exchange_t *exchange, uint64_t *out);
+
+/** Ends the request if it is known to end workers. @return whether it did */
+int
+pps_exchange_refuse_poison(pps_exchange_t *exchange);
+
+/** Notes that bytes of the answer have arrived: one that goes on for some time
+ * speaks for its request. */
+void
+pps_exchange_note_progress(pps_exchange_t *exchange);
+
+/** Notes that a worker has given the whole answer. */
+void
+pps_exchange_note_whole(pps_exchange_t *exchange);
+
+/** Returns whether a worker ended before under a request with the same key. */
+int
+pps_exchange_is_suspected(const pps_exchange_t *exchange);
+
+/** Returns whether the answer is at its beginning, where workers end if the
+ * request is the cause. */
+int
+pps_exchange_is_at_begin(const pps_exchange_t *exchange);
+
+#endif
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -6,6 +6,7 @@
 #include "decision_log.h"
 #include "exchange_evidence.h"
 #include "exchange_notes.h"
+#include "exchange_poison.h"
 #include "exchange_worker.h"
 #include "histograms.h"
 #include "model_choice.h"
@@ -268,6 +269,7 @@
 
     exchange->last_received_us = exchange->dispatcher->reactor->now_us;
     pps_reachability_record_reply(&exchange->dispatcher->reach);
+    pps_exchange_note_progress(exchange);
     if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
         error = feed_events(exchange, data, size);
     }
@@ -317,6 +319,7 @@
         observe_latency(exchange);
         record_answer_time(exchange);
         pps_exchange_evidence_count_end(exchange);
+        pps_exchange_note_whole(exchange);
     }
     pps_decision_log_ended(exchange, status, "answered");
     pps_exchange_drop_attempt(
@@ -382,6 +385,8 @@
 pps_exchange_on_attempt_failed(pps_exchange_t *exchange,
                                pps_channel_failure_t failure)
 {
+    int is_waiting = 0;
+
     if (failure == PPS_CHANNEL_UNSENT) {
         exchange->runs--;
         record_connect_timeout(exchange);
@@ -390,9 +395,11 @@
         return;
     }
     if (failure == PPS_CHANNEL_BROKEN) {
-        pps_crash_watch_note_break(exchange);
+        is_waiting = pps_crash_watch_note_break(exchange);
     }
     pps_exchange_evidence_count_failure(exchange);
     pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
-    pps_exchange_retry(exchange, failure_reason(failure), 1);
+    if (!is_waiting) {
+        pps_exchange_retry(exchange, failure_reason(failure), 1);
+    }
 }
--- a/src/libpapayaswitch/gossip/gossip.c
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -92,8 +92,9 @@
     *out = uv_buf_init(datagram, sizeof(datagram));
 }
 
-static void
-send_to(pps_gossip_t *gossip, const char *address, const pps_buf_t *encoded)
+void
+pps_gossip_send_to(pps_gossip_t *gossip, const char *address,
+                   const pps_buf_t *encoded)
 {
     struct sockaddr_in at;
     uv_buf_t buffer = uv_buf_init(encoded->data, (unsigned int)encoded->size);
@@ -172,7 +173,7 @@
                                 gossip->reactor->now_us) == 0) {
         cds_list_for_each_entry (peer, &gossip->peers, node) {
             if (is_due(gossip, peer)) {
-                send_to(gossip, peer->state.address, &encoded);
+                pps_gossip_send_to(gossip, peer->state.address, &encoded);
             }
         }
     }
@@ -191,7 +192,7 @@
             if (pps_gossip_is_live(gossip, peer) && sent < NOTICE_PEERS_MAX &&
                 (gossip->peer_count <= PPS_GOSSIP_FULL_MESH_PEERS_MAX ||
                  is_same_domain(gossip, peer))) {
-                send_to(gossip, peer->state.address, &encoded);
+                pps_gossip_send_to(gossip, peer->state.address, &encoded);
                 sent++;
             }
         }
@@ -199,14 +200,14 @@
     pps_buf_clear(&encoded);
 }
 
-static void
-send_to_live(pps_gossip_t *gossip, const pps_buf_t *encoded)
+void
+pps_gossip_send_to_live(pps_gossip_t *gossip, const pps_buf_t *encoded)
 {
     pps_gossip_peer_t *peer;
 
     cds_list_for_each_entry (peer, &gossip->peers, node) {
         if (pps_gossip_is_live(gossip, peer)) {
-            send_to(gossip, peer->state.address, encoded);
+            pps_gossip_send_to(gossip, peer->state.address, encoded);
         }
     }
 }
@@ -221,7 +222,7 @@
         error = PPS_ELIMIT;
     }
     if (error == 0) {
-        send_to_live(gossip, &encoded);
+        pps_gossip_send_to_live(gossip, &encoded);
     }
     pps_buf_clear(&encoded);
     return error;
@@ -234,7 +235,7 @@
     pps_buf_t encoded = PPS_BUF_INIT;
 
     if (pps_gossip_encode_leaving(&encoded, leaving) == 0) {
-        send_to_live(gossip, &encoded);
+        pps_gossip_send_to_live(gossip, &encoded);
     }
     pps_buf_clear(&encoded);
 }
@@ -245,7 +246,7 @@
     pps_buf_t encoded = PPS_BUF_INIT;
 
     if (pps_gossip_encode_limit(&encoded, limit) == 0) {
-        send_to_live(gossip, &encoded);
+        pps_gossip_send_to_live(gossip, &encoded);
     }
     pps_buf_clear(&encoded);
 }
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -9,6 +9,7 @@
 #ifndef PPS_GOSSIP_GOSSIP_H
 #define PPS_GOSSIP_GOSSIP_H
 
+#include "poison/poison_evidence.h"
 #include "rollout/rollout.h"
 #include "transport/reactor.h"
 
@@ -19,6 +20,8 @@
 #define PPS_GOSSIP_TOPICS 3
 /** Maximum number of roll-outs in one datagram. */
 #define PPS_GOSSIP_ROLLOUTS 2
+/** Maximum number of keys with evidence in one datagram. */
+#define PPS_GOSSIP_POISON_ITEMS 6
 
 /** A roll-out and the evidence that one host has collected. */
 typedef struct {
@@ -43,6 +46,8 @@
     int link_mbps;       /**< speed of its network link, Mbit/s; 0: unknown */
     pps_gossip_rollout_t rollouts[PPS_GOSSIP_ROLLOUTS];
     size_t rollout_count;
+    int has_poison_digest;  /**< hosts of older builds send none */
+    uint64_t poison_digest; /**< see pps_poison_table_digest() */
 } pps_gossip_state_t;
 
 /** Another host, known by its address. */
@@ -89,6 +94,13 @@
                                request was sent */
 } pps_gossip_limit_t;
 
+/** Evidence on what ends workers. */
+typedef struct {
+    char from[PPS_GOSSIP_TEXT_BYTES]; /**< address of the sender */
+    pps_poison_evidence_t items[PPS_GOSSIP_POISON_ITEMS];
+    size_t count;
+} pps_gossip_poison_t;
+
 /** The hosts among which a few are chosen for a key. */
 typedef struct {
     unsigned int hosts; /**< live hosts that can be chosen */
@@ -110,6 +122,8 @@
     void (*on_leaving)(void *user, const pps_gossip_leaving_t *leaving);
     /** Called when another host reports the limit of a worker. */
     void (*on_limit)(void *user, const pps_gossip_limit_t *limit);
+    /** Called when another host sends evidence on what ends workers. */
+    void (*on_poison)(void *user, const pps_gossip_poison_t *poison);
 } pps_gossip_ops_t;
 
 /** The gossip socket of one host and the peers it knows. */
@@ -151,6 +165,18 @@
 void
 pps_gossip_send_limit(pps_gossip_t *gossip, const pps_gossip_limit_t *limit);
 
+/** Sends evidence on what ends workers to all live peers, or to one.
+ * @param address of a known peer; NULL: all */
+void
+pps_gossip_send_poison(pps_gossip_t *gossip,
+                       const pps_poison_evidence_t *items, size_t count,
+                       const char *address);
+
+/** Checks whether this host passes on what is news to it: with many hosts, the
+ * others do not hear each other. */
+int
+pps_gossip_relays(const pps_gossip_t *gossip);
+
 /**
  * Ranks this host among the live hosts for a key, by a hash of both, so that
  * all hosts choose the same few without asking each other. With many peers,
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -9,10 +9,10 @@
 #include <msgpack.h>
 #include <string.h>
 
-/** The epochs stand last, and so do the slow answers of a count and the counts
- * of loaded workers: hosts of older builds ignore what follows the elements
- * that they know, and send none. */
-#define STATE_FIELDS 14
+/** The epochs and the digest of crashes stand last, and so do the slow answers
+ * of a count and the counts of loaded workers: hosts of older builds ignore
+ * what follows the elements that they know, and send none. */
+#define STATE_FIELDS 15
 #define ROLLOUT_FIELDS 14
 #define COUNT_FIELDS 10
 
@@ -128,6 +128,7 @@
     for (size_t i = 0; i < PPS_GOSSIP_TOPICS; i++) {
         msgpack_pack_int64(&packer, state->topic_epochs[i]);
     }
+    msgpack_pack_uint64(&packer, state->poison_digest);
     return out->failed ? PPS_ENOMEM : PPS_OK;
 }
 
@@ -230,6 +231,16 @@
     fields->failed |= list.failed;
 }
 
+static void
+decode_poison_digest(pps_gossip_state_t *state, pps_cursor_t *fields)
+{
+    if (fields->failed || fields->unread_count == 0) {
+        return;
+    }
+    state->poison_digest = (uint64_t)pps_cursor_read_integer(fields);
+    state->has_poison_digest = 1;
+}
+
 static void
 decode_state(pps_gossip_message_t *out, pps_cursor_t *fields, int64_t now_us)
 {
@@ -273,6 +284,7 @@
     }
     fields->failed |= list.failed;
     decode_epochs(state, fields);
+    decode_poison_digest(state, fields);
 }
 
 int
--- a/src/libpapayaswitch/gossip/gossip_codec.h
+++ b/src/libpapayaswitch/gossip/gossip_codec.h
@@ -25,6 +25,7 @@
     PPS_GOSSIP_RECORD,
     PPS_GOSSIP_LEAVING,
     PPS_GOSSIP_LIMIT,
+    PPS_GOSSIP_POISON,
 } pps_gossip_kind_t;
 
 /** Returns the kind that the first bytes of a datagram state. */
@@ -66,6 +67,18 @@
 pps_gossip_decode_limit(pps_gossip_limit_t *out, const char *data,
                         size_t size);
 
+/** Appends evidence on what ends workers; times become ages.
+ * @return 0 or PPS_ENOMEM */
+int
+pps_gossip_encode_poison(pps_buf_t *out, const pps_gossip_poison_t *poison,
+                         int64_t now_us);
+
+/** Decodes evidence on what ends workers. Items beyond the maximum number are
+ * left out. @return 0, or PPS_ECORRUPT if it is none */
+int
+pps_gossip_decode_poison(pps_gossip_poison_t *out, const char *data,
+                         size_t size, int64_t now_us);
+
 /** Appends a record. @return 0 or PPS_ENOMEM */
 int
 pps_gossip_encode_record(pps_buf_t *out, const pps_gossip_record_t *record);
--- a/src/libpapayaswitch/gossip/gossip_event_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_event_codec.c
@@ -42,6 +42,8 @@
         return PPS_GOSSIP_LEAVING;
     case PPS_GOSSIP_LIMIT_VERSION:
         return PPS_GOSSIP_LIMIT;
+    case PPS_GOSSIP_POISON_VERSION:
+        return PPS_GOSSIP_POISON;
     default:
         return PPS_GOSSIP_UNKNOWN;
     }
--- /dev/null
+++ b/src/libpapayaswitch/gossip/gossip_poison.c
@@ -0,0 +1,186 @@
+/** @file gossip_poison.c @brief Sends and receives evidence on what ends
+ * workers. */
+#include "gossip_state.h"
+
+#include "cursor.h"
+#include "gossip_versions.h"
+#include "msgpack_check.h"
+#include "papayaswitch/errors.h"
+
+#include <string.h>
+
+#define POISON_FIELDS 3
+#define EVIDENCE_FIELDS 4
+#define CRASH_FIELDS 3
+#define NEVER (-1)
+
+static void
+pack_evidence(msgpack_packer *packer, const pps_poison_evidence_t *evidence,
+              int64_t now_us)
+{
+    msgpack_pack_array(packer, EVIDENCE_FIELDS);
+    msgpack_pack_uint64(packer, evidence->key);
+    msgpack_pack_int(packer, evidence->convicted);
+    msgpack_pack_int64(
+        packer, evidence->good_us != 0 ? now_us - evidence->good_us : NEVER);
+    msgpack_pack_array(packer, evidence->crash_count);
+    for (unsigned int i = 0; i < evidence->crash_count; i++) {
+        const pps_poison_crash_t *crash = &evidence->crashes[i];
+
+        msgpack_pack_array(packer, CRASH_FIELDS);
+        msgpack_pack_uint64(packer, crash->id);
+        msgpack_pack_int64(packer, now_us - crash->begun_us);
+        msgpack_pack_int64(packer, now_us - crash->at_us);
+    }
+}
+
+int
+pps_gossip_encode_poison(pps_buf_t *out, const pps_gossip_poison_t *poison,
+                         int64_t now_us)
+{
+    msgpack_packer packer;
+
+    msgpack_packer_init(&packer, out, pps_gossip_append);
+    msgpack_pack_array(&packer, POISON_FIELDS);
+    msgpack_pack_int(&packer, PPS_GOSSIP_POISON_VERSION);
+    msgpack_pack_str_with_body(&packer, poison->from, strlen(poison->from));
+    msgpack_pack_array(&packer, poison->count);
+    for (size_t i = 0; i < poison->count; i++) {
+        pack_evidence(&packer, &poison->items[i], now_us);
+    }
+    return out->failed ? PPS_ENOMEM : PPS_OK;
+}
+
+/* Reads the time since an event. Returns the time of the event. */
+static int64_t
+read_age(pps_cursor_t *fields, int64_t now_us)
+{
+    int64_t age_us = pps_cursor_read_integer(fields);
+
+    if (age_us < 0 || age_us >= now_us) {
+        fields->failed = 1;
+        return 0;
+    }
+    return now_us - age_us;
+}
+
+static void
+decode_crash(pps_poison_evidence_t *out, pps_cursor_t *list, int64_t now_us)
+{
+    pps_cursor_t fields = pps_cursor_read_array(list);
+    pps_poison_crash_t crash;
+
+    crash.id = (uint64_t)pps_cursor_read_integer(&fields);
+    crash.begun_us = read_age(&fields, now_us);
+    crash.at_us = read_age(&fields, now_us);
+    list->failed |= fields.failed;
+    if (!list->failed) {
+        pps_poison_evidence_add_crash(out, &crash);
+    }
+}
+
+static void
+decode_evidence(pps_poison_evidence_t *out, pps_cursor_t *list, int64_t now_us)
+{
+    pps_cursor_t fields = pps_cursor_read_array(list);
+    pps_cursor_t crashes;
+    int64_t good_age_us;
+
+    memset(out, 0, sizeof(*out));
+    out->key = (uint64_t)pps_cursor_read_integer(&fields);
+    out->convicted = pps_cursor_read_integer(&fields) != 0;
+    good_age_us = pps_cursor_read_integer(&fields);
+    if (good_age_us != NEVER) {
+        fields.failed |= good_age_us < 0 || good_age_us >= now_us;
+        out->good_us = now_us - good_age_us;
+    }
+    crashes = pps_cursor_read_array(&fields);
+    while (crashes.unread_count > 0 && !crashes.failed) {
+        decode_crash(out, &crashes, now_us);
+    }
+    list->failed |= fields.failed | crashes.failed;
+}
+
+static void
+decode_items(pps_gossip_poison_t *out, pps_cursor_t *fields, int64_t now_us)
+{
+    pps_cursor_t list;
+
+    pps_cursor_read_string(out->from, sizeof(out->from), fields);
+    list = pps_cursor_read_array(fields);
+    while (list.unread_count > 0 && !list.failed &&
+           out->count < PPS_GOSSIP_POISON_ITEMS) {
+        decode_evidence(&out->items[out->count++], &list, now_us);
+    }
+    fields->failed |= list.failed;
+}
+
+int
+pps_gossip_decode_poison(pps_gossip_poison_t *out, const char *data,
+                         size_t size, int64_t now_us)
+{
+    msgpack_unpacked unpacked;
+    pps_cursor_t root;
+    pps_cursor_t fields;
+
+    memset(out, 0, sizeof(*out));
+    if (pps_msgpack_unpack(&unpacked, data, size) != 0) {
+        msgpack_unpacked_destroy(&unpacked);
+        return PPS_ECORRUPT;
+    }
+    root = (pps_cursor_t){&unpacked.data, 1, 0};
+    fields = pps_cursor_read_array(&root);
+    if (pps_cursor_read_integer(&fields) != PPS_GOSSIP_POISON_VERSION) {
+        fields.failed = 1;
+    }
+    else {
+        decode_items(out, &fields, now_us);
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return root.failed || fields.failed ? PPS_ECORRUPT : PPS_OK;
+}
+
+static void
+send_items(pps_gossip_t *gossip, const pps_gossip_poison_t *poison,
+           const char *address)
+{
+    pps_buf_t encoded = PPS_BUF_INIT;
+
+    if (pps_gossip_encode_poison(&encoded, poison, gossip->reactor->now_us) ==
+        0) {
+        if (address != NULL) {
+            pps_gossip_send_to(gossip, address, &encoded);
+        }
+        else {
+            pps_gossip_send_to_live(gossip, &encoded);
+        }
+    }
+    pps_buf_clear(&encoded);
+}
+
+void
+pps_gossip_send_poison(pps_gossip_t *gossip,
+                       const pps_poison_evidence_t *items, size_t count,
+                       const char *address)
+{
+    pps_gossip_poison_t poison = {0};
+
+    if (address != NULL && pps_gossip_find_peer(gossip, address) == NULL) {
+        return;
+    }
+    memcpy(poison.from, gossip->own.state.address, sizeof(poison.from));
+    for (size_t sent = 0; sent < count; sent += poison.count) {
+        poison.count = count - sent < PPS_GOSSIP_POISON_ITEMS
+                           ? count - sent
+                           : PPS_GOSSIP_POISON_ITEMS;
+        memcpy(poison.items, items + sent, poison.count * sizeof(*items));
+        send_items(gossip, &poison, address);
+    }
+}
+
+int
+pps_gossip_relays(const pps_gossip_t *gossip)
+{
+    return gossip->peer_count > PPS_GOSSIP_FULL_MESH_PEERS_MAX &&
+           pps_gossip_is_reader(gossip);
+}
--- a/src/libpapayaswitch/gossip/gossip_receive.c
+++ b/src/libpapayaswitch/gossip/gossip_receive.c
@@ -86,6 +86,19 @@
     return error;
 }
 
+static int
+receive_poison(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_poison_t poison;
+    int error =
+        pps_gossip_decode_poison(&poison, data, size, gossip->reactor->now_us);
+
+    if (error == 0) {
+        gossip->ops->on_poison(gossip->user, &poison);
+    }
+    return error;
+}
+
 int
 pps_gossip_receive(pps_gossip_t *gossip, const char *data, size_t size)
 {
@@ -101,6 +114,8 @@
         return receive_leaving(gossip, data, size);
     case PPS_GOSSIP_LIMIT:
         return receive_limit(gossip, data, size);
+    case PPS_GOSSIP_POISON:
+        return receive_poison(gossip, data, size);
     case PPS_GOSSIP_STATE:
         error = pps_gossip_decode_state(&message, data, size,
                                         gossip->reactor->now_us);
--- a/src/libpapayaswitch/gossip/gossip_state.h
+++ b/src/libpapayaswitch/gossip/gossip_state.h
@@ -41,6 +41,15 @@
 pps_gossip_peer_t *
 pps_gossip_add_peer(pps_gossip_t *gossip, const char *address);
 
+/** Sends a datagram to an address. */
+void
+pps_gossip_send_to(pps_gossip_t *gossip, const char *address,
+                   const pps_buf_t *encoded);
+
+/** Sends a datagram to all live peers. */
+void
+pps_gossip_send_to_live(pps_gossip_t *gossip, const pps_buf_t *encoded);
+
 /** Decodes a datagram and calls the owner's callbacks.
  * @return 0 or PPS_ECORRUPT */
 int
--- /dev/null
+++ b/src/libpapayaswitch/poison/poison_evidence.c
@@ -0,0 +1,180 @@
+/** @file poison_evidence.c @brief Merges and judges evidence on one key. */
+#include "poison_evidence.h"
+
+#include "clock.h"
+
+#include <string.h>
+
+/** Independent crashes that suffice, and those that suffice against a key with
+ * which an answer went on before. */
+#define CRASHES_MIN 3
+#define CRASHES_MIN_KNOWN_GOOD 5
+/** Crashes that are further apart than this are independent of each other. A
+ * rack that loses power ends many workers at once. */
+#define SAME_CAUSE_US (30 * PPS_US_PER_MS)
+/** Only crashes that are this much older than the last one count. */
+#define COUNTED_US (600 * PPS_US_PER_S)
+/** Time after the last crash for which a convicted key is suspect. */
+#define SUSPECT_US (1800 * PPS_US_PER_S)
+/** Time after the last crash for which a conviction is remembered. */
+#define REMEMBERED_US (86400 * PPS_US_PER_S)
+
+int
+pps_poison_evidence_has_crash(const pps_poison_evidence_t *evidence,
+                              uint64_t crash_id)
+{
+    for (unsigned int i = 0; i < evidence->crash_count; i++) {
+        if (evidence->crashes[i].id == crash_id) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+int
+pps_poison_evidence_add_crash(pps_poison_evidence_t *evidence,
+                              const pps_poison_crash_t *crash)
+{
+    unsigned int at = 0;
+
+    if (crash->begun_us < evidence->good_us ||
+        pps_poison_evidence_has_crash(evidence, crash->id)) {
+        return 0;
+    }
+    while (at < evidence->crash_count &&
+           evidence->crashes[at].at_us >= crash->at_us) {
+        at++;
+    }
+    if (at == PPS_POISON_CRASHES_MAX) {
+        return 0;
+    }
+    if (evidence->crash_count < PPS_POISON_CRASHES_MAX) {
+        evidence->crash_count++;
+    }
+    memmove(&evidence->crashes[at + 1], &evidence->crashes[at],
+            (evidence->crash_count - at - 1) * sizeof(*crash));
+    evidence->crashes[at] = *crash;
+    return 1;
+}
+
+int
+pps_poison_evidence_add_good(pps_poison_evidence_t *evidence, int64_t begun_us)
+{
+    unsigned int kept = 0;
+    unsigned int before = evidence->crash_count;
+
+    if (begun_us <= evidence->good_us) {
+        return 0;
+    }
+    evidence->good_us = begun_us;
+    for (unsigned int i = 0; i < before; i++) {
+        if (evidence->crashes[i].begun_us >= begun_us) {
+            evidence->crashes[kept++] = evidence->crashes[i];
+        }
+    }
+    evidence->crash_count = kept;
+    if (kept < before) {
+        evidence->convicted = 0;
+    }
+    return kept < before;
+}
+
+int
+pps_poison_evidence_merge(pps_poison_evidence_t *evidence,
+                          const pps_poison_evidence_t *other)
+{
+    int is_new = pps_poison_evidence_add_good(evidence, other->good_us);
+    unsigned int added = 0;
+
+    for (unsigned int i = 0; i < other->crash_count; i++) {
+        added +=
+            pps_poison_evidence_add_crash(evidence, &other->crashes[i]) != 0;
+    }
+    if (other->convicted && !evidence->convicted &&
+        pps_poison_evidence_covers(evidence, other) &&
+        other->crash_count > 0) {
+        evidence->convicted = 1;
+        is_new = 1;
+    }
+    return is_new || added > 0;
+}
+
+/* Counts crashes of which none had the same cause from outside: each answer
+ * began after the crash before, or it broke off long after that. */
+static unsigned int
+count_independent(const pps_poison_evidence_t *evidence)
+{
+    int64_t newest_us = evidence->crashes[0].at_us;
+    int64_t last_us = INT64_MIN / 2;
+    unsigned int count = 0;
+
+    for (unsigned int i = evidence->crash_count; i-- > 0;) {
+        const pps_poison_crash_t *crash = &evidence->crashes[i];
+
+        if (newest_us - crash->at_us <= COUNTED_US &&
+            (crash->begun_us >= last_us ||
+             crash->at_us - last_us > SAME_CAUSE_US)) {
+            count++;
+            last_us = crash->at_us;
+        }
+    }
+    return count;
+}
+
+int
+pps_poison_evidence_suffices(const pps_poison_evidence_t *evidence)
+{
+    unsigned int wanted =
+        evidence->good_us != 0 ? CRASHES_MIN_KNOWN_GOOD : CRASHES_MIN;
+
+    return evidence->crash_count >= wanted &&
+           count_independent(evidence) >= wanted;
+}
+
+int
+pps_poison_evidence_convict(pps_poison_evidence_t *evidence)
+{
+    if (evidence->convicted || !pps_poison_evidence_suffices(evidence)) {
+        return 0;
+    }
+    evidence->convicted = 1;
+    return 1;
+}
+
+int64_t
+pps_poison_evidence_rest_us(const pps_poison_evidence_t *evidence,
+                            int64_t now_us)
+{
+    if (!evidence->convicted || evidence->crash_count == 0) {
+        return 0;
+    }
+    return evidence->crashes[0].at_us + SUSPECT_US - now_us;
+}
+
+int
+pps_poison_evidence_is_suspect(const pps_poison_evidence_t *evidence,
+                               int64_t now_us)
+{
+    return pps_poison_evidence_rest_us(evidence, now_us) > 0;
+}
+
+int
+pps_poison_evidence_is_stale(const pps_poison_evidence_t *evidence,
+                             int64_t now_us)
+{
+    return evidence->crash_count == 0 ||
+           now_us - evidence->crashes[0].at_us >
+               (evidence->convicted ? REMEMBERED_US : COUNTED_US);
+}
+
+int
+pps_poison_evidence_covers(const pps_poison_evidence_t *evidence,
+                           const pps_poison_evidence_t *covered)
+{
+    for (unsigned int i = 0; i < covered->crash_count; i++) {
+        if (!pps_poison_evidence_has_crash(evidence, covered->crashes[i].id)) {
+            return 0;
+        }
+    }
+    return 1;
+}
--- /dev/null
+++ b/src/libpapayaswitch/poison/poison_table.c
@@ -0,0 +1,368 @@
+/** @file poison_table.c @brief Evidence on all keys, and what it blocks. */
+#include "poison_table.h"
+
+#include "papayaswitch/errors.h"
+#include "table.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <urcu/compiler.h>
+#include <urcu/list.h>
+#include <xxhash.h>
+
+/** Number of keys with crashes. When it is reached, the key with the fewest
+ * and oldest crashes gives way. */
+#define KEYS_MAX 512
+/** Number of keys of which it is known that an answer went on; a power of 2.
+ */
+#define GOOD_SLOTS 4096
+#define DIGEST_CRASHES_MIN 2
+/** Number of convicted keys that are tried as one of two causes. */
+#define FIRST_CAUSES_MAX 16
+
+typedef struct {
+    pps_table_item_t item;
+    struct cds_list_head node;
+    pps_poison_evidence_t evidence;
+} entry_t;
+
+typedef struct {
+    uint64_t key;
+    int64_t begun_us;
+} good_t;
+
+struct pps_poison_table {
+    pps_table_t entries; /* by key */
+    struct cds_list_head list;
+    good_t goods[GOOD_SLOTS]; /* by the key's lowest bits; may be overwritten
+                               */
+};
+
+int
+pps_poison_table_new(pps_poison_table_t **out)
+{
+    pps_poison_table_t *table = calloc(1, sizeof(*table));
+
+    if (table == NULL) {
+        return PPS_ENOMEM;
+    }
+    CDS_INIT_LIST_HEAD(&table->list);
+    *out = table;
+    return PPS_OK;
+}
+
+static void
+remove_entry(pps_poison_table_t *table, entry_t *entry)
+{
+    pps_table_remove(&table->entries, &entry->item);
+    cds_list_del(&entry->node);
+    free(entry);
+}
+
+void
+pps_poison_table_free(pps_poison_table_t *table)
+{
+    entry_t *entry;
+    entry_t *next;
+
+    if (table == NULL) {
+        return;
+    }
+    cds_list_for_each_entry_safe (entry, next, &table->list, node) {
+        remove_entry(table, entry);
+    }
+    free(table);
+}
+
+static entry_t *
+find_entry(const pps_poison_table_t *table, uint64_t key)
+{
+    pps_table_item_t *item =
+        pps_table_find(&table->entries, &key, sizeof(key));
+
+    return item != NULL ? caa_container_of(item, entry_t, item) : NULL;
+}
+
+const pps_poison_evidence_t *
+pps_poison_table_lookup(const pps_poison_table_t *table, uint64_t key)
+{
+    const entry_t *entry = find_entry(table, key);
+
+    return entry != NULL ? &entry->evidence : NULL;
+}
+
+size_t
+pps_poison_table_count(const pps_poison_table_t *table)
+{
+    return pps_table_count(&table->entries);
+}
+
+int64_t
+pps_poison_table_good_us(const pps_poison_table_t *table, uint64_t key)
+{
+    const good_t *good = &table->goods[key % GOOD_SLOTS];
+
+    return good->key == key ? good->begun_us : 0;
+}
+
+static void
+remember_good(pps_poison_table_t *table, uint64_t key, int64_t begun_us)
+{
+    good_t *good = &table->goods[key % GOOD_SLOTS];
+
+    if (good->key != key || good->begun_us < begun_us) {
+        *good = (good_t){key, begun_us};
+    }
+}
+
+int
+pps_poison_table_note_good(pps_poison_table_t *table, uint64_t key,
+                           int64_t begun_us)
+{
+    entry_t *entry = find_entry(table, key);
+    int is_contradiction;
+
+    remember_good(table, key, begun_us);
+    if (entry == NULL) {
+        return 0;
+    }
+    is_contradiction =
+        pps_poison_evidence_add_good(&entry->evidence, begun_us);
+    if (entry->evidence.crash_count == 0) {
+        remove_entry(table, entry);
+    }
+    return is_contradiction;
+}
+
+static int
+is_weaker(const pps_poison_evidence_t *evidence,
+          const pps_poison_evidence_t *other)
+{
+    if (evidence->convicted != other->convicted) {
+        return !evidence->convicted;
+    }
+    if (evidence->crash_count != other->crash_count) {
+        return evidence->crash_count < other->crash_count;
+    }
+    return evidence->crashes[0].at_us < other->crashes[0].at_us;
+}
+
+static void
+remove_weakest(pps_poison_table_t *table)
+{
+    entry_t *weakest = NULL;
+    entry_t *entry;
+
+    cds_list_for_each_entry (entry, &table->list, node) {
+        if (weakest == NULL ||
+            is_weaker(&entry->evidence, &weakest->evidence)) {
+            weakest = entry;
+        }
+    }
+    if (weakest != NULL) {
+        remove_entry(table, weakest);
+    }
+}
+
+static entry_t *
+add_entry(pps_poison_table_t *table, uint64_t key)
+{
+    entry_t *entry;
+
+    if (pps_poison_table_count(table) >= KEYS_MAX) {
+        remove_weakest(table);
+    }
+    entry = calloc(1, sizeof(*entry));
+    if (entry == NULL) {
+        return NULL;
+    }
+    entry->evidence.key = key;
+    entry->evidence.good_us = pps_poison_table_good_us(table, key);
+    pps_table_add(&table->entries, &entry->item, &entry->evidence.key,
+                  sizeof(entry->evidence.key));
+    cds_list_add_tail(&entry->node, &table->list);
+    return entry;
+}
+
+int
+pps_poison_table_merge(pps_poison_table_t *table,
+                       const pps_poison_evidence_t *evidence, int *convicted)
+{
+    entry_t *entry = find_entry(table, evidence->key);
+    int was_convicted = entry != NULL && entry->evidence.convicted;
+    int is_new;
+
+    if (evidence->good_us != 0) {
+        remember_good(table, evidence->key, evidence->good_us);
+    }
+    if (entry == NULL && evidence->crash_count > 0) {
+        entry = add_entry(table, evidence->key);
+        if (entry == NULL) {
+            return PPS_ENOMEM;
+        }
+    }
+    if (entry == NULL) {
+        return 0;
+    }
+    is_new = pps_poison_evidence_merge(&entry->evidence, evidence);
+    pps_poison_evidence_convict(&entry->evidence);
+    if (convicted != NULL) {
+        *convicted = entry->evidence.convicted && !was_convicted;
+    }
+    if (entry->evidence.crash_count == 0) {
+        remove_entry(table, entry);
+    }
+    return is_new;
+}
+
+static int
+holds(const uint64_t *keys, size_t count, uint64_t key)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (keys[i] == key) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* Returns whether another key, which the request does not hold, may be the
+ * cause of all crashes of a key. A key with which an answer went on does not
+ * excuse one of which none is known. */
+static int
+has_other_cause(const pps_poison_table_t *table,
+                const pps_poison_evidence_t *evidence, const uint64_t *keys,
+                size_t count)
+{
+    const entry_t *other;
+
+    cds_list_for_each_entry (other, &table->list, node) {
+        if (!holds(keys, count, other->evidence.key) &&
+            (evidence->good_us != 0 || other->evidence.good_us == 0) &&
+            pps_poison_evidence_covers(&other->evidence, evidence)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static int
+is_in_one(const pps_poison_evidence_t *evidence,
+          const pps_poison_evidence_t *other, uint64_t crash_id)
+{
+    return pps_poison_evidence_has_crash(evidence, crash_id) ||
+           pps_poison_evidence_has_crash(other, crash_id);
+}
+
+static int
+covers_with(const pps_poison_evidence_t *first,
+            const pps_poison_evidence_t *second,
+            const pps_poison_evidence_t *covered)
+{
+    for (unsigned int i = 0; i < covered->crash_count; i++) {
+        if (!is_in_one(first, second, covered->crashes[i].id)) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
+/* Returns whether two keys may be the causes, of which one is convicted and
+ * none is known to be good. */
+static int
+has_two_causes(const pps_poison_table_t *table,
+               const pps_poison_evidence_t *evidence, const uint64_t *keys,
+               size_t count)
+{
+    const entry_t *first;
+    const entry_t *second;
+    unsigned int tried = 0;
+
+    cds_list_for_each_entry (first, &table->list, node) {
+        if (!first->evidence.convicted || first->evidence.good_us != 0 ||
+            holds(keys, count, first->evidence.key)) {
+            continue;
+        }
+        if (++tried > FIRST_CAUSES_MAX) {
+            return 0;
+        }
+        cds_list_for_each_entry (second, &table->list, node) {
+            if (second->evidence.good_us == 0 &&
+                !holds(keys, count, second->evidence.key) &&
+                covers_with(&first->evidence, &second->evidence, evidence)) {
+                return 1;
+            }
+        }
+    }
+    return 0;
+}
+
+uint64_t
+pps_poison_table_find_block(const pps_poison_table_t *table,
+                            const uint64_t *keys, size_t count, int64_t now_us)
+{
+    if (pps_poison_table_count(table) == 0) {
+        return 0;
+    }
+    for (size_t i = 0; i < count; i++) {
+        const pps_poison_evidence_t *evidence =
+            pps_poison_table_lookup(table, keys[i]);
+
+        if (evidence != NULL &&
+            pps_poison_evidence_is_suspect(evidence, now_us) &&
+            !has_other_cause(table, evidence, keys, count) &&
+            !has_two_causes(table, evidence, keys, count)) {
+            return keys[i];
+        }
+    }
+    return 0;
+}
+
+void
+pps_poison_table_visit(const pps_poison_table_t *table,
+                       unsigned int crashes_min, pps_poison_visit_fn visit,
+                       void *user)
+{
+    const entry_t *entry;
+
+    cds_list_for_each_entry (entry, &table->list, node) {
+        if (entry->evidence.crash_count >= crashes_min &&
+            visit(user, &entry->evidence) != 0) {
+            return;
+        }
+    }
+}
+
+static int
+add_to_digest(void *user, const pps_poison_evidence_t *evidence)
+{
+    uint64_t *digest = user;
+
+    for (unsigned int i = 0; i < evidence->crash_count; i++) {
+        *digest +=
+            XXH64(&evidence->crashes[i].id, sizeof(uint64_t), evidence->key);
+    }
+    return 0;
+}
+
+uint64_t
+pps_poison_table_digest(const pps_poison_table_t *table)
+{
+    uint64_t digest = 0;
+
+    pps_poison_table_visit(table, DIGEST_CRASHES_MIN, add_to_digest, &digest);
+    return digest;
+}
+
+void
+pps_poison_table_sweep(pps_poison_table_t *table, int64_t now_us)
+{
+    entry_t *entry;
+    entry_t *next;
+
+    cds_list_for_each_entry_safe (entry, next, &table->list, node) {
+        if (pps_poison_evidence_is_stale(&entry->evidence, now_us)) {
+            remove_entry(table, entry);
+        }
+    }
+}
--- a/tests/entry/test_gossip_codec.c
+++ b/tests/entry/test_gossip_codec.c
@@ -27,6 +27,7 @@
     message.state.link_mbps = 200;
     message.state.topic_ends[1] = 512;
     message.state.topic_epochs[1] = 3;
+    message.state.poison_digest = UINT64_C(0x9123456789abcdef);
     snprintf(message.hints[0], PPS_GOSSIP_TEXT_BYTES, "10.0.0.9");
     message.hint_count = 1;
     message.state.rollout_count = 1;
@@ -132,10 +133,11 @@
     }
 }
 
-/* A datagram of an older build ends before the epochs, and such a build
- * ignores them. */
+/* A datagram of an older build ends before the epochs or the digest of
+ * crashes, and such a build ignores them. */
 Test(gossip_codec, epochs_are_optional)
 {
+    static const size_t digest_bytes = 9;
     static const size_t epochs_bytes = 1 + PPS_GOSSIP_TOPICS;
     static const size_t epoch_bytes = 1;
     const pps_gossip_record_t record = {1, 900, 880, "key", 3, "v", 1, 4};
@@ -146,11 +148,23 @@
     pps_buf_t encoded = PPS_BUF_INIT;
 
     cr_assert_eq(pps_gossip_encode_state(&encoded, &message, ENCODED_US), 0);
+    cr_assert_eq(pps_gossip_decode_state(&state, encoded.data, encoded.size,
+                                         DECODED_US),
+                 0);
+    cr_expect_eq(state.state.has_poison_digest, 1);
+    cr_expect_eq(state.state.poison_digest, message.state.poison_digest);
     encoded.data[0]--;
     cr_assert_eq(pps_gossip_decode_state(&state, encoded.data,
-                                         encoded.size - epochs_bytes,
+                                         encoded.size - digest_bytes,
                                          DECODED_US),
                  0);
+    cr_expect_eq(state.state.topic_epochs[1], 3);
+    cr_expect_eq(state.state.has_poison_digest, 0);
+    encoded.data[0]--;
+    cr_assert_eq(pps_gossip_decode_state(
+                     &state, encoded.data,
+                     encoded.size - digest_bytes - epochs_bytes, DECODED_US),
+                 0);
     cr_expect_eq(state.state.topic_ends[1], 512);
     cr_expect_eq(state.state.topic_epochs[1], 0);
     pps_buf_clear(&encoded);
@@ -210,3 +224,50 @@
     }
     pps_buf_clear(&encoded);
 }
+
+Test(gossip_codec, poison_round_trip)
+{
+    const pps_gossip_poison_t poison = {
+        .from = "10.0.0.1",
+        .items = {{.key = UINT64_C(0x9123456789abcdef),
+                   .convicted = 1,
+                   .crashes = {{7, ENCODED_US - 60, ENCODED_US - 50},
+                               {8, ENCODED_US - 900, ENCODED_US - 800}},
+                   .crash_count = 2},
+                  {.key = 5, .good_us = ENCODED_US - 40}},
+        .count = 2,
+    };
+    pps_gossip_poison_t decoded;
+    pps_buf_t encoded = PPS_BUF_INIT;
+
+    cr_assert_eq(pps_gossip_encode_poison(&encoded, &poison, ENCODED_US), 0);
+    cr_expect_eq(pps_gossip_read_kind(encoded.data, encoded.size),
+                 PPS_GOSSIP_POISON);
+    cr_assert_eq(pps_gossip_decode_poison(&decoded, encoded.data, encoded.size,
+                                          DECODED_US),
+                 0);
+    cr_expect_str_eq(decoded.from, "10.0.0.1");
+    cr_assert_eq(decoded.count, 2);
+    cr_expect_eq(decoded.items[0].key, poison.items[0].key);
+    cr_expect_eq(decoded.items[0].convicted, 1);
+    cr_expect_eq(decoded.items[0].good_us, 0);
+    cr_assert_eq(decoded.items[0].crash_count, 2);
+    cr_expect_eq(decoded.items[0].crashes[1].begun_us, DECODED_US - 900);
+    cr_expect_eq(decoded.items[0].crashes[1].at_us, DECODED_US - 800);
+    cr_expect_eq(decoded.items[1].good_us, DECODED_US - 40);
+    for (size_t length = 0; length < encoded.size; length++) {
+        cr_expect_eq(pps_gossip_decode_poison(&decoded, encoded.data, length,
+                                              DECODED_US),
+                     PPS_ECORRUPT, "cut at %zu", length);
+    }
+    for (size_t at = 0; at < encoded.size; at++) {
+        for (int bit = 0; bit < 8; bit++) {
+            encoded.data[at] ^= (char)(1 << bit);
+            pps_gossip_decode_poison(&decoded, encoded.data, encoded.size,
+                                     DECODED_US);
+            cr_expect_leq(decoded.count, PPS_GOSSIP_POISON_ITEMS);
+            encoded.data[at] ^= (char)(1 << bit);
+        }
+    }
+    pps_buf_clear(&encoded);
+}
