Keep convicted keys in the store, for the time after all hosts have ended

What callers would have seen: after all hosts are killed, requests with the part end workers again until the evidence is there anew.

Cause: the evidence was in the hosts' memory only. The first reader writes each convicted key to a topic of its own, again when the store has come back from a backup, and deletes it when an answer has cleared the key. A host that starts lists the topic once. Times are wall-clock times there; a record from the future counts as now. Times before a host's start are negative on its clock: merging took them for 'none', which the test of a host that starts showed.

--- a/src/libpapayaswitch/gossip/gossip_poison.c
+++ b/src/libpapayaswitch/gossip/gossip_poison.c
@@ -2,6 +2,7 @@
  * workers. */
 #include "gossip_state.h"
 
+#include "clock.h"
 #include "cursor.h"
 #include "gossip_versions.h"
 #include "msgpack_check.h"
@@ -13,6 +14,16 @@
 #define EVIDENCE_FIELDS 4
 #define CRASH_FIELDS 3
 #define NEVER (-1)
+/** Largest age that is told. */
+#define AGE_MAX_US (86400 * PPS_US_PER_S)
+
+static void
+pack_age(msgpack_packer *packer, int64_t event_us, int64_t now_us)
+{
+    int64_t age_us = now_us > event_us ? now_us - event_us : 0;
+
+    msgpack_pack_int64(packer, age_us < AGE_MAX_US ? age_us : AGE_MAX_US);
+}
 
 static void
 pack_evidence(msgpack_packer *packer, const pps_poison_evidence_t *evidence,
@@ -21,16 +32,20 @@
     msgpack_pack_array(packer, EVIDENCE_FIELDS);
     msgpack_pack_uint64(packer, evidence->key);
     msgpack_pack_int(packer, evidence->convicted);
-    msgpack_pack_int64(
-        packer, evidence->good_us != 0 ? now_us - evidence->good_us : NEVER);
+    if (evidence->good_us != 0) {
+        pack_age(packer, evidence->good_us, now_us);
+    }
+    else {
+        msgpack_pack_int64(packer, NEVER);
+    }
     msgpack_pack_array(packer, evidence->crash_count);
     for (unsigned int i = 0; i < evidence->crash_count; i++) {
         const pps_poison_crash_t *crash = &evidence->crashes[i];
 
         msgpack_pack_array(packer, CRASH_FIELDS);
         msgpack_pack_uint64(packer, crash->id);
-        msgpack_pack_int64(packer, now_us - crash->begun_us);
-        msgpack_pack_int64(packer, now_us - crash->at_us);
+        pack_age(packer, crash->begun_us, now_us);
+        pack_age(packer, crash->at_us, now_us);
     }
 }
 
@@ -51,19 +66,23 @@
     return out->failed ? PPS_ENOMEM : PPS_OK;
 }
 
-/* Reads the time since an event. Returns the time of the event. */
+/* Turns the time since an event into the time of the event. */
 static int64_t
-read_age(pps_cursor_t *fields, int64_t now_us)
+time_of_age(pps_cursor_t *fields, int64_t age_us, int64_t now_us)
 {
-    int64_t age_us = pps_cursor_read_integer(fields);
-
-    if (age_us < 0 || age_us >= now_us) {
+    if (age_us < 0 || age_us > AGE_MAX_US) {
         fields->failed = 1;
         return 0;
     }
     return now_us - age_us;
 }
 
+static int64_t
+read_time(pps_cursor_t *fields, int64_t now_us)
+{
+    return time_of_age(fields, pps_cursor_read_integer(fields), now_us);
+}
+
 static void
 decode_crash(pps_poison_evidence_t *out, pps_cursor_t *list, int64_t now_us)
 {
@@ -71,8 +90,8 @@
     pps_poison_crash_t crash;
 
     crash.id = (uint64_t)pps_cursor_read_integer(&fields);
-    crash.begun_us = read_age(&fields, now_us);
-    crash.at_us = read_age(&fields, now_us);
+    crash.begun_us = read_time(&fields, now_us);
+    crash.at_us = read_time(&fields, now_us);
     list->failed |= fields.failed;
     if (!list->failed) {
         pps_poison_evidence_add_crash(out, &crash);
@@ -91,8 +110,7 @@
     out->convicted = pps_cursor_read_integer(&fields) != 0;
     good_age_us = pps_cursor_read_integer(&fields);
     if (good_age_us != NEVER) {
-        fields.failed |= good_age_us < 0 || good_age_us >= now_us;
-        out->good_us = now_us - good_age_us;
+        out->good_us = time_of_age(&fields, good_age_us, now_us);
     }
     crashes = pps_cursor_read_array(&fields);
     while (crashes.unread_count > 0 && !crashes.failed) {
--- a/src/libpapayaswitch/poison/poison_evidence.c
+++ b/src/libpapayaswitch/poison/poison_evidence.c
@@ -37,7 +37,7 @@
 {
     unsigned int at = 0;
 
-    if (crash->begun_us < evidence->good_us ||
+    if ((evidence->good_us != 0 && crash->begun_us < evidence->good_us) ||
         pps_poison_evidence_has_crash(evidence, crash->id)) {
         return 0;
     }
@@ -63,7 +63,8 @@
     unsigned int kept = 0;
     unsigned int before = evidence->crash_count;
 
-    if (begun_us <= evidence->good_us) {
+    if (begun_us == 0 ||
+        (evidence->good_us != 0 && begun_us <= evidence->good_us)) {
         return 0;
     }
     evidence->good_us = begun_us;
--- a/src/libpapayaswitch/poison/poison_evidence.h
+++ b/src/libpapayaswitch/poison/poison_evidence.h
@@ -24,7 +24,8 @@
     int64_t at_us;    /**< when it broke off */
 } pps_poison_crash_t;
 
-/** Evidence on one key. Times are those of this host's clock. */
+/** Evidence on one key. Times are those of this host's clock; they are
+ * negative if the host started later. */
 typedef struct {
     uint64_t key;
     int64_t good_us; /**< latest begin of an answer that went on; 0: none */
--- /dev/null
+++ b/tests/entry/test_poison_store.c
@@ -0,0 +1,210 @@
+/** @file test_poison_store.c @brief Tests that what ends workers outlives the
+ * hosts, in the store. */
+#include "clock.h"
+#include "net.h"
+#include "papayaswitch/errors.h"
+#include "poison_record.h"
+#include "poison_store.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define S PPS_US_PER_S
+#define MS PPS_US_PER_MS
+#define NOW_US (500 * S)
+#define WALL_US (INT64_C(1791000000) * S)
+#define KEY_TEXT "9123456789abcdef"
+#define KEY UINT64_C(0x9123456789abcdef)
+#define OTHER_KEY UINT64_C(0x42)
+#define HEAD "HTTP/1.1 200 OK\r\nContent-Length: "
+#define EMPTY HEAD "39\r\n\r\n{\"entries\":[],\"has_more\":false,\"end\":0}"
+#define WRITTEN HEAD "20\r\n\r\n{\"offset\":0,\"end\":1}"
+#define UNAVAILABLE "HTTP/1.1 503 Off\r\nContent-Length: 0\r\n\r\n"
+
+static const pps_poison_evidence_t convicted = {
+    .key = KEY,
+    .convicted = 1,
+    .crashes = {{3, NOW_US - 1 * S, NOW_US - 1 * S + 90 * MS},
+                {2, NOW_US - 2 * S, NOW_US - 2 * S + 90 * MS},
+                {1, NOW_US - 3 * S, NOW_US - 3 * S + 90 * MS}},
+    .crash_count = 3,
+};
+
+typedef struct {
+    const char *what;
+    int64_t wall_step_us; /* between the write and the read */
+    int64_t age_us;       /* of the last crash, 60 s later */
+} record_case_t;
+
+static const record_case_t records[] = {
+    {"a steady clock", 0, 61 * S - 90 * MS},
+    {"a clock that was set ahead", 5 * S, 66 * S - 90 * MS},
+    {"a clock that was set far back", -500 * S, 0},
+};
+
+/* Hosts share no clock but the time of day. */
+Test(poison_store, record_keeps_the_age_of_crashes)
+{
+    for (size_t i = 0; i < sizeof(records) / sizeof(*records); i++) {
+        int64_t now_us = 7000 * S;
+        pps_poison_evidence_t read;
+        pps_buf_t text = PPS_BUF_INIT;
+
+        cr_assert_eq(
+            pps_poison_record_write(&text, &convicted, NOW_US, WALL_US), 0);
+        cr_assert_eq(pps_poison_record_parse(
+                         &read, KEY_TEXT, text.data, text.size, now_us,
+                         WALL_US + 60 * S + records[i].wall_step_us),
+                     0);
+        cr_expect_eq(read.key, KEY);
+        cr_expect_eq(read.crash_count, 3);
+        cr_expect_eq(now_us - read.crashes[0].at_us, records[i].age_us, "%s",
+                     records[i].what);
+        cr_expect(pps_poison_evidence_is_suspect(&read, now_us));
+        pps_buf_clear(&text);
+    }
+}
+
+static const char *const unreadable[] = {
+    "",
+    "x",
+    "[]",
+    "{}",
+    "{\"crashes\":[]}",
+    "{\"crashes\":[{}]}",
+    "{\"crashes\":[{\"id\":\"1\",\"begun_ms\":1,\"at_ms\":1}]}",
+    "{\"crashes\":[{\"id\":\"0000000000000001\",\"begun_ms\":1}]}",
+    "{\"crashes\":[{\"id\":\"0000000000000001\",\"begun_ms\":-1,\"at_ms\":1}]"
+    "}",
+};
+
+Test(poison_store, unreadable_records_are_skipped)
+{
+    for (size_t i = 0; i < sizeof(unreadable) / sizeof(*unreadable); i++) {
+        pps_poison_evidence_t read;
+
+        cr_expect_eq(pps_poison_record_parse(&read, KEY_TEXT, unreadable[i],
+                                             strlen(unreadable[i]), NOW_US,
+                                             WALL_US),
+                     PPS_EINVALID, "%s", unreadable[i]);
+    }
+}
+
+typedef struct {
+    pps_reactor_t reactor;
+    net_server_t server;
+    pps_poison_table_t *table;
+    pps_poison_store_t *store;
+    size_t stored;
+    pps_poison_evidence_t last;
+} fixture_t;
+
+static void
+on_stored(void *user, const pps_poison_evidence_t *evidence)
+{
+    fixture_t *fixture = user;
+
+    fixture->stored++;
+    fixture->last = *evidence;
+}
+
+static void
+start(fixture_t *fixture, const net_answer_t *script, size_t size)
+{
+    memset(fixture, 0, sizeof(*fixture));
+    cr_assert_eq(pps_reactor_init(&fixture->reactor), 0);
+    cr_assert_eq(pps_poison_table_new(&fixture->table), 0);
+    net_server_start(&fixture->server, &fixture->reactor, script, size);
+    cr_assert_eq(pps_poison_store_new(&fixture->store, &fixture->reactor,
+                                      fixture->server.address, fixture->table,
+                                      on_stored, fixture),
+                 0);
+}
+
+/* Steps the store until the server has seen a number of requests. */
+static void
+step_until(fixture_t *fixture, size_t requests)
+{
+    for (int i = 0; i < 200 && fixture->server.requests < requests; i++) {
+        pps_poison_store_step(fixture->store);
+        net_run_for(&fixture->reactor, 5);
+    }
+    net_run_for(&fixture->reactor, 20);
+    cr_assert_eq(fixture->server.requests, requests);
+}
+
+static int
+was_written(const fixture_t *fixture, const char *text)
+{
+    const pps_buf_t *last = &fixture->server.last;
+
+    return memmem(last->data, last->size, text, strlen(text)) != NULL;
+}
+
+static void
+convict(fixture_t *fixture, uint64_t key)
+{
+    pps_poison_evidence_t evidence = convicted;
+
+    evidence.key = key;
+    cr_assert_eq(pps_poison_table_merge(fixture->table, &evidence, NULL), 1);
+}
+
+Test(poison_store, convicted_key_is_written_once_and_deleted_when_cleared)
+{
+    static const net_answer_t script[] = {
+        {EMPTY, NET_KEEP}, {UNAVAILABLE, NET_KEEP}, {WRITTEN, NET_KEEP}};
+    fixture_t fixture;
+
+    start(&fixture, script, 3);
+    step_until(&fixture, 1);
+    convict(&fixture, KEY);
+    step_until(&fixture, 3);
+    cr_expect(was_written(&fixture, KEY_TEXT "{\"crashes\":["));
+    pps_poison_store_step(fixture.store);
+    net_run_for(&fixture.reactor, 50);
+    cr_expect_eq(fixture.server.requests, 3);
+    cr_expect_eq(pps_poison_table_note_good(fixture.table, KEY, NOW_US), 1);
+    step_until(&fixture, 4);
+    cr_expect(was_written(&fixture, KEY_TEXT));
+    cr_expect_not(was_written(&fixture, "crashes"));
+}
+
+Test(poison_store, keys_are_written_again_when_the_store_has_lost_them)
+{
+    static const net_answer_t script[] = {{EMPTY, NET_KEEP},
+                                          {WRITTEN, NET_KEEP}};
+    fixture_t fixture;
+
+    start(&fixture, script, 2);
+    convict(&fixture, KEY);
+    convict(&fixture, OTHER_KEY);
+    step_until(&fixture, 3);
+    pps_poison_store_forget(fixture.store);
+    step_until(&fixture, 5);
+}
+
+Test(poison_store, host_that_starts_reads_what_the_store_has)
+{
+    static const net_answer_t script[] = {
+        {UNAVAILABLE, NET_KEEP},
+        {HEAD "216\r\n\r\n{\"entries\":[{\"key\":\"" KEY_TEXT "\",\"value\":\""
+              "eyJjcmFzaGVzIjpbeyJpZCI6IjAwMDAwMDAwMDAwMDAwMDEiLCJiZWd1bl9tcy"
+              "I6MSwiYXRfbXMiOjF9XX0=\",\"offset\":0}],\"has_more\":false,"
+              "\"end\":1}                                                   "
+              "                                    ",
+         NET_KEEP}};
+    fixture_t fixture;
+
+    start(&fixture, script, 2);
+    for (int i = 0; i < 400 && fixture.stored == 0; i++) {
+        net_run_for(&fixture.reactor, 5);
+    }
+    cr_assert_eq(fixture.stored, 1);
+    cr_expect_eq(fixture.last.key, KEY);
+    cr_expect_eq(fixture.last.convicted, 1);
+    cr_expect_eq(fixture.last.crashes[0].id, 1);
+    net_run_for(&fixture.reactor, 100);
+    cr_expect_eq(fixture.server.requests, 2);
+}
