Do not pass on as whole an answer that ended with its worker

What callers saw: an answer with neither a length nor chunks ends with its connection, also when its worker ends. A stream cut off before its first event reached the caller as complete and empty, a JSON answer cut off anywhere as whole; such an answer also spoke for the part of the prompt that had ended its worker.

Cause: the end of the connection was the only sign of the end that was looked at.

Fix: such a stream without an event, or a JSON answer that ends too early, broke off. If an answer ended so soon after its begin, its worker is probed: it speaks for its request only if the worker goes on, and against it if the worker has ended.

Text without framing that is no JSON can't be told from a whole one; left so.

--- a/src/libpapayaswitch/exchange/call.h
+++ b/src/libpapayaswitch/exchange/call.h
@@ -50,10 +50,12 @@
 
 /** Decoded head of a worker's reply. */
 typedef struct {
-    const char *id;   /**< id of the request that it answers, or NULL */
-    int sealed;       /**< whether it has the worker's seal and no content
-                           encoding */
-    int not_run;      /**< the worker has not run the request */
+    const char *id;  /**< id of the request that it answers, or NULL */
+    int sealed;      /**< whether it has the worker's seal and no content
+                          encoding */
+    int not_run;     /**< the worker has not run the request */
+    int is_unframed; /**< it has no length, but ends with the connection */
+    int is_json;
     int other_worker; /**< the address now belongs to another worker */
     int has_load;     /**< running, waiting and slots are set */
     unsigned int running;
--- a/src/libpapayaswitch/exchange/crash_watch.c
+++ b/src/libpapayaswitch/exchange/crash_watch.c
@@ -19,6 +19,7 @@
 typedef struct {
     uint64_t key;
     int64_t begun_us;
+    int is_whole; /* the answer is whole if the worker goes on */
 } suspect_t;
 
 /* The answers of one worker that broke off while it is probed. */
@@ -80,6 +81,18 @@
     }
 }
 
+static void
+clear_whole(const worker_break_t *found)
+{
+    for (size_t i = 0; i < found->suspect_count; i++) {
+        if (found->suspects[i].is_whole) {
+            pps_dispatcher_note_good(found->dispatcher,
+                                     &found->suspects[i].key, 1,
+                                     found->suspects[i].begun_us);
+        }
+    }
+}
+
 static void
 resume_waiting(worker_break_t *found)
 {
@@ -103,6 +116,9 @@
     if (result == PPS_PROBE_REFUSED) {
         report_crash(found);
     }
+    if (result == PPS_PROBE_ACCEPTED) {
+        clear_whole(found);
+    }
     resume_waiting(found);
     free(found);
 }
@@ -143,7 +159,8 @@
 }
 
 static void
-note_suspects(worker_break_t *found, const pps_exchange_t *exchange)
+note_suspects(worker_break_t *found, const pps_exchange_t *exchange,
+              int is_whole)
 {
     uint64_t keys[PPS_EXCHANGE_KEYS_MAX];
     size_t count = pps_exchange_poison_keys(exchange, keys);
@@ -151,35 +168,50 @@
     for (size_t i = 0; i < count && found->suspect_count < SUSPECTS_MAX; i++) {
         if (!is_noted(found, keys[i])) {
             found->suspects[found->suspect_count++] =
-                (suspect_t){keys[i], exchange->answer_us};
+                (suspect_t){keys[i], exchange->answer_us, is_whole};
         }
     }
 }
 
-int
-pps_crash_watch_note_break(pps_exchange_t *exchange)
+/* Finds the break of the attempt's worker, or begins one. */
+static worker_break_t *
+lookup_break(pps_exchange_t *exchange, int is_whole)
 {
     worker_break_t *found =
         find_break(exchange->dispatcher, exchange->worker->digest,
                    exchange->worker_start_ms);
 
-    pps_decision_log_broken(exchange);
     if (found == NULL) {
         found = begin_break(exchange);
     }
     if (found == NULL) {
         pps_decision_log_worker_probed(&exchange->worker->info,
                                        PPS_PROBE_UNANSWERED, 0);
-        return 0;
+        return NULL;
     }
     found->answers++;
-    if (!pps_exchange_is_at_begin(exchange)) {
-        return 0;
+    if (pps_exchange_is_at_begin(exchange)) {
+        note_suspects(found, exchange, is_whole);
     }
-    note_suspects(found, exchange);
-    if (!pps_exchange_is_suspected(exchange)) {
+    return found;
+}
+
+int
+pps_crash_watch_note_break(pps_exchange_t *exchange)
+{
+    worker_break_t *found = lookup_break(exchange, 0);
+
+    pps_decision_log_broken(exchange);
+    if (found == NULL || !pps_exchange_is_at_begin(exchange) ||
+        !pps_exchange_is_suspected(exchange)) {
         return 0;
     }
     cds_list_add_tail(&exchange->probe_node, &found->waiting);
     return 1;
 }
+
+void
+pps_crash_watch_note_end(pps_exchange_t *exchange)
+{
+    lookup_break(exchange, 1);
+}
--- a/src/libpapayaswitch/exchange/crash_watch.h
+++ b/src/libpapayaswitch/exchange/crash_watch.h
@@ -18,4 +18,10 @@
 int
 pps_crash_watch_note_break(pps_exchange_t *exchange);
 
+/** Notes that the answer ended with its connection soon after its begin, and
+ * probes the worker: it may have ended then. Call it before the attempt is
+ * dropped. */
+void
+pps_crash_watch_note_end(pps_exchange_t *exchange);
+
 #endif
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -175,6 +175,12 @@
                             const pps_poison_evidence_t *evidence,
                             const char *source);
 
+/** Notes that an answer with these keys, which began at a time, went on. Tells
+ * other hosts if this contradicts what they may know. */
+void
+pps_dispatcher_note_good(pps_dispatcher_t *dispatcher, const uint64_t *keys,
+                         size_t count, int64_t begun_us);
+
 /** Callbacks for the HTTP server of the callers; `user` is the dispatcher. */
 extern const pps_http_server_ops_t pps_dispatcher_server_ops;
 
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -70,10 +70,13 @@
                                 fails at one worker often does at the next */
     pps_rollout_sample_t counted_as; /**< where it is counted */
     int64_t sent_us;
-    int64_t answer_us;        /**< when its answer began; 0: not yet */
-    int went_on;              /**< its answer went on or is whole */
+    int64_t answer_us; /**< when its answer began; 0: not yet */
+    int went_on;       /**< its answer went on or is whole */
+    int is_unframed;   /**< it ends with the connection */
+    int is_json;
     int64_t last_received_us; /**< when bytes last arrived from the worker */
     int event_arrived;        /**< a complete event since the last check */
+    int has_event;            /**< a complete event has arrived */
     double work;    /**< prompt tokens, weighted as in prefill_queue.h */
     double backlog; /**< work queued ahead of it at the worker */
     pps_timer_t silence_timer;
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -313,6 +313,7 @@
     exchange->sent_us = dispatcher->reactor->now_us;
     exchange->answer_us = 0;
     exchange->went_on = 0;
+    exchange->has_event = 0;
     exchange->last_received_us = exchange->sent_us;
     pps_pool_begin_call(worker);
     pps_worker_limit_take(&worker->limit);
--- a/src/libpapayaswitch/exchange/exchange_poison.c
+++ b/src/libpapayaswitch/exchange/exchange_poison.c
@@ -2,6 +2,7 @@
 #include "exchange_poison.h"
 
 #include "clock.h"
+#include "crash_watch.h"
 #include "decision_log.h"
 
 #include <string.h>
@@ -52,26 +53,35 @@
     return 1;
 }
 
-static void
-note_good(pps_exchange_t *exchange)
+void
+pps_dispatcher_note_good(pps_dispatcher_t *dispatcher, const uint64_t *keys,
+                         size_t count, int64_t begun_us)
 {
-    pps_dispatcher_t *dispatcher = exchange->dispatcher;
-    uint64_t keys[PPS_EXCHANGE_KEYS_MAX];
-    size_t count = pps_exchange_poison_keys(exchange, keys);
-    size_t told = 0;
+    uint64_t told[PPS_EXCHANGE_KEYS_MAX];
+    size_t told_count = 0;
 
-    exchange->went_on = 1;
     for (size_t i = 0; i < count; i++) {
         if (pps_poison_table_note_good(dispatcher->poison, keys[i],
-                                       exchange->answer_us)) {
-            keys[told++] = keys[i];
+                                       begun_us)) {
+            told[told_count++] = keys[i];
         }
     }
-    if (told > 0 && dispatcher->poison_notice != NULL) {
-        dispatcher->poison_notice(dispatcher->notice_user, keys, told);
+    if (told_count > 0 && dispatcher->poison_notice != NULL) {
+        dispatcher->poison_notice(dispatcher->notice_user, told, told_count);
     }
 }
 
+static void
+note_good(pps_exchange_t *exchange)
+{
+    uint64_t keys[PPS_EXCHANGE_KEYS_MAX];
+    size_t count = pps_exchange_poison_keys(exchange, keys);
+
+    exchange->went_on = 1;
+    pps_dispatcher_note_good(exchange->dispatcher, keys, count,
+                             exchange->answer_us);
+}
+
 void
 pps_exchange_note_progress(pps_exchange_t *exchange)
 {
@@ -86,9 +96,14 @@
 void
 pps_exchange_note_whole(pps_exchange_t *exchange)
 {
-    if (!exchange->went_on && exchange->answer_us != 0) {
-        note_good(exchange);
+    if (exchange->went_on || exchange->answer_us == 0) {
+        return;
+    }
+    if (exchange->is_unframed) {
+        pps_crash_watch_note_end(exchange);
+        return;
     }
+    note_good(exchange);
 }
 
 int
--- a/src/libpapayaswitch/exchange/exchange_poison.h
+++ b/src/libpapayaswitch/exchange/exchange_poison.h
@@ -25,7 +25,9 @@
 void
 pps_exchange_note_progress(pps_exchange_t *exchange);
 
-/** Notes that a worker has given the whole answer. */
+/** Notes that a worker has given the whole answer. One that ended with its
+ * connection soon after its begin may have been cut off, so it speaks for its
+ * request only if the worker goes on. */
 void
 pps_exchange_note_whole(pps_exchange_t *exchange);
 
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -12,6 +12,7 @@
 #include "model_choice.h"
 #include "papayaswitch/errors.h"
 
+#include <jansson.h>
 #include <string.h>
 
 /** Largest answer body that is buffered, and the sum of all that are. */
@@ -167,6 +168,8 @@
         return 1;
     }
     exchange->answer_us = now_us;
+    exchange->is_unframed = decoded.is_unframed;
+    exchange->is_json = decoded.is_json;
     if (decoded.has_load) {
         pps_pool_record_load(exchange->worker, decoded.running,
                              decoded.waiting, decoded.slots, now_us);
@@ -216,6 +219,7 @@
     pps_exchange_t *exchange = user;
 
     exchange->event_arrived = 1;
+    exchange->has_event = 1;
     if (id >= 0 && exchange->has_last_event && id <= exchange->last_event) {
         return;
     }
@@ -336,17 +340,44 @@
     pps_buf_clear(&body);
 }
 
+static int
+is_cut_json(const pps_buf_t *body)
+{
+    json_error_t error;
+    json_t *value =
+        json_loadb(pps_buf_text(body), body->size, JSON_DECODE_ANY, &error);
+    int is_cut = value == NULL &&
+                 json_error_code(&error) == json_error_premature_end_of_input;
+
+    json_decref(value);
+    return is_cut;
+}
+
+/* Returns whether an answer has ended before it was whole. One that ends with
+ * its connection does so also when its worker ends. */
+static int
+is_cut_off(const pps_exchange_t *exchange)
+{
+    if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
+        return exchange->events.partial.size > 0 ||
+               (exchange->is_unframed && !exchange->has_event &&
+                !exchange->has_last_event);
+    }
+    return exchange->is_unframed && exchange->is_json &&
+           is_cut_json(&exchange->body);
+}
+
 void
 pps_exchange_on_reply_end(pps_exchange_t *exchange)
 {
     if (exchange->attempt == PPS_ATTEMPT_NONE) {
         return;
     }
+    if (is_cut_off(exchange)) {
+        pps_exchange_on_attempt_failed(exchange, PPS_CHANNEL_BROKEN);
+        return;
+    }
     if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
-        if (exchange->events.partial.size > 0) {
-            pps_exchange_on_attempt_failed(exchange, PPS_CHANNEL_BROKEN);
-            return;
-        }
         begin_answer(exchange);
     }
     finish(exchange);
--- a/tests/entry/net.c
+++ b/tests/entry/net.c
@@ -127,7 +127,12 @@
     peer_t *next;
 
     cds_list_for_each_entry_safe (peer, next, &server->peers, node) {
-        reset_peer(peer);
+        if (server->crash_closes) {
+            close_peer(peer);
+        }
+        else {
+            reset_peer(peer);
+        }
     }
     uv_close((uv_handle_t *)&server->listener, NULL);
     uv_timer_start(&server->restart_timer, listen_again, server->restart_ms,
--- a/tests/entry/net.h
+++ b/tests/entry/net.h
@@ -46,6 +46,7 @@
                                   head, then all connections are reset and
                                   refused; NULL: none */
     const char *crash_head;  /**< sent before, with "%s"; NULL: nothing */
+    int crash_closes;        /**< connections are closed, not reset */
     unsigned int restart_ms; /**< time until it listens again */
     size_t crashes;          /**< times that it has ended */
     int is_down;
--- a/tests/entry/test_crashing_part.c
+++ b/tests/entry/test_crashing_part.c
@@ -10,6 +10,9 @@
 
 #define HEAD STREAM "\r\n"
 #define SOUND HEAD EVENT("1") LAST_CHUNK
+#define UNFRAMED_HEAD "HTTP/1.1 200 OK\r\n" SEALED "\r\n"
+#define UNFRAMED_PART UNFRAMED_HEAD "id: 1\ndata: ev"
+#define UNFRAMED_WHOLE UNFRAMED_HEAD "id: 1\ndata: event 1\n\n"
 #define RESTART_MS 60
 /** More requests may reach workers than this, once five have ended. */
 #define SENDS_AFTER_MAX 3
@@ -89,6 +92,19 @@
         pps_buf_text(&client.got) + strlen("HTTP/1.1 "), NULL, 10);
 }
 
+typedef struct {
+    const char *name;
+    const char *head; /* what a worker sends before it ends */
+} head_case_t;
+
+static const head_case_t heads[] = {
+    {"with chunks", HEAD},
+    {"with chunks, after an event", HEAD EVENT("1")},
+    {"without framing", UNFRAMED_HEAD},
+    {"without framing, inside an event", UNFRAMED_PART},
+    {"without framing, after an event", UNFRAMED_WHOLE},
+};
+
 static void
 wait_for_workers(fixture_t *fixture)
 {
@@ -114,3 +130,24 @@
         }
     }
 }
+
+Test(crashing_part, answer_that_ends_with_its_worker_passes_for_a_whole_one)
+{
+    for (size_t i = 0; i < sizeof(heads) / sizeof(*heads); i++) {
+        fixture_t fixture;
+
+        start(&fixture, "bad");
+        for (int w = 0; w < FIXTURE_WORKERS; w++) {
+            fixture.workers[w].crash_head = heads[i].head;
+            fixture.workers[w].crash_closes = 1;
+        }
+        for (int n = 0; n < BAD_REQUESTS; n++) {
+            request(&fixture, "aa:9,bad:7", n);
+            wait_for_workers(&fixture);
+        }
+        cr_expect_leq(count_crashes(&fixture), CRASHES_MAX, "%s: %zu",
+                      heads[i].name, count_crashes(&fixture));
+        cr_expect_eq(request(&fixture, "aa:9", BAD_REQUESTS), 200, "%s",
+                     heads[i].name);
+    }
+}
