Keep a pause that a restarted worker asked for before its record arrived

Cause: a record with a later start discards what is known of the worker, the pause included. A worker that has just started answers before its record has travelled: host-00 was asked at 36.750 s (worker_paused, 2 s), the record of start 2 came at 37.868 s, and r2-328 was sent at 38.096 s.

Fix: the pause ends with the record only if it was asked for before the worker started, by the start time in the record on the host's clock. Before: the new test's first case fails (reset to 0); after: its three cases pass.

--- a/src/libpapayaswitch/exchange/exchange_notes.c
+++ b/src/libpapayaswitch/exchange/exchange_notes.c
@@ -48,7 +48,7 @@
         pps_decision_log_invalid_pause(exchange, reply->pause_us);
     }
     if (reply->pause_us > 0) {
-        pps_pool_pause(worker, now_us + reply->pause_us);
+        pps_pool_pause(worker, now_us, now_us + reply->pause_us);
         pps_decision_log_paused(exchange, reply->pause_us);
         send_backlog(exchange, reply->pause_us);
     }
--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -146,7 +146,6 @@
     worker->failure_share = 0;
     worker->avoided_until_us = 0;
     worker->full_until_us = 0;
-    worker->paused_until_us = 0;
     worker->is_pause_reported = 0;
     worker->limit = (pps_worker_limit_t){0};
     worker->is_limit_reported = 0;
@@ -156,6 +155,16 @@
     worker->prefill = (pps_prefill_queue_t){0};
 }
 
+/* Ends a pause unless the worker asked for it since its start: its answers may
+ * arrive before its record does. */
+static void
+reset_pause(pps_pool_worker_t *worker, const pps_worker_info_t *info)
+{
+    if (info->started_us == 0 || worker->paused_at_us < info->started_us) {
+        worker->paused_until_us = 0;
+    }
+}
+
 static uint64_t
 digest_id(const char *id)
 {
@@ -202,6 +211,7 @@
     if (worker->info.start_ms != info->start_ms ||
         strcmp(worker->info.address, info->address) != 0) {
         reset_health(worker);
+        reset_pause(worker, info);
         changed = 1;
     }
     worker->info = *info;
@@ -244,8 +254,9 @@
 }
 
 void
-pps_pool_pause(pps_pool_worker_t *worker, int64_t until_us)
+pps_pool_pause(pps_pool_worker_t *worker, int64_t now_us, int64_t until_us)
 {
+    worker->paused_at_us = now_us;
     if (until_us > worker->paused_until_us) {
         worker->paused_until_us = until_us;
     }
--- a/src/libpapayaswitch/pool/pool.h
+++ b/src/libpapayaswitch/pool/pool.h
@@ -24,6 +24,7 @@
     unsigned int slots; /**< requests it runs at once; 0: unknown */
     int leaving;        /**< draining, gets no new requests */
     int64_t start_ms;   /**< wall-clock start time; 0: unknown */
+    int64_t started_us; /**< the same on this host's clock; 0: unknown */
     char models[PPS_MODELS_MAX][PPS_WORKER_TEXT_BYTES];
     size_t model_count; /**< 0: serves any model */
 } pps_worker_info_t;
@@ -45,6 +46,7 @@
     int64_t avoided_until_us; /**< until then, used if no other can serve */
     int64_t full_until_us;    /**< no calls until then: it was full */
     int64_t paused_until_us;  /**< no calls until then, as it asked */
+    int64_t paused_at_us;     /**< when it last asked */
     int is_pause_reported;    /**< an invalid pause was logged */
     pps_worker_limit_t limit; /**< on requests, as it named it */
     int is_limit_reported;    /**< an invalid limit was logged */
@@ -81,8 +83,9 @@
 pps_pool_free(pps_pool_t *pool);
 
 /** Adds a worker or updates its record. A changed start time or address
- * discards its load, backlog and failures. @return 1 when the worker is new or
- * its start, address or `leaving` changed; else 0; PPS_ENOMEM */
+ * discards its load, backlog and failures, and a pause that it asked for
+ * before it started. @return 1 when the worker is new or its start, address or
+ * `leaving` changed; else 0; PPS_ENOMEM */
 int
 pps_pool_put(pps_pool_t *pool, const pps_worker_info_t *info);
 
@@ -111,7 +114,7 @@
 /** Gives the worker no calls until a time, as it asked. A longer pause that
  * was asked for before stays. */
 void
-pps_pool_pause(pps_pool_worker_t *worker, int64_t until_us);
+pps_pool_pause(pps_pool_worker_t *worker, int64_t now_us, int64_t until_us);
 
 /** Schedules a removal unless one is scheduled; pps_pool_put() cancels it. */
 void
--- a/tests/entry/test_exchange_workers.c
+++ b/tests/entry/test_exchange_workers.c
@@ -201,6 +201,7 @@
 
     start(&fixture, script);
     pps_pool_pause(pps_pool_lookup(fixture.dispatcher.pool, "w1"),
+                   fixture.reactor.now_us,
                    pps_clock_now_us() + 60 * PPS_US_PER_S);
     for (int i = 0; i < 10; i++) {
         run(&fixture, "/safe/", &served);
--- a/tests/entry/test_pool.c
+++ b/tests/entry/test_pool.c
@@ -156,8 +156,8 @@
     cr_assert_eq(pps_pool_new(&pool), 0);
     put(pool, "a", 0, 1);
     worker = pps_pool_lookup(pool, "a");
-    pps_pool_pause(worker, 9 * S);
-    pps_pool_pause(worker, 4 * S);
+    pps_pool_pause(worker, 3 * S, 9 * S);
+    pps_pool_pause(worker, 3 * S, 4 * S);
     cr_expect_eq(worker->paused_until_us, 9 * S);
     put(pool, "a", 0, 2);
     cr_expect_eq(worker->paused_until_us, 0);
@@ -294,3 +294,36 @@
     }
     cr_expect_eq(admitted, 5);
 }
+
+typedef struct {
+    const char *what;
+    int64_t started_us; /* as the record says */
+    int is_kept;
+} pause_case_t;
+
+static const pause_case_t pauses[] = {
+    {"asked for by the worker that has started", 2 * S, 1},
+    {"asked for by the worker before it", 4 * S, 0},
+    {"of a worker that does not say when it started", 0, 0},
+};
+
+/* A worker's answer may arrive before the record of its start does. */
+Test(pool, pause_of_a_restarted_worker_ends_when_its_record_arrives)
+{
+    for (size_t i = 0; i < sizeof(pauses) / sizeof(*pauses); i++) {
+        pps_worker_info_t info = {.id = "w", .upstream = "s", .start_ms = 1};
+        pps_pool_worker_t *worker;
+        pps_pool_t *pool;
+
+        cr_assert_eq(pps_pool_new(&pool), 0);
+        pps_pool_put(pool, &info);
+        worker = pps_pool_lookup(pool, "w");
+        pps_pool_pause(worker, 3 * S, 9 * S);
+        info.start_ms = 2;
+        info.started_us = pauses[i].started_us;
+        pps_pool_put(pool, &info);
+        cr_expect_eq(worker->paused_until_us, pauses[i].is_kept ? 9 * S : 0,
+                     "%s", pauses[i].what);
+        pps_pool_free(pool);
+    }
+}
