Soak: requests with a part that ends workers, checked from outside

Each worker of the soak ends 5 to 60 ms after it began an answer to such a request, refuses connections for 0.6 s and starts again; the requests come every 120 ms from a random time on, to any host, until the calm end. The rule is checked as the users state it.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -153,6 +153,7 @@
     pps_reactor_every(&soak->reactor, &fault_timer, FAULT_INTERVAL_US,
                       on_fault_timer, soak);
     limit_start(soak);
+    poison_start(soak);
     pps_reactor_after(&soak->reactor, &phase_timer, FAULT_PHASE_US,
                       on_fault_phase_end, soak);
 }
@@ -259,10 +260,11 @@
         soak_report_violation(
             &soak, "too little is served when all is calm again", "");
     }
-    printf("seed %llu: sent %u, served %u, refused %u, failed %u; at the calm "
-           "end %u of %u; %u broken; logs in %s\n",
+    printf("seed %llu: sent %u, served %u, refused %u, failed %u; %u workers "
+           "ended; at the calm end %u of %u; %u broken; logs in %s\n",
            (unsigned long long)soak.seed, soak.sent_count, soak.served_count,
-           soak.refused_count, soak.failed_count, soak.recovery_served_count,
-           soak.recovery_sent_count, soak.violation_count, soak.folder);
+           soak.refused_count, soak.failed_count, poison_ends(),
+           soak.recovery_served_count, soak.recovery_sent_count,
+           soak.violation_count, soak.folder);
     return soak.violation_count > 0;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -48,6 +48,15 @@
 void
 proxy_set_mode(proxy_t *proxy, proxy_mode_t mode);
 
+/** Stops listening and resets all connections, as when the server has ended.
+ */
+void
+proxy_close(proxy_t *proxy);
+
+/** Listens again at the same address. */
+void
+proxy_listen(proxy_t *proxy);
+
 /** How the store fails. */
 typedef enum {
     STORE_OK,
@@ -180,6 +189,8 @@
     int64_t told_limit_us[SOAK_HOSTS_MAX]; /**< as `told_leaving_us` */
     int64_t limited_us[SOAK_LIMITED_MAX];  /**< times of requests that count */
     size_t limited_count;
+    int is_down; /**< it ends, or has ended */
+    pps_timer_t down_timer;
 } worker_t;
 
 void
@@ -213,6 +224,24 @@
 void
 limit_check(worker_t *worker, const request_t *request);
 
+/** Starts to send requests under which workers end. */
+void
+poison_start(struct soak *soak);
+
+/** Writes the parts of the prompt of a sound request. */
+void
+poison_draw_parts(struct soak *soak, char *out, size_t size);
+
+/** Ends the worker if the request is one under which workers end.
+ * @return whether it has taken the request */
+int
+poison_handle(worker_t *worker, pps_http_conn_t *conn,
+              const pps_http_request_t *request, const request_t *recorded);
+
+/** Returns how often workers have ended. */
+unsigned int
+poison_ends(void);
+
 /** Writes the worker's entry. @param state NULL deletes it */
 void
 worker_write_entry(worker_t *worker, const char *state);
@@ -271,6 +300,11 @@
 void
 client_send(soak_t *soak);
 
+/** Sends a request for a stream with a valid key to a random host.
+ * @param parts of its prompt */
+void
+client_send_stream(soak_t *soak, const char *parts);
+
 /** Starts the process of a host. */
 void
 host_start(soak_t *soak, int index);
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -221,25 +221,31 @@
                   strlen(request->id));
 }
 
-void
-client_send(soak_t *soak)
+static const char *const keys[] = {"key1", "key2", "nokey"};
+
+static client_t *
+client_new(soak_t *soak, kind_t kind)
 {
-    static const pps_channel_options_t options = {PPS_US_PER_S, 3000};
-    static const char *const keys[] = {"key1", "key2", "nokey"};
     client_t *client = calloc(1, sizeof(*client));
-    int key = pps_rng_below(&soak->rng, 20) == 0
-                  ? 2
-                  : (int)pps_rng_below(&soak->rng, 2);
-    char address[SOAK_TEXT_BYTES + 8];
-    char text[512];
 
     client->soak = soak;
     client->host = (int)pps_rng_below(&soak->rng, (uint64_t)soak->host_count);
-    client->kind = (kind_t)pps_rng_below(&soak->rng, KIND_COUNT);
-    client->uses_key2 = key == 1;
+    client->kind = kind;
     client->sent_us = soak->reactor.now_us;
     snprintf(client->id, sizeof(client->id), "r%llx-%u",
              (unsigned long long)soak->seed, soak->sent_count++);
+    return client;
+}
+
+/* Sends a request. @param key index in `keys` @param parts of the prompt */
+static void
+start(client_t *client, int key, const char *parts)
+{
+    static const pps_channel_options_t options = {PPS_US_PER_S, 3000};
+    soak_t *soak = client->soak;
+    char address[SOAK_TEXT_BYTES + 8];
+    char text[512];
+
     snprintf(address, sizeof(address), "%s:%u",
              soak->hosts[client->host].address, soak->callers_port);
     if (pps_http_channel_new(&client->channel, &soak->reactor, address,
@@ -247,14 +253,35 @@
         free(client);
         return;
     }
+    client->uses_key2 = key == 1;
     record_request(client, key != 2);
-    soak->recovery_sent_count += was_undisturbed(client) && key == 0;
     snprintf(text, sizeof(text),
              "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n"
              "X-Deadline-Ms: 2000\r\nAuthorization: Token %s\r\n"
-             "Content-Length: 4\r\n\r\nbody",
-             paths[client->kind], client->id, keys[key]);
+             "X-Prefix-Hash: %s\r\nContent-Length: 4\r\n\r\nbody",
+             paths[client->kind], client->id, keys[key], parts);
     pps_reactor_after(&soak->reactor, &client->timer, CLIENT_TIMEOUT_US,
                       on_client_timeout, client);
     pps_http_channel_call(client->channel, text, strlen(text), &ops, client);
 }
+
+void
+client_send_stream(soak_t *soak, const char *parts)
+{
+    start(client_new(soak, KIND_STREAM), 0, parts);
+}
+
+void
+client_send(soak_t *soak)
+{
+    int key = pps_rng_below(&soak->rng, 20) == 0
+                  ? 2
+                  : (int)pps_rng_below(&soak->rng, 2);
+    client_t *client = client_new(soak, KIND_SAFE);
+    char parts[SOAK_TEXT_BYTES];
+
+    client->kind = (kind_t)pps_rng_below(&soak->rng, KIND_COUNT);
+    soak->recovery_sent_count += was_undisturbed(client) && key == 0;
+    poison_draw_parts(soak, parts, sizeof(parts));
+    start(client, key, parts);
+}
--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -157,18 +157,15 @@
 }
 
 void
-proxy_start(proxy_t *proxy, pps_reactor_t *reactor, const char *target)
+proxy_listen(proxy_t *proxy)
 {
+    const char *colon = strchr(proxy->address, ':');
     struct sockaddr_in address;
     int size = sizeof(address);
 
-    memset(proxy, 0, sizeof(*proxy));
-    proxy->reactor = reactor;
-    CDS_INIT_LIST_HEAD(&proxy->pairs);
-    snprintf(proxy->target, sizeof(proxy->target), "%s", target);
-    uv_tcp_init(&reactor->loop, &proxy->listener);
+    uv_tcp_init(&proxy->reactor->loop, &proxy->listener);
     proxy->listener.data = proxy;
-    uv_ip4_addr("127.0.0.1", 0, &address);
+    uv_ip4_addr("127.0.0.1", colon != NULL ? atoi(colon + 1) : 0, &address);
     uv_tcp_bind(&proxy->listener, (struct sockaddr *)&address, 0);
     uv_listen((uv_stream_t *)&proxy->listener, 256, on_connection);
     uv_tcp_getsockname(&proxy->listener, (struct sockaddr *)&address, &size);
@@ -176,6 +173,28 @@
              ntohs(address.sin_port));
 }
 
+void
+proxy_close(proxy_t *proxy)
+{
+    pair_t *pair;
+    pair_t *next;
+
+    uv_close((uv_handle_t *)&proxy->listener, NULL);
+    cds_list_for_each_entry_safe (pair, next, &proxy->pairs, node) {
+        close_pair(pair, 1);
+    }
+}
+
+void
+proxy_start(proxy_t *proxy, pps_reactor_t *reactor, const char *target)
+{
+    memset(proxy, 0, sizeof(*proxy));
+    proxy->reactor = reactor;
+    CDS_INIT_LIST_HEAD(&proxy->pairs);
+    snprintf(proxy->target, sizeof(proxy->target), "%s", target);
+    proxy_listen(proxy);
+}
+
 void
 proxy_set_mode(proxy_t *proxy, proxy_mode_t mode)
 {
--- a/tests/soak/soak_worker.c
+++ b/tests/soak/soak_worker.c
@@ -242,6 +242,9 @@
         check_pause(worker, recorded);
         limit_check(worker, recorded);
     }
+    if (poison_handle(worker, conn, request, recorded)) {
+        return;
+    }
     if (worker->mode == WORKER_FULL && pps_rng_below(&soak->rng, 2) == 0) {
         refuse_full(worker, conn, id);
         return;
