Add a failing test of a request that comes again and ends workers

The same path, caller and body eight times, each under an id of its own; each worker that begins to run it ends without a byte of an answer.

--- a/tests/entry/exchange_fixture.c
+++ b/tests/entry/exchange_fixture.c
@@ -32,7 +32,8 @@
     "\"sizes\":[\"m0\",\"m1\"]}"
     "],\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":4096,"
     "\"header_timeout_ms\":1000,\"idle_timeout_ms\":2000},\"tenants\":[{"
-    "\"name\":\"team\",\"api_keys\":[\"key\"]}]}";
+    "\"name\":\"team\",\"api_keys\":[\"key\"]},{\"name\":\"other\","
+    "\"api_keys\":[\"key2\"]}]}";
 
 void
 fixture_start(fixture_t *fixture, const net_answer_t *script, size_t size)
--- /dev/null
+++ b/tests/entry/test_crashing_request.c
@@ -0,0 +1,128 @@
+/** @file test_crashing_request.c @brief Tests that workers are kept from a
+ * request that comes again and ends each worker which begins to run it. */
+#include "exchange_fixture.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RESTART_MS 60
+#define CRASHES_MAX 4
+#define REPEATS 8
+
+typedef struct {
+    const char *path;
+    const char *key;
+    const char *body;
+} request_t;
+
+typedef struct {
+    const char *name;
+    request_t bad;
+    request_t sound[3]; /* differ from it in one thing */
+} request_case_t;
+
+static const request_case_t cases[] = {
+    {"safe",
+     {"/safe/x", "key", "bad!"},
+     {{"/safe/x", "key", "good"},
+      {"/safe/y", "key", "good"},
+      {"/safe/x", "key2", "good"}}},
+    {"safe, without a body",
+     {"/safe/bad!", "key", ""},
+     {{"/safe/x", "key", ""},
+      {"/safe/x?y", "key", ""},
+      {"/safe/x", "key2", ""}}},
+    {"not to be repeated",
+     {"/once/x", "key", "bad!"},
+     {{"/once/x", "key", "good"},
+      {"/once/y", "key", "good"},
+      {"/safe/x", "key", "good"}}},
+    {"a stream",
+     {"/stream/x", "key", "bad!"},
+     {{"/safe/x", "key", "good"},
+      {"/once/x", "key", "good"},
+      {"/safe/y", "key", "good"}}},
+};
+
+static void
+on_restart(void *user, net_server_t *server)
+{
+    fixture_t *fixture = user;
+    char id[8];
+    pps_worker_info_t info;
+
+    snprintf(id, sizeof(id), "w%d", (int)(server - fixture->workers));
+    info = pps_pool_lookup(fixture->dispatcher.pool, id)->info;
+    info.start_ms++;
+    pps_pool_put(fixture->dispatcher.pool, &info);
+}
+
+static void
+start(fixture_t *fixture)
+{
+    static const net_answer_t script[] = {{OK_PLAIN, NET_KEEP}};
+
+    fixture_start(fixture, script, 1);
+    for (int i = 0; i < FIXTURE_WORKERS; i++) {
+        fixture->workers[i].crash_text = "bad!";
+        fixture->workers[i].restart_ms = RESTART_MS;
+        fixture->workers[i].on_restart = on_restart;
+        fixture->workers[i].user = fixture;
+    }
+}
+
+static size_t
+count_crashes(const fixture_t *fixture)
+{
+    size_t sum = 0;
+
+    for (int i = 0; i < FIXTURE_WORKERS; i++) {
+        sum += fixture->workers[i].crashes;
+    }
+    return sum;
+}
+
+/* Sends a request under an id of its own. Returns the answer's status. */
+static unsigned int
+send_request(fixture_t *fixture, const request_t *request, int number)
+{
+    char text[512];
+    net_client_t client;
+
+    snprintf(text, sizeof(text),
+             "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: r%d\r\n"
+             "X-Deadline-Ms: 3000\r\nAuthorization: Token %s\r\n"
+             "Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
+             request->path, number, request->key, strlen(request->body),
+             request->body);
+    net_client_start(&client, &fixture->reactor,
+                     pps_http_server_port(fixture->callers), text);
+    net_run_until_ended(&fixture->reactor, &client, 4000);
+    return (unsigned int)strtoul(
+        pps_buf_text(&client.got) + strlen("HTTP/1.1 "), NULL, 10);
+}
+
+Test(crashing_request, same_request_is_sent_on_after_three_crashes)
+{
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        fixture_t fixture;
+
+        start(&fixture);
+        for (int n = 0; n < REPEATS; n++) {
+            unsigned int status = send_request(&fixture, &cases[i].bad, n);
+
+            cr_expect(status == 502 || status == 503, "%s: %u", cases[i].name,
+                      status);
+            net_run_for(&fixture.reactor, 2 * RESTART_MS);
+        }
+        cr_expect_leq(count_crashes(&fixture), CRASHES_MAX, "%s: %zu",
+                      cases[i].name, count_crashes(&fixture));
+        for (int n = 0; n < 3; n++) {
+            cr_expect_eq(
+                send_request(&fixture, &cases[i].sound[n], REPEATS + n), 200,
+                "%s, %d", cases[i].name, n);
+        }
+    }
+}
