Tests: keep the port of a stand-in that has ended

Once in six parallel test programs, and twice in 32 runs of one side by side, a scripted server could not listen again (net.c:236): while it was down its port was free, and a connection of another program got it. The soak's proxies had the same fault. The two tests of workers that end share their stand-ins in the fixture; a worker is down for 150 ms instead of 60, so that a stall of the test does not let it start before the host has seen its end.

--- a/tests/entry/exchange_fixture.c
+++ b/tests/entry/exchange_fixture.c
@@ -12,6 +12,8 @@
 #include <string.h>
 
 #define ANSWER_TIMEOUT_MS 4000
+#define RESTART_MS 150
+#define SETTLE_MS 5
 
 static const char config[] =
     "{\"version\":1,\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":8,"
@@ -88,6 +90,54 @@
     return sum;
 }
 
+static void
+on_restart(void *user, net_server_t *server)
+{
+    fixture_t *fixture = user;
+    char id[8];
+    pps_worker_info_t info;
+
+    snprintf(id, sizeof(id), "w%d", (int)(server - fixture->workers));
+    info = pps_pool_lookup(fixture->dispatcher.pool, id)->info;
+    info.start_ms++;
+    pps_pool_put(fixture->dispatcher.pool, &info);
+}
+
+void
+fixture_let_workers_crash(fixture_t *fixture, const char *text,
+                          const char *head)
+{
+    for (int i = 0; i < FIXTURE_WORKERS; i++) {
+        fixture->workers[i].crash_text = text;
+        fixture->workers[i].crash_head = head;
+        fixture->workers[i].restart_ms = RESTART_MS;
+        fixture->workers[i].on_restart = on_restart;
+        fixture->workers[i].user = fixture;
+    }
+}
+
+size_t
+fixture_count_crashes(const fixture_t *fixture)
+{
+    size_t sum = 0;
+
+    for (int i = 0; i < FIXTURE_WORKERS; i++) {
+        sum += fixture->workers[i].crashes;
+    }
+    return sum;
+}
+
+void
+fixture_wait_for_workers(fixture_t *fixture)
+{
+    net_run_for(&fixture->reactor, SETTLE_MS);
+    for (int i = 0; i < FIXTURE_WORKERS; i++) {
+        while (fixture->workers[i].is_down) {
+            net_run_for(&fixture->reactor, SETTLE_MS);
+        }
+    }
+}
+
 void
 fixture_request(fixture_t *fixture, net_client_t *client, const char *path,
                 const char *headers)
--- a/tests/entry/exchange_fixture.h
+++ b/tests/entry/exchange_fixture.h
@@ -45,6 +45,20 @@
 size_t
 fixture_request_count(const fixture_t *fixture);
 
+/** Lets workers end when they get a request with a text, and start again.
+ * @param head what they send before; NULL: nothing */
+void
+fixture_let_workers_crash(fixture_t *fixture, const char *text,
+                          const char *head);
+
+/** Returns how often workers have ended. */
+size_t
+fixture_count_crashes(const fixture_t *fixture);
+
+/** Runs the loop until all workers are back. */
+void
+fixture_wait_for_workers(fixture_t *fixture);
+
 /** Connects and sends a request. @param headers additional lines */
 void
 fixture_request(fixture_t *fixture, net_client_t *client, const char *path,
--- a/tests/entry/net.c
+++ b/tests/entry/net.c
@@ -52,6 +52,9 @@
     }
 }
 
+static void
+bind_listener(net_server_t *server);
+
 static void
 start_listening(net_server_t *server);
 
@@ -119,6 +122,12 @@
     }
 }
 
+static void
+on_listener_closed(uv_handle_t *handle)
+{
+    free(handle);
+}
+
 static void
 on_crash_due(uv_timer_t *timer)
 {
@@ -134,7 +143,8 @@
             reset_peer(peer);
         }
     }
-    uv_close((uv_handle_t *)&server->listener, NULL);
+    uv_close((uv_handle_t *)server->listener, on_listener_closed);
+    bind_listener(server);
     uv_timer_start(&server->restart_timer, listen_again, server->restart_ms,
                    0);
 }
@@ -220,26 +230,34 @@
                   on_peer_read);
 }
 
-/* Listens at the server's address, or at a free port if it has none. */
+/* Binds the server's address, or a free port if it has none. Until the socket
+ * listens, connections are refused, and the port can't be given to others. */
 static void
-start_listening(net_server_t *server)
+bind_listener(net_server_t *server)
 {
     struct sockaddr_in endpoint;
     const char *colon = strchr(server->address, ':');
     int size = sizeof(endpoint);
 
-    uv_tcp_init(&server->reactor->loop, &server->listener);
-    server->listener.data = server;
+    server->listener = calloc(1, sizeof(*server->listener));
+    cr_assert_not_null(server->listener);
+    uv_tcp_init(&server->reactor->loop, server->listener);
+    server->listener->data = server;
     uv_ip4_addr("127.0.0.1", colon != NULL ? atoi(colon + 1) : 0, &endpoint);
     cr_assert_eq(
-        uv_tcp_bind(&server->listener, (struct sockaddr *)&endpoint, 0), 0);
-    cr_assert_eq(
-        uv_listen((uv_stream_t *)&server->listener, 64, on_connection), 0);
-    uv_tcp_getsockname(&server->listener, (struct sockaddr *)&endpoint, &size);
+        uv_tcp_bind(server->listener, (struct sockaddr *)&endpoint, 0), 0);
+    uv_tcp_getsockname(server->listener, (struct sockaddr *)&endpoint, &size);
     snprintf(server->address, sizeof(server->address), "127.0.0.1:%u",
              ntohs(endpoint.sin_port));
 }
 
+static void
+start_listening(net_server_t *server)
+{
+    cr_assert_eq(uv_listen((uv_stream_t *)server->listener, 64, on_connection),
+                 0);
+}
+
 void
 net_server_start(net_server_t *server, pps_reactor_t *reactor,
                  const net_answer_t *script, size_t script_size)
@@ -252,6 +270,7 @@
     CDS_INIT_LIST_HEAD(&server->peers);
     uv_timer_init(&reactor->loop, &server->restart_timer);
     server->restart_timer.data = server;
+    bind_listener(server);
     start_listening(server);
 }
 
--- a/tests/entry/net.h
+++ b/tests/entry/net.h
@@ -31,7 +31,7 @@
 /** A server that sends the next response of its script to each request and
  * repeats the last one. */
 struct net_server {
-    uv_tcp_t listener;
+    uv_tcp_t *listener;
     pps_reactor_t *reactor;
     char address[NET_ADDRESS_BYTES];
     const net_answer_t *script;
--- a/tests/entry/test_crashing_part.c
+++ b/tests/entry/test_crashing_part.c
@@ -13,7 +13,6 @@
 #define UNFRAMED_HEAD "HTTP/1.1 200 OK\r\n" SEALED "\r\n"
 #define UNFRAMED_PART UNFRAMED_HEAD "id: 1\ndata: ev"
 #define UNFRAMED_WHOLE UNFRAMED_HEAD "id: 1\ndata: event 1\n\n"
-#define RESTART_MS 60
 /** More requests may reach workers than this, once five have ended. */
 #define SENDS_AFTER_MAX 3
 #define CRASHES_MAX 5
@@ -36,43 +35,13 @@
     {"empty and malformed entries", ",,aa:9,: ,bad:x, ", "aa:9"},
 };
 
-static void
-on_restart(void *user, net_server_t *server)
-{
-    fixture_t *fixture = user;
-    char id[8];
-    pps_worker_info_t info;
-
-    snprintf(id, sizeof(id), "w%d", (int)(server - fixture->workers));
-    info = pps_pool_lookup(fixture->dispatcher.pool, id)->info;
-    info.start_ms++;
-    pps_pool_put(fixture->dispatcher.pool, &info);
-}
-
 static void
 start(fixture_t *fixture, const char *crash_text)
 {
     static const net_answer_t script[] = {{SOUND, NET_KEEP}};
 
     fixture_start(fixture, script, 1);
-    for (int i = 0; i < FIXTURE_WORKERS; i++) {
-        fixture->workers[i].crash_text = crash_text;
-        fixture->workers[i].crash_head = HEAD;
-        fixture->workers[i].restart_ms = RESTART_MS;
-        fixture->workers[i].on_restart = on_restart;
-        fixture->workers[i].user = fixture;
-    }
-}
-
-static size_t
-count_crashes(const fixture_t *fixture)
-{
-    size_t sum = 0;
-
-    for (int i = 0; i < FIXTURE_WORKERS; i++) {
-        sum += fixture->workers[i].crashes;
-    }
-    return sum;
+    fixture_let_workers_crash(fixture, crash_text, HEAD);
 }
 
 /* Sends a request whose last part is its own. Returns the answer's status. */
@@ -105,12 +74,6 @@
     {"without framing, after an event", UNFRAMED_WHOLE},
 };
 
-static void
-wait_for_workers(fixture_t *fixture)
-{
-    net_run_for(&fixture->reactor, 2 * RESTART_MS);
-}
-
 Test(crashing_part, requests_with_it_are_sent_on_after_five_crashes)
 {
     for (size_t i = 0; i < sizeof(prompts) / sizeof(*prompts); i++) {
@@ -120,10 +83,10 @@
         for (int n = 0; n < BAD_REQUESTS; n++) {
             cr_expect_neq(request(&fixture, prompts[i].bad, n), 200, "%s",
                           prompts[i].name);
-            wait_for_workers(&fixture);
+            fixture_wait_for_workers(&fixture);
         }
-        cr_expect_leq(count_crashes(&fixture), CRASHES_MAX, "%s: %zu",
-                      prompts[i].name, count_crashes(&fixture));
+        cr_expect_leq(fixture_count_crashes(&fixture), CRASHES_MAX, "%s: %zu",
+                      prompts[i].name, fixture_count_crashes(&fixture));
         for (int n = 0; n < 3; n++) {
             cr_expect_eq(request(&fixture, prompts[i].sound, 100 + n), 200,
                          "%s", prompts[i].name);
@@ -143,10 +106,10 @@
         }
         for (int n = 0; n < BAD_REQUESTS; n++) {
             request(&fixture, "aa:9,bad:7", n);
-            wait_for_workers(&fixture);
+            fixture_wait_for_workers(&fixture);
         }
-        cr_expect_leq(count_crashes(&fixture), CRASHES_MAX, "%s: %zu",
-                      heads[i].name, count_crashes(&fixture));
+        cr_expect_leq(fixture_count_crashes(&fixture), CRASHES_MAX, "%s: %zu",
+                      heads[i].name, fixture_count_crashes(&fixture));
         cr_expect_eq(request(&fixture, "aa:9", BAD_REQUESTS), 200, "%s",
                      heads[i].name);
     }
--- a/tests/entry/test_crashing_request.c
+++ b/tests/entry/test_crashing_request.c
@@ -7,7 +7,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define RESTART_MS 60
 #define CRASHES_MAX 4
 #define REPEATS 8
 
@@ -46,42 +45,13 @@
       {"/safe/y", "key", "good"}}},
 };
 
-static void
-on_restart(void *user, net_server_t *server)
-{
-    fixture_t *fixture = user;
-    char id[8];
-    pps_worker_info_t info;
-
-    snprintf(id, sizeof(id), "w%d", (int)(server - fixture->workers));
-    info = pps_pool_lookup(fixture->dispatcher.pool, id)->info;
-    info.start_ms++;
-    pps_pool_put(fixture->dispatcher.pool, &info);
-}
-
 static void
 start(fixture_t *fixture)
 {
     static const net_answer_t script[] = {{OK_PLAIN, NET_KEEP}};
 
     fixture_start(fixture, script, 1);
-    for (int i = 0; i < FIXTURE_WORKERS; i++) {
-        fixture->workers[i].crash_text = "bad!";
-        fixture->workers[i].restart_ms = RESTART_MS;
-        fixture->workers[i].on_restart = on_restart;
-        fixture->workers[i].user = fixture;
-    }
-}
-
-static size_t
-count_crashes(const fixture_t *fixture)
-{
-    size_t sum = 0;
-
-    for (int i = 0; i < FIXTURE_WORKERS; i++) {
-        sum += fixture->workers[i].crashes;
-    }
-    return sum;
+    fixture_let_workers_crash(fixture, "bad!", NULL);
 }
 
 /* Sends a request under an id of its own. Returns the answer's status. */
@@ -115,10 +85,10 @@
 
             cr_expect(status == 502 || status == 503, "%s: %u", cases[i].name,
                       status);
-            net_run_for(&fixture.reactor, 2 * RESTART_MS);
+            fixture_wait_for_workers(&fixture);
         }
-        cr_expect_leq(count_crashes(&fixture), CRASHES_MAX, "%s: %zu",
-                      cases[i].name, count_crashes(&fixture));
+        cr_expect_leq(fixture_count_crashes(&fixture), CRASHES_MAX, "%s: %zu",
+                      cases[i].name, fixture_count_crashes(&fixture));
         for (int n = 0; n < 3; n++) {
             cr_expect_eq(
                 send_request(&fixture, &cases[i].sound[n], REPEATS + n), 200,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -33,7 +33,7 @@
 /** A proxy for one server. */
 typedef struct proxy {
     pps_reactor_t *reactor;
-    uv_tcp_t listener;
+    uv_tcp_t *listener;
     char address[SOAK_TEXT_BYTES]; /**< IP:PORT to connect to */
     char target[SOAK_TEXT_BYTES];
     proxy_mode_t mode;
--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -156,30 +156,45 @@
                    (struct sockaddr *)&address, on_connected);
 }
 
-void
-proxy_listen(proxy_t *proxy)
+/* Binds the proxy's address, or a free port if it has none. Until the socket
+ * listens, connections are refused, and the port can't be given to others. */
+static void
+bind_listener(proxy_t *proxy)
 {
     const char *colon = strchr(proxy->address, ':');
     struct sockaddr_in address;
     int size = sizeof(address);
 
-    uv_tcp_init(&proxy->reactor->loop, &proxy->listener);
-    proxy->listener.data = proxy;
+    proxy->listener = calloc(1, sizeof(*proxy->listener));
+    uv_tcp_init(&proxy->reactor->loop, proxy->listener);
+    proxy->listener->data = proxy;
     uv_ip4_addr("127.0.0.1", colon != NULL ? atoi(colon + 1) : 0, &address);
-    uv_tcp_bind(&proxy->listener, (struct sockaddr *)&address, 0);
-    uv_listen((uv_stream_t *)&proxy->listener, 256, on_connection);
-    uv_tcp_getsockname(&proxy->listener, (struct sockaddr *)&address, &size);
+    uv_tcp_bind(proxy->listener, (struct sockaddr *)&address, 0);
+    uv_tcp_getsockname(proxy->listener, (struct sockaddr *)&address, &size);
     snprintf(proxy->address, sizeof(proxy->address), "127.0.0.1:%u",
              ntohs(address.sin_port));
 }
 
+void
+proxy_listen(proxy_t *proxy)
+{
+    uv_listen((uv_stream_t *)proxy->listener, 256, on_connection);
+}
+
+static void
+on_listener_closed(uv_handle_t *handle)
+{
+    free(handle);
+}
+
 void
 proxy_close(proxy_t *proxy)
 {
     pair_t *pair;
     pair_t *next;
 
-    uv_close((uv_handle_t *)&proxy->listener, NULL);
+    uv_close((uv_handle_t *)proxy->listener, on_listener_closed);
+    bind_listener(proxy);
     cds_list_for_each_entry_safe (pair, next, &proxy->pairs, node) {
         close_pair(pair, 1);
     }
@@ -192,6 +207,7 @@
     proxy->reactor = reactor;
     CDS_INIT_LIST_HEAD(&proxy->pairs);
     snprintf(proxy->target, sizeof(proxy->target), "%s", target);
+    bind_listener(proxy);
     proxy_listen(proxy);
 }
 
