Crashing part: sound parts do not stay blocked when racks end as well

Cause: a part that most requests hold counts all ends, whatever their cause. It was excused only by one key that is in all of them, or by two; its block kept away the very answers that would have cleared it; a host that started did not know that it had been good, and knew the crashes only as of the conviction.

Fix: crashes that convicted keys explain no longer count against a part with which answers went on; its conviction rests after a minute instead of half an hour; the store has the last good answer and all crashes, and is written again when they grow. The keys of whole requests and of parts differ in a bit, as only parts may be one cause of two.

--- a/src/libpapayaswitch/exchange/call.h
+++ b/src/libpapayaswitch/exchange/call.h
@@ -31,7 +31,7 @@
     int has_last_event;
     int64_t prompt_tokens;
     int64_t shared_tokens; /**< tokens of all prompt parts but the last */
-    /** Digests of the ids of these parts. */
+    /** Keys of these parts; see poison/poison_key.h. */
     uint64_t parts[PPS_CALL_PARTS_MAX];
     size_t part_count;
     uint64_t session_digest; /**< of session or shared parts; 0: unknown */
--- a/src/libpapayaswitch/poison/poison_evidence.c
+++ b/src/libpapayaswitch/poison/poison_evidence.c
@@ -12,16 +12,19 @@
 /** Crashes that are further apart than this are independent of each other. A
  * rack that loses power ends many workers at once. */
 #define SAME_CAUSE_US (30 * PPS_US_PER_MS)
+/** Largest difference of the times of one crash at two hosts. */
+#define TIME_DIFFERENCE_US (200 * PPS_US_PER_MS)
 /** Only crashes that are this much older than the last one count. */
 #define COUNTED_US (600 * PPS_US_PER_S)
-/** Time after the last crash for which a convicted key is suspect. */
+/** Time after the last crash for which a convicted key is suspect, and for one
+ * with which an answer went on before: many sound requests may hold it. */
 #define SUSPECT_US (1800 * PPS_US_PER_S)
+#define SUSPECT_KNOWN_GOOD_US (60 * PPS_US_PER_S)
 /** Time after the last crash for which a conviction is remembered. */
 #define REMEMBERED_US (86400 * PPS_US_PER_S)
 
-int
-pps_poison_evidence_has_crash(const pps_poison_evidence_t *evidence,
-                              uint64_t crash_id)
+static int
+has_crash(const pps_poison_evidence_t *evidence, uint64_t crash_id)
 {
     for (unsigned int i = 0; i < evidence->crash_count; i++) {
         if (evidence->crashes[i].id == crash_id) {
@@ -31,6 +34,18 @@
     return 0;
 }
 
+int
+pps_poison_evidence_may_have_crash(const pps_poison_evidence_t *evidence,
+                                   const pps_poison_crash_t *crash)
+{
+    unsigned int count = evidence->crash_count;
+
+    return has_crash(evidence, crash->id) ||
+           (count == PPS_POISON_CRASHES_MAX &&
+            crash->at_us - evidence->crashes[count - 1].at_us <
+                TIME_DIFFERENCE_US);
+}
+
 int
 pps_poison_evidence_add_crash(pps_poison_evidence_t *evidence,
                               const pps_poison_crash_t *crash)
@@ -38,7 +53,7 @@
     unsigned int at = 0;
 
     if ((evidence->good_us != 0 && crash->begun_us < evidence->good_us) ||
-        pps_poison_evidence_has_crash(evidence, crash->id)) {
+        has_crash(evidence, crash->id)) {
         return 0;
     }
     while (at < evidence->crash_count &&
@@ -149,7 +164,8 @@
     if (!evidence->convicted || evidence->crash_count == 0) {
         return 0;
     }
-    return evidence->crashes[0].at_us + SUSPECT_US - now_us;
+    return evidence->crashes[0].at_us - now_us +
+           (evidence->good_us != 0 ? SUSPECT_KNOWN_GOOD_US : SUSPECT_US);
 }
 
 int
@@ -173,7 +189,8 @@
                            const pps_poison_evidence_t *covered)
 {
     for (unsigned int i = 0; i < covered->crash_count; i++) {
-        if (!pps_poison_evidence_has_crash(evidence, covered->crashes[i].id)) {
+        if (!pps_poison_evidence_may_have_crash(evidence,
+                                                &covered->crashes[i])) {
             return 0;
         }
     }
--- a/src/libpapayaswitch/poison/poison_evidence.h
+++ b/src/libpapayaswitch/poison/poison_evidence.h
@@ -79,12 +79,13 @@
 pps_poison_evidence_is_stale(const pps_poison_evidence_t *evidence,
                              int64_t now_us);
 
-/** Returns whether a crash is among those of the key. */
+/** Returns whether a crash may be one of the key's. One that is older than the
+ * oldest of a full list may have been one. */
 int
-pps_poison_evidence_has_crash(const pps_poison_evidence_t *evidence,
-                              uint64_t crash_id);
+pps_poison_evidence_may_have_crash(const pps_poison_evidence_t *evidence,
+                                   const pps_poison_crash_t *crash);
 
-/** Returns whether all crashes of a key are among those of another one. */
+/** Returns whether all crashes of a key may be among those of another one. */
 int
 pps_poison_evidence_covers(const pps_poison_evidence_t *evidence,
                            const pps_poison_evidence_t *covered);
--- a/src/libpapayaswitch/poison/poison_table.c
+++ b/src/libpapayaswitch/poison/poison_table.c
@@ -2,6 +2,7 @@
 #include "poison_table.h"
 
 #include "papayaswitch/errors.h"
+#include "poison_key.h"
 #include "table.h"
 
 #include <stdlib.h>
@@ -248,10 +249,10 @@
 
 static int
 is_in_one(const pps_poison_evidence_t *evidence,
-          const pps_poison_evidence_t *other, uint64_t crash_id)
+          const pps_poison_evidence_t *other, const pps_poison_crash_t *crash)
 {
-    return pps_poison_evidence_has_crash(evidence, crash_id) ||
-           pps_poison_evidence_has_crash(other, crash_id);
+    return pps_poison_evidence_may_have_crash(evidence, crash) ||
+           pps_poison_evidence_may_have_crash(other, crash);
 }
 
 static int
@@ -260,15 +261,24 @@
             const pps_poison_evidence_t *covered)
 {
     for (unsigned int i = 0; i < covered->crash_count; i++) {
-        if (!is_in_one(first, second, covered->crashes[i].id)) {
+        if (!is_in_one(first, second, &covered->crashes[i])) {
             return 0;
         }
     }
     return 1;
 }
 
-/* Returns whether two keys may be the causes, of which one is convicted and
- * none is known to be good. */
+static int
+may_be_one_of_two(const pps_poison_evidence_t *evidence, const uint64_t *keys,
+                  size_t count)
+{
+    return evidence->good_us == 0 &&
+           !pps_poison_key_is_request(evidence->key) &&
+           !holds(keys, count, evidence->key);
+}
+
+/* Returns whether two prompt parts may be the causes, of which one is
+ * convicted and none is known to be good. */
 static int
 has_two_causes(const pps_poison_table_t *table,
                const pps_poison_evidence_t *evidence, const uint64_t *keys,
@@ -279,16 +289,15 @@
     unsigned int tried = 0;
 
     cds_list_for_each_entry (first, &table->list, node) {
-        if (!first->evidence.convicted || first->evidence.good_us != 0 ||
-            holds(keys, count, first->evidence.key)) {
+        if (!first->evidence.convicted ||
+            !may_be_one_of_two(&first->evidence, keys, count)) {
             continue;
         }
         if (++tried > FIRST_CAUSES_MAX) {
             return 0;
         }
         cds_list_for_each_entry (second, &table->list, node) {
-            if (second->evidence.good_us == 0 &&
-                !holds(keys, count, second->evidence.key) &&
+            if (may_be_one_of_two(&second->evidence, keys, count) &&
                 covers_with(&first->evidence, &second->evidence, evidence)) {
                 return 1;
             }
@@ -297,6 +306,46 @@
     return 0;
 }
 
+/* Returns whether a convicted key that the request does not hold, and with
+ * which no answer went on, is in a crash. */
+static int
+is_explained(const pps_poison_table_t *table, const pps_poison_crash_t *crash,
+             const uint64_t *keys, size_t count)
+{
+    const entry_t *other;
+
+    cds_list_for_each_entry (other, &table->list, node) {
+        if (other->evidence.convicted && other->evidence.good_us == 0 &&
+            !holds(keys, count, other->evidence.key) &&
+            pps_poison_evidence_may_have_crash(&other->evidence, crash)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* Returns whether a key is known to be good, and its crashes do not suffice
+ * without those that other convicted keys explain. */
+static int
+is_mostly_explained(const pps_poison_table_t *table,
+                    const pps_poison_evidence_t *evidence,
+                    const uint64_t *keys, size_t count)
+{
+    pps_poison_evidence_t rest = *evidence;
+
+    if (evidence->good_us == 0) {
+        return 0;
+    }
+    rest.crash_count = 0;
+    for (unsigned int i = 0; i < evidence->crash_count; i++) {
+        if (!is_explained(table, &evidence->crashes[i], keys, count)) {
+            rest.crashes[rest.crash_count++] = evidence->crashes[i];
+        }
+    }
+    return rest.crash_count < evidence->crash_count &&
+           !pps_poison_evidence_suffices(&rest);
+}
+
 uint64_t
 pps_poison_table_find_block(const pps_poison_table_t *table,
                             const uint64_t *keys, size_t count, int64_t now_us)
@@ -311,6 +360,7 @@
         if (evidence != NULL &&
             pps_poison_evidence_is_suspect(evidence, now_us) &&
             !has_other_cause(table, evidence, keys, count) &&
+            !is_mostly_explained(table, evidence, keys, count) &&
             !has_two_causes(table, evidence, keys, count)) {
             return keys[i];
         }
--- a/tests/entry/test_poison_hosts.c
+++ b/tests/entry/test_poison_hosts.c
@@ -1,6 +1,7 @@
 /** @file test_poison_hosts.c @brief Plays many hosts that send requests to
  * workers which end under some of them, on a simulated clock. */
 #include "clock.h"
+#include "poison/poison_key.h"
 #include "poison/poison_table.h"
 #include "rng.h"
 
@@ -11,11 +12,14 @@
 #define DOMAINS 4
 #define FULL_MESH_HOSTS 13
 #define READERS 2
-#define WORKERS 24
+#define WORKERS_MAX 24
 #define RACK_WORKERS 8
 #define RUNS_MAX 4096
 #define MESSAGES_MAX 65536
-#define PARTS 4
+#define KEYS 5
+#define STORED_MAX 128
+#define REQUEST_KEY 4 /* index */
+#define HOT_REQUESTS 3
 #define ATTEMPTS_MAX 3
 #define SEEDS 6
 #define S PPS_US_PER_S
@@ -31,8 +35,10 @@
 #define WINDOW_US (3 * S)
 #define SYNC_PERIOD_US (1 * S)
 #define LOSS 0.1
-/** The rule counts from the fifth crash on, and allows so many sends. */
+/** The rules count from the fifth crash on by a part, and from the third by a
+ * request, and allow so many sends. */
 #define CRASHES_COUNTED 5
+#define REQUEST_CRASHES_COUNTED 3
 #define SENDS_AFTER_MAX 3
 /** Share of the sound requests that may be refused. */
 #define REFUSED_MAX 0.1
@@ -44,10 +50,12 @@
     unsigned int hosts;
     double bad_per_s; /* of each bad part */
     double sound_per_s;
-    unsigned int bad_parts;
+    unsigned int bad_kinds;
     int64_t sound_from_us;
     int64_t rack_every_us; /* a rack of workers ends, 0: never */
     fate_t fate;
+    int is_request; /* short calls of a service with few workers; the bad one
+                       is the same request each time */
 } play_case_t;
 
 typedef struct {
@@ -66,8 +74,9 @@
     unsigned int host;
     unsigned int worker;
     uint64_t start; /* of the worker */
-    uint64_t parts[PARTS];
+    uint64_t keys[KEYS];
     int is_bad;
+    unsigned int bad_kind;
     unsigned int attempts;
     int64_t begins_us;
     int64_t ends_us; /* the worker crashes then if the request is bad */
@@ -85,11 +94,11 @@
     pps_rng_t rng;
     int64_t now_us;
     host_t hosts[HOSTS_MAX];
-    worker_t workers[WORKERS];
+    worker_t workers[WORKERS_MAX];
     run_t runs[RUNS_MAX];
     message_t messages[MESSAGES_MAX];
     size_t message_count;
-    pps_poison_evidence_t stored[64]; /* in the platform's store */
+    pps_poison_evidence_t stored[STORED_MAX]; /* in the platform's store */
     size_t stored_count;
     uint64_t serial;
     unsigned int crashes[2]; /* by bad part */
@@ -154,24 +163,32 @@
     }
 }
 
+/* Brings the store up to date on a key. */
 static void
 store(const pps_poison_table_t *table, uint64_t key)
 {
     const pps_poison_evidence_t *known = pps_poison_table_lookup(table, key);
+    size_t i = 0;
 
-    if (known != NULL && known->convicted && play.stored_count < 64) {
-        play.stored[play.stored_count++] = *known;
+    while (i < play.stored_count && play.stored[i].key != key) {
+        i++;
+    }
+    if (known != NULL && known->convicted && i < STORED_MAX) {
+        play.stored[i] = *known;
+        play.stored_count += i == play.stored_count;
+    }
+    else if (i < play.stored_count) {
+        play.stored[i] = play.stored[--play.stored_count];
     }
 }
 
 static void
 merge(unsigned int host, const pps_poison_evidence_t *evidence)
 {
-    int convicted = 0;
     int is_new =
-        pps_poison_table_merge(play.hosts[host].table, evidence, &convicted);
+        pps_poison_table_merge(play.hosts[host].table, evidence, NULL);
 
-    if (convicted) {
+    if (is_new) {
         store(play.hosts[host].table, evidence->key);
     }
     if (is_new && play.item->hosts > FULL_MESH_HOSTS && host < READERS) {
@@ -252,15 +269,15 @@
 }
 
 static unsigned int
-bad_index(const run_t *run)
+worker_count(void)
 {
-    return run->parts[2] == 1002;
+    return play.item->is_request ? 4 : WORKERS_MAX;
 }
 
 static void
 count_send(const run_t *run)
 {
-    unsigned int bad = bad_index(run);
+    unsigned int bad = run->bad_kind;
     const host_t *host = &play.hosts[run->host];
 
     if (run->is_bad && play.fifth_us[bad] != 0 && !is_cut(run->host) &&
@@ -274,16 +291,17 @@
 static void
 send_request(run_t *run)
 {
-    unsigned int first = (unsigned int)pps_rng_below(&play.rng, WORKERS);
+    unsigned int workers = worker_count();
+    unsigned int first = (unsigned int)pps_rng_below(&play.rng, workers);
 
     run->is_used = 0;
-    if (pps_poison_table_find_block(play.hosts[run->host].table, run->parts,
-                                    PARTS, play.now_us) != 0) {
+    if (pps_poison_table_find_block(play.hosts[run->host].table, run->keys,
+                                    KEYS, play.now_us) != 0) {
         play.refused += !run->is_bad && run->attempts == 0;
         return;
     }
-    for (unsigned int i = 0; i < WORKERS && !run->is_used; i++) {
-        run->worker = (first + i) % WORKERS;
+    for (unsigned int i = 0; i < workers && !run->is_used; i++) {
+        run->worker = (first + i) % workers;
         run->is_used = play.workers[run->worker].up_at_us <= play.now_us;
     }
     if (!run->is_used) {
@@ -291,13 +309,53 @@
     }
     run->attempts++;
     run->start = play.workers[run->worker].start;
-    run->begins_us = play.now_us + draw_us(5 * MS, 60 * MS);
-    run->ends_us = run->begins_us + (run->is_bad ? draw_us(10 * MS, 120 * MS)
-                                                 : draw_us(800 * MS, 2 * S));
+    run->begins_us = play.now_us;
     run->went_on = 0;
+    if (!play.item->is_request) {
+        run->begins_us += draw_us(5 * MS, 60 * MS);
+    }
+    if (run->is_bad) {
+        run->ends_us = run->begins_us + draw_us(10 * MS, 120 * MS);
+    }
+    else if (play.item->is_request) {
+        run->ends_us = run->begins_us + draw_us(10 * MS, 30 * MS);
+    }
+    else {
+        run->ends_us = run->begins_us + draw_us(800 * MS, 2 * S);
+    }
     count_send(run);
 }
 
+static void
+draw_parts(run_t *run)
+{
+    const uint64_t parts[] = {
+        1, 2 + pps_rng_below(&play.rng, 3),
+        run->is_bad ? 1001 + run->bad_kind : 3,
+        100 + pps_rng_below(&play.rng, run->is_bad ? 2 : 6)};
+
+    for (size_t i = 0; i < REQUEST_KEY; i++) {
+        run->keys[i] = pps_poison_key_of_part(parts[i] * 2);
+    }
+    run->keys[REQUEST_KEY] = pps_poison_key_of_request(++play.serial * 2);
+}
+
+/* A service's requests hold no parts; some sound ones come again and again. */
+static void
+draw_request(run_t *run)
+{
+    uint64_t number = pps_rng_below(&play.rng, 2) == 0
+                          ? pps_rng_below(&play.rng, HOT_REQUESTS)
+                          : 1000000 + ++play.serial;
+
+    if (run->is_bad) {
+        number = 1000 + run->bad_kind;
+    }
+    for (size_t i = 0; i < KEYS; i++) {
+        run->keys[i] = pps_poison_key_of_request(number * 2);
+    }
+}
+
 static void
 arrive(int is_bad, unsigned int bad)
 {
@@ -312,10 +370,13 @@
         return;
     }
     run->is_bad = is_bad;
-    run->parts[0] = 1;
-    run->parts[1] = 2 + pps_rng_below(&play.rng, 3);
-    run->parts[2] = is_bad ? 1001 + bad : 3;
-    run->parts[3] = 100 + pps_rng_below(&play.rng, is_bad ? 2 : 6);
+    run->bad_kind = bad;
+    if (play.item->is_request) {
+        draw_request(run);
+    }
+    else {
+        draw_parts(run);
+    }
     play.sound += !is_bad;
     send_request(run);
 }
@@ -324,16 +385,18 @@
 report(const run_t *run)
 {
     uint64_t id = run->worker * 1000000 + run->start;
+    int has_begun = play.now_us >= run->begins_us;
+    size_t first = has_begun && !play.item->is_request ? 0 : REQUEST_KEY;
 
-    for (size_t i = 0; i < PARTS; i++) {
+    for (size_t i = first; i < KEYS; i++) {
         const pps_poison_evidence_t evidence = {
-            .key = run->parts[i],
+            .key = run->keys[i],
             .crashes = {{id, run->begins_us, play.now_us}},
             .crash_count = 1,
         };
 
         merge(run->host, &evidence);
-        send_to_all(run->host, run->parts[i]);
+        send_to_all(run->host, run->keys[i]);
     }
 }
 
@@ -351,7 +414,7 @@
         if (!run->is_used || run->worker != worker || run->start != start) {
             continue;
         }
-        if (play.now_us >= run->begins_us && !run->went_on) {
+        if (!run->went_on) {
             report(run);
         }
         if (run->attempts < ATTEMPTS_MAX) {
@@ -366,14 +429,28 @@
 static void
 crash(const run_t *run)
 {
-    unsigned int bad = bad_index(run);
+    unsigned int bad = run->bad_kind;
 
-    if (++play.crashes[bad] == CRASHES_COUNTED) {
+    if (++play.crashes[bad] ==
+        (play.item->is_request ? REQUEST_CRASHES_COUNTED : CRASHES_COUNTED)) {
         play.fifth_us[bad] = play.now_us;
     }
     end_worker(run->worker);
 }
 
+static void
+note_good(run_t *run)
+{
+    run->went_on = 1;
+    for (size_t i = 0; i < KEYS; i++) {
+        if (pps_poison_table_note_good(play.hosts[run->host].table,
+                                       run->keys[i], run->begins_us)) {
+            store(play.hosts[run->host].table, run->keys[i]);
+            send_to_all(run->host, run->keys[i]);
+        }
+    }
+}
+
 static void
 step_run(run_t *run)
 {
@@ -382,14 +459,9 @@
         return;
     }
     if (!run->is_bad && !run->went_on &&
-        play.now_us >= run->begins_us + WENT_ON_US) {
-        run->went_on = 1;
-        for (size_t i = 0; i < PARTS; i++) {
-            if (pps_poison_table_note_good(play.hosts[run->host].table,
-                                           run->parts[i], run->begins_us)) {
-                send_to_all(run->host, run->parts[i]);
-            }
-        }
+        (play.now_us >= run->begins_us + WENT_ON_US ||
+         play.now_us >= run->ends_us)) {
+        note_good(run);
     }
     if (play.now_us >= run->ends_us) {
         run->is_used = 0;
@@ -423,8 +495,8 @@
     }
     if (item->rack_every_us != 0 && play.now_us > 0 &&
         play.now_us % item->rack_every_us == 0) {
-        unsigned int first =
-            (unsigned int)pps_rng_below(&play.rng, WORKERS - RACK_WORKERS + 1);
+        unsigned int first = (unsigned int)pps_rng_below(
+            &play.rng, WORKERS_MAX - RACK_WORKERS + 1);
 
         for (unsigned int i = 0; i < RACK_WORKERS; i++) {
             end_worker(first + i);
@@ -440,7 +512,7 @@
     disturb();
     deliver();
     synchronize();
-    for (unsigned int i = 0; i < item->bad_parts; i++) {
+    for (unsigned int i = 0; i < item->bad_kinds; i++) {
         if (play.now_us >= BAD_FROM_US && is_due(item->bad_per_s)) {
             arrive(1, i);
         }
@@ -493,12 +565,12 @@
     {"racks end, few requests", 6, 0, 2, 0, 0, 2 * S, KEEP_ALL},
 };
 
-Test(poison_hosts, bad_requests_are_sent_on_after_the_fifth_crash)
+Test(poison_hosts, bad_requests_are_sent_on_after_enough_crashes)
 {
     for (size_t i = 0; i < sizeof(plays) / sizeof(*plays); i++) {
         for (uint64_t seed = 1; seed <= SEEDS; seed++) {
             run_play(&plays[i], seed);
-            for (unsigned int bad = 0; bad < plays[i].bad_parts; bad++) {
+            for (unsigned int bad = 0; bad < plays[i].bad_kinds; bad++) {
                 cr_expect(play.sends_after[bad] <= SENDS_AFTER_MAX,
                           "%s, seed %d: sent %u times more, %u ended",
                           plays[i].name, (int)seed, play.sends_after[bad],
--- a/tests/entry/test_poison_store.c
+++ b/tests/entry/test_poison_store.c
@@ -43,6 +43,24 @@
     {"a clock that was set far back", -500 * S, 0},
 };
 
+/* It is known that an answer went on before, but not that it clears them. */
+Test(poison_store, record_keeps_that_a_key_was_good_before)
+{
+    pps_poison_evidence_t known_good = convicted;
+    pps_poison_evidence_t read;
+    pps_buf_t text = PPS_BUF_INIT;
+
+    known_good.good_us = NOW_US - 20 * S;
+    cr_assert_eq(pps_poison_record_write(&text, &known_good, NOW_US, WALL_US),
+                 0);
+    cr_assert_eq(pps_poison_record_parse(&read, KEY_TEXT, text.data, text.size,
+                                         NOW_US, WALL_US),
+                 0);
+    cr_expect_eq(read.good_us, known_good.good_us);
+    cr_expect_eq(read.crash_count, 3);
+    pps_buf_clear(&text);
+}
+
 /* Hosts share no clock but the time of day. */
 Test(poison_store, record_keeps_the_age_of_crashes)
 {
@@ -208,3 +226,22 @@
     net_run_for(&fixture.reactor, 100);
     cr_expect_eq(fixture.server.requests, 2);
 }
+
+Test(poison_store, key_is_written_again_when_there_are_more_crashes)
+{
+    static const net_answer_t script[] = {{EMPTY, NET_KEEP},
+                                          {WRITTEN, NET_KEEP}};
+    const pps_poison_evidence_t another = {
+        .key = KEY,
+        .crashes = {{4, NOW_US - 80 * MS, NOW_US - 10 * MS}},
+        .crash_count = 1,
+    };
+    fixture_t fixture;
+
+    start(&fixture, script, 2);
+    convict(&fixture, KEY);
+    step_until(&fixture, 2);
+    cr_assert_eq(pps_poison_table_merge(fixture.table, &another, NULL), 1);
+    step_until(&fixture, 3);
+    cr_expect(was_written(&fixture, "0000000000000004"));
+}
