Keep the same request from workers when it comes again and ends them

Cause: as with a part of a prompt, the failure was put down to the worker. Besides, no two attempts had anything in common for a host: the id is new each time.

Evidence: the test's worker_probed lines (refused at each end), and the same path, caller and body on each ended worker.

Fix: a request has a key of its own, a digest of method, host, path, workspace and body, which joins the evidence that hosts share. A prompt's part is not excused by the keys of single requests.

--- a/src/libpapayaswitch/exchange/crash_watch.c
+++ b/src/libpapayaswitch/exchange/crash_watch.c
@@ -12,6 +12,8 @@
 
 /** Time to answer a probe. A longer silence says nothing of the worker. */
 #define PROBE_TIMEOUT_US (50 * PPS_US_PER_MS)
+/** Time after which a worker is probed whose silent attempt was dropped. */
+#define SILENT_PROBE_US (150 * PPS_US_PER_MS)
 /** Number of keys that are noted for one end of a worker. */
 #define SUSPECTS_MAX 128
 
@@ -28,6 +30,8 @@
     pps_dispatcher_t *dispatcher;
     pps_worker_info_t worker;
     uint64_t worker_digest;
+    pps_timer_t timer;
+    int64_t probe_due_us; /* 0: not scheduled */
     int64_t at_us;
     unsigned int answers;
     struct cds_list_head waiting; /* exchanges, by probe_node */
@@ -123,6 +127,23 @@
     free(found);
 }
 
+static void
+start_probe(worker_break_t *begun)
+{
+    begun->at_us = begun->dispatcher->reactor->now_us;
+    if (pps_connect_probe_start(begun->dispatcher->reactor,
+                                begun->worker.address, PROBE_TIMEOUT_US,
+                                on_probed, begun) != 0) {
+        on_probed(begun, PPS_PROBE_UNANSWERED);
+    }
+}
+
+static void
+on_probe_due(int64_t now_us, void *user)
+{
+    start_probe(user);
+}
+
 static worker_break_t *
 begin_break(pps_exchange_t *exchange)
 {
@@ -133,16 +154,10 @@
         return NULL;
     }
     begun->dispatcher = dispatcher;
-    begun->at_us = dispatcher->reactor->now_us;
     begun->worker = exchange->worker->info;
     begun->worker.start_ms = exchange->worker_start_ms;
     begun->worker_digest = exchange->worker->digest;
     CDS_INIT_LIST_HEAD(&begun->waiting);
-    if (pps_connect_probe_start(dispatcher->reactor, begun->worker.address,
-                                PROBE_TIMEOUT_US, on_probed, begun) != 0) {
-        free(begun);
-        return NULL;
-    }
     cds_list_add_tail(&begun->node, &dispatcher->breaks);
     return begun;
 }
@@ -163,19 +178,23 @@
               int is_whole)
 {
     uint64_t keys[PPS_EXCHANGE_KEYS_MAX];
-    size_t count = pps_exchange_poison_keys(exchange, keys);
+    size_t count = pps_exchange_exposed_keys(exchange, keys);
+    int64_t begun_us =
+        exchange->answer_us != 0 ? exchange->answer_us : exchange->sent_us;
 
     for (size_t i = 0; i < count && found->suspect_count < SUSPECTS_MAX; i++) {
         if (!is_noted(found, keys[i])) {
             found->suspects[found->suspect_count++] =
-                (suspect_t){keys[i], exchange->answer_us, is_whole};
+                (suspect_t){keys[i], begun_us, is_whole};
         }
     }
 }
 
-/* Finds the break of the attempt's worker, or begins one. */
+/* Finds the break of the attempt's worker, or begins one, and notes the
+ * attempt.
+ */
 static worker_break_t *
-lookup_break(pps_exchange_t *exchange, int is_whole)
+note_attempt(pps_exchange_t *exchange, int is_whole)
 {
     worker_break_t *found =
         find_break(exchange->dispatcher, exchange->worker->digest,
@@ -190,28 +209,56 @@
         return NULL;
     }
     found->answers++;
-    if (pps_exchange_is_at_begin(exchange)) {
-        note_suspects(found, exchange, is_whole);
-    }
+    note_suspects(found, exchange, is_whole);
     return found;
 }
 
+/* Schedules the probe unless it is under way or due sooner. */
+static void
+schedule_probe(worker_break_t *found, int64_t delay_us)
+{
+    int64_t due_us = found->dispatcher->reactor->now_us + delay_us;
+
+    if (found->probe_due_us == 0 || due_us < found->probe_due_us) {
+        found->probe_due_us = due_us;
+        pps_reactor_after(found->dispatcher->reactor, &found->timer, delay_us,
+                          on_probe_due, found);
+    }
+}
+
 int
 pps_crash_watch_note_break(pps_exchange_t *exchange)
 {
-    worker_break_t *found = lookup_break(exchange, 0);
+    worker_break_t *found = note_attempt(exchange, 0);
 
     pps_decision_log_broken(exchange);
-    if (found == NULL || !pps_exchange_is_at_begin(exchange) ||
-        !pps_exchange_is_suspected(exchange)) {
+    if (found == NULL) {
+        return 0;
+    }
+    schedule_probe(found, 0);
+    if (exchange->went_on || !pps_exchange_is_suspected(exchange)) {
         return 0;
     }
     cds_list_add_tail(&exchange->probe_node, &found->waiting);
     return 1;
 }
 
+void
+pps_crash_watch_note_silence(pps_exchange_t *exchange)
+{
+    worker_break_t *found = note_attempt(exchange, 0);
+
+    if (found != NULL) {
+        schedule_probe(found, SILENT_PROBE_US);
+    }
+}
+
 void
 pps_crash_watch_note_end(pps_exchange_t *exchange)
 {
-    lookup_break(exchange, 1);
+    worker_break_t *found = note_attempt(exchange, 1);
+
+    if (found != NULL) {
+        schedule_probe(found, 0);
+    }
 }
--- a/src/libpapayaswitch/exchange/crash_watch.h
+++ b/src/libpapayaswitch/exchange/crash_watch.h
@@ -18,6 +18,12 @@
 int
 pps_crash_watch_note_break(pps_exchange_t *exchange);
 
+/** Notes that the current attempt is dropped since nothing of its answer has
+ * arrived for long. The worker may yet end under it, so it is probed after a
+ * while. Call it before the attempt is dropped. */
+void
+pps_crash_watch_note_silence(pps_exchange_t *exchange);
+
 /** Notes that the answer ended with its connection soon after its begin, and
  * probes the worker: it may have ended then. Call it before the attempt is
  * dropped. */
--- a/src/libpapayaswitch/exchange/decision_log.c
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "counters.h"
 #include "logger.h"
+#include "poison/poison_key.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -270,8 +271,10 @@
                             ? US_TO_MS(now_us(exchange) - exchange->answer_us)
                             : NO_ANSWER;
     char parts[LOGGED_PARTS_MAX * DIGEST_TEXT_BYTES];
+    char key[DIGEST_TEXT_BYTES];
 
     write_parts(parts, sizeof(parts), &exchange->call);
+    snprintf(key, sizeof(key), DIGEST_FORMAT, exchange->request_key);
     pps_logger_write(
         PPS_LOG_WARN, "answer_broken",
         PPS_FIELDS(
@@ -279,7 +282,8 @@
             PPS_STR("worker", exchange->worker->info.id),
             PPS_INT("start_ms", exchange->worker_start_ms),
             PPS_INT("sent_ms", US_TO_MS(now_us(exchange) - exchange->sent_us)),
-            PPS_INT("answer_ms", answer_ms), PPS_STR("parts", parts)));
+            PPS_INT("answer_ms", answer_ms), PPS_STR("parts", parts),
+            PPS_STR("key", key)));
 }
 
 void
@@ -310,9 +314,12 @@
     pps_counter_add(PPS_COUNTER_ENTRY_POISON_FOUND, 1);
     pps_logger_write(
         PPS_LOG_WARN, "poison_found",
-        PPS_FIELDS(PPS_STR("key", key), PPS_STR("source", source),
-                   PPS_INT("crashes", evidence->crash_count),
-                   PPS_INT("known_good", evidence->good_us != 0)));
+        PPS_FIELDS(
+            PPS_STR("key", key),
+            PPS_INT("is_request", pps_poison_key_is_request(evidence->key)),
+            PPS_STR("source", source),
+            PPS_INT("crashes", evidence->crash_count),
+            PPS_INT("known_good", evidence->good_us != 0)));
 }
 
 void
@@ -327,3 +334,14 @@
                                 PPS_STR("key", text),
                                 PPS_INT("runs", exchange->runs)));
 }
+
+void
+pps_decision_log_poison_trial(const pps_exchange_t *exchange, uint64_t key)
+{
+    char text[DIGEST_TEXT_BYTES];
+
+    snprintf(text, sizeof(text), DIGEST_FORMAT, key);
+    pps_logger_write(PPS_LOG_WARN, "poison_trial",
+                     PPS_FIELDS(PPS_STR("request", exchange->call.id),
+                                PPS_STR("key", text)));
+}
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -94,6 +94,10 @@
 pps_decision_log_convicted(const pps_poison_evidence_t *evidence,
                            const char *source);
 
+/** Logs that a request with a doubtful key is let through. */
+void
+pps_decision_log_poison_trial(const pps_exchange_t *exchange, uint64_t key);
+
 /** Logs and counts that a request is kept from workers, and by which key. */
 void
 pps_decision_log_poison_refused(const pps_exchange_t *exchange, uint64_t key);
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -76,6 +76,9 @@
 typedef void (*pps_poison_notice_fn)(void *user, const uint64_t *keys,
                                      size_t count);
 
+/** Returns whether this host tests for all whether a doubtful key is sound. */
+typedef int (*pps_tests_poison_fn)(void *user);
+
 /** State of an upstream, kept by name across deployment revisions. */
 typedef struct {
     char name[PPS_WORKER_TEXT_BYTES];
@@ -118,6 +121,7 @@
     pps_limit_rank_fn limit_rank;     /**< NULL: this host is the only one */
     pps_poison_notice_fn poison_notice; /**< sends to the other hosts, or NULL
                                          */
+    pps_tests_poison_fn tests_poison;   /**< NULL: this host is the only one */
     void *notice_user;                  /**< of these functions */
     pps_poison_table_t *poison; /**< requests under which workers end */
     pps_upstream_state_t upstreams[PPS_DISPATCH_UPSTREAMS_MAX];
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -5,15 +5,18 @@
 #include "crash_line.h"
 #include "decision_log.h"
 #include "exchange_worker.h"
+#include "poison/poison_key.h"
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND 404
 #define STATUS_UNAVAILABLE 503
 #define STATUS_TIMEOUT 504
 #define STATUS_BAD_GATEWAY 502
+#define REQUEST_DIGEST_SEED 5
 #define TIME_LEFT_MAX_US (3600 * PPS_US_PER_S)
 /** Fraction of a caller's timeout that a request may wait for a starting
  * host, and the longest such wait. */
@@ -247,6 +250,25 @@
                : pps_rng_next(&exchange->dispatcher->rng);
 }
 
+/* Returns the key by which the same request is known when it comes again,
+ * under another id. */
+static uint64_t
+request_key(const pps_exchange_t *exchange)
+{
+    const pps_http_request_t *request = exchange->request;
+    const char *caller =
+        exchange->workspace != NULL ? exchange->workspace->name : "";
+    uint64_t digest =
+        XXH64(request->method, strlen(request->method), REQUEST_DIGEST_SEED);
+
+    digest = XXH64(exchange->call.host, strlen(exchange->call.host), digest);
+    digest =
+        XXH64(pps_buf_text(&request->target), request->target.size, digest);
+    digest = XXH64(caller, strlen(caller), digest);
+    return pps_poison_key_of_request(
+        XXH64(pps_buf_text(&request->body), request->body.size, digest));
+}
+
 static void
 start_exchange(pps_exchange_t *exchange)
 {
@@ -258,6 +280,7 @@
     exchange->upstream = &exchange->deployment->upstreams[index];
     exchange->upstream_state =
         pps_dispatcher_upstream(dispatcher, exchange->upstream->name);
+    exchange->request_key = request_key(exchange);
     exchange->version_digest = session_or_random_digest(exchange);
     exchange->model = first_model(route);
     exchange->last_event = exchange->call.last_event;
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "crash_line.h"
+#include "crash_watch.h"
 #include "decision_log.h"
 #include "exchange_evidence.h"
 #include "exchange_poison.h"
@@ -109,6 +110,9 @@
     }
     pps_decision_log_repeated(exchange, "silence", 1);
     pps_exchange_evidence_count_failure(exchange);
+    if (exchange->answer_us == 0) {
+        pps_crash_watch_note_silence(exchange);
+    }
     pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
     pps_exchange_send(exchange);
 }
--- a/src/libpapayaswitch/exchange/exchange_poison.c
+++ b/src/libpapayaswitch/exchange/exchange_poison.c
@@ -19,36 +19,52 @@
     const pps_call_t *call = &exchange->call;
 
     memcpy(out, call->parts, call->part_count * sizeof(*out));
-    return call->part_count;
+    out[call->part_count] = exchange->request_key;
+    return call->part_count + 1;
 }
 
-static uint64_t
+static pps_poison_block_t
 find_block(const pps_exchange_t *exchange)
 {
     const pps_dispatcher_t *dispatcher = exchange->dispatcher;
     uint64_t keys[PPS_EXCHANGE_KEYS_MAX];
 
-    if (pps_poison_table_count(dispatcher->poison) == 0) {
-        return 0;
-    }
     return pps_poison_table_find_block(
         dispatcher->poison, keys, pps_exchange_poison_keys(exchange, keys),
         dispatcher->reactor->now_us);
 }
 
+/* Returns whether the request may show that the key which blocks it is sound.
+ * One host takes such trials for all. */
+static int
+is_on_trial(const pps_exchange_t *exchange, const pps_poison_block_t *block)
+{
+    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    int is_tester = dispatcher->tests_poison == NULL ||
+                    dispatcher->tests_poison(dispatcher->notice_user);
+
+    return block->is_doubtful && is_tester &&
+           pps_poison_table_take_trial(dispatcher->poison, block->key,
+                                       dispatcher->reactor->now_us);
+}
+
 int
 pps_exchange_refuse_poison(pps_exchange_t *exchange)
 {
-    uint64_t key = find_block(exchange);
+    pps_poison_block_t block = find_block(exchange);
     int64_t rest_us;
 
-    if (key == 0) {
+    if (block.key == 0) {
+        return 0;
+    }
+    if (is_on_trial(exchange, &block)) {
+        pps_decision_log_poison_trial(exchange, block.key);
         return 0;
     }
     rest_us = pps_poison_evidence_rest_us(
-        pps_poison_table_lookup(exchange->dispatcher->poison, key),
+        pps_poison_table_lookup(exchange->dispatcher->poison, block.key),
         exchange->dispatcher->reactor->now_us);
-    pps_decision_log_poison_refused(exchange, key);
+    pps_decision_log_poison_refused(exchange, block.key);
     pps_exchange_refuse_harmful(exchange, rest_us);
     return 1;
 }
@@ -121,13 +137,21 @@
     return 0;
 }
 
-int
-pps_exchange_is_at_begin(const pps_exchange_t *exchange)
+size_t
+pps_exchange_exposed_keys(const pps_exchange_t *exchange, uint64_t *out)
 {
     int64_t now_us = exchange->dispatcher->reactor->now_us;
 
-    return exchange->answer_us != 0 && !exchange->went_on &&
-           now_us - exchange->answer_us < JUST_BEGUN_US;
+    if (exchange->went_on) {
+        return 0;
+    }
+    if (exchange->answer_us == 0) {
+        out[0] = exchange->request_key;
+        return 1;
+    }
+    return now_us - exchange->answer_us < JUST_BEGUN_US
+               ? pps_exchange_poison_keys(exchange, out)
+               : 0;
 }
 
 /* Returns whether a worker may yet end under a request that was sent to it. */
--- a/src/libpapayaswitch/exchange/exchange_poison.h
+++ b/src/libpapayaswitch/exchange/exchange_poison.h
@@ -9,7 +9,7 @@
 #include "exchange.h"
 
 /** Largest number of keys of a request. */
-#define PPS_EXCHANGE_KEYS_MAX PPS_CALL_PARTS_MAX
+#define PPS_EXCHANGE_KEYS_MAX (PPS_CALL_PARTS_MAX + 1)
 
 /** Copies the keys of a request under which workers may end.
  * @param out space for PPS_EXCHANGE_KEYS_MAX @return the number of keys */
@@ -35,9 +35,11 @@
 int
 pps_exchange_is_suspected(const pps_exchange_t *exchange);
 
-/** Returns whether the answer is at its beginning, where workers end if the
- * request is the cause. */
-int
-pps_exchange_is_at_begin(const pps_exchange_t *exchange);
+/** Copies the keys that may be the cause if the worker of the current attempt
+ * has ended: all at the begin of an answer, that of the request before it,
+ * none once the answer has gone on.
+ * @param out space for PPS_EXCHANGE_KEYS_MAX @return the number of keys */
+size_t
+pps_exchange_exposed_keys(const pps_exchange_t *exchange, uint64_t *out);
 
 #endif
--- a/src/libpapayaswitch/poison/poison_table.c
+++ b/src/libpapayaswitch/poison/poison_table.c
@@ -1,6 +1,7 @@
 /** @file poison_table.c @brief Evidence on all keys, and what it blocks. */
 #include "poison_table.h"
 
+#include "clock.h"
 #include "papayaswitch/errors.h"
 #include "poison_key.h"
 #include "table.h"
@@ -20,11 +21,18 @@
 #define DIGEST_CRASHES_MIN 2
 /** Number of convicted keys that are tried as one of two causes. */
 #define FIRST_CAUSES_MAX 16
+/** Time from the last crash to the first trial, then to the second, and the
+ * factor by which this interval grows. */
+#define TRIAL_FIRST_US (1 * PPS_US_PER_S)
+#define TRIAL_INTERVAL_US (4 * PPS_US_PER_S)
+#define TRIAL_INTERVAL_FACTOR 8
 
 typedef struct {
     pps_table_item_t item;
     struct cds_list_head node;
     pps_poison_evidence_t evidence;
+    int64_t next_trial_us; /* 0: no trial yet */
+    int64_t trial_interval_us;
 } entry_t;
 
 typedef struct {
@@ -268,17 +276,21 @@
     return 1;
 }
 
+/* Returns whether a key may be one of two causes of what a request is blocked
+ * for. Without a conviction, whole requests are none: each bad request has
+ * such a key besides what they have in common. */
 static int
 may_be_one_of_two(const pps_poison_evidence_t *evidence, const uint64_t *keys,
                   size_t count)
 {
     return evidence->good_us == 0 &&
-           !pps_poison_key_is_request(evidence->key) &&
+           (evidence->convicted ||
+            !pps_poison_key_is_request(evidence->key)) &&
            !holds(keys, count, evidence->key);
 }
 
-/* Returns whether two prompt parts may be the causes, of which one is
- * convicted and none is known to be good. */
+/* Returns whether two keys may be the causes, of which one is convicted and
+ * none is known to be good. */
 static int
 has_two_causes(const pps_poison_table_t *table,
                const pps_poison_evidence_t *evidence, const uint64_t *keys,
@@ -306,16 +318,30 @@
     return 0;
 }
 
-/* Returns whether a convicted key that the request does not hold, and with
- * which no answer went on, is in a crash. */
+/* Returns whether a convicted key, with which no answer went on, may explain
+ * crashes of another one. Each bad request has a key of its own, which says
+ * nothing against a part that they share. */
 static int
-is_explained(const pps_poison_table_t *table, const pps_poison_crash_t *crash,
-             const uint64_t *keys, size_t count)
+may_explain(const pps_poison_evidence_t *other,
+            const pps_poison_evidence_t *evidence)
+{
+    return other->convicted && other->good_us == 0 &&
+           (evidence->good_us != 0 || !pps_poison_key_is_request(other->key) ||
+            pps_poison_key_is_request(evidence->key));
+}
+
+/* Returns whether a crash of a key is explained by a key that the request does
+ * not hold. */
+static int
+is_explained(const pps_poison_table_t *table,
+             const pps_poison_evidence_t *evidence,
+             const pps_poison_crash_t *crash, const uint64_t *keys,
+             size_t count)
 {
     const entry_t *other;
 
     cds_list_for_each_entry (other, &table->list, node) {
-        if (other->evidence.convicted && other->evidence.good_us == 0 &&
+        if (may_explain(&other->evidence, evidence) &&
             !holds(keys, count, other->evidence.key) &&
             pps_poison_evidence_may_have_crash(&other->evidence, crash)) {
             return 1;
@@ -324,8 +350,8 @@
     return 0;
 }
 
-/* Returns whether a key is known to be good, and its crashes do not suffice
- * without those that other convicted keys explain. */
+/* Returns whether the crashes of a key do not suffice without those that other
+ * convicted keys explain. */
 static int
 is_mostly_explained(const pps_poison_table_t *table,
                     const pps_poison_evidence_t *evidence,
@@ -333,12 +359,10 @@
 {
     pps_poison_evidence_t rest = *evidence;
 
-    if (evidence->good_us == 0) {
-        return 0;
-    }
     rest.crash_count = 0;
     for (unsigned int i = 0; i < evidence->crash_count; i++) {
-        if (!is_explained(table, &evidence->crashes[i], keys, count)) {
+        if (!is_explained(table, evidence, &evidence->crashes[i], keys,
+                          count)) {
             rest.crashes[rest.crash_count++] = evidence->crashes[i];
         }
     }
@@ -346,26 +370,67 @@
            !pps_poison_evidence_suffices(&rest);
 }
 
-uint64_t
+static pps_poison_block_t
+judge_key(const pps_poison_table_t *table, uint64_t key, const uint64_t *keys,
+          size_t count, int64_t now_us)
+{
+    const pps_poison_evidence_t *evidence =
+        pps_poison_table_lookup(table, key);
+    pps_poison_block_t block = {0, 0};
+
+    if (evidence == NULL ||
+        !pps_poison_evidence_is_suspect(evidence, now_us) ||
+        has_other_cause(table, evidence, keys, count) ||
+        has_two_causes(table, evidence, keys, count)) {
+        return block;
+    }
+    block.is_doubtful = is_mostly_explained(table, evidence, keys, count);
+    if (!block.is_doubtful || evidence->good_us == 0) {
+        block.key = key;
+    }
+    return block;
+}
+
+pps_poison_block_t
 pps_poison_table_find_block(const pps_poison_table_t *table,
                             const uint64_t *keys, size_t count, int64_t now_us)
 {
+    pps_poison_block_t found = {0, 0};
+
     if (pps_poison_table_count(table) == 0) {
-        return 0;
+        return found;
     }
     for (size_t i = 0; i < count; i++) {
-        const pps_poison_evidence_t *evidence =
-            pps_poison_table_lookup(table, keys[i]);
-
-        if (evidence != NULL &&
-            pps_poison_evidence_is_suspect(evidence, now_us) &&
-            !has_other_cause(table, evidence, keys, count) &&
-            !is_mostly_explained(table, evidence, keys, count) &&
-            !has_two_causes(table, evidence, keys, count)) {
-            return keys[i];
+        pps_poison_block_t block =
+            judge_key(table, keys[i], keys, count, now_us);
+
+        if (block.key != 0 && !block.is_doubtful) {
+            return block;
+        }
+        if (block.key != 0) {
+            found = block;
         }
     }
-    return 0;
+    return found;
+}
+
+int
+pps_poison_table_take_trial(pps_poison_table_t *table, uint64_t key,
+                            int64_t now_us)
+{
+    entry_t *entry = find_entry(table, key);
+
+    if (entry == NULL || entry->evidence.crash_count == 0 ||
+        now_us - entry->evidence.crashes[0].at_us < TRIAL_FIRST_US ||
+        now_us < entry->next_trial_us) {
+        return 0;
+    }
+    entry->trial_interval_us =
+        entry->trial_interval_us == 0
+            ? TRIAL_INTERVAL_US
+            : entry->trial_interval_us * TRIAL_INTERVAL_FACTOR;
+    entry->next_trial_us = now_us + entry->trial_interval_us;
+    return 1;
 }
 
 void
--- a/src/libpapayaswitch/poison/poison_table.h
+++ b/src/libpapayaswitch/poison/poison_table.h
@@ -41,12 +41,28 @@
 pps_poison_table_merge(pps_poison_table_t *table,
                        const pps_poison_evidence_t *evidence, int *convicted);
 
-/** Returns the key that blocks a request with these keys, or 0. */
-uint64_t
+/** A key that blocks a request. */
+typedef struct {
+    uint64_t key;    /**< 0: none does */
+    int is_doubtful; /**< other convicted keys, which the request does not
+                        hold, explain so many of the crashes that the rest
+                        would not suffice */
+} pps_poison_block_t;
+
+/** Finds a key that blocks a request with these keys; one that is not
+ * doubtful, if there is one. */
+pps_poison_block_t
 pps_poison_table_find_block(const pps_poison_table_t *table,
                             const uint64_t *keys, size_t count,
                             int64_t now_us);
 
+/** Takes the right to let one request with a doubtful key through, which shows
+ * whether the key is sound. Such trials become rare if they change nothing.
+ * @return whether it was granted */
+int
+pps_poison_table_take_trial(pps_poison_table_t *table, uint64_t key,
+                            int64_t now_us);
+
 /** Returns the evidence on a key with crashes, or NULL. */
 const pps_poison_evidence_t *
 pps_poison_table_lookup(const pps_poison_table_t *table, uint64_t key);
--- a/tests/entry/exchange_fixture.c
+++ b/tests/entry/exchange_fixture.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #define ANSWER_TIMEOUT_MS 4000
+#define CRASH_DELAY_MS 10
 #define RESTART_MS 150
 #define SETTLE_MS 5
 
@@ -32,6 +33,9 @@
     "\"streaming\",\"service\":\"s\",\"max_attempts\":3,\"timeout_ms\":3000,"
     "\"target_latency_ms\":2000,\"stream_resume\":true,\"gap_aim_ms\":1500,"
     "\"sizes\":[\"m0\",\"m1\"]}"
+    ",{\"name\":\"e\",\"host\":\"h\",\"path_prefix\":\"/quick/\",\"kind\":"
+    "\"safe\",\"service\":\"s\",\"max_attempts\":2,\"timeout_ms\":3000,"
+    "\"target_latency_ms\":50}"
     "],\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":4096,"
     "\"header_timeout_ms\":1000,\"idle_timeout_ms\":2000},\"tenants\":[{"
     "\"name\":\"team\",\"api_keys\":[\"key\"]},{\"name\":\"other\","
@@ -110,6 +114,7 @@
     for (int i = 0; i < FIXTURE_WORKERS; i++) {
         fixture->workers[i].crash_text = text;
         fixture->workers[i].crash_head = head;
+        fixture->workers[i].crash_delay_ms = CRASH_DELAY_MS;
         fixture->workers[i].restart_ms = RESTART_MS;
         fixture->workers[i].on_restart = on_restart;
         fixture->workers[i].user = fixture;
--- a/tests/entry/net.c
+++ b/tests/entry/net.c
@@ -8,8 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CRASH_DELAY_MS 10
-
 typedef struct {
     struct cds_list_head node;
     uv_tcp_t tcp;
@@ -161,7 +159,8 @@
     if (server->crash_head != NULL) {
         send_text(peer, server->crash_head, id);
     }
-    uv_timer_start(&server->restart_timer, on_crash_due, CRASH_DELAY_MS, 0);
+    uv_timer_start(&server->restart_timer, on_crash_due,
+                   server->crash_delay_ms, 0);
 }
 
 static void
--- a/tests/entry/net.h
+++ b/tests/entry/net.h
@@ -41,14 +41,15 @@
     pps_buf_t last;       /**< text of the last request */
     size_t *script_index; /**< next script index, may be shared */
     size_t own_script_index;
-    void *last_peer;         /**< connection of the last request */
-    const char *crash_text;  /**< a request with it ends the server: the
-                                  head, then all connections are reset and
-                                  refused; NULL: none */
-    const char *crash_head;  /**< sent before, with "%s"; NULL: nothing */
-    int crash_closes;        /**< connections are closed, not reset */
-    unsigned int restart_ms; /**< time until it listens again */
-    size_t crashes;          /**< times that it has ended */
+    void *last_peer;             /**< connection of the last request */
+    const char *crash_text;      /**< a request with it ends the server: the
+                                      head, then all connections are reset and
+                                      refused; NULL: none */
+    const char *crash_head;      /**< sent before, with "%s"; NULL: nothing */
+    int crash_closes;            /**< connections are closed, not reset */
+    unsigned int crash_delay_ms; /**< from the request to its end */
+    unsigned int restart_ms;     /**< time until it listens again */
+    size_t crashes;              /**< times that it has ended */
     int is_down;
     void (*on_restart)(void *user, net_server_t *server); /**< or NULL */
     void *user;
--- a/tests/entry/test_crashing_request.c
+++ b/tests/entry/test_crashing_request.c
@@ -9,6 +9,11 @@
 
 #define CRASHES_MAX 4
 #define REPEATS 8
+/** After the silence that makes the host drop an attempt. */
+#define LATE_CRASH_MS 100
+#define LATE_RESTART_MS 400
+/** One more may be under way when the third is known. */
+#define LATE_CRASHES_MAX 5
 
 typedef struct {
     const char *path;
@@ -96,3 +101,24 @@
         }
     }
 }
+
+/* The host has dropped the attempt by the time at which the worker ends. */
+Test(crashing_request, same_request_is_sent_on_though_it_ends_workers_late)
+{
+    static const request_t bad = {"/quick/x", "key", "bad!"};
+    static const request_t sound = {"/quick/x", "key", "good"};
+    fixture_t fixture;
+
+    start(&fixture);
+    for (int i = 0; i < FIXTURE_WORKERS; i++) {
+        fixture.workers[i].crash_delay_ms = LATE_CRASH_MS;
+        fixture.workers[i].restart_ms = LATE_RESTART_MS;
+    }
+    for (int n = 0; n < REPEATS; n++) {
+        send_request(&fixture, &bad, n);
+        fixture_wait_for_workers(&fixture);
+    }
+    cr_expect_leq(fixture_count_crashes(&fixture), LATE_CRASHES_MAX, "%zu",
+                  fixture_count_crashes(&fixture));
+    cr_expect_eq(send_request(&fixture, &sound, REPEATS), 200);
+}
--- a/tests/entry/test_poison_hosts.c
+++ b/tests/entry/test_poison_hosts.c
@@ -287,6 +287,18 @@
     }
 }
 
+static int
+is_refused(const run_t *run)
+{
+    pps_poison_table_t *table = play.hosts[run->host].table;
+    pps_poison_block_t block =
+        pps_poison_table_find_block(table, run->keys, KEYS, play.now_us);
+
+    return block.key != 0 &&
+           !(block.is_doubtful && run->host == 0 &&
+             pps_poison_table_take_trial(table, block.key, play.now_us));
+}
+
 /* Sends a request to a worker, unless it is blocked or no worker is up. */
 static void
 send_request(run_t *run)
@@ -295,8 +307,7 @@
     unsigned int first = (unsigned int)pps_rng_below(&play.rng, workers);
 
     run->is_used = 0;
-    if (pps_poison_table_find_block(play.hosts[run->host].table, run->keys,
-                                    KEYS, play.now_us) != 0) {
+    if (is_refused(run)) {
         play.refused += !run->is_bad && run->attempts == 0;
         return;
     }
@@ -563,6 +574,15 @@
     {"racks end as well", 6, 4, 40, 1, 0, 5 * S, KEEP_ALL},
     {"racks end, no bad request", 6, 0, 40, 0, 0, 4 * S, KEEP_ALL},
     {"racks end, few requests", 6, 0, 2, 0, 0, 2 * S, KEEP_ALL},
+    {"same request", 6, 2, 40, 1, 0, 0, KEEP_ALL, 1},
+    {"same request, often", 6, 15, 40, 1, 0, 0, KEEP_ALL, 1},
+    {"same request, few others", 6, 1, 1, 1, 0, 0, KEEP_ALL, 1},
+    {"two requests come again", 6, 2, 40, 2, 0, 0, KEEP_ALL, 1},
+    {"same request, 95 hosts", 95, 2, 60, 1, 0, 0, KEEP_ALL, 1},
+    {"same request, 300 hosts", 300, 2, 60, 1, 0, 0, KEEP_ALL, 1},
+    {"same request, hosts restarted", 6, 2, 40, 1, 0, 0, RESTART_ONE, 1},
+    {"same request, all hosts killed", 6, 2, 40, 1, 0, 0, KILL_ALL, 1},
+    {"same request, a third cut off", 6, 2, 40, 1, 0, 0, CUT_THIRD, 1},
 };
 
 Test(poison_hosts, bad_requests_are_sent_on_after_enough_crashes)
