Crashing part: leave alone what may clear a doubtful key, and find out

What callers would have seen: a part that most requests hold and that was convicted in error stays blocked for a minute, since the block takes back the very requests whose answers would clear it (read in the code; the plays of test_poison_hosts did not take requests back yet).

Cause: doubt was known only where other convicted keys explain most ends.

--- a/src/libpapayaswitch/exchange/exchange_poison.c
+++ b/src/libpapayaswitch/exchange/exchange_poison.c
@@ -163,7 +163,8 @@
 }
 
 /* Takes requests back that were sent before their key was convicted: most
- * workers drop a request that waits when its connection closes. */
+ * workers drop a request that waits when its connection closes. Those with a
+ * doubtful key may show that it is sound. */
 static void
 drop_exposed(pps_dispatcher_t *dispatcher)
 {
@@ -172,7 +173,7 @@
 
     cds_list_for_each_entry_safe (exchange, next, &dispatcher->exchanges,
                                   node) {
-        if (is_exposed(exchange)) {
+        if (is_exposed(exchange) && !find_block(exchange).is_doubtful) {
             pps_exchange_refuse_poison(exchange);
         }
     }
--- a/src/libpapayaswitch/poison/poison_table.c
+++ b/src/libpapayaswitch/poison/poison_table.c
@@ -19,7 +19,7 @@
  */
 #define GOOD_SLOTS 4096
 #define DIGEST_CRASHES_MIN 2
-/** Number of convicted keys that are tried as one of two causes. */
+/** Number of keys that are tried as one of two causes. */
 #define FIRST_CAUSES_MAX 16
 /** Time from the last crash to the first trial, then to the second, and the
  * factor by which this interval grows. */
@@ -289,19 +289,19 @@
            !holds(keys, count, evidence->key);
 }
 
-/* Returns whether two keys may be the causes, of which one is convicted and
- * none is known to be good. */
+/* Returns whether two keys may be the causes, of which none is known to be
+ * good. @param is_convicted one of them has to be convicted */
 static int
 has_two_causes(const pps_poison_table_t *table,
                const pps_poison_evidence_t *evidence, const uint64_t *keys,
-               size_t count)
+               size_t count, int is_convicted)
 {
     const entry_t *first;
     const entry_t *second;
     unsigned int tried = 0;
 
     cds_list_for_each_entry (first, &table->list, node) {
-        if (!first->evidence.convicted ||
+        if ((is_convicted && !first->evidence.convicted) ||
             !may_be_one_of_two(&first->evidence, keys, count)) {
             continue;
         }
@@ -333,10 +333,10 @@
 /* Returns whether a crash of a key is explained by a key that the request does
  * not hold. */
 static int
-is_explained(const pps_poison_table_t *table,
-             const pps_poison_evidence_t *evidence,
-             const pps_poison_crash_t *crash, const uint64_t *keys,
-             size_t count)
+is_crash_explained(const pps_poison_table_t *table,
+                   const pps_poison_evidence_t *evidence,
+                   const pps_poison_crash_t *crash, const uint64_t *keys,
+                   size_t count)
 {
     const entry_t *other;
 
@@ -361,8 +361,8 @@
 
     rest.crash_count = 0;
     for (unsigned int i = 0; i < evidence->crash_count; i++) {
-        if (!is_explained(table, evidence, &evidence->crashes[i], keys,
-                          count)) {
+        if (!is_crash_explained(table, evidence, &evidence->crashes[i], keys,
+                                count)) {
             rest.crashes[rest.crash_count++] = evidence->crashes[i];
         }
     }
@@ -377,17 +377,21 @@
     const pps_poison_evidence_t *evidence =
         pps_poison_table_lookup(table, key);
     pps_poison_block_t block = {0, 0};
+    int is_explained;
 
     if (evidence == NULL ||
         !pps_poison_evidence_is_suspect(evidence, now_us) ||
         has_other_cause(table, evidence, keys, count) ||
-        has_two_causes(table, evidence, keys, count)) {
+        has_two_causes(table, evidence, keys, count, 1)) {
         return block;
     }
-    block.is_doubtful = is_mostly_explained(table, evidence, keys, count);
-    if (!block.is_doubtful || evidence->good_us == 0) {
-        block.key = key;
+    is_explained = is_mostly_explained(table, evidence, keys, count);
+    if (is_explained && evidence->good_us != 0) {
+        return block;
     }
+    block.key = key;
+    block.is_doubtful = is_explained || evidence->good_us != 0 ||
+                        has_two_causes(table, evidence, keys, count, 0);
     return block;
 }
 
--- a/src/libpapayaswitch/poison/poison_table.h
+++ b/src/libpapayaswitch/poison/poison_table.h
@@ -44,9 +44,10 @@
 /** A key that blocks a request. */
 typedef struct {
     uint64_t key;    /**< 0: none does */
-    int is_doubtful; /**< other convicted keys, which the request does not
-                        hold, explain so many of the crashes that the rest
-                        would not suffice */
+    int is_doubtful; /**< answers with it went on before; or other convicted
+                          keys, which the request does not hold, explain so
+                          many of the crashes that the rest would not suffice;
+                          or two other keys may be the causes */
 } pps_poison_block_t;
 
 /** Finds a key that blocks a request with these keys; one that is not
--- a/tests/entry/test_poison_hosts.c
+++ b/tests/entry/test_poison_hosts.c
@@ -115,6 +115,9 @@
            (int64_t)pps_rng_below(&play.rng, (uint64_t)(to_us - from_us));
 }
 
+static void
+drop_exposed(unsigned int host);
+
 static int
 is_up(unsigned int host)
 {
@@ -185,9 +188,13 @@
 static void
 merge(unsigned int host, const pps_poison_evidence_t *evidence)
 {
+    int convicted = 0;
     int is_new =
-        pps_poison_table_merge(play.hosts[host].table, evidence, NULL);
+        pps_poison_table_merge(play.hosts[host].table, evidence, &convicted);
 
+    if (convicted) {
+        drop_exposed(host);
+    }
     if (is_new) {
         store(play.hosts[host].table, evidence->key);
     }
@@ -299,6 +306,23 @@
              pps_poison_table_take_trial(table, block.key, play.now_us));
 }
 
+/* Takes back what is under way with a key that has just been convicted. */
+static void
+drop_exposed(unsigned int host)
+{
+    for (size_t i = 0; i < RUNS_MAX; i++) {
+        run_t *run = &play.runs[i];
+        pps_poison_block_t block;
+
+        if (run->is_used && run->host == host && !run->went_on) {
+            block = pps_poison_table_find_block(play.hosts[host].table,
+                                                run->keys, KEYS, play.now_us);
+            run->is_used = block.key == 0 || block.is_doubtful;
+            play.refused += !run->is_used && !run->is_bad;
+        }
+    }
+}
+
 /* Sends a request to a worker, unless it is blocked or no worker is up. */
 static void
 send_request(run_t *run)
