Parts of bystanders raise no doubt about a request that ends workers

Two parts of bystanders together were in all its ends, as a freshly started host knows no part to be good; that made the conviction doubtful. Only a part may be doubted for two other parts.

--- a/src/libpapayaswitch/poison/poison_table.c
+++ b/src/libpapayaswitch/poison/poison_table.c
@@ -391,7 +391,8 @@
     }
     block.key = key;
     block.is_doubtful = is_explained || evidence->good_us != 0 ||
-                        has_two_causes(table, evidence, keys, count, 0);
+                        (!pps_poison_key_is_request(key) &&
+                         has_two_causes(table, evidence, keys, count, 0));
     return block;
 }
 
--- a/src/libpapayaswitch/poison/poison_table.h
+++ b/src/libpapayaswitch/poison/poison_table.h
@@ -47,7 +47,7 @@
     int is_doubtful; /**< answers with it went on before; or other convicted
                           keys, which the request does not hold, explain so
                           many of the crashes that the rest would not suffice;
-                          or two other keys may be the causes */
+                          or, for a part, two others may be the causes */
 } pps_poison_block_t;
 
 /** Finds a key that blocks a request with these keys; one that is not
