--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -1,6 +1,7 @@
 /** @file exchange_reply.c @brief Forwards a worker's reply or retries. */
 #include "exchange_reply.h"
 
+#include "answer_end.h"
 #include "clock.h"
 #include "crash_watch.h"
 #include "decision_log.h"
@@ -12,7 +13,6 @@
 #include "model_choice.h"
 #include "papayaswitch/errors.h"
 
-#include <jansson.h>
 #include <string.h>
 
 /** Largest answer body that is buffered, and the sum of all that are. */
@@ -340,40 +340,13 @@
     pps_buf_clear(&body);
 }
 
-static int
-is_cut_json(const pps_buf_t *body)
-{
-    json_error_t error;
-    json_t *value =
-        json_loadb(pps_buf_text(body), body->size, JSON_DECODE_ANY, &error);
-    int is_cut = value == NULL &&
-                 json_error_code(&error) == json_error_premature_end_of_input;
-
-    json_decref(value);
-    return is_cut;
-}
-
-/* Returns whether an answer has ended before it was whole. One that ends with
- * its connection does so also when its worker ends. */
-static int
-is_cut_off(const pps_exchange_t *exchange)
-{
-    if (exchange->attempt == PPS_ATTEMPT_STREAMING) {
-        return exchange->events.partial.size > 0 ||
-               (exchange->is_unframed && !exchange->has_event &&
-                !exchange->has_last_event);
-    }
-    return exchange->is_unframed && exchange->is_json &&
-           is_cut_json(&exchange->body);
-}
-
 void
 pps_exchange_on_reply_end(pps_exchange_t *exchange)
 {
     if (exchange->attempt == PPS_ATTEMPT_NONE) {
         return;
     }
-    if (is_cut_off(exchange)) {
+    if (pps_exchange_is_cut_off(exchange)) {
         pps_exchange_on_attempt_failed(exchange, PPS_CHANNEL_BROKEN);
         return;
     }
