Crashing request: the shared parts of a prompt belong to a request's key

All streams there have the same path, caller and body; after a kill of all hosts no answer with them was known, and ends under a bad part convicted the key that they share (117 refusals by it), while the part itself had fewer ends. The key has the shared parts now, so that requests with a bad part and sound ones differ in it. The soak's bad request keeps its prompt.

--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -181,6 +181,9 @@
     digest =
         XXH64(pps_buf_text(&request->target), request->target.size, digest);
     digest = XXH64(caller, strlen(caller), digest);
+    digest = XXH64(exchange->call.parts,
+                   exchange->call.part_count * sizeof(*exchange->call.parts),
+                   digest);
     return pps_poison_key_of_request(
         XXH64(pps_buf_text(&request->body), request->body.size, digest));
 }
