Answer all reasons not to send to a worker from one table of gates

Cause: whether a host may send to a worker was decided by conditions spread over the choice of a worker (four passes), the calls taken for other hosts and Retry-After; more kinds of reasons are to come. Change: exchange/worker_gate.h, a table of functions; the states leaving, full, paused and avoided, limits and permits are gates.

--- a/src/libpapayaswitch/exchange/exchange_link.c
+++ b/src/libpapayaswitch/exchange/exchange_link.c
@@ -3,7 +3,7 @@
 
 #include "papayaswitch/errors.h"
 #include "path_watch.h"
-#include "worker_permit.h"
+#include "worker_gate.h"
 
 /** Longest wait for an acknowledgement of bytes sent to a worker. */
 #define USER_TIMEOUT_MS 2500
@@ -96,5 +96,5 @@
         exchange->borrow_tries++;
         return;
     }
-    pps_worker_limit_take(&worker->limit);
+    pps_worker_gates_take(exchange->dispatcher, worker);
 }
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -3,8 +3,7 @@
 
 #include "clock.h"
 #include "exchange_trial.h"
-#include "worker_permit.h"
-#include "worker_share.h"
+#include "worker_gate.h"
 
 #include <string.h>
 
@@ -48,24 +47,30 @@
                : exchange->call.model;
 }
 
-/* Returns whether the worker can serve the request when it is not full. */
+/* Returns whether the worker belongs to the request's upstream and has its
+ * model. */
 static int
-is_eligible(const pps_exchange_t *exchange, const pps_pool_worker_t *worker)
+is_match(const pps_exchange_t *exchange, const pps_pool_worker_t *worker)
 {
     const char *model = model_of(exchange);
 
-    return worker->listed && !pps_pool_worker_is_leaving(worker) &&
+    return worker->listed &&
            strcmp(worker->info.upstream, exchange->upstream->name) == 0 &&
            (model == NULL || pps_worker_has_model(&worker->info, model));
 }
 
+/* Returns whether the worker can serve the request when it is not full. */
 static int
-is_available(const pps_exchange_t *exchange, const pps_pool_worker_t *worker)
+is_eligible(const pps_exchange_t *exchange, pps_pool_worker_t *worker)
 {
-    int64_t now_us = exchange->dispatcher->reactor->now_us;
+    pps_gate_answer_t answer;
 
-    return worker->full_until_us <= now_us &&
-           worker->paused_until_us <= now_us && is_eligible(exchange, worker);
+    if (!is_match(exchange, worker)) {
+        return 0;
+    }
+    pps_worker_gates_check(&answer, exchange->dispatcher, worker, exchange,
+                           PPS_GATE_OF_WORKER);
+    return answer.state != PPS_GATE_NEVER;
 }
 
 static double
@@ -138,54 +143,39 @@
     };
 }
 
-/* Workers that a pass over the pool includes besides the preferred ones. */
-typedef struct {
-    int other_version; /* workers of the other version */
-    int avoided;       /* workers to avoid for a time, or tried */
-    int without_share; /* workers to which only other hosts may send */
-} pass_t;
-
-static pps_pool_worker_t *
-choose_in_pass(const pps_exchange_t *exchange, const pass_t *pass)
+/* Classes of workers, the preferred ones first. Workers of a class are chosen
+ * only if there are none of the classes before it. */
+typedef enum {
+    CLASS_PREFERRED,
+    CLASS_AVOIDED, /* to avoid for a time, or tried before */
+    CLASS_OTHER_VERSION,
+    CLASS_OTHER_VERSION_AVOIDED,
+    CLASS_OTHER_HOST, /* only other hosts may send to it */
+    CLASS_NONE,
+} worker_class_t;
+
+static worker_class_t
+class_of(const pps_exchange_t *exchange, pps_pool_worker_t *worker)
 {
-    static pps_placement_candidate_t candidates[PPS_EXCHANGE_CANDIDATES_MAX];
-    static pps_pool_worker_t *workers[PPS_EXCHANGE_CANDIDATES_MAX];
-    pps_dispatcher_t *dispatcher = exchange->dispatcher;
-    const pps_placement_options_t options = placement_options(exchange);
-    uint64_t prefix_worker = pps_prefix_affinity_find_worker(
-        &dispatcher->prefixes, pps_exchange_prefix_digest(exchange),
-        dispatcher->reactor->now_us);
-    pps_pool_worker_t *worker;
-    size_t count = 0;
-    int chosen = -1;
-
-    cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
-                             node) {
-        if (count == PPS_EXCHANGE_CANDIDATES_MAX ||
-            !is_available(exchange, worker) ||
-            has_other_version(exchange, &worker->info) > pass->other_version ||
-            (!pass->without_share &&
-             !pps_worker_has_share(dispatcher, worker))) {
-            continue;
-        }
-        if (!pass->avoided &&
-            (worker->avoided_until_us > dispatcher->reactor->now_us ||
-             was_tried(exchange, worker->info.id))) {
-            continue;
-        }
-        describe_candidate(&candidates[count], exchange, worker,
-                           prefix_worker);
-        workers[count++] = worker;
+    const pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    int is_other = has_other_version(exchange, &worker->info);
+    pps_gate_answer_t state;
+    int is_avoided;
+
+    pps_worker_gates_check(&state, dispatcher, worker, exchange,
+                           PPS_GATE_OF_WORKER);
+    if (state.state > PPS_GATE_AVOIDED) {
+        return CLASS_NONE;
     }
-    if (!pass->other_version && pps_exchange_is_on_trial(exchange)) {
-        chosen = pps_exchange_choose_for_trial(exchange, candidates, workers,
-                                               count);
+    is_avoided = state.state == PPS_GATE_AVOIDED ||
+                 was_tried(exchange, worker->info.id);
+    if (!pps_worker_has_share(dispatcher, worker)) {
+        return is_other || is_avoided ? CLASS_NONE : CLASS_OTHER_HOST;
     }
-    if (chosen < 0) {
-        chosen = pps_placement_choose(candidates, count, &options,
-                                      &dispatcher->rng);
+    if (is_other) {
+        return is_avoided ? CLASS_OTHER_VERSION_AVOIDED : CLASS_OTHER_VERSION;
     }
-    return chosen < 0 ? NULL : workers[chosen];
+    return is_avoided ? CLASS_AVOIDED : CLASS_PREFERRED;
 }
 
 static int
@@ -223,22 +213,83 @@
                                   exchange->dispatcher->reactor->now_us);
 }
 
-pps_pool_worker_t *
-pps_exchange_choose_worker(const pps_exchange_t *exchange)
+static int
+is_class_allowed(const pps_exchange_t *exchange, worker_class_t worker_class)
+{
+    switch (worker_class) {
+    case CLASS_PREFERRED:
+    case CLASS_AVOIDED:
+        return 1;
+    case CLASS_OTHER_VERSION:
+    case CLASS_OTHER_VERSION_AVOIDED:
+        return may_use_other_version(exchange);
+    case CLASS_OTHER_HOST:
+        return may_borrow(exchange);
+    case CLASS_NONE:
+        break;
+    }
+    return 0;
+}
+
+/* Lists the workers of the first class that has any and is allowed.
+ * @return that class */
+static worker_class_t
+list_workers(pps_pool_worker_t **out, size_t *count,
+             const pps_exchange_t *exchange)
 {
-    static const pass_t passes[] = {
-        {0, 0, 0}, {0, 1, 0}, {1, 0, 0}, {1, 1, 0}, {0, 0, 1}};
-    pps_pool_worker_t *worker = NULL;
-
-    for (size_t i = 0; worker == NULL && i < sizeof(passes) / sizeof(*passes);
-         i++) {
-        if ((passes[i].other_version && !may_use_other_version(exchange)) ||
-            (passes[i].without_share && !may_borrow(exchange))) {
+    worker_class_t best = CLASS_NONE;
+    pps_pool_worker_t *worker;
+
+    *count = 0;
+    cds_list_for_each_entry (
+        worker, pps_pool_workers(exchange->dispatcher->pool), node) {
+        worker_class_t worker_class;
+
+        if (!is_match(exchange, worker)) {
             continue;
         }
-        worker = choose_in_pass(exchange, &passes[i]);
+        worker_class = class_of(exchange, worker);
+        if (worker_class < best && is_class_allowed(exchange, worker_class)) {
+            best = worker_class;
+            *count = 0;
+        }
+        if (worker_class == best && best != CLASS_NONE &&
+            *count < PPS_EXCHANGE_CANDIDATES_MAX) {
+            out[(*count)++] = worker;
+        }
     }
-    return worker;
+    return best;
+}
+
+pps_pool_worker_t *
+pps_exchange_choose_worker(const pps_exchange_t *exchange)
+{
+    static pps_placement_candidate_t candidates[PPS_EXCHANGE_CANDIDATES_MAX];
+    static pps_pool_worker_t *workers[PPS_EXCHANGE_CANDIDATES_MAX];
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    const pps_placement_options_t options = placement_options(exchange);
+    uint64_t prefix_worker = pps_prefix_affinity_find_worker(
+        &dispatcher->prefixes, pps_exchange_prefix_digest(exchange),
+        dispatcher->reactor->now_us);
+    size_t count;
+    worker_class_t worker_class = list_workers(workers, &count, exchange);
+    int chosen = -1;
+
+    for (size_t i = 0; i < count; i++) {
+        describe_candidate(&candidates[i], exchange, workers[i],
+                           prefix_worker);
+    }
+    if (worker_class != CLASS_OTHER_VERSION &&
+        worker_class != CLASS_OTHER_VERSION_AVOIDED &&
+        pps_exchange_is_on_trial(exchange)) {
+        chosen = pps_exchange_choose_for_trial(exchange, candidates, workers,
+                                               count);
+    }
+    if (chosen < 0) {
+        chosen = pps_placement_choose(candidates, count, &options,
+                                      &dispatcher->rng);
+    }
+    return chosen < 0 ? NULL : workers[chosen];
 }
 
 int
@@ -272,19 +323,22 @@
     }
 }
 
-/* Returns the time until this host may send to the worker. If only other hosts
- * may, that is a time in which the caller reaches one of them. */
+/* Returns the time until this host may send to the worker; 0 if it may now, or
+ * if that is unknown. If only other hosts may, that is a time in which the
+ * caller reaches one of them. */
 static int64_t
-opening_us(const pps_dispatcher_t *dispatcher, pps_pool_worker_t *worker)
+opening_us(const pps_dispatcher_t *dispatcher, const pps_gate_answer_t *answer)
 {
-    int64_t pause_us = worker->paused_until_us - dispatcher->reactor->now_us;
-    int64_t limit_us = pps_worker_share_wait_us(dispatcher, worker);
-
-    if (limit_us == INT64_MAX ||
-        !pps_worker_permit_is_free(dispatcher, worker)) {
-        limit_us = OTHER_HOST_US;
+    switch (answer->state) {
+    case PPS_GATE_OTHER_HOST:
+        return OTHER_HOST_US;
+    case PPS_GATE_CLOSED:
+        return answer->opens_us == 0
+                   ? 0
+                   : answer->opens_us - dispatcher->reactor->now_us;
+    default:
+        return 0;
     }
-    return pause_us > limit_us ? pause_us : limit_us;
 }
 
 int64_t
@@ -296,16 +350,29 @@
 
     cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
                              node) {
-        int64_t pause_us = opening_us(dispatcher, worker);
+        pps_gate_answer_t state;
+        pps_gate_answer_t share;
+        int64_t us;
 
-        if (!is_eligible(exchange, worker)) {
+        if (!is_match(exchange, worker)) {
+            continue;
+        }
+        pps_worker_gates_check(&state, dispatcher, worker, exchange,
+                               PPS_GATE_OF_WORKER);
+        if (state.state == PPS_GATE_NEVER) {
             continue;
         }
-        if (pause_us <= 0) {
+        pps_worker_gates_check(&share, dispatcher, worker, exchange,
+                               PPS_GATE_OF_SHARE);
+        us = opening_us(dispatcher, &state);
+        if (opening_us(dispatcher, &share) > us) {
+            us = opening_us(dispatcher, &share);
+        }
+        if (us <= 0) {
             return 0;
         }
-        if (first_us == 0 || pause_us < first_us) {
-            first_us = pause_us;
+        if (first_us == 0 || us < first_us) {
+            first_us = us;
         }
     }
     return first_us;
--- a/src/libpapayaswitch/exchange/relay_desk.c
+++ b/src/libpapayaswitch/exchange/relay_desk.c
@@ -4,18 +4,24 @@
 #include "decision_log.h"
 #include "exchange_notes.h"
 #include "path_watch.h"
-#include "worker_permit.h"
+#include "worker_gate.h"
 
 #include <stdio.h>
 
-/* Returns whether this host would send a request of its own to the worker,
- * shares apart. */
+/* Returns whether this host would send a request of its own to the worker; its
+ * share counts only if the other host asks for it. */
 static int
-sends_to(const pps_dispatcher_t *dispatcher, const pps_pool_worker_t *worker)
+sends_to(const pps_dispatcher_t *dispatcher, pps_pool_worker_t *worker,
+         int takes_share)
 {
-    return worker != NULL && !pps_pool_worker_is_leaving(worker) &&
-           !worker->is_path_lost &&
-           worker->paused_until_us <= dispatcher->reactor->now_us;
+    pps_gate_answer_t answer;
+
+    if (worker == NULL || worker->is_path_lost) {
+        return 0;
+    }
+    pps_worker_gates_check(&answer, dispatcher, worker, NULL,
+                           takes_share ? PPS_GATES_ALL : PPS_GATE_OF_WORKER);
+    return answer.state <= PPS_GATE_AVOIDED;
 }
 
 static pps_relay_status_t
@@ -34,13 +40,12 @@
     if (!pps_path_watch_takes_relays(dispatcher)) {
         return PPS_RELAY_BUSY;
     }
-    if (!sends_to(dispatcher, worker) ||
-        (takes_share && !pps_worker_has_share(dispatcher, worker))) {
+    if (!sends_to(dispatcher, worker, takes_share)) {
         return PPS_RELAY_UNKNOWN;
     }
     if (takes_share) {
         pps_pool_begin_call(worker);
-        pps_worker_limit_take(&worker->limit);
+        pps_worker_gates_take(dispatcher, worker);
         *hold = worker;
     }
     snprintf(out, PPS_RELAY_ADDRESS_BYTES, "%s", worker->info.address);
--- a/src/libpapayaswitch/exchange/worker_permit.c
+++ b/src/libpapayaswitch/exchange/worker_permit.c
@@ -3,7 +3,6 @@
 
 #include "clock.h"
 #include "decision_log.h"
-#include "worker_share.h"
 
 /** Time for which a computed rank holds. */
 #define RANK_PERIOD_US (200 * PPS_US_PER_MS)
@@ -28,9 +27,9 @@
     return rank;
 }
 
-int
-pps_worker_permit_is_free(const pps_dispatcher_t *dispatcher,
-                          pps_pool_worker_t *worker)
+/* Returns whether this host has a permit for a request to the worker. */
+static int
+has_free_permit(const pps_dispatcher_t *dispatcher, pps_pool_worker_t *worker)
 {
     int64_t now_us = dispatcher->reactor->now_us;
     pps_permit_load_t load;
@@ -48,14 +47,18 @@
                                       rank_for(dispatcher, worker), now_us);
 }
 
-int
-pps_worker_has_share(const pps_dispatcher_t *dispatcher,
-                     pps_pool_worker_t *worker)
+static void
+check_permits(pps_gate_answer_t *out, const pps_dispatcher_t *dispatcher,
+              pps_pool_worker_t *worker, const pps_exchange_t *exchange)
 {
-    return pps_worker_share_wait_us(dispatcher, worker) == 0 &&
-           pps_worker_permit_is_free(dispatcher, worker);
+    if (!has_free_permit(dispatcher, worker)) {
+        out->state = PPS_GATE_OTHER_HOST;
+    }
 }
 
+const pps_worker_gate_t pps_gate_permits = {"permits", PPS_GATE_OF_SHARE,
+                                            check_permits, NULL};
+
 static void
 report(pps_dispatcher_t *dispatcher, pps_pool_worker_t *worker,
        const pps_brittle_notice_t *notice)
--- a/src/libpapayaswitch/exchange/worker_permit.h
+++ b/src/libpapayaswitch/exchange/worker_permit.h
@@ -6,18 +6,10 @@
 #ifndef PPS_EXCHANGE_WORKER_PERMIT_H
 #define PPS_EXCHANGE_WORKER_PERMIT_H
 
-#include "exchange.h"
+#include "worker_gate.h"
 
-/** Returns whether this host may send a request to the worker, by the limit
- * that it names and by its permits. */
-int
-pps_worker_has_share(const pps_dispatcher_t *dispatcher,
-                     pps_pool_worker_t *worker);
-
-/** Returns whether this host has a permit for a request to the worker. */
-int
-pps_worker_permit_is_free(const pps_dispatcher_t *dispatcher,
-                          pps_pool_worker_t *worker);
+/** Gate: this host's permits of a brittle worker. */
+extern const pps_worker_gate_t pps_gate_permits;
 
 /** Notes what the reply to the current attempt says, and tells other hosts
  * when it is due. */
--- a/src/libpapayaswitch/exchange/worker_share.c
+++ b/src/libpapayaswitch/exchange/worker_share.c
@@ -35,9 +35,10 @@
     return share;
 }
 
-int64_t
-pps_worker_share_wait_us(const pps_dispatcher_t *dispatcher,
-                         pps_pool_worker_t *worker)
+/* Returns the time until this host may send a request to the worker: 0 if it
+ * may now, INT64_MAX if only other hosts may. */
+static int64_t
+wait_us(const pps_dispatcher_t *dispatcher, pps_pool_worker_t *worker)
 {
     int64_t now_us = dispatcher->reactor->now_us;
 
@@ -52,6 +53,30 @@
                                     now_us);
 }
 
+static void
+check_limit(pps_gate_answer_t *out, const pps_dispatcher_t *dispatcher,
+            pps_pool_worker_t *worker, const pps_exchange_t *exchange)
+{
+    int64_t us = wait_us(dispatcher, worker);
+
+    if (us == INT64_MAX) {
+        out->state = PPS_GATE_OTHER_HOST;
+    }
+    else if (us > 0) {
+        out->state = PPS_GATE_CLOSED;
+        out->opens_us = dispatcher->reactor->now_us + us;
+    }
+}
+
+static void
+take_limit(const pps_dispatcher_t *dispatcher, pps_pool_worker_t *worker)
+{
+    pps_worker_limit_take(&worker->limit);
+}
+
+const pps_worker_gate_t pps_gate_limit = {"limit", PPS_GATE_OF_SHARE,
+                                          check_limit, take_limit};
+
 static void
 report(const pps_dispatcher_t *dispatcher, pps_pool_worker_t *worker,
        int64_t start_ms, int64_t age_us)
--- a/src/libpapayaswitch/exchange/worker_share.h
+++ b/src/libpapayaswitch/exchange/worker_share.h
@@ -6,13 +6,10 @@
 #ifndef PPS_EXCHANGE_WORKER_SHARE_H
 #define PPS_EXCHANGE_WORKER_SHARE_H
 
-#include "dispatcher.h"
+#include "worker_gate.h"
 
-/** Returns the time until this host may send a request to the worker: 0 if it
- * may now, INT64_MAX if only other hosts may. */
-int64_t
-pps_worker_share_wait_us(const pps_dispatcher_t *dispatcher,
-                         pps_pool_worker_t *worker);
+/** Gate: this host's share of the limit that the worker names. */
+extern const pps_worker_gate_t pps_gate_limit;
 
 /** Notes that an answer named a limit, and tells other hosts when it is due.
  */
