Exchange: gate of cold workers, with their records, answers and settings

Cause: a worker that has just started fails when all hosts send to it. Change: a gate of shares for cold workers; cold_remaining_ms, X-Cold-Ms, cold_start_s and cold_per_s are decoded; [cold] over and more, absent in deployments without the bounds; log lines worker_cold and worker_warm, three counters, and the slowness in the placement. A record that only changes the time is applied and forwarded.

--- a/src/libpapayaswitch/exchange/call.h
+++ b/src/libpapayaswitch/exchange/call.h
@@ -17,6 +17,9 @@
 /** Longest pause that a worker can ask for. */
 #define PPS_PAUSE_MAX_US (INT64_C(600) * 1000 * 1000)
 
+/** Longest time for which a worker can state to stay cold. */
+#define PPS_COLD_MAX_US (INT64_C(3600) * 1000 * 1000)
+
 /** Number of shared parts of a prompt that are known one by one. */
 #define PPS_CALL_PARTS_MAX 32
 
@@ -74,6 +77,8 @@
     int is_brittle;      /**< it ends if it has to reject more than a few
                               requests in a second */
     int invalid_brittle; /**< it stated a number that is none */
+    int64_t cold_us;     /**< time for which it stays cold, at most
+                              PPS_COLD_MAX_US; negative: not stated */
     int confidence;      /**< stated by the model, 0 to 100; -1: none */
 } pps_worker_reply_t;
 
--- a/src/libpapayaswitch/exchange/crash_watch.c
+++ b/src/libpapayaswitch/exchange/crash_watch.c
@@ -2,6 +2,7 @@
 #include "crash_watch.h"
 
 #include "clock.h"
+#include "cold_gate.h"
 #include "crash_line.h"
 #include "decision_log.h"
 #include "exchange_poison.h"
@@ -111,6 +112,18 @@
     }
 }
 
+/* The worker may be back before its new record has come. */
+static void
+note_ended(const worker_break_t *found)
+{
+    pps_pool_worker_t *worker =
+        pps_pool_lookup_digest(found->dispatcher->pool, found->worker_digest);
+
+    if (worker != NULL && worker->info.start_ms == found->worker.start_ms) {
+        pps_cold_gate_note_refused(found->dispatcher, worker);
+    }
+}
+
 static void
 end_break(worker_break_t *found, pps_probe_result_t result)
 {
@@ -118,6 +131,7 @@
     cds_list_del(&found->node);
     if (result == PPS_PROBE_REFUSED) {
         report_crash(found);
+        note_ended(found);
     }
     if (result == PPS_PROBE_ACCEPTED) {
         clear_whole(found);
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -68,6 +68,13 @@
 pps_decision_log_limit(const pps_pool_worker_t *worker, double limit_per_s,
                        const char *source);
 
+/** Logs that a worker counts as cold, or no longer.
+ * @param left_us time for which it does; 0: no longer; negative: until it has
+ *        answered */
+void
+pps_decision_log_cold(const pps_pool_worker_t *worker, int64_t left_us,
+                      const char *evidence);
+
 /** Logs that a worker named a limit that is no valid number. */
 void
 pps_decision_log_invalid_limit(const pps_exchange_t *exchange);
--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -27,6 +27,7 @@
     dispatcher->caller = caller;
     dispatcher->worker = worker;
     dispatcher->hosts = 1;
+    dispatcher->cold_hosts.started_us = reactor->now_us;
     dispatcher->limits = (pps_http_limits_t){
         HEADER_BYTES_MAX, BODY_BYTES_MAX, HEADER_TIMEOUT_US, IDLE_TIMEOUT_US};
     CDS_INIT_LIST_HEAD(&dispatcher->exchanges);
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -12,6 +12,7 @@
 #include "deployment/deployment.h"
 #include "lateness.h"
 #include "poison/poison_table.h"
+#include "pool/cold_hosts.h"
 #include "pool/path_state.h"
 #include "pool/pool.h"
 #include "pool/prefix_affinity.h"
@@ -39,6 +40,8 @@
     double repeat_ratio; /**< repeats allowed per request, over all hosts */
     unsigned int repeat_allowance; /**< additional repeats, over all hosts */
     int64_t repeat_window_us;
+    double cold_over; /**< see pps_cold_rule_t; 0: workers are never cold */
+    double cold_slack;
     unsigned int confidence_min; /**< threshold on idle workers, 0 to 100 */
     pps_rollout_bounds_t rollout;
 } pps_dispatch_options_t;
@@ -155,6 +158,7 @@
     pps_poison_table_t *poison; /**< requests under which workers end */
     pps_upstream_state_t upstreams[PPS_DISPATCH_UPSTREAMS_MAX];
     size_t upstream_count;
+    pps_cold_hosts_t cold_hosts; /**< known lately, by failure domain */
     pps_http_limits_t limits;
 } pps_dispatcher_t;
 
--- a/src/libpapayaswitch/exchange/exchange_failure.c
+++ b/src/libpapayaswitch/exchange/exchange_failure.c
@@ -2,6 +2,7 @@
  */
 #include "exchange_failure.h"
 
+#include "cold_gate.h"
 #include "crash_watch.h"
 #include "decision_log.h"
 #include "path_watch.h"
@@ -131,6 +132,9 @@
     int is_waiting = 0;
 
     exchange->connection = connection_state(failure);
+    if (failure == PPS_CHANNEL_REFUSED) {
+        pps_cold_gate_note_refused(exchange->dispatcher, exchange->worker);
+    }
     if (pps_channel_is_unsent(failure)) {
         exchange->runs--;
         retry_unsent(exchange, failure);
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -3,6 +3,7 @@
 
 #include "answer_end.h"
 #include "clock.h"
+#include "cold_gate.h"
 #include "crash_watch.h"
 #include "decision_log.h"
 #include "exchange_evidence.h"
@@ -194,6 +195,8 @@
     if (!decoded.other_worker) {
         pps_exchange_note_limit(exchange, &decoded);
         pps_exchange_note_brittle(exchange, &decoded);
+        pps_cold_gate_note_reply(exchange->dispatcher, exchange->worker,
+                                 &decoded, exchange->sent_us);
     }
     pps_dispatcher_note_pause(exchange->dispatcher, exchange->worker,
                               &decoded);
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -125,6 +125,10 @@
     out->busy = pps_pool_worker_busy(worker, now_us, dispatcher->hosts);
     out->slots = worker->slots;
     out->failure_share = worker->failure_share;
+    out->cold_us = worker->cold.is_active
+                       ? pps_cold_start_slowness_us(
+                             exchange->upstream_state->first_byte_us)
+                       : 0;
     out->same_domain = strcmp(worker->info.failure_domain,
                               dispatcher->options.failure_domain) == 0;
     out->has_prefix = prefix_worker == worker->digest;
--- a/src/libpapayaswitch/exchange/relay_desk.c
+++ b/src/libpapayaswitch/exchange/relay_desk.c
@@ -1,6 +1,7 @@
 /** @file relay_desk.c @brief Takes calls to workers for other hosts. */
 #include "relay_desk.h"
 
+#include "cold_gate.h"
 #include "decision_log.h"
 #include "exchange_notes.h"
 #include "path_watch.h"
@@ -82,6 +83,9 @@
         pps_dispatcher_note_leaving(dispatcher, worker, worker->info.start_ms);
     }
     pps_dispatcher_note_pause(dispatcher, worker, &decoded);
+    if (!decoded.other_worker) {
+        pps_cold_gate_note_reply(dispatcher, worker, &decoded, tried_us);
+    }
     if (decoded.has_load && !decoded.other_worker) {
         pps_pool_record_load(worker, decoded.running, decoded.waiting,
                              decoded.slots, dispatcher->reactor->now_us);
--- a/src/libpapayaswitch/exchange/worker_gate.c
+++ b/src/libpapayaswitch/exchange/worker_gate.c
@@ -1,13 +1,14 @@
 /** @file worker_gate.c @brief Asks all gates of a worker. */
 #include "worker_gate.h"
 
+#include "cold_gate.h"
 #include "state_gates.h"
 #include "worker_permit.h"
 #include "worker_share.h"
 
 static const pps_worker_gate_t *const gates[] = {
-    &pps_gate_leaving, &pps_gate_full,  &pps_gate_paused,
-    &pps_gate_avoided, &pps_gate_limit, &pps_gate_permits,
+    &pps_gate_leaving, &pps_gate_full,    &pps_gate_paused, &pps_gate_avoided,
+    &pps_gate_limit,   &pps_gate_permits, &pps_gate_cold,
 };
 
 #define GATE_COUNT (sizeof(gates) / sizeof(*gates))
--- a/src/libpapayaswitch/pool/cold_start.c
+++ b/src/libpapayaswitch/pool/cold_start.c
@@ -26,8 +26,7 @@
     }
     if (record->is_restart && is_known) {
         cold->answer_until_us = 0;
-        cold->refused_us = 0;
-        cold->answered_us = 0;
+        pps_cold_start_forget_refused(cold);
     }
 }
 
@@ -37,13 +36,22 @@
     cold->answer_until_us = until_us;
 }
 
-void
+int
 pps_cold_start_note_refused(pps_cold_start_t *cold, int64_t now_us)
 {
-    if (cold->refused_us == 0 || cold->answered_us != 0) {
-        cold->refused_us = now_us;
-        cold->answered_us = 0;
+    if (cold->refused_us != 0 && cold->answered_us == 0) {
+        return 0;
     }
+    cold->refused_us = now_us;
+    cold->answered_us = 0;
+    return 1;
+}
+
+void
+pps_cold_start_forget_refused(pps_cold_start_t *cold)
+{
+    cold->refused_us = 0;
+    cold->answered_us = 0;
 }
 
 void
--- a/src/libpapayaswitch/pool/cold_start.h
+++ b/src/libpapayaswitch/pool/cold_start.h
@@ -87,10 +87,16 @@
 void
 pps_cold_start_note_remaining(pps_cold_start_t *cold, int64_t until_us);
 
-/** Notes that the worker refused a connection: it may have restarted. */
-void
+/** Notes that the worker refused a connection: it may have restarted.
+ * @return 1, or 0 if that was known and it has not answered since */
+int
 pps_cold_start_note_refused(pps_cold_start_t *cold, int64_t now_us);
 
+/** Forgets refused connections: the worker has not restarted, since other
+ * hosts reach it. */
+void
+pps_cold_start_forget_refused(pps_cold_start_t *cold);
+
 /** Notes an answer of the worker to a request.
  * @param sent_us when the request was sent */
 void
--- a/src/libpapayaswitch/pool/placement.c
+++ b/src/libpapayaswitch/pool/placement.c
@@ -15,8 +15,8 @@
 {
     double load = candidate->busy / candidate->slots;
     double overload = load > 1 ? load - 1 : 0;
-    double expected =
-        candidate->wait_us + options->service_us * (load + overload);
+    double expected = candidate->wait_us + candidate->cold_us +
+                      options->service_us * (load + overload);
 
     if (!candidate->has_prefix) {
         expected += options->prefix_us;
--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -19,6 +19,10 @@
 #define SUCCESS_WEIGHT 0.12
 #define SLOTS_DEFAULT 8
 
+/** Change of the time up to which a worker states to be cold that other hosts
+ * have to know. Smaller ones come from the delay of records. */
+#define COLD_CHANGE_US (250 * PPS_US_PER_MS)
+
 /** Number of removed workers that are remembered. */
 #define REMOVED_MAX 256
 
@@ -168,6 +172,39 @@
     }
 }
 
+/* Returns the time after the receipt of a record that is left to a time. */
+static int64_t
+left_us(const pps_worker_info_t *info, int64_t until_us)
+{
+    return until_us > info->received_us ? until_us - info->received_us : 0;
+}
+
+/* Applies what a record says of the worker's start. Returns whether other
+ * hosts have to know. */
+static int
+note_cold(pps_pool_worker_t *worker, const pps_worker_info_t *info,
+          int is_restart)
+{
+    pps_cold_start_t *cold = &worker->cold;
+    const pps_cold_record_t record = {
+        .is_restart = is_restart,
+        .has_remaining = info->cold_remaining_us >= 0,
+        .until_us = info->received_us + info->cold_remaining_us,
+        .started_us = info->started_us < info->received_us ? info->started_us
+                                                           : info->received_us,
+    };
+    int64_t change_us =
+        record.has_remaining
+            ? info->cold_remaining_us - left_us(info, cold->record_until_us)
+            : 0;
+    int ends_order = record.has_remaining &&
+                     left_us(info, cold->order_until_us) > COLD_CHANGE_US;
+
+    pps_cold_start_note_record(cold, &record);
+    return ends_order || change_us > COLD_CHANGE_US ||
+           change_us < -COLD_CHANGE_US;
+}
+
 static uint64_t
 digest_id(const char *id)
 {
@@ -186,6 +223,7 @@
     worker->info = *info;
     worker->slots = info->slots ? info->slots : SLOTS_DEFAULT;
     worker->digest = digest_id(info->id);
+    note_cold(worker, info, 0);
     removed = find_removed(pool, worker->digest);
     if (removed != NULL) {
         worker->said_leaving = removed->said_leaving;
@@ -211,6 +249,7 @@
     }
     worker->remove_at_us = 0;
     changed = worker->info.leaving != info->leaving;
+    changed |= note_cold(worker, info, info->start_ms > worker->info.start_ms);
     if (worker->info.start_ms != info->start_ms ||
         strcmp(worker->info.address, info->address) != 0) {
         reset_health(worker);
--- a/src/libpapayaswitch/pool/pool.h
+++ b/src/libpapayaswitch/pool/pool.h
@@ -5,6 +5,7 @@
 #ifndef PPS_POOL_POOL_H
 #define PPS_POOL_POOL_H
 
+#include "cold_start.h"
 #include "deployment/deployment.h"
 #include "prefill_queue.h"
 #include "table.h"
@@ -22,10 +23,13 @@
     char address[PPS_WORKER_TEXT_BYTES]; /**< IP:PORT */
     char failure_domain[PPS_WORKER_TEXT_BYTES];
     char version[PPS_WORKER_TEXT_BYTES]; /**< software version */
-    unsigned int slots; /**< requests it runs at once; 0: unknown */
-    int leaving;        /**< draining, gets no new requests */
-    int64_t start_ms;   /**< wall-clock start time; 0: unknown */
-    int64_t started_us; /**< the same on this host's clock; 0: unknown */
+    unsigned int slots;  /**< requests it runs at once; 0: unknown */
+    int leaving;         /**< draining, gets no new requests */
+    int64_t start_ms;    /**< wall-clock start time; 0: unknown */
+    int64_t started_us;  /**< the same on this host's clock; 0: unknown */
+    int64_t received_us; /**< receipt of the record; 0: unknown */
+    int64_t cold_remaining_us; /**< time for which it stays cold, from the
+                                    receipt; negative: not stated */
     char models[PPS_MODELS_MAX][PPS_WORKER_TEXT_BYTES];
     size_t model_count; /**< 0: serves any model */
 } pps_worker_info_t;
@@ -67,6 +71,7 @@
     int said_leaving;        /**< it has said so itself, in an answer */
     int64_t
         said_leaving_start_ms;   /**< start time of the worker that said it */
+    pps_cold_start_t cold;       /**< while it has just started */
     pps_prefill_queue_t prefill; /**< prompts not yet processed */
     uint64_t digest;             /**< hash of the id */
 } pps_pool_worker_t;
@@ -94,8 +99,9 @@
 
 /** Adds a worker or updates its record. A changed start time or address
  * discards its load, backlog and failures, and a pause that it asked for
- * before it started. @return 1 when the worker is new or its start, address or
- * `leaving` changed; else 0; PPS_ENOMEM */
+ * before it started. @return 1 when the worker is new, or its start, address,
+ * `leaving` or the time up to which it states to be cold changed; else 0;
+ * PPS_ENOMEM */
 int
 pps_pool_put(pps_pool_t *pool, const pps_worker_info_t *info);
 
--- a/src/libpapayaswitch/pool/pool_worker.c
+++ b/src/libpapayaswitch/pool/pool_worker.c
@@ -35,6 +35,7 @@
     if (is_lost) {
         worker->failure_share = 0;
         worker->avoided_until_us = 0;
+        pps_cold_start_forget_refused(&worker->cold);
     }
 }
 
