--- a/tests/entry/test_records.c
+++ b/tests/entry/test_records.c
@@ -55,6 +55,38 @@
     }
 }
 
+typedef struct {
+    const char *member;
+    int64_t remaining_us; /* negative: not stated */
+} cold_record_case_t;
+
+/* Guards against a record whose time is lost or makes the worker cold for
+ * good. */
+Test(records, workers_that_are_cold)
+{
+    static const cold_record_case_t cases[] = {
+        {"", -1},
+        {",\"cold_remaining_ms\":0", 0},
+        {",\"cold_remaining_ms\":2500", 2500000},
+        {",\"cold_remaining_ms\":-5", -1},
+        {",\"cold_remaining_ms\":3600001", -1},
+        {",\"cold_remaining_ms\":\"5\"", -1},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        char text[256];
+        pps_worker_info_t info;
+
+        snprintf(text, sizeof(text),
+                 "{" WORKER_HEAD ",\"slots\":8,\"state\":\"ready\"%s}",
+                 cases[i].member);
+        cr_assert_eq(pps_record_parse_worker(&info, "w", text, strlen(text)),
+                     0);
+        cr_expect_eq(info.cold_remaining_us, cases[i].remaining_us, "%s",
+                     cases[i].member);
+    }
+}
+
 #define LIMITS                                                                \
     "\"limits\":{\"max_header_bytes\":1024,\"max_body_bytes\":2048,"          \
     "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}"
@@ -213,3 +245,39 @@
         pps_deployment_unref(deployment);
     }
 }
+
+typedef struct {
+    const char *members;
+    int64_t cold_us;
+    double per_s;
+} cold_config_case_t;
+
+/* Guards against a gate where the configuration has none. */
+Test(records, services_with_cold_workers)
+{
+    static const cold_config_case_t cases[] = {
+        {"", 0, 0},
+        {",\"cold_start_s\":3,\"cold_per_s\":12", 3000000, 12},
+        {",\"cold_start_s\":0.5,\"cold_per_s\":1.5", 500000, 1.5},
+        {",\"cold_start_s\":3,\"cold_per_s\":0", 3000000, 0},
+        {",\"cold_start_s\":-3,\"cold_per_s\":-1", 0, 0},
+        {",\"cold_start_s\":1e30,\"cold_per_s\":\"12\"", 0, 0},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        char text[512];
+        pps_deployment_t *deployment;
+
+        snprintf(text, sizeof(text),
+                 "{\"version\":1,\"services\":[{\"name\":\"a\"%s}],"
+                 "\"routes\":[],\"tenants\":[]," LIMITS "}",
+                 cases[i].members);
+        cr_assert_eq(
+            pps_record_parse_deployment(&deployment, text, strlen(text)), 0);
+        cr_expect_eq(deployment->upstreams[0].cold_start_us, cases[i].cold_us,
+                     "%s", cases[i].members);
+        cr_expect_eq(deployment->upstreams[0].cold_per_s, cases[i].per_s, "%s",
+                     cases[i].members);
+        pps_deployment_unref(deployment);
+    }
+}
--- a/tests/entry/test_worker_wire.c
+++ b/tests/entry/test_worker_wire.c
@@ -187,3 +187,46 @@
         pps_headers_clear(&reply.headers);
     }
 }
+
+typedef struct {
+    const char *what;
+    unsigned int status;
+    const char *value; /* NULL: absent */
+    int64_t cold_us;   /* negative: not stated */
+} cold_case_t;
+
+static const cold_case_t cold_cases[] = {
+    {"not stated", 200, NULL, -1},
+    {"stated", 200, "2500", 2500000},
+    {"on a rejection", 503, "2500", 2500000},
+    {"not cold", 200, "0", 0},
+    {"another worker at the address", 421, "2500", -1},
+    {"negative", 200, "-1", -1},
+    {"too long", 200, "3600001", -1},
+    {"overflows", 200, "9223372036854775807", -1},
+    {"not a number", 200, "nan", -1},
+    {"empty", 200, "", -1},
+};
+
+/* Guards against a worker that is flooded or kept cold by a bad header, and
+ * against callers that get the header. */
+Test(worker_wire, cold)
+{
+    for (size_t i = 0; i < sizeof(cold_cases) / sizeof(*cold_cases); i++) {
+        const cold_case_t *item = &cold_cases[i];
+        pps_http_reply_t reply = {.status = item->status};
+        pps_worker_reply_t decoded;
+        pps_buf_t forwarded = PPS_BUF_INIT;
+
+        if (item->value != NULL) {
+            add_header(&reply, "X-Cold-Ms", item->value);
+        }
+        pps_headers_end(&reply.headers);
+        pps_worker_wire_ops.decode(&decoded, &reply);
+        cr_expect_eq(decoded.cold_us, item->cold_us, "%s", item->what);
+        pps_worker_wire_ops.fields(&forwarded, &reply);
+        cr_expect_str_eq(pps_buf_text(&forwarded), "");
+        pps_buf_clear(&forwarded);
+        pps_headers_clear(&reply.headers);
+    }
+}
