--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -53,7 +53,9 @@
     soak->revision += 1 + (int64_t)pps_rng_below(&soak->rng, 3);
     snprintf(
         text, sizeof(text),
-        "{\"version\":%lld,\"services\":[{\"name\":\"pool\"}],\"routes\":["
+        "{\"version\":%lld,\"services\":[{\"name\":\"pool\",\"cold_start_s\":"
+        "3,"
+        "\"cold_per_s\":%d}],\"routes\":["
         "{\"name\":\"a\",\"host\":\"h\",\"path_prefix\":\"/safe/\",\"kind\":"
         "\"safe\",\"service\":\"pool\",\"max_attempts\":3,\"timeout_ms\":2000,"
         "\"target_latency_ms\":300},"
@@ -67,7 +69,7 @@
         "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,"
         "\"header_timeout_ms\":2000,\"idle_timeout_ms\":5000},"
         "\"tenants\":[{\"name\":\"team\",\"api_keys\":[\"key1\"%s]}]}",
-        (long long)soak->revision,
+        (long long)soak->revision, SOAK_COLD_PER_S,
         soak->key2_revoked_us == 0 ? ",\"key2\"" : "");
     store_put(&soak->store, "keyed.op", "config", text);
 }
@@ -154,6 +156,7 @@
     pps_reactor_every(&soak->reactor, &fault_timer, FAULT_INTERVAL_US,
                       on_fault_timer, soak);
     limit_start(soak);
+    cold_start(soak);
     poison_start(soak);
     cut_start(soak);
     brittle_start(soak);
@@ -182,7 +185,8 @@
             "[host]\nid = host-%02d\naddress = %s\nfailure_domain = z%d\n"
             "grace_s = 3\n[listen]\ncallers = %s:%u\nreadiness = %s:%u\n"
             "peers = %s:%u\n[peers]\nseeds = %s:1\ngossip_port = %u\n"
-            "[store]\naddress = %s\n[repeats]\nratio = 2\nmore = 1000\n",
+            "[store]\naddress = %s\n[repeats]\nratio = 2\nmore = 1000\n"
+            "[cold]\nover = 1.5\nmore = 5\n",
             index, host->address, index % 2, host->address, soak->callers_port,
             host->address, soak->callers_port + 1, host->address,
             soak->callers_port + 2, soak->hosts[0].address, soak->gossip_port,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -159,6 +159,8 @@
     int64_t sent_us;
     int limited_worker; /**< index of the worker that answered with its limit;
                              -1: none */
+    int cold_worker;    /**< index of the worker that answered that it is cold;
+                             -1: none */
     int leaving_worker; /**< index of the worker that answered that it is
                              leaving; -1: none */
 } request_t;
@@ -199,6 +201,10 @@
     int64_t told_limit_us[SOAK_HOSTS_MAX]; /**< as `told_leaving_us` */
     int64_t limited_us[SOAK_LIMITED_MAX];  /**< times of requests that count */
     size_t limited_count;
+    int64_t cold_until_us;                /**< 0: never cold */
+    int64_t told_cold_us[SOAK_HOSTS_MAX]; /**< as `told_leaving_us` */
+    int64_t cold_us[SOAK_LIMITED_MAX];    /**< times of requests that count */
+    size_t cold_count;
     int rejected_per_s;   /**< while it is brittle; -1: it is not */
     unsigned int running; /**< requests that it runs */
     int is_down;          /**< it ends, or has ended */
@@ -250,6 +256,34 @@
 poison_handle(worker_t *worker, pps_http_conn_t *conn,
               const pps_http_request_t *request, const request_t *recorded);
 
+/** Requests a second that a cold worker takes, in the configuration. */
+#define SOAK_COLD_PER_S 2
+
+/** Starts to let workers become cold. */
+void
+cold_start(struct soak *soak);
+
+/** Counts a cold worker's requests anew, after a disturbance of its
+ * connections. */
+void
+cold_reset(worker_t *worker);
+
+/** Returns for how long the worker stays cold; 0: it is not cold. */
+long long
+cold_remaining_ms(const worker_t *worker);
+
+/** Writes the header line of that time. */
+void
+cold_write_field(char *out, size_t size, const worker_t *worker);
+
+/** Notes that a host has passed on an answer of the cold worker. */
+void
+cold_note_told(worker_t *worker, int host);
+
+/** Counts a request and reports more than the cold worker takes. */
+void
+cold_check(worker_t *worker, const request_t *request);
+
 /** Starts to let workers be brittle, or no longer. */
 void
 brittle_start(struct soak *soak);
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -132,6 +132,22 @@
     }
 }
 
+/* Notes that the host has passed on the answer of a cold worker. */
+static void
+note_cold_worker(const client_t *client)
+{
+    const request_t *request = soak_find_request(client->soak, client->id);
+    worker_t *worker;
+
+    if (request->cold_worker < 0) {
+        return;
+    }
+    worker = &client->soak->workers[request->cold_worker];
+    if (strcmp(client->seal, worker->id) == 0) {
+        cold_note_told(worker, client->host);
+    }
+}
+
 static int
 is_not_run(unsigned int status)
 {
@@ -159,6 +175,7 @@
         check_body(client);
         note_leaving_worker(client);
         note_limited_worker(client);
+        note_cold_worker(client);
     }
     if (is_not_run(client->status)) {
         check_refusal(client);
@@ -232,6 +249,7 @@
     request->sent_us = client->sent_us;
     request->leaving_worker = -1;
     request->limited_worker = -1;
+    request->cold_worker = -1;
     pps_table_add(&client->soak->requests, &request->item, request->id,
                   strlen(request->id));
 }
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -128,6 +128,7 @@
         proxy_set_mode(&worker->proxy,
                        (proxy_mode_t)pps_rng_below(&soak->rng, 5));
         limit_reset(worker);
+        cold_reset(worker);
         break;
     case 1:
         worker->mode = (worker_mode_t)pps_rng_below(&soak->rng, 5);
--- a/tests/soak/soak_worker.c
+++ b/tests/soak/soak_worker.c
@@ -60,6 +60,7 @@
     request_t *request = soak_find_request(worker->soak, id);
     char limit[SOAK_TEXT_BYTES];
     char brittle[SOAK_TEXT_BYTES];
+    char cold[SOAK_TEXT_BYTES];
 
     if (request != NULL && worker->draining_since_us != 0) {
         request->leaving_worker = (int)(worker - worker->soak->workers);
@@ -69,8 +70,12 @@
         request->limited_worker = (int)(worker - worker->soak->workers);
     }
     brittle_write_field(brittle, sizeof(brittle), worker);
-    snprintf(out, size, "X-Request-Id: %s\r\nX-Response-Seal: %s\r\n%s%s%s",
-             id, worker->id, leaving_header(worker), limit, brittle);
+    cold_write_field(cold, sizeof(cold), worker);
+    if (request != NULL && cold_remaining_ms(worker) > 0) {
+        request->cold_worker = (int)(worker - worker->soak->workers);
+    }
+    snprintf(out, size, "X-Request-Id: %s\r\nX-Response-Seal: %s\r\n%s%s%s%s",
+             id, worker->id, leaving_header(worker), limit, brittle, cold);
 }
 
 static void
@@ -105,7 +110,7 @@
         pps_http_conn_end(conn);
     }
     else {
-        char fields[256];
+        char fields[320];
 
         write_fields(fields, sizeof(fields), run->worker, run->id);
         snprintf(text, sizeof(text), "answer to %s", run->id);
@@ -231,7 +236,7 @@
         pps_headers_get(&request->headers, "X-Expected-Instance");
     int64_t last_event_id = 0;
     request_t *recorded;
-    char fields[256];
+    char fields[320];
     run_t *run;
 
     if (id == NULL || expected_id == NULL ||
@@ -244,6 +249,7 @@
         check_leaving(worker, recorded);
         check_pause(worker, recorded);
         limit_check(worker, recorded);
+        cold_check(worker, recorded);
     }
     if (poison_handle(worker, conn, request, recorded)) {
         return;
@@ -302,10 +308,11 @@
     snprintf(text, sizeof(text),
              "{\"service\":\"pool\",\"address\":\"%s\",\"zone\":\"z%d\","
              "\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
-             "\"sequence\":%u,\"born\":%lld}",
+             "\"sequence\":%u,\"born\":%lld,\"cold_remaining_ms\":%lld}",
              worker->proxy.address, worker->id[1] % 2,
              worker - soak->workers < OLD_VERSION_WORKERS ? "v1" : "v2", state,
-             ++worker->sequence, (long long)worker->start_ms);
+             ++worker->sequence, (long long)worker->start_ms,
+             cold_remaining_ms(worker));
     store_put(&soak->store, "keyed.servers", worker->id, text);
 }
 
@@ -319,6 +326,8 @@
     memset(worker->told_leaving_us, 0, sizeof(worker->told_leaving_us));
     memset(worker->paused_us, 0, sizeof(worker->paused_us));
     limit_end(worker);
+    worker->cold_until_us = 0;
+    cold_reset(worker);
     worker->rejected_per_s = -1;
     worker_write_entry(worker, "ready");
 }
