--- a/tests/entry/test_place.c
+++ b/tests/entry/test_place.c
@@ -11,7 +11,7 @@
     int chosen;
 } case_t;
 
-/* wait_us, busy, slots, failure_share, same_domain, has_prefix */
+/* wait_us, busy, slots, failure_share, same_domain, has_prefix, cold_us */
 static const case_t cases[] = {
     {"idle, own failure domain", {{0, 0, 8, 0, 1, 0}, {0, 0, 8, 0, 0, 0}}, 0},
     {"shorter prefill backlog",
@@ -32,6 +32,12 @@
     {"equal failures, own failure domain",
      {{0, 0, 8, 0.5, 0, 0}, {0, 0, 8, 0.5, 1, 0}},
      1},
+    {"idle but cold, half loaded",
+     {{0, 0, 8, 0, 1, 0, 100 * MS}, {0, 4, 8, 0, 1, 0}},
+     1},
+    {"idle but cold, overloaded",
+     {{0, 0, 8, 0, 1, 0, 100 * MS}, {0, 16, 8, 0, 1, 0}},
+     0},
 };
 
 Test(placement, table)
