Pool: a suspected restart ends without an answer

Cause: a host that is no sender gets no answer of a worker that refused it once, and would have counted it as cold until its next record. Change: without an answer the suspicion holds for 10 s after the last refusal, and the time for which workers are cold.

--- a/src/libpapayaswitch/exchange/cold_gate.c
+++ b/src/libpapayaswitch/exchange/cold_gate.c
@@ -183,8 +183,7 @@
     else {
         pps_counter_add(PPS_COUNTER_ENTRY_WORKERS_COLD,
                         cold->logged == PPS_COLD_NONE);
-        pps_decision_log_cold(worker,
-                              until_us == INT64_MAX ? -1 : until_us - now_us,
+        pps_decision_log_cold(worker, until_us - now_us,
                               pps_cold_evidence_name(evidence));
     }
     cold->logged = evidence;
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -69,8 +69,7 @@
                        const char *source);
 
 /** Logs that a worker counts as cold, or no longer.
- * @param left_us time for which it does; 0: no longer; negative: until it has
- *        answered */
+ * @param left_us time for which it does; 0: no longer */
 void
 pps_decision_log_cold(const pps_pool_worker_t *worker, int64_t left_us,
                       const char *evidence);
--- a/src/libpapayaswitch/exchange/decision_log_worker.c
+++ b/src/libpapayaswitch/exchange/decision_log_worker.c
@@ -79,13 +79,13 @@
 pps_decision_log_cold(const pps_pool_worker_t *worker, int64_t left_us,
                       const char *evidence)
 {
-    pps_logger_write(
-        PPS_LOG_INFO, left_us != 0 ? "worker_cold" : "worker_warm",
-        PPS_FIELDS(PPS_STR("worker", worker->info.id),
-                   PPS_STR("upstream", worker->info.upstream),
-                   PPS_STR("evidence", evidence),
-                   PPS_INT("left_ms", left_us < 0 ? -1 : US_TO_MS(left_us)),
-                   PPS_INT("start_ms", worker->info.start_ms)));
+    pps_logger_write(PPS_LOG_INFO,
+                     left_us != 0 ? "worker_cold" : "worker_warm",
+                     PPS_FIELDS(PPS_STR("worker", worker->info.id),
+                                PPS_STR("upstream", worker->info.upstream),
+                                PPS_STR("evidence", evidence),
+                                PPS_INT("left_ms", US_TO_MS(left_us)),
+                                PPS_INT("start_ms", worker->info.start_ms)));
 }
 
 void
--- a/src/libpapayaswitch/pool/cold_start.c
+++ b/src/libpapayaswitch/pool/cold_start.c
@@ -6,6 +6,10 @@
 #include <stddef.h>
 
 #define SAVED_MAX 1.0
+/** Time after a refused connection in which a worker may restart before its
+ * new record has come. After a longer time its entry has expired in the store.
+ */
+#define RESTART_US (10 * PPS_US_PER_S)
 /** Time for which a host that replaces another sender waits. Hosts notice that
  * another one is gone up to a period of states apart. */
 #define SETTLE_US (1 * PPS_US_PER_S)
@@ -39,6 +43,7 @@
 int
 pps_cold_start_note_refused(pps_cold_start_t *cold, int64_t now_us)
 {
+    cold->last_refused_us = now_us;
     if (cold->refused_us != 0 && cold->answered_us == 0) {
         return 0;
     }
@@ -78,8 +83,9 @@
     if (cold->refused_us == 0) {
         return 0;
     }
-    return cold->answered_us == 0 ? INT64_MAX
-                                  : cold->answered_us + rule->cold_us;
+    return (cold->answered_us != 0 ? cold->answered_us
+                                   : cold->last_refused_us + RESTART_US) +
+           rule->cold_us;
 }
 
 int64_t
--- a/src/libpapayaswitch/pool/cold_start.h
+++ b/src/libpapayaswitch/pool/cold_start.h
@@ -64,8 +64,9 @@
     int64_t order_until_us;
     int64_t started_us; /**< 0: the record states the remaining time instead */
     int64_t refused_us; /**< first refused connection; 0: none */
-    int64_t answered_us; /**< first answer after it; 0: none yet */
-    int is_active;       /**< it was cold when the share was last used */
+    int64_t last_refused_us; /**< last one before an answer */
+    int64_t answered_us;     /**< first answer after it; 0: none yet */
+    int is_active;           /**< it was cold when the share was last used */
     int is_sender;
     int is_ranked;         /**< `is_sender` is of this cold period */
     double per_us;         /**< this host's rate, if it is a sender */
@@ -87,7 +88,9 @@
 void
 pps_cold_start_note_remaining(pps_cold_start_t *cold, int64_t until_us);
 
-/** Notes that the worker refused a connection: it may have restarted.
+/** Notes that the worker refused a connection: it may restart. Until it has
+ * answered this host, that counts for 10 s and the time for which workers are
+ * cold, as a host that is no sender gets no answers.
  * @return 1, or 0 if that was known and it has not answered since */
 int
 pps_cold_start_note_refused(pps_cold_start_t *cold, int64_t now_us);
@@ -110,7 +113,7 @@
 pps_cold_start_expect(pps_cold_start_t *cold, int64_t until_us);
 
 /** Returns until when the worker counts as cold: 0 if workers of this rule are
- * never cold or nothing is known, INT64_MAX if it depends on an answer.
+ * never cold or nothing is known.
  * @param evidence what shows it; NULL: not needed */
 int64_t
 pps_cold_start_until_us(const pps_cold_start_t *cold,
