Evacuate failure domains and keep requests in their homes

Change: records evacuate/ZONE of the operator's topic close the gate 'evacuated' of all workers of the domain, for new requests and for calls of other hosts; streams under way finish. An order ends with its record's deletion, or when a listing lacks it and the topic is settled. Routes and tenants have allowed_regions; the gate 'no_home' and a filter of neighbours apply them with the setting [host] regions.

--- a/fuzz/fuzz_records.c
+++ b/fuzz/fuzz_records.c
@@ -47,6 +47,7 @@
     pps_record_parse_worker(&worker, "w", text, size);
     pps_record_parse_order(&rollout, text, size);
     pps_record_parse_status(&rollout, text, size);
+    pps_record_check_evacuation(text, size);
     decode_datagram(text, size);
     if (pps_mirror_new(&mirror, on_changed, NULL) == 0) {
         pps_mirror_import(mirror, text, size);
--- a/src/libpapayaswitch/deployment/deployment.c
+++ b/src/libpapayaswitch/deployment/deployment.c
@@ -33,6 +33,7 @@
     free(route->host);
     free(route->prefix);
     free(route->targets);
+    pps_homes_clear(&route->homes);
     for (size_t i = 0; i < route->model_count; i++) {
         free(route->models[i]);
     }
@@ -61,6 +62,7 @@
     }
     for (size_t i = 0; i < deployment->workspace_count; i++) {
         free(deployment->workspaces[i].name);
+        pps_homes_clear(&deployment->workspaces[i].homes);
     }
     for (size_t i = 0; i < deployment->key_count; i++) {
         free(deployment->keys[i].key);
--- a/src/libpapayaswitch/deployment/deployment.h
+++ b/src/libpapayaswitch/deployment/deployment.h
@@ -9,6 +9,7 @@
 #ifndef PPS_DEPLOYMENT_DEPLOYMENT_H
 #define PPS_DEPLOYMENT_DEPLOYMENT_H
 
+#include "homes.h"
 #include "transport/http_server.h"
 
 #include <stddef.h>
@@ -47,6 +48,7 @@
     size_t target_count;
     char *models[PPS_MODELS_MAX]; /**< smallest first */
     size_t model_count;           /**< 0: the caller chooses the model */
+    pps_homes_t homes;            /**< regions of its workers and hosts */
     unsigned int
         class_index; /**< the same for routes of like kind, targets
                           and priority; set by pps_deployment_sort() */
@@ -68,7 +70,8 @@
 /** An account of callers. */
 typedef struct {
     char *name;
-    int priority; /**< 0 is the most urgent; negative: use the route's */
+    int priority;      /**< 0 is the most urgent; negative: use the route's */
+    pps_homes_t homes; /**< apply in addition to the route's */
 } pps_workspace_t;
 
 /** An API key of a workspace. */
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -51,6 +51,27 @@
 pps_decision_log_ended(const pps_exchange_t *exchange, unsigned int status,
                        const char *outcome);
 
+/** Logs and counts that a failure domain gets no new requests.
+ * @param order name of the order @param workers listed in it */
+void
+pps_decision_log_evacuated(const char *failure_domain, const char *order,
+                           size_t workers);
+
+/** Logs and counts that a failure domain gets requests again.
+ * @param after_us since its evacuation began at this host */
+void
+pps_decision_log_evacuation_ended(const char *failure_domain, int64_t after_us,
+                                  size_t workers);
+
+/** Counts that a request can be sent to no worker because of its homes. The
+ * line of its end has the reason. */
+void
+pps_decision_log_no_home(void);
+
+/** Counts that a request is refused since its workers are evacuated. */
+void
+pps_decision_log_all_evacuated(void);
+
 /** Logs that a worker said that it is leaving.
  * @param source "answer" or "host" */
 void
--- a/src/libpapayaswitch/exchange/decision_log_worker.c
+++ b/src/libpapayaswitch/exchange/decision_log_worker.c
@@ -29,6 +29,40 @@
                                 PPS_INT("lost", is_lost)));
 }
 
+void
+pps_decision_log_evacuated(const char *failure_domain, const char *order,
+                           size_t workers)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_EVACUATIONS, 1);
+    pps_logger_write(PPS_LOG_WARN, "evacuated",
+                     PPS_FIELDS(PPS_STR("failure_domain", failure_domain),
+                                PPS_STR("order", order),
+                                PPS_INT("workers", workers)));
+}
+
+void
+pps_decision_log_evacuation_ended(const char *failure_domain, int64_t after_us,
+                                  size_t workers)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_EVACUATIONS_ENDED, 1);
+    pps_logger_write(PPS_LOG_INFO, "evacuation_ended",
+                     PPS_FIELDS(PPS_STR("failure_domain", failure_domain),
+                                PPS_INT("after_ms", US_TO_MS(after_us)),
+                                PPS_INT("workers", workers)));
+}
+
+void
+pps_decision_log_no_home(void)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_REFUSED_NO_HOME, 1);
+}
+
+void
+pps_decision_log_all_evacuated(void)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_REFUSED_EVACUATED, 1);
+}
+
 void
 pps_decision_log_leaving(const pps_pool_worker_t *worker, const char *source)
 {
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -10,6 +10,8 @@
 
 #include "call.h"
 #include "deployment/deployment.h"
+#include "deployment/region_map.h"
+#include "evacuated_domains.h"
 #include "lateness.h"
 #include "poison/poison_table.h"
 #include "pool/path_state.h"
@@ -33,9 +35,11 @@
 
 /** Settings of the routing decisions. */
 typedef struct {
-    const char *failure_domain; /**< of this host */
-    const char *local_address;  /**< IPv4 address that connections to workers
-                                     leave from; NULL: any */
+    const char *failure_domain;      /**< of this host */
+    const pps_region_map_t *regions; /**< NULL or empty: homes are not applied
+                                      */
+    const char *local_address; /**< IPv4 address that connections to workers
+                                    leave from; NULL: any */
     double repeat_ratio; /**< repeats allowed per request, over all hosts */
     unsigned int repeat_allowance; /**< additional repeats, over all hosts */
     int64_t repeat_window_us;
@@ -101,6 +105,12 @@
 /** Tells the other hosts whether this host reaches workers. */
 typedef void (*pps_path_changed_fn)(void *user);
 
+struct pps_dispatcher;
+
+/** Called for each worker of a failure domain whose evacuation ends. */
+typedef void (*pps_worker_back_fn)(struct pps_dispatcher *dispatcher,
+                                   pps_pool_worker_t *worker);
+
 /** State of an upstream, kept by name across deployment revisions. */
 typedef struct {
     char name[PPS_WORKER_TEXT_BYTES];
@@ -122,7 +132,7 @@
 } pps_upstream_state_t;
 
 /** Request routing state of one host. */
-typedef struct {
+typedef struct pps_dispatcher {
     pps_reactor_t *reactor;
     pps_pool_t *pool;
     pps_deployment_t *deployment; /**< in force; NULL until one is known */
@@ -141,6 +151,8 @@
     pps_timer_t path_timer;      /**< tries lost paths; see path_watch.h */
     int tries_paths;             /**< that timer is set */
     pps_neighbours_t neighbours; /**< take calls that this host can't */
+    pps_evacuated_domains_t evacuated;
+    pps_worker_back_fn worker_back;   /**< or NULL */
     pps_path_changed_fn path_changed; /**< or NULL */
     pps_prefill_notice_fn notice;     /**< sends to the other hosts, or NULL */
     pps_leaving_fn leaving;           /**< sends to the other hosts, or NULL */
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -5,6 +5,7 @@
 #include "crash_line.h"
 #include "decision_log.h"
 #include "exchange_refusal.h"
+#include "exchange_unplaced.h"
 #include "poison/poison_key.h"
 
 #include <stdlib.h>
@@ -213,7 +214,9 @@
     pps_repeat_limit_count_request(&exchange->upstream_state->repeats,
                                    dispatcher->reactor->now_us);
     pps_decision_log_admitted(exchange);
-    pps_exchange_send(exchange);
+    if (!pps_exchange_refuse_homeless(exchange)) {
+        pps_exchange_send(exchange);
+    }
 }
 
 static int64_t
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -10,7 +10,9 @@
 #include "exchange_link.h"
 #include "exchange_poison.h"
 #include "exchange_reply.h"
+#include "exchange_unplaced.h"
 #include "exchange_worker.h"
+#include "home_gate.h"
 #include "papayaswitch/errors.h"
 #include "path_watch.h"
 
@@ -307,9 +309,12 @@
 /* Returns whether the request has to be refused, since no worker is reached.
  * A few requests are sent all the same, to find out. */
 static int
-is_out_of_reach(pps_dispatcher_t *dispatcher)
+is_out_of_reach(const pps_exchange_t *exchange)
 {
-    if (!pps_path_watch_is_out_of_reach(dispatcher)) {
+    const pps_neighbour_filter_t filter = pps_home_gate_filter(exchange);
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+
+    if (!pps_path_watch_is_out_of_reach(dispatcher, &filter)) {
         return 0;
     }
     return pps_path_watch_is_cut(dispatcher) ||
@@ -326,17 +331,14 @@
     if (pps_exchange_refuse_poison(exchange)) {
         return;
     }
-    if (exchange->runs == 0 && is_out_of_reach(dispatcher)) {
+    if (exchange->runs == 0 && is_out_of_reach(exchange)) {
         pps_exchange_give_up(exchange, PPS_RETRY_AFTER_OTHER_HOST,
                              "workers_out_of_reach");
         return;
     }
     worker = pps_exchange_choose_worker(exchange);
     if (worker == NULL) {
-        pps_exchange_give_up(exchange,
-                             exchange->sends > 0 ? PPS_RETRY_AFTER_FULL
-                                                 : PPS_RETRY_AFTER_NO_WORKER,
-                             "no_worker");
+        pps_exchange_refuse_unplaced(exchange);
         return;
     }
     snprintf(exchange->tried[exchange->sends++], PPS_WORKER_TEXT_BYTES, "%s",
--- a/src/libpapayaswitch/exchange/exchange_link.c
+++ b/src/libpapayaswitch/exchange/exchange_link.c
@@ -1,6 +1,7 @@
 /** @file exchange_link.c @brief Connection of an attempt to its worker. */
 #include "exchange_link.h"
 
+#include "home_gate.h"
 #include "papayaswitch/errors.h"
 #include "path_watch.h"
 #include "worker_gate.h"
@@ -70,6 +71,7 @@
 pps_exchange_choose_neighbour(pps_exchange_t *exchange)
 {
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
+    const pps_neighbour_filter_t filter = pps_home_gate_filter(exchange);
 
     exchange->is_borrowed =
         !pps_worker_has_share(dispatcher, exchange->worker);
@@ -78,8 +80,8 @@
         return;
     }
     exchange->neighbour =
-        pps_neighbours_choose(&dispatcher->neighbours, &dispatcher->rng,
-                              dispatcher->reactor->now_us);
+        pps_neighbours_choose(&dispatcher->neighbours, &filter,
+                              &dispatcher->rng, dispatcher->reactor->now_us);
     if (exchange->neighbour != NULL) {
         exchange->neighbour->calls++;
     }
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "exchange_trial.h"
+#include "home_gate.h"
 #include "worker_gate.h"
 
 #include <string.h>
@@ -47,10 +48,9 @@
                : exchange->call.model;
 }
 
-/* Returns whether the worker belongs to the request's upstream and has its
- * model. */
-static int
-is_match(const pps_exchange_t *exchange, const pps_pool_worker_t *worker)
+int
+pps_exchange_is_match(const pps_exchange_t *exchange,
+                      const pps_pool_worker_t *worker)
 {
     const char *model = model_of(exchange);
 
@@ -65,7 +65,7 @@
 {
     pps_gate_answer_t answer;
 
-    if (!is_match(exchange, worker)) {
+    if (!pps_exchange_is_match(exchange, worker)) {
         return 0;
     }
     pps_worker_gates_check(&answer, exchange->dispatcher, worker, exchange,
@@ -208,8 +208,10 @@
 static int
 may_borrow(const pps_exchange_t *exchange)
 {
+    const pps_neighbour_filter_t filter = pps_home_gate_filter(exchange);
+
     return exchange->borrow_tries < BORROW_TRIES_MAX &&
-           pps_neighbours_has_any(&exchange->dispatcher->neighbours,
+           pps_neighbours_has_any(&exchange->dispatcher->neighbours, &filter,
                                   exchange->dispatcher->reactor->now_us);
 }
 
@@ -245,7 +247,7 @@
         worker, pps_pool_workers(exchange->dispatcher->pool), node) {
         worker_class_t worker_class;
 
-        if (!is_match(exchange, worker)) {
+        if (!pps_exchange_is_match(exchange, worker)) {
             continue;
         }
         worker_class = class_of(exchange, worker);
@@ -354,7 +356,7 @@
         pps_gate_answer_t share;
         int64_t us;
 
-        if (!is_match(exchange, worker)) {
+        if (!pps_exchange_is_match(exchange, worker)) {
             continue;
         }
         pps_worker_gates_check(&state, dispatcher, worker, exchange,
--- a/src/libpapayaswitch/exchange/exchange_worker.h
+++ b/src/libpapayaswitch/exchange/exchange_worker.h
@@ -8,6 +8,12 @@
 pps_pool_worker_t *
 pps_exchange_choose_worker(const pps_exchange_t *exchange);
 
+/** Returns whether the worker belongs to the request's upstream and has its
+ * model. */
+int
+pps_exchange_is_match(const pps_exchange_t *exchange,
+                      const pps_pool_worker_t *worker);
+
 /** Returns whether pps_exchange_choose_worker() finds a worker for another of
  * the route's models. */
 int
--- a/src/libpapayaswitch/exchange/path_watch.c
+++ b/src/libpapayaswitch/exchange/path_watch.c
@@ -64,14 +64,15 @@
 }
 
 int
-pps_path_watch_is_out_of_reach(pps_dispatcher_t *dispatcher)
+pps_path_watch_is_out_of_reach(pps_dispatcher_t *dispatcher,
+                               const pps_neighbour_filter_t *filter)
 {
     int64_t now_us = dispatcher->reactor->now_us;
 
     if (!pps_path_watch_is_cut(dispatcher) && !is_unanswered(dispatcher)) {
         return 0;
     }
-    return !pps_neighbours_has_any(&dispatcher->neighbours, now_us);
+    return !pps_neighbours_has_any(&dispatcher->neighbours, filter, now_us);
 }
 
 /* The state of the paths before a note. */
@@ -130,7 +131,7 @@
                    pps_probe_fn done, void *user)
 {
     const pps_neighbour_t *neighbour =
-        pps_neighbours_choose(&dispatcher->neighbours, &dispatcher->rng,
+        pps_neighbours_choose(&dispatcher->neighbours, NULL, &dispatcher->rng,
                               dispatcher->reactor->now_us);
     pps_relay_route_t route;
 
--- a/src/libpapayaswitch/exchange/path_watch.h
+++ b/src/libpapayaswitch/exchange/path_watch.h
@@ -41,9 +41,11 @@
                        const pps_pool_worker_t *worker);
 
 /** Returns whether no call can go to a worker now: this host is cut off, and
- * no neighbour can take calls for it. */
+ * no neighbour that the filter accepts can take calls for it.
+ * @param filter NULL: any may */
 int
-pps_path_watch_is_out_of_reach(pps_dispatcher_t *dispatcher);
+pps_path_watch_is_out_of_reach(pps_dispatcher_t *dispatcher,
+                               const pps_neighbour_filter_t *filter);
 
 /** Asks a neighbour whether it reaches a worker.
  * @return 0, PPS_ENOTFOUND if there is no neighbour, or another error; then
--- a/src/libpapayaswitch/exchange/worker_gate.c
+++ b/src/libpapayaswitch/exchange/worker_gate.c
@@ -1,16 +1,19 @@
 /** @file worker_gate.c @brief Asks all gates of a worker. */
 #include "worker_gate.h"
 
+#include "evacuation.h"
+#include "home_gate.h"
 #include "state_gates.h"
 #include "worker_permit.h"
 #include "worker_share.h"
 
 static const pps_worker_gate_t *const gates[] = {
-    &pps_gate_leaving, &pps_gate_full,  &pps_gate_paused,
-    &pps_gate_avoided, &pps_gate_limit, &pps_gate_permits,
+    &pps_gate_leaving, &pps_gate_home,    &pps_gate_evacuated,
+    &pps_gate_full,    &pps_gate_paused,  &pps_gate_avoided,
+    &pps_gate_limit,   &pps_gate_permits,
 };
 
-#define GATE_COUNT (sizeof(gates) / sizeof(*gates))
+#define GATE_COUNT (sizeof(gates) / sizeof(gates[0]))
 
 /* Returns whether an answer counts more than another one. */
 static int
--- a/src/libpapayaswitch/relay/neighbours.c
+++ b/src/libpapayaswitch/relay/neighbours.c
@@ -44,9 +44,17 @@
     return neighbour;
 }
 
+int
+pps_neighbour_filter_accepts(const pps_neighbour_filter_t *filter,
+                             const char *failure_domain)
+{
+    return filter == NULL || filter->accepts(filter->user, failure_domain);
+}
+
 /* Lists the usable neighbours. */
 static size_t
-list_usable(pps_neighbours_t *neighbours, int64_t now_us)
+list_usable(pps_neighbours_t *neighbours, const pps_neighbour_filter_t *filter,
+            int64_t now_us)
 {
     size_t count = 0;
     size_t listed;
@@ -54,7 +62,8 @@
     if (neighbours->list == NULL) {
         return 0;
     }
-    listed = neighbours->list(neighbours->user, addresses, PPS_NEIGHBOURS_MAX);
+    listed = neighbours->list(neighbours->user, filter, addresses,
+                              PPS_NEIGHBOURS_MAX);
     for (size_t i = 0; i < listed; i++) {
         const pps_neighbour_t *known = find(neighbours, addresses[i]);
 
@@ -70,16 +79,18 @@
 }
 
 int
-pps_neighbours_has_any(pps_neighbours_t *neighbours, int64_t now_us)
+pps_neighbours_has_any(pps_neighbours_t *neighbours,
+                       const pps_neighbour_filter_t *filter, int64_t now_us)
 {
-    return list_usable(neighbours, now_us) > 0;
+    return list_usable(neighbours, filter, now_us) > 0;
 }
 
 pps_neighbour_t *
-pps_neighbours_choose(pps_neighbours_t *neighbours, pps_rng_t *rng,
+pps_neighbours_choose(pps_neighbours_t *neighbours,
+                      const pps_neighbour_filter_t *filter, pps_rng_t *rng,
                       int64_t now_us)
 {
-    size_t count = list_usable(neighbours, now_us);
+    size_t count = list_usable(neighbours, filter, now_us);
     pps_neighbour_t *first;
     pps_neighbour_t *second;
 
--- a/src/libpapayaswitch/relay/neighbours.h
+++ b/src/libpapayaswitch/relay/neighbours.h
@@ -27,10 +27,18 @@
     int64_t unusable_until_us;
 } pps_neighbour_t;
 
-/** Lists the addresses of hosts that can take calls. Each is valid until the
+/** Restricts the hosts that may take a call. */
+typedef struct {
+    int (*accepts)(const void *user, const char *failure_domain);
+    const void *user;
+} pps_neighbour_filter_t;
+
+/** Lists the addresses of hosts that can take calls and that the filter
+ * accepts (NULL: all of them). Each is valid until the
  * function returns to the event loop. @return how many there are */
 typedef size_t (*pps_neighbours_list_fn)(
-    void *user, char (*out)[PPS_NEIGHBOUR_ADDRESS_BYTES], size_t max);
+    void *user, const pps_neighbour_filter_t *filter,
+    char (*out)[PPS_NEIGHBOUR_ADDRESS_BYTES], size_t max);
 
 /** All neighbours of this host. */
 typedef struct {
@@ -39,14 +47,21 @@
     void *user;
 } pps_neighbours_t;
 
-/** Chooses a neighbour; NULL if none is usable. */
+/** Returns whether a host may take a call. @param filter NULL: any may */
+int
+pps_neighbour_filter_accepts(const pps_neighbour_filter_t *filter,
+                             const char *failure_domain);
+
+/** Chooses a neighbour; NULL if none is usable. @param filter or NULL */
 pps_neighbour_t *
-pps_neighbours_choose(pps_neighbours_t *neighbours, pps_rng_t *rng,
+pps_neighbours_choose(pps_neighbours_t *neighbours,
+                      const pps_neighbour_filter_t *filter, pps_rng_t *rng,
                       int64_t now_us);
 
-/** Returns whether a neighbour is usable. */
+/** Returns whether a neighbour is usable. @param filter or NULL */
 int
-pps_neighbours_has_any(pps_neighbours_t *neighbours, int64_t now_us);
+pps_neighbours_has_any(pps_neighbours_t *neighbours,
+                       const pps_neighbour_filter_t *filter, int64_t now_us);
 
 /** Notes that a neighbour did not answer or takes no calls: it is not chosen
  * for a time. */
--- a/tests/entry/hosts_fixture.c
+++ b/tests/entry/hosts_fixture.c
@@ -51,8 +51,8 @@
 
 /* Lists the other hosts that say that they reach workers. */
 static size_t
-list_neighbours(void *user, char (*out)[PPS_NEIGHBOUR_ADDRESS_BYTES],
-                size_t max)
+list_neighbours(void *user, const pps_neighbour_filter_t *filter,
+                char (*out)[PPS_NEIGHBOUR_ADDRESS_BYTES], size_t max)
 {
     const fixture_host_t *host = user;
     const hosts_t *hosts = host->all;
@@ -62,7 +62,9 @@
         const fixture_host_t *other = &hosts->hosts[i];
 
         if (other != host && count < max &&
-            pps_path_watch_takes_relays(&other->dispatcher)) {
+            pps_path_watch_takes_relays(&other->dispatcher) &&
+            pps_neighbour_filter_accepts(
+                filter, other->dispatcher.options.failure_domain)) {
             snprintf(out[count++], PPS_NEIGHBOUR_ADDRESS_BYTES, "%s",
                      other->relay);
         }
--- a/tests/entry/test_brittle_workers.c
+++ b/tests/entry/test_brittle_workers.c
@@ -111,8 +111,8 @@
 }
 
 static size_t
-list_neighbours(void *user, char (*out)[PPS_NEIGHBOUR_ADDRESS_BYTES],
-                size_t max)
+list_neighbours(void *user, const pps_neighbour_filter_t *filter,
+                char (*out)[PPS_NEIGHBOUR_ADDRESS_BYTES], size_t max)
 {
     size_t count = 0;
 
--- a/tests/entry/test_host_settings.c
+++ b/tests/entry/test_host_settings.c
@@ -29,6 +29,8 @@
      ":14: invalid value '101'"},
     {REQUIRED "[cascade]\nconfidence_min=x\n", PPS_EINVALID,
      "invalid value 'x'"},
+    {REQUIRED "[host]\nregions=za:r1,zb:r2\n", 0, ""},
+    {REQUIRED "[host]\nregions=za\n", PPS_EINVALID, "invalid value 'za'"},
     {REQUIRED "[what]\never=1\n", PPS_EINVALID, "unknown setting what.ever"},
     {REQUIRED "[store]\naddress=10.0.0.9:5\n", PPS_EINVALID,
      "is already set on line 12"},
@@ -73,7 +75,8 @@
 Test(host_settings, values)
 {
     const case_t item = {REQUIRED "[peers]\nseeds=10.0.0.1:3,10.0.0.2:3\n"
-                                  "[repeats]\nratio=0.25\n",
+                                  "[repeats]\nratio=0.25\n"
+                                  "[host]\nregions=za:r1, zb:r2\n",
                          0, ""};
     pps_host_settings_t settings;
     pps_findings_t *findings;
@@ -83,6 +86,8 @@
     cr_expect_eq(settings.seed_count, 2);
     cr_expect_str_eq(settings.seeds[1], "10.0.0.2:3");
     cr_expect_eq(settings.gossip_port, 4);
+    cr_expect_eq(settings.regions.count, 2);
+    cr_expect_str_eq(pps_region_map_find(&settings.regions, "zb"), "r2");
     cr_expect_float_eq(settings.repeat_ratio, 0.25, 1e-9);
     cr_expect_eq(settings.confidence_min, 50);
     pps_findings_free(findings);
--- a/tests/entry/test_partitioned_hosts.c
+++ b/tests/entry/test_partitioned_hosts.c
@@ -178,16 +178,16 @@
     for (int i = 0; i < HOSTS_WORKERS; i++) {
         net_run_until_ended(&hosts.reactor, &clients[i], WAIT_MS);
     }
-    cr_assert(pps_path_watch_is_out_of_reach(dispatcher));
+    cr_assert(pps_path_watch_is_out_of_reach(dispatcher, NULL));
     for (int i = 0; i < QUIET_MS / CHECK_MS; i++) {
         net_run_for(&hosts.reactor, CHECK_MS);
-        in_reach += !pps_path_watch_is_out_of_reach(dispatcher);
+        in_reach += !pps_path_watch_is_out_of_reach(dispatcher, NULL);
     }
     cr_expect_eq(in_reach, 0, "in reach %u times of %d", in_reach,
                  QUIET_MS / CHECK_MS);
     hosts_set_paths(&hosts, 0, PATH_SOUND, 0, HOSTS_WORKERS - 1);
     net_run_for(&hosts.reactor, QUIET_MS / 4);
-    cr_expect_not(pps_path_watch_is_out_of_reach(dispatcher));
+    cr_expect_not(pps_path_watch_is_out_of_reach(dispatcher, NULL));
 }
 
 #define BAD_REQUESTS 10
--- a/tests/entry/test_path_state.c
+++ b/tests/entry/test_path_state.c
@@ -62,7 +62,8 @@
 static size_t listed;
 
 static size_t
-list(void *user, char (*out)[PPS_NEIGHBOUR_ADDRESS_BYTES], size_t max)
+list(void *user, const pps_neighbour_filter_t *filter,
+     char (*out)[PPS_NEIGHBOUR_ADDRESS_BYTES], size_t max)
 {
     for (size_t i = 0; i < listed && i < max; i++) {
         snprintf(out[i], PPS_NEIGHBOUR_ADDRESS_BYTES, "10.0.0.%zu:1", i);
@@ -81,7 +82,7 @@
     listed = 10;
     pps_rng_init(&rng, 1);
     for (int i = 0; i < 100; i++) {
-        chosen[i] = pps_neighbours_choose(&neighbours, &rng, 0);
+        chosen[i] = pps_neighbours_choose(&neighbours, NULL, &rng, 0);
         cr_assert_not_null(chosen[i]);
         chosen[i]->calls++;
     }
@@ -101,17 +102,18 @@
 
     listed = 2;
     pps_rng_init(&rng, 1);
-    first = pps_neighbours_choose(&neighbours, &rng, 0);
+    first = pps_neighbours_choose(&neighbours, NULL, &rng, 0);
     pps_neighbour_note_failed(first, 0);
     for (int i = 0; i < 20; i++) {
-        cr_expect_neq(pps_neighbours_choose(&neighbours, &rng, 1), first);
+        cr_expect_neq(pps_neighbours_choose(&neighbours, NULL, &rng, 1),
+                      first);
     }
-    pps_neighbour_note_unreached(pps_neighbours_choose(&neighbours, &rng, 1),
-                                 1);
-    cr_expect(pps_neighbours_has_any(&neighbours, 1));
-    pps_neighbour_note_unreached(pps_neighbours_choose(&neighbours, &rng, 1),
-                                 1);
-    cr_expect_not(pps_neighbours_has_any(&neighbours, 1));
-    cr_expect_null(pps_neighbours_choose(&neighbours, &rng, 1));
-    cr_expect(pps_neighbours_has_any(&neighbours, 2 * PPS_US_PER_S));
+    pps_neighbour_note_unreached(
+        pps_neighbours_choose(&neighbours, NULL, &rng, 1), 1);
+    cr_expect(pps_neighbours_has_any(&neighbours, NULL, 1));
+    pps_neighbour_note_unreached(
+        pps_neighbours_choose(&neighbours, NULL, &rng, 1), 1);
+    cr_expect_not(pps_neighbours_has_any(&neighbours, NULL, 1));
+    cr_expect_null(pps_neighbours_choose(&neighbours, NULL, &rng, 1));
+    cr_expect(pps_neighbours_has_any(&neighbours, NULL, 2 * PPS_US_PER_S));
 }
--- a/tests/entry/test_records.c
+++ b/tests/entry/test_records.c
@@ -123,6 +123,52 @@
     }
 }
 
+typedef struct {
+    const char *route;  /* members of the route */
+    const char *tenant; /* members of the tenant */
+    int error;
+    size_t route_count; /* regions */
+    size_t workspace_count;
+} homes_case_t;
+
+static const homes_case_t homes_cases[] = {
+    {"", "", 0, 0, 0},
+    {",\"allowed_regions\":[]", ",\"allowed_regions\":null", 0, 0, 0},
+    {",\"allowed_regions\":[\"r1\",\"r2\"]", "", 0, 2, 0},
+    {"", ",\"allowed_regions\":[\"r1\"]", 0, 0, 1},
+    {",\"allowed_regions\":\"r1\"", "", PPS_EINVALID, 0, 0},
+    {",\"allowed_regions\":[1]", "", PPS_EINVALID, 0, 0},
+    {",\"allowed_regions\":[\"r1\",\"\"]", "", PPS_EINVALID, 0, 0},
+    {"", ",\"allowed_regions\":{\"r1\":1}", PPS_EINVALID, 0, 0},
+};
+
+/* Guards against a restriction to regions that is lost in reading. */
+Test(records, homes)
+{
+    for (size_t i = 0; i < sizeof(homes_cases) / sizeof(*homes_cases); i++) {
+        const homes_case_t *item = &homes_cases[i];
+        pps_deployment_t *deployment;
+        char text[1024];
+        int error;
+
+        snprintf(
+            text, sizeof(text),
+            "{\"version\":9,\"routes\":[" ROUTE(
+                "/x/", ",\"service\":\"a\"%s") "]," SERVICES "," LIMITS
+                                               ",\"tenants\":[{\"name\":\"t\","
+                                               "\"api_keys\":[\"k\"]%s}]}",
+            item->route, item->tenant);
+        error = pps_record_parse_deployment(&deployment, text, strlen(text));
+        cr_expect_eq(error, item->error, "case %zu", i);
+        if (error == 0) {
+            cr_expect_eq(deployment->routes[0].homes.count, item->route_count);
+            cr_expect_eq(deployment->workspaces[0].homes.count,
+                         item->workspace_count);
+            pps_deployment_unref(deployment);
+        }
+    }
+}
+
 Test(records, rollouts)
 {
     static const struct {
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -157,6 +157,7 @@
     poison_start(soak);
     cut_start(soak);
     brittle_start(soak);
+    evacuation_start(soak);
     pps_reactor_after(&soak->reactor, &phase_timer, FAULT_PHASE_US,
                       on_fault_phase_end, soak);
 }
@@ -265,10 +266,11 @@
             &soak, "too little is served when all is calm again", "");
     }
     printf("seed %llu: sent %u, served %u, refused %u, failed %u; %u workers "
-           "ended; at the calm end %u of %u; %u broken; logs in %s\n",
+           "ended; %u checked in an evacuation; at the calm end %u of %u; "
+           "%u broken; logs in %s\n",
            (unsigned long long)soak.seed, soak.sent_count, soak.served_count,
            soak.refused_count, soak.failed_count, poison_ends(),
-           soak.recovery_served_count, soak.recovery_sent_count,
-           soak.violation_count, soak.folder);
+           evacuation_checked(), soak.recovery_served_count,
+           soak.recovery_sent_count, soak.violation_count, soak.folder);
     return soak.violation_count > 0;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -282,6 +282,18 @@
 void
 cut_check(struct soak *soak);
 
+/** Orders an evacuation, for every other seed. */
+void
+evacuation_start(struct soak *soak);
+
+/** Reports a request that reaches an evacuated worker after the bound. */
+void
+evacuation_check(const worker_t *worker, const request_t *request);
+
+/** Returns the number of requests that were checked after the bound. */
+unsigned int
+evacuation_checked(void);
+
 /** Returns whether no worker has ended of late. */
 int
 poison_is_calm(const struct soak *soak);
--- a/tests/soak/soak_worker.c
+++ b/tests/soak/soak_worker.c
@@ -242,6 +242,7 @@
     recorded = soak_find_request(soak, id);
     if (recorded != NULL) {
         check_leaving(worker, recorded);
+        evacuation_check(worker, recorded);
         check_pause(worker, recorded);
         limit_check(worker, recorded);
     }
