Workers count as cold when the evacuation of their domain ends

Cause: workers that come back are often cold, and their records may not say so yet. Change: the end of an evacuation calls pps_cold_gate_expect() for each of the domain's workers.

--- a/src/libpapayaswitch/exchange/cold_gate.c
+++ b/src/libpapayaswitch/exchange/cold_gate.c
@@ -205,6 +205,17 @@
     return 0;
 }
 
+void
+pps_cold_gate_expect(pps_dispatcher_t *dispatcher, pps_pool_worker_t *worker)
+{
+    pps_cold_rule_t rule;
+
+    if (rule_for(&rule, dispatcher, worker, NULL)) {
+        pps_cold_start_expect(&worker->cold,
+                              dispatcher->reactor->now_us + rule.cold_us);
+    }
+}
+
 void
 pps_cold_gate_step(pps_dispatcher_t *dispatcher)
 {
--- a/src/libpapayaswitch/exchange/cold_gate.h
+++ b/src/libpapayaswitch/exchange/cold_gate.h
@@ -24,6 +24,11 @@
 pps_cold_gate_note_refused(pps_dispatcher_t *dispatcher,
                            pps_pool_worker_t *worker);
 
+/** Notes that the worker is probably cold from now on for the usual time,
+ * since the evacuation of its failure domain has ended. */
+void
+pps_cold_gate_expect(pps_dispatcher_t *dispatcher, pps_pool_worker_t *worker);
+
 /** Notes how many hosts are known, and logs which workers have become cold and
  * which no longer are, once a second. Call it more often than that. Does
  * nothing if no upstream has cold workers. */
--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -2,6 +2,7 @@
 #include "dispatcher.h"
 
 #include "clock.h"
+#include "cold_gate.h"
 #include "decision_log.h"
 #include "exchange.h"
 #include "papayaswitch/errors.h"
@@ -33,6 +34,7 @@
     CDS_INIT_LIST_HEAD(&dispatcher->exchanges);
     CDS_INIT_LIST_HEAD(&dispatcher->breaks);
     pps_evacuated_domains_init(&dispatcher->evacuated);
+    dispatcher->worker_back = pps_cold_gate_expect;
     pps_rng_init(&dispatcher->rng, pps_rng_system_seed());
     if (pps_poison_table_new(&dispatcher->poison) != 0) {
         return PPS_ENOMEM;
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -155,7 +155,7 @@
     int tries_paths;             /**< that timer is set */
     pps_neighbours_t neighbours; /**< take calls that this host can't */
     pps_evacuated_domains_t evacuated;
-    pps_worker_back_fn worker_back;   /**< or NULL */
+    pps_worker_back_fn worker_back; /**< pps_cold_gate_expect(); NULL: none */
     pps_path_changed_fn path_changed; /**< or NULL */
     pps_prefill_notice_fn notice;     /**< sends to the other hosts, or NULL */
     pps_leaving_fn leaving;           /**< sends to the other hosts, or NULL */
--- a/tests/entry/test_evacuation.c
+++ b/tests/entry/test_evacuation.c
@@ -232,6 +232,45 @@
     cr_expect_eq(workers_back, 1);
 }
 
+#define COLD_PER_S 4
+#define COLD_OVER 1.5
+#define COLD_SLACK 5
+#define COLD_REQUESTS 40
+
+/* Guards against callers who overload a worker that comes back from an
+ * evacuation: all of these requests come within the cold time. */
+Test(evacuation, workers_are_cold_when_it_ends)
+{
+    static const net_answer_t script[] = {{OK_PLAIN, NET_KEEP}};
+    fixture_t fixture;
+    int64_t begun_us;
+
+    start(&fixture, script, 1);
+    fixture.dispatcher.options.cold_over = COLD_OVER;
+    fixture.dispatcher.options.cold_slack = COLD_SLACK;
+    fixture.dispatcher.deployment->upstreams[0].cold_per_s = COLD_PER_S;
+    fixture.dispatcher.deployment->upstreams[0].cold_start_us =
+        3 * PPS_US_PER_S;
+    pps_evacuation_begin(&fixture.dispatcher, "za", ORDER);
+    pps_pool_remove(fixture.dispatcher.pool, "w1");
+    pps_pool_remove(fixture.dispatcher.pool, "w2");
+    net_run_for(&fixture.reactor, 10);
+    pps_evacuation_end(&fixture.dispatcher, "za");
+    begun_us = pps_clock_now_us();
+    for (int i = 0; i < COLD_REQUESTS; i++) {
+        net_client_t client;
+
+        fixture_run_request(&fixture, &client, "/safe/", "");
+        net_run_for(&fixture.reactor, 20);
+    }
+    cr_assert_lt(pps_clock_now_us() - begun_us, 3 * PPS_US_PER_S);
+    cr_expect_gt(fixture.workers[0].requests, 0);
+    cr_expect_leq((double)fixture.workers[0].requests,
+                  (double)(pps_clock_now_us() - begun_us) / PPS_US_PER_S *
+                          COLD_PER_S * COLD_OVER +
+                      COLD_SLACK);
+}
+
 /* Guards against names that no worker can have, and against a list without a
  * bound. */
 Test(evacuation, invalid_names)
