Placement: a candidate's cold time is its last field

Cause: tests/entry/test_place.c lists a candidate's fields by position; the new field among them shifted the rest, and test_place failed. Change: the field is the last one.

--- a/src/libpapayaswitch/pool/placement.h
+++ b/src/libpapayaswitch/pool/placement.h
@@ -23,9 +23,9 @@
     double busy;          /**< requests running and queued there */
     double slots;         /**< requests it runs at once; above 0 */
     double failure_share; /**< smoothed share of failed calls, 0 to 1 */
-    double cold_us;       /**< time by which it is slower, as it is cold */
     int same_domain;      /**< in the failure domain of this host */
     int has_prefix;       /**< has recently processed the prompt's prefix */
+    double cold_us;       /**< time by which it is slower, as it is cold */
 } pps_placement_candidate_t;
 
 /** Properties of the request, in microseconds. */
