--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -10,8 +10,11 @@
 
 #include "call.h"
 #include "deployment/deployment.h"
+#include "deployment/region_map.h"
+#include "evacuated_domains.h"
 #include "lateness.h"
 #include "poison/poison_table.h"
+#include "pool/cold_hosts.h"
 #include "pool/path_state.h"
 #include "pool/pool.h"
 #include "pool/prefix_affinity.h"
@@ -33,12 +36,16 @@
 
 /** Settings of the routing decisions. */
 typedef struct {
-    const char *failure_domain; /**< of this host */
-    const char *local_address;  /**< IPv4 address that connections to workers
-                                     leave from; NULL: any */
+    const char *failure_domain;      /**< of this host */
+    const pps_region_map_t *regions; /**< NULL or empty: homes are not applied
+                                      */
+    const char *local_address; /**< IPv4 address that connections to workers
+                                    leave from; NULL: any */
     double repeat_ratio; /**< repeats allowed per request, over all hosts */
     unsigned int repeat_allowance; /**< additional repeats, over all hosts */
     int64_t repeat_window_us;
+    double cold_over; /**< see pps_cold_rule_t; 0: workers are never cold */
+    double cold_slack;
     unsigned int confidence_min; /**< threshold on idle workers, 0 to 100 */
     pps_rollout_bounds_t rollout;
 } pps_dispatch_options_t;
@@ -101,6 +108,12 @@
 /** Tells the other hosts whether this host reaches workers. */
 typedef void (*pps_path_changed_fn)(void *user);
 
+struct pps_dispatcher;
+
+/** Called for each worker of a failure domain whose evacuation ends. */
+typedef void (*pps_worker_back_fn)(struct pps_dispatcher *dispatcher,
+                                   pps_pool_worker_t *worker);
+
 /** State of an upstream, kept by name across deployment revisions. */
 typedef struct {
     char name[PPS_WORKER_TEXT_BYTES];
@@ -122,7 +135,7 @@
 } pps_upstream_state_t;
 
 /** Request routing state of one host. */
-typedef struct {
+typedef struct pps_dispatcher {
     pps_reactor_t *reactor;
     pps_pool_t *pool;
     pps_deployment_t *deployment; /**< in force; NULL until one is known */
@@ -141,6 +154,8 @@
     pps_timer_t path_timer;      /**< tries lost paths; see path_watch.h */
     int tries_paths;             /**< that timer is set */
     pps_neighbours_t neighbours; /**< take calls that this host can't */
+    pps_evacuated_domains_t evacuated;
+    pps_worker_back_fn worker_back; /**< pps_cold_gate_expect(); NULL: none */
     pps_path_changed_fn path_changed; /**< or NULL */
     pps_prefill_notice_fn notice;     /**< sends to the other hosts, or NULL */
     pps_leaving_fn leaving;           /**< sends to the other hosts, or NULL */
@@ -155,6 +170,7 @@
     pps_poison_table_t *poison; /**< requests under which workers end */
     pps_upstream_state_t upstreams[PPS_DISPATCH_UPSTREAMS_MAX];
     size_t upstream_count;
+    pps_cold_hosts_t cold_hosts; /**< known lately, by failure domain */
     pps_http_limits_t limits;
 } pps_dispatcher_t;
 
