--- a/src/libpapayaswitch/transport/http_conn.c
+++ b/src/libpapayaswitch/transport/http_conn.c
@@ -32,6 +32,7 @@
     pps_headers_clear(&conn->request.headers);
     pps_buf_clear(&conn->request.body);
     pps_buf_clear(&conn->pending);
+    pps_buf_clear(&conn->output);
     free(conn);
 }
 
@@ -44,6 +45,7 @@
     conn->state = CONN_CLOSED;
     conn->exchange = NULL;
     pps_timers_cancel(&conn->timer);
+    pps_reactor_cancel_deferred(&conn->flush);
     cds_list_del(&conn->node);
     conn->server->conn_count--;
     uv_close((uv_handle_t *)&conn->tcp, on_closed);
@@ -62,6 +64,48 @@
     }
 }
 
+/* Writes the output that has been collected. @return 0 or an error */
+static int
+flush_output(pps_http_conn_t *conn)
+{
+    uv_buf_t piece =
+        uv_buf_init(conn->output.data, (unsigned int)conn->output.size);
+    int error = PPS_OK;
+
+    pps_reactor_cancel_deferred(&conn->flush);
+    if (conn->output.failed) {
+        error = PPS_ENOMEM;
+    }
+    else if (conn->output.size > 0) {
+        error = pps_tcp_write(&conn->tcp, &piece, 1);
+    }
+    pps_buf_clear(&conn->output);
+    return error;
+}
+
+static void
+on_flush(void *user)
+{
+    pps_http_conn_t *conn = user;
+
+    if (flush_output(conn) != 0) {
+        disconnect(conn);
+    }
+}
+
+/* Collects output until the loop waits for events again. The head of a
+ * response, the events that arrived together and the end are then one write:
+ * each packet can be lost, which delays the response by a retransmission. */
+static void
+collect_output(pps_http_conn_t *conn, const uv_buf_t *pieces,
+               unsigned int count)
+{
+    for (unsigned int i = 0; i < count; i++) {
+        pps_buf_append(&conn->output, pieces[i].base, pieces[i].len);
+    }
+    pps_reactor_defer(conn->server->reactor, &conn->flush, on_flush, conn);
+}
+
 static void
 on_linger_timer(int64_t now_us, void *user)
 {
@@ -77,6 +121,7 @@
 start_lingering(pps_http_conn_t *conn)
 {
     conn->state = CONN_LINGERING;
+    flush_output(conn);
     uv_shutdown(&conn->shutdown, (uv_stream_t *)&conn->tcp, on_shutdown);
     pps_reactor_after(conn->server->reactor, &conn->timer, LINGER_US,
                       on_linger_timer, conn);
@@ -244,14 +289,6 @@
                       on_disconnect_timer, conn);
 }
 
-static void
-send_pieces(pps_http_conn_t *conn, const uv_buf_t *pieces, unsigned int count)
-{
-    if (pps_tcp_write(&conn->tcp, pieces, count) != 0) {
-        disconnect_later(conn);
-    }
-}
-
 static const char *
 connection_header(pps_http_conn_t *conn)
 {
@@ -283,7 +320,8 @@
     pieces[1] = uv_buf_init((char *)fields, (unsigned int)strlen(fields));
     pieces[2] = uv_buf_init("\r\n", 2);
     pieces[3] = uv_buf_init((char *)body, (unsigned int)size);
-    if (pps_tcp_write(&conn->tcp, pieces, 4) != 0) {
+    if (flush_output(conn) != 0 ||
+        pps_tcp_write(&conn->tcp, pieces, 4) != 0) {
         pps_http_conn_close(conn);
         return;
     }
@@ -305,7 +343,7 @@
     pieces[0] = uv_buf_init(head, (unsigned int)length);
     pieces[1] = uv_buf_init((char *)fields, (unsigned int)strlen(fields));
     pieces[2] = uv_buf_init("\r\n", 2);
-    send_pieces(conn, pieces, 3);
+    collect_output(conn, pieces, 3);
 }
 
 void
@@ -322,11 +360,11 @@
     pieces[0] = uv_buf_init(head, (unsigned int)length);
     pieces[1] = uv_buf_init((char *)data, (unsigned int)size);
     pieces[2] = uv_buf_init("\r\n", 2);
-    if (conn->tcp.write_queue_size > QUEUED_BYTES_MAX) {
+    if (pps_http_conn_queued_bytes(conn) > QUEUED_BYTES_MAX) {
         disconnect_later(conn);
         return;
     }
-    send_pieces(conn, pieces, 3);
+    collect_output(conn, pieces, 3);
 }
 
 void
@@ -335,23 +373,21 @@
     uv_buf_t piece = uv_buf_init("0\r\n\r\n", 5);
 
     conn->exchange = NULL;
-    if (pps_tcp_write(&conn->tcp, &piece, 1) != 0) {
-        pps_http_conn_close(conn);
-        return;
-    }
+    collect_output(conn, &piece, 1);
     finish_response(conn);
 }
 
 void
 pps_http_conn_abort(pps_http_conn_t *conn)
 {
+    flush_output(conn);
     pps_http_conn_close(conn);
 }
 
 size_t
 pps_http_conn_queued_bytes(const pps_http_conn_t *conn)
 {
-    return conn->tcp.write_queue_size;
+    return conn->tcp.write_queue_size + conn->output.size;
 }
 
 void
--- a/src/libpapayaswitch/transport/http_server_state.h
+++ b/src/libpapayaswitch/transport/http_server_state.h
@@ -39,6 +39,8 @@
     size_t header_bytes;
     pps_http_request_t request;
     pps_buf_t pending; /* input read while a request is being served */
+    pps_buf_t output;  /* of the response, not yet written */
+    pps_deferred_t flush;
     pps_timer_t timer; /* read timeout, end of lingering or disconnect */
     void *exchange;    /* set by pps_http_conn_attach(), or NULL */
 };
--- a/src/libpapayaswitch/transport/reactor.c
+++ b/src/libpapayaswitch/transport/reactor.c
@@ -20,6 +20,18 @@
     reactor->now_us = pps_clock_now_us();
 }
 
+static void
+run_deferred(pps_reactor_t *reactor)
+{
+    while (!cds_list_empty(&reactor->deferred)) {
+        pps_deferred_t *task =
+            cds_list_first_entry(&reactor->deferred, pps_deferred_t, node);
+
+        pps_reactor_cancel_deferred(task);
+        task->run(task->user);
+    }
+}
+
 static void
 on_prepare(uv_prepare_t *prepare)
 {
@@ -29,6 +41,7 @@
 
     reactor->now_us = pps_clock_now_us();
     next_due_us = pps_timers_run(&reactor->timers, reactor->now_us);
+    run_deferred(reactor);
     if (reactor->before_poll != NULL) {
         reactor->before_poll(reactor->user);
     }
@@ -53,6 +66,7 @@
     reactor->user = NULL;
     reactor->now_us = pps_clock_now_us();
     pps_timers_init(&reactor->timers);
+    CDS_INIT_LIST_HEAD(&reactor->deferred);
     uv_timer_init(&reactor->loop, &reactor->wake);
     uv_prepare_init(&reactor->loop, &reactor->prepare);
     uv_check_init(&reactor->loop, &reactor->check);
@@ -93,3 +107,25 @@
     pps_timers_subscribe(&reactor->timers, timer, reactor->now_us + period_us,
                          period_us, fire, user);
 }
+
+void
+pps_reactor_defer(pps_reactor_t *reactor, pps_deferred_t *task,
+                  void (*run)(void *user), void *user)
+{
+    if (task->is_pending) {
+        return;
+    }
+    task->is_pending = 1;
+    task->run = run;
+    task->user = user;
+    cds_list_add_tail(&task->node, &reactor->deferred);
+}
+
+void
+pps_reactor_cancel_deferred(pps_deferred_t *task)
+{
+    if (task->is_pending) {
+        task->is_pending = 0;
+        cds_list_del(&task->node);
+    }
+}
--- a/src/libpapayaswitch/transport/reactor.h
+++ b/src/libpapayaswitch/transport/reactor.h
@@ -8,8 +8,18 @@
 
 #include "timer.h"
 
+#include <urcu/list.h>
 #include <uv.h>
 
+/** A task that runs once, before the loop waits for events again. Zero-
+ * initialize it. */
+typedef struct {
+    struct cds_list_head node;
+    int is_pending;
+    void (*run)(void *user);
+    void *user;
+} pps_deferred_t;
+
 /** An event loop with its timers, used by one thread. */
 typedef struct {
     uv_loop_t loop;
@@ -17,6 +27,7 @@
     uv_prepare_t prepare;
     uv_check_t check;
     pps_timers_t timers;
+    struct cds_list_head deferred; /**< tasks, in the order of their start */
     int64_t now_us; /**< clock read before timers run and after polling */
     void (*before_poll)(void *user); /**< runs once an iteration, or NULL */
     void *user;
@@ -46,4 +57,14 @@
                   int64_t period_us, void (*fire)(int64_t now_us, void *user),
                   void *user);
 
+/** Runs a task before the loop waits for events again, after the timers that
+ * are due. Does nothing if it is pending. */
+void
+pps_reactor_defer(pps_reactor_t *reactor, pps_deferred_t *task,
+                  void (*run)(void *user), void *user);
+
+/** Drops a pending task; does nothing if it is not pending. */
+void
+pps_reactor_cancel_deferred(pps_deferred_t *task);
+
 #endif
