Write what arrives together for a caller in one packet

Cause: the head of a stream, each event and its end were written one by one. Each packet can be lost, which holds events back by a retransmission of 200 ms or more, and a stream is late when one event is. Change: the output of a response is collected until the loop waits for events again, and then written at once (pps_reactor_defer()). It is written as well when the connection closes.

--- a/src/libpapayaswitch/transport/http_conn.c
+++ b/src/libpapayaswitch/transport/http_conn.c
@@ -36,6 +36,25 @@
     free(conn);
 }
 
+/* Writes the output that has been collected. @return 0 or an error */
+static int
+flush_output(pps_http_conn_t *conn)
+{
+    uv_buf_t piece =
+        uv_buf_init(conn->output.data, (unsigned int)conn->output.size);
+    int error = PPS_OK;
+
+    pps_reactor_cancel_deferred(&conn->flush);
+    if (conn->output.failed) {
+        error = PPS_ENOMEM;
+    }
+    else if (conn->output.size > 0) {
+        error = pps_tcp_write(&conn->tcp, &piece, 1);
+    }
+    pps_buf_clear(&conn->output);
+    return error;
+}
+
 void
 pps_http_conn_close(pps_http_conn_t *conn)
 {
@@ -45,7 +64,7 @@
     conn->state = CONN_CLOSED;
     conn->exchange = NULL;
     pps_timers_cancel(&conn->timer);
-    pps_reactor_cancel_deferred(&conn->flush);
+    flush_output(conn);
     cds_list_del(&conn->node);
     conn->server->conn_count--;
     uv_close((uv_handle_t *)&conn->tcp, on_closed);
@@ -64,25 +83,6 @@
     }
 }
 
-/* Writes the output that has been collected. @return 0 or an error */
-static int
-flush_output(pps_http_conn_t *conn)
-{
-    uv_buf_t piece =
-        uv_buf_init(conn->output.data, (unsigned int)conn->output.size);
-    int error = PPS_OK;
-
-    pps_reactor_cancel_deferred(&conn->flush);
-    if (conn->output.failed) {
-        error = PPS_ENOMEM;
-    }
-    else if (conn->output.size > 0) {
-        error = pps_tcp_write(&conn->tcp, &piece, 1);
-    }
-    pps_buf_clear(&conn->output);
-    return error;
-}
-
 static void
 on_flush(void *user)
 {
@@ -320,8 +320,7 @@
     pieces[1] = uv_buf_init((char *)fields, (unsigned int)strlen(fields));
     pieces[2] = uv_buf_init("\r\n", 2);
     pieces[3] = uv_buf_init((char *)body, (unsigned int)size);
-    if (flush_output(conn) != 0 ||
-        pps_tcp_write(&conn->tcp, pieces, 4) != 0) {
+    if (flush_output(conn) != 0 || pps_tcp_write(&conn->tcp, pieces, 4) != 0) {
         pps_http_conn_close(conn);
         return;
     }
@@ -380,7 +379,6 @@
 void
 pps_http_conn_abort(pps_http_conn_t *conn)
 {
-    flush_output(conn);
     pps_http_conn_close(conn);
 }
 
