Records of workers go through the relays of each failure domain

Cause: above 12 peers a reader sent each changed worker record to every host; at 300 hosts one change was 299 datagrams from each reader, and a lost datagram was noticed only by the next record and read from the store. The choice of readers walked over all pairs of peers for each state that was sent. Change: a reader sends a record in an envelope to two relays of each failure domain, and these to the domain's hosts (forward_plan, gossip_forward). The sender states the receiver's duty; each duty is carried out once (seen_ring). States tell what a build does, hosts of older builds get plain records and are no relays. The readers are listed once a round. test_gossip_codec counts the added byte and checks the new element.

--- a/src/libpapayaswitch/gossip/gossip.c
+++ b/src/libpapayaswitch/gossip/gossip.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /** Interval between state datagrams to a peer that is not live. */
 #define PROBE_INTERVAL_US (2 * PPS_US_PER_S)
@@ -21,6 +22,8 @@
 #define NOTICE_PEERS_MAX 24
 /** Largest encoded record that is sent. */
 #define RECORD_BYTES_MAX 1200
+/** A timer that is later than this shows that the host was frozen. */
+#define FREEZE_MIN_US (1 * PPS_US_PER_S)
 #define DATAGRAM_BYTES_MAX 4096
 #define PEERS_MAX 2048
 
@@ -99,6 +102,10 @@
     struct sockaddr_in at;
     uv_buf_t buffer = uv_buf_init(encoded->data, (unsigned int)encoded->size);
 
+    if (gossip->transmit != NULL) {
+        gossip->transmit(gossip->user, address, encoded);
+        return;
+    }
     if (uv_ip4_addr(address, (int)gossip->port, &at) == 0) {
         uv_udp_try_send(&gossip->udp, &buffer, 1, (struct sockaddr *)&at);
     }
@@ -147,15 +154,32 @@
            pps_gossip_is_helper(gossip, peer);
 }
 
+/* What is the same for all peers of a round. */
+typedef struct {
+    int sends_to_all;
+    const pps_gossip_state_t *readers[PPS_GOSSIP_READERS];
+    size_t reader_count;
+} round_t;
+
+static round_t
+begin_round(const pps_gossip_t *gossip)
+{
+    round_t round = {.sends_to_all = pps_gossip_hears_all(gossip)};
+
+    round.reader_count = pps_gossip_list_readers(round.readers, gossip);
+    return round;
+}
+
 /* Checks whether this round sends the state to a peer. Records a probe. */
 static int
-is_due(const pps_gossip_t *gossip, pps_gossip_peer_t *peer)
+is_due(const pps_gossip_t *gossip, const round_t *round,
+       pps_gossip_peer_t *peer)
 {
     int64_t now_us = gossip->reactor->now_us;
-    int is_target = gossip->peer_count <= PPS_GOSSIP_FULL_MESH_PEERS_MAX ||
-                    pps_gossip_is_reader(gossip) ||
-                    pps_gossip_is_peer_reader(gossip, peer) ||
-                    is_same_domain(gossip, peer) || needs_help(gossip, peer);
+    int is_target =
+        round->sends_to_all ||
+        pps_gossip_is_listed(round->readers, round->reader_count, peer) ||
+        is_same_domain(gossip, peer) || needs_help(gossip, peer);
 
     if (is_target && pps_gossip_is_live(gossip, peer)) {
         return 1;
@@ -174,16 +198,18 @@
 {
     pps_buf_t encoded = PPS_BUF_INIT;
     pps_gossip_peer_t *peer;
+    round_t round;
 
     gossip->own.state.rollout_count = 0;
     gossip->own.state.live_hosts =
         (int)pps_gossip_count_locally_live_hosts(gossip);
     gossip->ops->fill_state(gossip->user, &gossip->own.state);
     choose_hints(gossip);
+    round = begin_round(gossip);
     if (pps_gossip_encode_state(&encoded, &gossip->own,
                                 gossip->reactor->now_us) == 0) {
         cds_list_for_each_entry (peer, &gossip->peers, node) {
-            if (is_due(gossip, peer)) {
+            if (is_due(gossip, &round, peer)) {
                 pps_gossip_send_to(gossip, peer->state.address, &encoded);
             }
         }
@@ -223,6 +249,15 @@
     }
 }
 
+/* Returns the same id for the copies that two readers send of a record. */
+static uint64_t
+record_id(const pps_gossip_record_t *record)
+{
+    const int64_t place[] = {record->topic, record->epoch, record->offset};
+
+    return XXH64(place, sizeof(place), 0);
+}
+
 int
 pps_gossip_send_record(pps_gossip_t *gossip, const pps_gossip_record_t *record)
 {
@@ -233,7 +268,8 @@
         error = PPS_ELIMIT;
     }
     if (error == 0) {
-        pps_gossip_send_to_live(gossip, &encoded);
+        pps_gossip_keep_record(gossip, record, encoded.data, encoded.size);
+        pps_gossip_send_to_all(gossip, &encoded, record_id(record));
     }
     pps_buf_clear(&encoded);
     return error;
@@ -274,9 +310,22 @@
     pps_buf_clear(&encoded);
 }
 
+/* Notes the end of a time in which this host did not run. */
+static void
+detect_freeze(pps_gossip_t *gossip, int64_t now_us)
+{
+    int64_t expected_us = gossip->last_timer_us + gossip->timer.period_us;
+
+    if (gossip->last_timer_us != 0 && now_us - expected_us > FREEZE_MIN_US) {
+        gossip->forwarding->resumed_us = now_us;
+    }
+    gossip->last_timer_us = now_us;
+}
+
 static void
 on_timer(int64_t now_us, void *user)
 {
+    detect_freeze(user, now_us);
     pps_gossip_send_state(user);
 }
 
@@ -313,6 +362,11 @@
     if (gossip == NULL) {
         return PPS_ENOMEM;
     }
+    gossip->forwarding = calloc(1, sizeof(*gossip->forwarding));
+    if (gossip->forwarding == NULL) {
+        free(gossip);
+        return PPS_ENOMEM;
+    }
     gossip->reactor = reactor;
     gossip->port = port;
     gossip->read_age_max_us = READ_AGE_MAX_US;
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -23,6 +23,9 @@
 /** Maximum number of keys with evidence in one datagram. */
 #define PPS_GOSSIP_POISON_ITEMS 6
 
+/** What a host of an older build does not do; bits of pps_gossip_state_t. */
+#define PPS_GOSSIP_LACKS_FORWARDING 1U
+
 /** A roll-out and the evidence that one host has collected. */
 typedef struct {
     pps_rollout_t rollout; /**< `started_us` on the local clock */
@@ -46,8 +49,9 @@
     int link_mbps;       /**< speed of its network link, Mbit/s; 0: unknown */
     pps_gossip_rollout_t rollouts[PPS_GOSSIP_ROLLOUTS];
     size_t rollout_count;
-    int takes_relays; /**< it takes calls to workers for other hosts; 0 also
-                           from hosts of older builds */
+    int takes_relays;   /**< it takes calls to workers for other hosts; 0 also
+                             from hosts of older builds */
+    unsigned int lacks; /**< PPS_GOSSIP_LACKS_...; 0: the current build */
     int has_poison_digest;  /**< hosts of older builds send none */
     uint64_t poison_digest; /**< see pps_poison_table_digest() */
 } pps_gossip_state_t;
@@ -72,6 +76,14 @@
     int64_t epoch; /**< of the offsets; 0: unknown, as from older builds */
 } pps_gossip_record_t;
 
+/** States up to where a reader has forwarded a topic's records, so that hosts
+ * notice that the last ones were lost. */
+typedef struct {
+    unsigned int topic;
+    int64_t epoch;
+    int64_t relevant_end;
+} pps_gossip_mark_t;
+
 /** Announces that a host has sent a long prompt to a worker. */
 typedef struct {
     uint64_t worker; /**< digest of the worker's id */
@@ -139,6 +151,8 @@
     void (*on_brittle)(void *user, const pps_gossip_brittle_t *brittle);
     /** Called when another host sends evidence on what ends workers. */
     void (*on_poison)(void *user, const pps_gossip_poison_t *poison);
+    /** Called when a reader states up to where it has forwarded records. */
+    void (*on_mark)(void *user, const pps_gossip_mark_t *mark);
 } pps_gossip_ops_t;
 
 /** The gossip socket of one host and the peers it knows. */
@@ -166,11 +180,25 @@
 pps_gossip_send_notice(pps_gossip_t *gossip,
                        const pps_gossip_notice_t *notice);
 
-/** Sends a record to all live peers. @return 0, PPS_ELIMIT or PPS_ENOMEM */
+/** Sends a record to all hosts, with many peers through relays.
+ * @return 0, PPS_ELIMIT or PPS_ENOMEM */
 int
 pps_gossip_send_record(pps_gossip_t *gossip,
                        const pps_gossip_record_t *record);
 
+/** Sends to all hosts up to where this host has forwarded records. Does
+ * nothing with few peers, whose states show it soon enough. */
+void
+pps_gossip_send_mark(pps_gossip_t *gossip, const pps_gossip_mark_t *mark);
+
+/** Asks a relay or a reader for the records of a topic from an end on, another
+ * one with each attempt. They arrive as other records do.
+ * @param attempt 0 first @return 0, or PPS_ENOTFOUND if no host can be asked
+ */
+int
+pps_gossip_request_records(pps_gossip_t *gossip, unsigned int topic,
+                           int64_t epoch, int64_t end, unsigned int attempt);
+
 /** Sends to all live peers that a worker is leaving. */
 void
 pps_gossip_send_leaving(pps_gossip_t *gossip,
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -13,9 +13,13 @@
  * the slow answers of a count and the counts of loaded workers: hosts of older
  * builds ignore what follows the elements that they know, and send none. */
 #define STATE_FIELDS 15
-/** The epochs, and whether it takes relays: a datagram of more fields than the
- * ones above has another head, which hosts of older builds do not read. */
-#define LAST_LIST_FIELDS (PPS_GOSSIP_TOPICS + 1)
+/** The epochs, whether it takes relays, and what the build does
+ * (PPS_GOSSIP_LACKS_... bits that are not lacking): a datagram of more fields
+ * than the ones above has another head, which hosts of older builds do not
+ * read. */
+#define LAST_LIST_FIELDS (PPS_GOSSIP_TOPICS + 2)
+/** All PPS_GOSSIP_LACKS_... bits. */
+#define ABILITIES PPS_GOSSIP_LACKS_FORWARDING
 #define ROLLOUT_FIELDS 14
 #define COUNT_FIELDS 10
 
@@ -132,6 +136,7 @@
         msgpack_pack_int64(&packer, state->topic_epochs[i]);
     }
     msgpack_pack_int(&packer, state->takes_relays);
+    msgpack_pack_unsigned_int(&packer, ABILITIES & ~state->lacks);
     msgpack_pack_uint64(&packer, state->poison_digest);
     return out->failed ? PPS_ENOMEM : PPS_OK;
 }
@@ -225,6 +230,7 @@
 {
     pps_cursor_t list;
 
+    state->lacks = ABILITIES;
     if (fields->failed || fields->unread_count == 0) {
         return;
     }
@@ -235,6 +241,9 @@
     if (list.unread_count > 0) {
         state->takes_relays = pps_cursor_read_integer(&list) == 1;
     }
+    if (list.unread_count > 0) {
+        state->lacks &= ~(unsigned int)pps_cursor_read_integer(&list);
+    }
     fields->failed |= list.failed;
 }
 
--- a/src/libpapayaswitch/gossip/gossip_codec.h
+++ b/src/libpapayaswitch/gossip/gossip_codec.h
@@ -27,6 +27,9 @@
     PPS_GOSSIP_LIMIT,
     PPS_GOSSIP_BRITTLE,
     PPS_GOSSIP_POISON,
+    PPS_GOSSIP_FORWARD,
+    PPS_GOSSIP_RECORD_REQUEST,
+    PPS_GOSSIP_MARK,
 } pps_gossip_kind_t;
 
 /** Returns the kind that the first bytes of a datagram state. */
--- a/src/libpapayaswitch/gossip/gossip_event_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_event_codec.c
@@ -47,6 +47,12 @@
         return PPS_GOSSIP_POISON;
     case PPS_GOSSIP_BRITTLE_VERSION:
         return PPS_GOSSIP_BRITTLE;
+    case PPS_GOSSIP_FORWARD_VERSION:
+        return PPS_GOSSIP_FORWARD;
+    case PPS_GOSSIP_RECORD_REQUEST_VERSION:
+        return PPS_GOSSIP_RECORD_REQUEST;
+    case PPS_GOSSIP_MARK_VERSION:
+        return PPS_GOSSIP_MARK;
     default:
         return PPS_GOSSIP_UNKNOWN;
     }
--- a/src/libpapayaswitch/gossip/gossip_readers.c
+++ b/src/libpapayaswitch/gossip/gossip_readers.c
@@ -7,8 +7,6 @@
 
 /** A peer that sent no state datagram for this long is no longer live. */
 #define LIVENESS_TIMEOUT_US (3500 * PPS_US_PER_MS)
-/** Number of hosts that read the store. */
-#define READER_COUNT 2
 
 int
 pps_gossip_is_live(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
@@ -93,7 +91,8 @@
 int
 pps_gossip_is_reader(const pps_gossip_t *gossip)
 {
-    return count_candidates_before(gossip, &gossip->own.state) < READER_COUNT;
+    return count_candidates_before(gossip, &gossip->own.state) <
+           PPS_GOSSIP_READERS;
 }
 
 int
@@ -110,16 +109,65 @@
            count_candidates_before(gossip, &gossip->own.state) == 0;
 }
 
+/* Inserts a host into a ranked list of at most PPS_GOSSIP_READERS entries. */
+static size_t
+insert(const pps_gossip_state_t **list, size_t count,
+       const pps_gossip_state_t *host)
+{
+    size_t at = count;
+
+    while (at > 0 && ranks_before(host, list[at - 1])) {
+        at--;
+    }
+    if (at == PPS_GOSSIP_READERS) {
+        return count;
+    }
+    if (count < PPS_GOSSIP_READERS) {
+        count++;
+    }
+    for (size_t i = count - 1; i > at; i--) {
+        list[i] = list[i - 1];
+    }
+    list[at] = host;
+    return count;
+}
+
+size_t
+pps_gossip_list_readers(const pps_gossip_state_t **out,
+                        const pps_gossip_t *gossip)
+{
+    const pps_gossip_peer_t *peer;
+    size_t count = 0;
+
+    if (gossip->own.state.read_age_us >= 0) {
+        out[count++] = &gossip->own.state;
+    }
+    cds_list_for_each_entry (peer, &gossip->peers, node) {
+        if (is_reader_candidate(gossip, peer)) {
+            count = insert(out, count, &peer->state);
+        }
+    }
+    return count;
+}
+
 int
 pps_gossip_is_peer_reader(const pps_gossip_t *gossip,
                           const pps_gossip_peer_t *peer)
 {
-    const pps_gossip_state_t *own = &gossip->own.state;
-    unsigned int before = count_candidates_before(gossip, &peer->state);
+    const pps_gossip_state_t *readers[PPS_GOSSIP_READERS];
+    size_t count = pps_gossip_list_readers(readers, gossip);
 
-    if (!is_reader_candidate(gossip, peer)) {
-        return 0;
+    return pps_gossip_is_listed(readers, count, peer);
+}
+
+int
+pps_gossip_is_listed(const pps_gossip_state_t *const *readers, size_t count,
+                     const pps_gossip_peer_t *peer)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (readers[i] == &peer->state) {
+            return 1;
+        }
     }
-    before += own->read_age_us >= 0 && ranks_before(own, &peer->state);
-    return before < READER_COUNT;
+    return 0;
 }
--- a/src/libpapayaswitch/gossip/gossip_receive.c
+++ b/src/libpapayaswitch/gossip/gossip_receive.c
@@ -44,6 +44,7 @@
     msgpack_unpacked_init(&unpacked);
     error = pps_gossip_decode_record(&record, &unpacked, data, size);
     if (error == 0) {
+        pps_gossip_keep_record(gossip, &record, data, size);
         gossip->ops->on_record(gossip->user, &record);
     }
     msgpack_unpacked_destroy(&unpacked);
@@ -98,6 +99,18 @@
     return error;
 }
 
+static int
+receive_mark(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_mark_t mark;
+    int error = pps_gossip_decode_mark(&mark, data, size);
+
+    if (error == 0) {
+        gossip->ops->on_mark(gossip->user, &mark);
+    }
+    return error;
+}
+
 static int
 receive_poison(pps_gossip_t *gossip, const char *data, size_t size)
 {
@@ -130,6 +143,12 @@
         return receive_brittle(gossip, data, size);
     case PPS_GOSSIP_POISON:
         return receive_poison(gossip, data, size);
+    case PPS_GOSSIP_MARK:
+        return receive_mark(gossip, data, size);
+    case PPS_GOSSIP_FORWARD:
+        return pps_gossip_receive_envelope(gossip, data, size);
+    case PPS_GOSSIP_RECORD_REQUEST:
+        return pps_gossip_receive_record_request(gossip, data, size);
     case PPS_GOSSIP_STATE:
         error = pps_gossip_decode_state(&message, data, size,
                                         gossip->reactor->now_us);
--- a/src/libpapayaswitch/gossip/gossip_state.h
+++ b/src/libpapayaswitch/gossip/gossip_state.h
@@ -4,6 +4,7 @@
 
 #include "gossip.h"
 #include "gossip_codec.h"
+#include "gossip_forward.h"
 #include "rng.h"
 
 struct pps_gossip {
@@ -16,6 +17,11 @@
     size_t peer_count;
     pps_timer_t timer;
     pps_rng_t rng;
+    pps_gossip_forwarding_t *forwarding;
+    int64_t last_timer_us; /**< 0: not yet */
+    /** Sends a datagram in tests without a network; NULL: over UDP. */
+    void (*transmit)(void *user, const char *address,
+                     const pps_buf_t *encoded);
     const pps_gossip_ops_t *ops;
     void *user;
 };
@@ -29,6 +35,21 @@
 unsigned int
 pps_gossip_count_locally_live_hosts(const pps_gossip_t *gossip);
 
+/** Number of hosts that read the store. */
+#define PPS_GOSSIP_READERS 2
+
+/** Lists the hosts that rank as readers and have read the store recently, this
+ * one included. @param out at least PPS_GOSSIP_READERS entries
+ * @return the count */
+size_t
+pps_gossip_list_readers(const pps_gossip_state_t **out,
+                        const pps_gossip_t *gossip);
+
+/** Checks whether a list of readers has a peer. */
+int
+pps_gossip_is_listed(const pps_gossip_state_t *const *readers, size_t count,
+                     const pps_gossip_peer_t *peer);
+
 /** Checks whether a peer ranks as a reader and has read the store recently. */
 int
 pps_gossip_is_peer_reader(const pps_gossip_t *gossip,
--- a/src/libpapayaswitch/gossip/gossip_versions.h
+++ b/src/libpapayaswitch/gossip/gossip_versions.h
@@ -12,6 +12,9 @@
 #define PPS_GOSSIP_LIMIT_VERSION 6
 #define PPS_GOSSIP_POISON_VERSION 7
 #define PPS_GOSSIP_BRITTLE_VERSION 8
+#define PPS_GOSSIP_FORWARD_VERSION 20
+#define PPS_GOSSIP_RECORD_REQUEST_VERSION 21
+#define PPS_GOSSIP_MARK_VERSION 22
 
 /** Writes packed bytes to a pps_buf_t, as msgpack_packer_init() expects. */
 int
--- a/src/libpapayaswitch/gossip/relay_tree.c
+++ b/src/libpapayaswitch/gossip/relay_tree.c
@@ -27,6 +27,7 @@
              const char *failure_domain)
 {
     return pps_gossip_is_live(gossip, peer) && !peer->state.leaving &&
+           (peer->state.lacks & PPS_GOSSIP_LACKS_FORWARDING) == 0 &&
            strcmp(peer->state.failure_domain, failure_domain) == 0;
 }
 
--- a/src/libpapayaswitch/gossip/relay_tree.h
+++ b/src/libpapayaswitch/gossip/relay_tree.h
@@ -3,7 +3,8 @@
  * @brief The hosts that pass updates on inside a failure domain.
  *
  * All hosts that hear the same peers choose the same relays, without asking
- * each other: the hosts with the fastest links, then by a hash.
+ * each other: the hosts with the fastest links, then by a hash. Hosts of older
+ * builds forward nothing and are not chosen.
  */
 #ifndef PPS_GOSSIP_RELAY_TREE_H
 #define PPS_GOSSIP_RELAY_TREE_H
--- a/tests/entry/test_gossip_codec.c
+++ b/tests/entry/test_gossip_codec.c
@@ -140,6 +140,7 @@
 {
     static const size_t digest_bytes = 9;
     static const size_t takes_relays_bytes = 1;
+    static const size_t abilities_bytes = 1;
     static const size_t epochs_bytes = 1 + PPS_GOSSIP_TOPICS;
     static const size_t epoch_bytes = 1;
     const pps_gossip_record_t record = {1, 900, 880, "key", 3, "v", 1, 4};
@@ -156,6 +157,7 @@
     cr_expect_eq(state.state.has_poison_digest, 1);
     cr_expect_eq(state.state.poison_digest, message.state.poison_digest);
     cr_expect_eq(state.state.takes_relays, 1);
+    cr_expect_eq(state.state.lacks, 0);
     encoded.data[0]--;
     cr_assert_eq(pps_gossip_decode_state(&state, encoded.data,
                                          encoded.size - digest_bytes,
@@ -166,12 +168,14 @@
     encoded.data[0]--;
     cr_assert_eq(pps_gossip_decode_state(&state, encoded.data,
                                          encoded.size - digest_bytes -
-                                             takes_relays_bytes - epochs_bytes,
+                                             takes_relays_bytes -
+                                             abilities_bytes - epochs_bytes,
                                          DECODED_US),
                  0);
     cr_expect_eq(state.state.topic_ends[1], 512);
     cr_expect_eq(state.state.topic_epochs[1], 0);
     cr_expect_eq(state.state.takes_relays, 0);
+    cr_expect_eq(state.state.lacks, PPS_GOSSIP_LACKS_FORWARDING);
     pps_buf_clear(&encoded);
     cr_assert_eq(pps_gossip_encode_record(&encoded, &record), 0);
     encoded.data[0]--;
