States go to relays and readers; relays tell their domain who is live

Cause: above 12 peers each host sent its state to its whole failure domain, a reader to all hosts, and each host probed for ever those of other domains that had heard it first. While the store is unavailable every host ranked as a reader: 300 hosts sent to 299 others 2.5 times a second. Change: a host sends its state to its domain's two relays and to the readers (state_plan). Relays send the domain a digest of live hosts with ages that are not renewed on the way, and each 400 ms a beacon of the readers (gossip_digest, gossip_relay); unknown hosts are asked for. A relay whose beacons are missing for 0.9 s is replaced by the next in rank. Relays of all domains exchange states; readers name them in their hints. A host that no digest lists falls back to the former way. Without readers the two live hosts that rank first hear all others. Hosts of older builds get states as before.

--- a/src/libpapayaswitch/gossip/forward_plan.c
+++ b/src/libpapayaswitch/gossip/forward_plan.c
@@ -115,11 +115,11 @@
     }
 }
 
-/* Only readers hear the hosts of all domains; the others leave it to them. */
+/* Only hubs hear the hosts of all domains; the others leave it to them. */
 static void
 visit_others(const plan_t *plan, const char *from_domain)
 {
-    const pps_gossip_state_t *readers[PPS_GOSSIP_READERS];
+    const pps_gossip_state_t *hubs[PPS_GOSSIP_READERS];
     const pps_gossip_peer_t *peer;
     size_t count;
 
@@ -127,9 +127,9 @@
         visit_other_domains(plan, from_domain);
         return;
     }
-    count = pps_gossip_list_readers(readers, plan->gossip);
+    count = pps_gossip_list_hubs(hubs, plan->gossip);
     cds_list_for_each_entry (peer, &plan->gossip->peers, node) {
-        if (pps_gossip_is_listed(readers, count, peer)) {
+        if (pps_gossip_is_listed(hubs, count, peer)) {
             plan->send(plan->user, peer, PPS_FORWARD_OTHERS);
         }
     }
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -25,6 +25,7 @@
 
 /** What a host of an older build does not do; bits of pps_gossip_state_t. */
 #define PPS_GOSSIP_LACKS_FORWARDING 1U
+#define PPS_GOSSIP_LACKS_DIGESTS 2U
 
 /** A roll-out and the evidence that one host has collected. */
 typedef struct {
@@ -62,6 +63,9 @@
     pps_gossip_state_t state;
     int64_t last_received_us; /**< 0: never; only its address is known */
     int64_t last_probe_us;    /**< last datagram while not live; 0: never */
+    uint32_t id; /**< digest of its address, for datagrams of many hosts */
+    int64_t relay_us;  /**< when it was last known to be a relay; 0: never */
+    int64_t beacon_us; /**< when its last beacon came; 0: never */
 } pps_gossip_peer_t;
 
 /** A topic record that a reader relays to other hosts. */
@@ -248,7 +252,9 @@
 int
 pps_gossip_is_reader(const pps_gossip_t *gossip);
 
-/** Checks whether all hosts send their state to this one. */
+/** Checks whether all hosts send their state to this one. With many peers
+ * these are the readers that reach the store; if there are none, the hosts
+ * that rank first among the live ones. */
 int
 pps_gossip_hears_all(const pps_gossip_t *gossip);
 
--- a/src/libpapayaswitch/gossip/gossip_codec.h
+++ b/src/libpapayaswitch/gossip/gossip_codec.h
@@ -30,6 +30,9 @@
     PPS_GOSSIP_FORWARD,
     PPS_GOSSIP_RECORD_REQUEST,
     PPS_GOSSIP_MARK,
+    PPS_GOSSIP_DIGEST,
+    PPS_GOSSIP_BEACON,
+    PPS_GOSSIP_STATE_REQUEST,
 } pps_gossip_kind_t;
 
 /** Returns the kind that the first bytes of a datagram state. */
--- a/src/libpapayaswitch/gossip/gossip_event_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_event_codec.c
@@ -53,6 +53,12 @@
         return PPS_GOSSIP_RECORD_REQUEST;
     case PPS_GOSSIP_MARK_VERSION:
         return PPS_GOSSIP_MARK;
+    case PPS_GOSSIP_DIGEST_VERSION:
+        return PPS_GOSSIP_DIGEST;
+    case PPS_GOSSIP_BEACON_VERSION:
+        return PPS_GOSSIP_BEACON;
+    case PPS_GOSSIP_STATE_REQUEST_VERSION:
+        return PPS_GOSSIP_STATE_REQUEST;
     default:
         return PPS_GOSSIP_UNKNOWN;
     }
--- a/src/libpapayaswitch/gossip/gossip_forward.c
+++ b/src/libpapayaswitch/gossip/gossip_forward.c
@@ -201,7 +201,7 @@
     size_t count =
         pps_gossip_list_relays(out, gossip, gossip->own.state.failure_domain);
     const pps_gossip_state_t *readers[PPS_GOSSIP_READERS];
-    size_t reader_count = pps_gossip_list_readers(readers, gossip);
+    size_t reader_count = pps_gossip_list_hubs(readers, gossip);
     const pps_gossip_peer_t *peer;
 
     cds_list_for_each_entry (peer, &gossip->peers, node) {
--- a/src/libpapayaswitch/gossip/gossip_readers.c
+++ b/src/libpapayaswitch/gossip/gossip_readers.c
@@ -5,15 +5,40 @@
 
 #include <string.h>
 
-/** A peer that sent no state datagram for this long is no longer live. */
+/** A peer that sent no state datagram for this long is no longer live: three
+ * are missing. With many peers it is multiplied by the scale of the periods.
+ */
 #define LIVENESS_TIMEOUT_US (3500 * PPS_US_PER_MS)
+/** The least timeout with many peers: the age in a relay's digest grows for
+ * 1.2 s, and one state and one digest may be lost. */
+#define LIVENESS_TIMEOUT_DIGEST_US (4500 * PPS_US_PER_MS)
+
+int
+pps_gossip_is_large(const pps_gossip_t *gossip)
+{
+    return gossip->peer_count > PPS_GOSSIP_FULL_MESH_PEERS_MAX;
+}
+
+double
+pps_gossip_period_scale(const pps_gossip_t *gossip)
+{
+    return gossip->period_scale > 1 && pps_gossip_is_large(gossip)
+               ? gossip->period_scale
+               : 1;
+}
 
 int
 pps_gossip_is_live(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
 {
+    double timeout_us = LIVENESS_TIMEOUT_US * pps_gossip_period_scale(gossip);
+
+    if (pps_gossip_is_large(gossip) &&
+        timeout_us < LIVENESS_TIMEOUT_DIGEST_US) {
+        timeout_us = LIVENESS_TIMEOUT_DIGEST_US;
+    }
     return peer->last_received_us != 0 &&
            gossip->reactor->now_us - peer->last_received_us <
-               LIVENESS_TIMEOUT_US;
+               (int64_t)timeout_us;
 }
 
 unsigned int
@@ -95,13 +120,6 @@
            PPS_GOSSIP_READERS;
 }
 
-int
-pps_gossip_hears_all(const pps_gossip_t *gossip)
-{
-    return gossip->peer_count <= PPS_GOSSIP_FULL_MESH_PEERS_MAX ||
-           pps_gossip_is_reader(gossip);
-}
-
 int
 pps_gossip_is_first_reader(const pps_gossip_t *gossip)
 {
@@ -150,6 +168,73 @@
     return count;
 }
 
+static int
+is_own_fresh(const pps_gossip_t *gossip)
+{
+    const pps_gossip_state_t *own = &gossip->own.state;
+
+    return own->read_age_us >= 0 && !own->leaving &&
+           own->read_age_us < gossip->read_age_max_us;
+}
+
+static size_t
+list_fresh(const pps_gossip_state_t **out, const pps_gossip_t *gossip)
+{
+    const pps_gossip_peer_t *peer;
+    size_t count = 0;
+
+    if (is_own_fresh(gossip)) {
+        out[count++] = &gossip->own.state;
+    }
+    cds_list_for_each_entry (peer, &gossip->peers, node) {
+        if (is_reader_candidate(gossip, peer)) {
+            count = insert(out, count, &peer->state);
+        }
+    }
+    return count;
+}
+
+/* While the store is unavailable no host has read it recently, and each ranks
+ * as a reader. A few hosts go on to hear all others. */
+size_t
+pps_gossip_list_hubs(const pps_gossip_state_t **out,
+                     const pps_gossip_t *gossip)
+{
+    size_t count = list_fresh(out, gossip);
+    const pps_gossip_peer_t *peer;
+
+    if (count > 0) {
+        return count;
+    }
+    if (!gossip->own.state.leaving) {
+        out[count++] = &gossip->own.state;
+    }
+    cds_list_for_each_entry (peer, &gossip->peers, node) {
+        if (pps_gossip_is_live(gossip, peer) && !peer->state.leaving) {
+            count = insert(out, count, &peer->state);
+        }
+    }
+    return count;
+}
+
+int
+pps_gossip_hears_all(const pps_gossip_t *gossip)
+{
+    const pps_gossip_state_t *hubs[PPS_GOSSIP_READERS];
+    size_t count;
+
+    if (!pps_gossip_is_large(gossip)) {
+        return 1;
+    }
+    count = pps_gossip_list_hubs(hubs, gossip);
+    for (size_t i = 0; i < count; i++) {
+        if (hubs[i] == &gossip->own.state) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 int
 pps_gossip_is_peer_reader(const pps_gossip_t *gossip,
                           const pps_gossip_peer_t *peer)
--- a/src/libpapayaswitch/gossip/gossip_receive.c
+++ b/src/libpapayaswitch/gossip/gossip_receive.c
@@ -1,6 +1,8 @@
 /** @file gossip_receive.c @brief Hands received datagrams to the owner. */
 #include "gossip_state.h"
 
+#include "gossip_digest.h"
+
 #include "logger.h"
 #include "papayaswitch/errors.h"
 
@@ -26,11 +28,14 @@
                          PPS_FIELDS(PPS_STR("peer", message->state.host_id),
                                     PPS_STR("at", message->state.address)));
     }
+    pps_gossip_note_change(gossip, peer, &message->state);
     peer->state = message->state;
     peer->last_received_us = gossip->reactor->now_us;
     for (size_t i = 0; i < message->hint_count; i++) {
         pps_gossip_add_address(gossip, message->hints[i]);
     }
+    pps_gossip_note_relays(gossip, message, peer);
+    pps_gossip_send_due_digest(gossip);
     gossip->ops->on_state(gossip->user, peer);
 }
 
@@ -111,6 +116,42 @@
     return error;
 }
 
+static int
+receive_beacon(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_beacon_t beacon;
+    int error = pps_gossip_decode_beacon(&beacon, data, size);
+
+    if (error == 0) {
+        pps_gossip_apply_beacon(gossip, &beacon);
+    }
+    return error;
+}
+
+static int
+receive_digest(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_digest_t digest;
+    int error = pps_gossip_decode_digest(&digest, data, size);
+
+    if (error == 0) {
+        pps_gossip_apply_digest(gossip, &digest);
+    }
+    return error;
+}
+
+static int
+receive_state_request(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_state_request_t request;
+    int error = pps_gossip_decode_state_request(&request, data, size);
+
+    if (error == 0) {
+        pps_gossip_answer_state_request(gossip, &request);
+    }
+    return error;
+}
+
 static int
 receive_poison(pps_gossip_t *gossip, const char *data, size_t size)
 {
@@ -143,6 +184,12 @@
         return receive_brittle(gossip, data, size);
     case PPS_GOSSIP_POISON:
         return receive_poison(gossip, data, size);
+    case PPS_GOSSIP_DIGEST:
+        return receive_digest(gossip, data, size);
+    case PPS_GOSSIP_BEACON:
+        return receive_beacon(gossip, data, size);
+    case PPS_GOSSIP_STATE_REQUEST:
+        return receive_state_request(gossip, data, size);
     case PPS_GOSSIP_MARK:
         return receive_mark(gossip, data, size);
     case PPS_GOSSIP_FORWARD:
--- a/src/libpapayaswitch/gossip/gossip_state.h
+++ b/src/libpapayaswitch/gossip/gossip_state.h
@@ -19,6 +19,14 @@
     pps_rng_t rng;
     pps_gossip_forwarding_t *forwarding;
     int64_t last_timer_us; /**< 0: not yet */
+    pps_timer_t relay_timer;
+    unsigned int relay_steps;
+    int64_t last_digest_us;
+    int is_digest_due;   /**< when the received state has been noted */
+    size_t digest_start; /**< of the next digest, if one does not hold all */
+    /** When a digest last listed this host as live; 0: never. */
+    int64_t served_us;
+    double period_scale; /**< of the state datagrams; 0: not known yet */
     /** Sends a datagram in tests without a network; NULL: over UDP. */
     void (*transmit)(void *user, const char *address,
                      const pps_buf_t *encoded);
@@ -45,7 +53,13 @@
 pps_gossip_list_readers(const pps_gossip_state_t **out,
                         const pps_gossip_t *gossip);
 
-/** Checks whether a list of readers has a peer. */
+/** Lists the hosts that hear all others, this one included if it is one.
+ * @param out at least PPS_GOSSIP_READERS entries @return the count */
+size_t
+pps_gossip_list_hubs(const pps_gossip_state_t **out,
+                     const pps_gossip_t *gossip);
+
+/** Checks whether a list of readers or hubs has a peer. */
 int
 pps_gossip_is_listed(const pps_gossip_state_t *const *readers, size_t count,
                      const pps_gossip_peer_t *peer);
@@ -62,14 +76,39 @@
 pps_gossip_is_helper(const pps_gossip_t *gossip,
                      const pps_gossip_peer_t *peer);
 
+/** Checks whether there are more peers than each sends its state to. */
+int
+pps_gossip_is_large(const pps_gossip_t *gossip);
+
+/** Returns the factor by which the size of the failure domain lengthens the
+ * periods of states and digests, and the liveness timeout. */
+double
+pps_gossip_period_scale(const pps_gossip_t *gossip);
+
 /** Finds a peer by address, or NULL. */
 pps_gossip_peer_t *
 pps_gossip_find_peer(pps_gossip_t *gossip, const char *address);
 
+/** Finds a peer by its id, or NULL. */
+pps_gossip_peer_t *
+pps_gossip_find_id(pps_gossip_t *gossip, uint32_t id);
+
+/** Returns the id of an address. */
+uint32_t
+pps_gossip_id_of(const char *address);
+
+/** Sends this host's state to those that need it regularly. */
+void
+pps_gossip_send_regular_state(pps_gossip_t *gossip);
+
 /** Adds a peer; NULL when there are too many or memory is exhausted. */
 pps_gossip_peer_t *
 pps_gossip_add_peer(pps_gossip_t *gossip, const char *address);
 
+/** Starts the periodic datagrams of relays. */
+void
+pps_gossip_start_relaying(pps_gossip_t *gossip);
+
 /** Sends a datagram to an address. */
 void
 pps_gossip_send_to(pps_gossip_t *gossip, const char *address,
--- a/src/libpapayaswitch/gossip/gossip_versions.h
+++ b/src/libpapayaswitch/gossip/gossip_versions.h
@@ -15,6 +15,9 @@
 #define PPS_GOSSIP_FORWARD_VERSION 20
 #define PPS_GOSSIP_RECORD_REQUEST_VERSION 21
 #define PPS_GOSSIP_MARK_VERSION 22
+#define PPS_GOSSIP_DIGEST_VERSION 23
+#define PPS_GOSSIP_BEACON_VERSION 24
+#define PPS_GOSSIP_STATE_REQUEST_VERSION 25
 
 /** Writes packed bytes to a pps_buf_t, as msgpack_packer_init() expects. */
 int
--- a/src/libpapayaswitch/gossip/relay_tree.c
+++ b/src/libpapayaswitch/gossip/relay_tree.c
@@ -1,11 +1,19 @@
 /** @file relay_tree.c @brief Choice of the relays of a failure domain. */
 #include "relay_tree.h"
 
+#include "clock.h"
 #include "gossip_state.h"
 
 #include <string.h>
 #include <xxhash.h>
 
+/** Silence of a relay after which the next host in rank takes its place: two
+ * beacons are missing. With one, each lost datagram would change the relays.
+ */
+#define SILENCE_US (900 * PPS_US_PER_MS)
+/** Above the largest liveness timeout of a failure domain of 100 hosts. */
+#define SILENCE_END_US (10 * PPS_US_PER_S)
+
 static uint64_t
 hash_of(const pps_gossip_state_t *host)
 {
@@ -22,12 +30,25 @@
     return hash_of(host) < hash_of(other);
 }
 
+/* Checks whether a host was a relay and has just fallen silent, long before
+ * the liveness timeout. One that is no relay any more because a host with a
+ * faster link is there counts as a candidate again after a time. */
+static int
+is_silent(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer)
+{
+    int64_t silence_us = gossip->reactor->now_us - peer->beacon_us;
+
+    return peer->beacon_us != 0 && silence_us > SILENCE_US &&
+           silence_us < SILENCE_END_US;
+}
+
 static int
 is_candidate(const pps_gossip_t *gossip, const pps_gossip_peer_t *peer,
              const char *failure_domain)
 {
     return pps_gossip_is_live(gossip, peer) && !peer->state.leaving &&
            (peer->state.lacks & PPS_GOSSIP_LACKS_FORWARDING) == 0 &&
+           !is_silent(gossip, peer) &&
            strcmp(peer->state.failure_domain, failure_domain) == 0;
 }
 
@@ -47,7 +68,9 @@
     if (count < PPS_GOSSIP_RELAYS) {
         count++;
     }
-    memmove(&list[at + 1], &list[at], (count - at - 1) * sizeof(*list));
+    for (size_t i = count - 1; i > at; i--) {
+        list[i] = list[i - 1];
+    }
     list[at] = peer;
     return count;
 }
--- a/tests/entry/gossip_play.c
+++ b/tests/entry/gossip_play.c
@@ -2,6 +2,7 @@
 #include "gossip_play.h"
 
 #include "clock.h"
+#include "gossip/gossip_digest.h"
 #include "gossip_play_queue.h"
 #include "logger.h"
 #include "mirror/catch_up.h"
@@ -21,6 +22,7 @@
 #define MARK_DELAY_US (100 * PPS_US_PER_MS)
 #define STATE_BUSY_US (400 * PPS_US_PER_MS)
 #define STATE_IDLE_US (1000 * PPS_US_PER_MS)
+#define RELAY_PERIOD_US (400 * PPS_US_PER_MS)
 /** One-way latency: the largest between failure domains of the target
  * deployments, rounded up, and some jitter. */
 #define FAR_MS 6
@@ -161,7 +163,8 @@
     gossip_play_t *play = user;
     const gossip_play_host_t *host = &play->hosts[play->running];
 
-    out->read_age_us = play->reactor.now_us - host->read_us;
+    out->read_age_us =
+        play->is_store_down ? -1 : play->reactor.now_us - host->read_us;
     out->topic_epochs[0] = EPOCH;
     out->topic_epochs[TOPIC] = EPOCH;
     out->topic_ends[TOPIC] = host->end;
@@ -198,7 +201,7 @@
     int64_t now_us = play->reactor.now_us;
 
     if (!pps_gossip_is_reader(&host->gossip) || now_us < host->next_read_us ||
-        host->fault == GOSSIP_PLAY_CUT_OFF) {
+        host->fault == GOSSIP_PLAY_CUT_OFF || play->is_store_down) {
         return;
     }
     host->read_us = now_us;
@@ -241,6 +244,14 @@
     host->fault = GOSSIP_PLAY_NOTHING;
 }
 
+static int64_t
+state_period_us(const pps_gossip_t *gossip)
+{
+    return pps_gossip_is_reader(gossip)
+               ? STATE_BUSY_US
+               : (int64_t)(STATE_IDLE_US * pps_gossip_period_scale(gossip));
+}
+
 /* As on_tick() of node.c and the timer of the states. */
 static void
 step_host(gossip_play_t *play, unsigned int index)
@@ -259,10 +270,12 @@
         read_store(play);
     }
     if (now_us >= host->next_state_us) {
-        host->next_state_us =
-            now_us + (pps_gossip_is_reader(&host->gossip) ? STATE_BUSY_US
-                                                          : STATE_IDLE_US);
-        pps_gossip_send_state(&host->gossip);
+        host->next_state_us = now_us + state_period_us(&host->gossip);
+        pps_gossip_send_regular_state(&host->gossip);
+    }
+    if (now_us >= host->next_relay_us) {
+        host->next_relay_us = now_us + RELAY_PERIOD_US;
+        pps_gossip_step_relay(&host->gossip);
     }
 }
 
@@ -347,6 +360,8 @@
     host->read_us = START_US;
     host->next_state_us =
         START_US + (int64_t)pps_rng_below(&play->rng, STATE_IDLE_US);
+    host->next_relay_us =
+        START_US + (int64_t)pps_rng_below(&play->rng, RELAY_PERIOD_US);
 }
 
 gossip_play_t *
--- a/tests/entry/gossip_play.h
+++ b/tests/entry/gossip_play.h
@@ -41,6 +41,7 @@
     int64_t read_us; /**< its last read of the store */
     int64_t next_read_us;
     int64_t next_state_us;
+    int64_t next_relay_us;
     int64_t mark_due_us; /**< 0: none */
     gossip_play_fault_t fault;
     int64_t fault_end_us;
@@ -60,6 +61,7 @@
     pps_rng_t rng;
     int64_t published_us[GOSSIP_PLAY_RECORDS_MAX];
     int64_t published;
+    int is_store_down; /**< no host can read it */
     struct gossip_play_queue *queue;
 } gossip_play_t;
 
