Reports of leaving, limited and brittle workers go through the relays

Cause: above 12 peers a host sent each report, and evidence on what ends workers, to the hosts that it hears, its own failure domain and the readers; hosts of other domains learnt limits and rejections from no one, and 40 B a second for each limited worker went to 100 hosts of a domain. Change: reports are sent like records: to the own relays, from these to the domain and the readers, from there to the relays of the other domains. Each has an id, so that no host handles one twice (a rejection would count twice). A reader passes on evidence only if it did not come to all hosts already. Measured: test_gossip_records: with 60, 300 and 600 hosts each other host gets a report exactly once; with 2.5 % of datagrams lost at least 97.5 % do.

--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -203,29 +203,32 @@
 pps_gossip_request_records(pps_gossip_t *gossip, unsigned int topic,
                            int64_t epoch, int64_t end, unsigned int attempt);
 
-/** Sends to all live peers that a worker is leaving. */
+/** Sends to all hosts that a worker is leaving, as the reports below: with
+ * many peers through relays. */
 void
 pps_gossip_send_leaving(pps_gossip_t *gossip,
                         const pps_gossip_leaving_t *leaving);
 
-/** Sends to all live peers what a worker has said of its limit. */
+/** Sends to all hosts what a worker has said of its limit. */
 void
 pps_gossip_send_limit(pps_gossip_t *gossip, const pps_gossip_limit_t *limit);
 
-/** Sends to all live peers what a brittle worker has said. */
+/** Sends to all hosts what a brittle worker has said. */
 void
 pps_gossip_send_brittle(pps_gossip_t *gossip,
                         const pps_gossip_brittle_t *brittle);
 
-/** Sends evidence on what ends workers to all live peers, or to one.
+/** Sends evidence on what ends workers to all hosts, or to one.
  * @param address of a known peer; NULL: all */
 void
 pps_gossip_send_poison(pps_gossip_t *gossip,
                        const pps_poison_evidence_t *items, size_t count,
                        const char *address);
 
-/** Checks whether this host passes on what is news to it: with many hosts, the
- * others do not hear each other. */
+/** Checks whether this host passes on evidence that is news to it and that one
+ * host has sent to it only: with many hosts, the others do not hear each
+ * other.
+ */
 int
 pps_gossip_relays(const pps_gossip_t *gossip);
 
--- a/src/libpapayaswitch/gossip/gossip_forward.c
+++ b/src/libpapayaswitch/gossip/gossip_forward.c
@@ -141,7 +141,9 @@
         pps_seen_ring_take(&gossip->forwarding->seen, envelope->id,
                            envelope->duty | HANDLED, gossip->reactor->now_us);
     if ((duties & HANDLED) != 0) {
+        gossip->is_content_forwarded = 1;
         error = pps_gossip_receive(gossip, envelope->data, envelope->size);
+        gossip->is_content_forwarded = 0;
     }
     if (error == 0) {
         pps_forward_plan_duty(gossip, duties & ~HANDLED, envelope->from_domain,
--- a/src/libpapayaswitch/gossip/gossip_poison.c
+++ b/src/libpapayaswitch/gossip/gossip_poison.c
@@ -170,7 +170,8 @@
             pps_gossip_send_to(gossip, address, &encoded);
         }
         else {
-            pps_gossip_send_to_live(gossip, &encoded);
+            pps_gossip_send_to_all(gossip, &encoded,
+                                   pps_rng_next(&gossip->rng));
         }
     }
     pps_buf_clear(&encoded);
@@ -199,6 +200,6 @@
 int
 pps_gossip_relays(const pps_gossip_t *gossip)
 {
-    return gossip->peer_count > PPS_GOSSIP_FULL_MESH_PEERS_MAX &&
+    return pps_gossip_is_large(gossip) && !gossip->is_content_forwarded &&
            pps_gossip_is_reader(gossip);
 }
--- a/src/libpapayaswitch/gossip/gossip_send.c
+++ b/src/libpapayaswitch/gossip/gossip_send.c
@@ -77,6 +77,13 @@
     return error;
 }
 
+/* Each report has an id of its own: two of the same bytes are two events. */
+static void
+send_report(pps_gossip_t *gossip, const pps_buf_t *encoded)
+{
+    pps_gossip_send_to_all(gossip, encoded, pps_rng_next(&gossip->rng));
+}
+
 void
 pps_gossip_send_leaving(pps_gossip_t *gossip,
                         const pps_gossip_leaving_t *leaving)
@@ -84,7 +91,7 @@
     pps_buf_t encoded = PPS_BUF_INIT;
 
     if (pps_gossip_encode_leaving(&encoded, leaving) == 0) {
-        pps_gossip_send_to_live(gossip, &encoded);
+        send_report(gossip, &encoded);
     }
     pps_buf_clear(&encoded);
 }
@@ -95,7 +102,7 @@
     pps_buf_t encoded = PPS_BUF_INIT;
 
     if (pps_gossip_encode_limit(&encoded, limit) == 0) {
-        pps_gossip_send_to_live(gossip, &encoded);
+        send_report(gossip, &encoded);
     }
     pps_buf_clear(&encoded);
 }
@@ -107,7 +114,7 @@
     pps_buf_t encoded = PPS_BUF_INIT;
 
     if (pps_gossip_encode_brittle(&encoded, brittle) == 0) {
-        pps_gossip_send_to_live(gossip, &encoded);
+        send_report(gossip, &encoded);
     }
     pps_buf_clear(&encoded);
 }
--- a/src/libpapayaswitch/gossip/gossip_state.h
+++ b/src/libpapayaswitch/gossip/gossip_state.h
@@ -22,7 +22,8 @@
     pps_timer_t relay_timer;
     unsigned int relay_steps;
     int64_t last_digest_us;
-    int is_digest_due;   /**< when the received state has been noted */
+    int is_digest_due;        /**< when the received state has been noted */
+    int is_content_forwarded; /**< what is being handled goes to all hosts */
     size_t digest_start; /**< of the next digest, if one does not hold all */
     /** When a digest last listed this host as live; 0: never. */
     int64_t served_us;
--- a/tests/entry/test_gossip_records.c
+++ b/tests/entry/test_gossip_records.c
@@ -70,6 +70,11 @@
      READER,
      GOSSIP_PLAY_CUT_OFF,
      LEAVING_MAX_US},
+    {"600, relay frozen",
+     {600, 10, 0.025, 13},
+     RELAY,
+     GOSSIP_PLAY_FROZEN,
+     LEAVING_MAX_US},
 };
 
 typedef struct {
@@ -147,3 +152,55 @@
         gossip_play_free(play);
     }
 }
+
+typedef struct {
+    const char *name;
+    gossip_play_options_t options;
+    double received_min; /* share of the other hosts */
+} report_case_t;
+
+static const report_case_t report_cases[] = {
+    {"60", {60, 3, 0, 1}, 1},
+    {"300", {300, 3, 0, 2}, 1},
+    {"600", {600, 10, 0, 3}, 1},
+    {"300, lossy", {300, 3, 0.025, 4}, 0.975},
+};
+
+static void
+expect_report(gossip_play_t *play, const report_case_t *item,
+              unsigned int origin, const char *role)
+{
+    unsigned int received = 0;
+
+    for (unsigned int i = 0; i < play->options.hosts; i++) {
+        play->hosts[i].reports = 0;
+    }
+    gossip_play_report_leaving(play, origin);
+    gossip_play_run(play, PPS_US_PER_S);
+    for (unsigned int i = 0; i < play->options.hosts; i++) {
+        received += play->hosts[i].reports;
+        cr_expect_leq(play->hosts[i].reports, 1, "%s, %s: host %u got %u",
+                      item->name, role, i, play->hosts[i].reports);
+    }
+    cr_expect_eq(play->hosts[origin].reports, 0);
+    cr_expect_geq(received, (play->options.hosts - 1) * item->received_min,
+                  "%s, %s: %u received it", item->name, role, received);
+}
+
+/* Guards against reports of leaving, limited and brittle workers that miss
+ * hosts, or arrive twice: a rejection would then count twice. A single
+ * datagram to each host, as with few hosts, loses as many as the network does.
+ */
+Test(gossip_records, reports_reach_all_hosts_once, .timeout = 300)
+{
+    for (size_t i = 0; i < sizeof(report_cases) / sizeof(*report_cases); i++) {
+        const report_case_t *item = &report_cases[i];
+        gossip_play_t *play = gossip_play_new(&item->options);
+
+        gossip_play_run(play, WARM_UP_US);
+        expect_report(play, item, play->options.hosts - 1, "a host");
+        expect_report(play, item, gossip_play_find_relay(play), "a relay");
+        expect_report(play, item, gossip_play_find_reader(play), "a reader");
+        gossip_play_free(play);
+    }
+}
