--- a/src/libpapayaswitch/pool/placement.h
+++ b/src/libpapayaswitch/pool/placement.h
@@ -25,6 +25,7 @@
     double failure_share; /**< smoothed share of failed calls, 0 to 1 */
     int same_domain;      /**< in the failure domain of this host */
     int has_prefix;       /**< has recently processed the prompt's prefix */
+    double cold_us;       /**< time by which it is slower, as it is cold */
 } pps_placement_candidate_t;
 
 /** Properties of the request, in microseconds. */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -53,7 +53,9 @@
     soak->revision += 1 + (int64_t)pps_rng_below(&soak->rng, 3);
     snprintf(
         text, sizeof(text),
-        "{\"version\":%lld,\"services\":[{\"name\":\"pool\"}],\"routes\":["
+        "{\"version\":%lld,\"services\":[{\"name\":\"pool\",\"cold_start_s\":"
+        "3,"
+        "\"cold_per_s\":%d}],\"routes\":["
         "{\"name\":\"a\",\"host\":\"h\",\"path_prefix\":\"/safe/\",\"kind\":"
         "\"safe\",\"service\":\"pool\",\"max_attempts\":3,\"timeout_ms\":2000,"
         "\"target_latency_ms\":300},"
@@ -67,7 +69,7 @@
         "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,"
         "\"header_timeout_ms\":2000,\"idle_timeout_ms\":5000},"
         "\"tenants\":[{\"name\":\"team\",\"api_keys\":[\"key1\"%s]}]}",
-        (long long)soak->revision,
+        (long long)soak->revision, SOAK_COLD_PER_S,
         soak->key2_revoked_us == 0 ? ",\"key2\"" : "");
     store_put(&soak->store, "keyed.op", "config", text);
 }
@@ -154,9 +156,11 @@
     pps_reactor_every(&soak->reactor, &fault_timer, FAULT_INTERVAL_US,
                       on_fault_timer, soak);
     limit_start(soak);
+    cold_start(soak);
     poison_start(soak);
     cut_start(soak);
     brittle_start(soak);
+    evacuation_start(soak);
     pps_reactor_after(&soak->reactor, &phase_timer, FAULT_PHASE_US,
                       on_fault_phase_end, soak);
 }
@@ -182,7 +186,8 @@
             "[host]\nid = host-%02d\naddress = %s\nfailure_domain = z%d\n"
             "grace_s = 3\n[listen]\ncallers = %s:%u\nreadiness = %s:%u\n"
             "peers = %s:%u\n[peers]\nseeds = %s:1\ngossip_port = %u\n"
-            "[store]\naddress = %s\n[repeats]\nratio = 2\nmore = 1000\n",
+            "[store]\naddress = %s\n[repeats]\nratio = 2\nmore = 1000\n"
+            "[cold]\nover = 1.5\nmore = 5\n",
             index, host->address, index % 2, host->address, soak->callers_port,
             host->address, soak->callers_port + 1, host->address,
             soak->callers_port + 2, soak->hosts[0].address, soak->gossip_port,
@@ -265,10 +270,11 @@
             &soak, "too little is served when all is calm again", "");
     }
     printf("seed %llu: sent %u, served %u, refused %u, failed %u; %u workers "
-           "ended; at the calm end %u of %u; %u broken; logs in %s\n",
+           "ended; %u checked in an evacuation; at the calm end %u of %u; "
+           "%u broken; logs in %s\n",
            (unsigned long long)soak.seed, soak.sent_count, soak.served_count,
            soak.refused_count, soak.failed_count, poison_ends(),
-           soak.recovery_served_count, soak.recovery_sent_count,
-           soak.violation_count, soak.folder);
+           evacuation_checked(), soak.recovery_served_count,
+           soak.recovery_sent_count, soak.violation_count, soak.folder);
     return soak.violation_count > 0;
 }
