Gossip: an empty string in a datagram is no address to copy from

Cause: msgpack states an empty string without an address; memcpy from it is undefined, and any datagram can hold one. Change: nothing is copied then.

--- a/src/libpapayaswitch/gossip/cursor.c
+++ b/src/libpapayaswitch/gossip/cursor.c
@@ -54,6 +54,9 @@
         cursor->failed = 1;
         return;
     }
-    memcpy(out, object->via.str.ptr, object->via.str.size);
+    /* An empty string of a decoded datagram has no address. */
+    if (object->via.str.size > 0) {
+        memcpy(out, object->via.str.ptr, object->via.str.size);
+    }
     out[object->via.str.size] = '\0';
 }
