--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -23,6 +23,10 @@
 /** Maximum number of keys with evidence in one datagram. */
 #define PPS_GOSSIP_POISON_ITEMS 6
 
+/** What a host of an older build does not do; bits of pps_gossip_state_t. */
+#define PPS_GOSSIP_LACKS_FORWARDING 1U
+#define PPS_GOSSIP_LACKS_DIGESTS 2U
+
 /** A roll-out and the evidence that one host has collected. */
 typedef struct {
     pps_rollout_t rollout; /**< `started_us` on the local clock */
@@ -46,8 +50,9 @@
     int link_mbps;       /**< speed of its network link, Mbit/s; 0: unknown */
     pps_gossip_rollout_t rollouts[PPS_GOSSIP_ROLLOUTS];
     size_t rollout_count;
-    int takes_relays; /**< it takes calls to workers for other hosts; 0 also
-                           from hosts of older builds */
+    int takes_relays;   /**< it takes calls to workers for other hosts; 0 also
+                             from hosts of older builds */
+    unsigned int lacks; /**< PPS_GOSSIP_LACKS_...; 0: the current build */
     int has_poison_digest;  /**< hosts of older builds send none */
     uint64_t poison_digest; /**< see pps_poison_table_digest() */
 } pps_gossip_state_t;
@@ -55,9 +60,14 @@
 /** Another host, known by its address. */
 typedef struct {
     struct cds_list_head node;
+    /** Digest of its address, for datagrams of many hosts. Beside the node, as
+     * searches walk over all peers. */
+    uint32_t id;
     pps_gossip_state_t state;
     int64_t last_received_us; /**< 0: never; only its address is known */
     int64_t last_probe_us;    /**< last datagram while not live; 0: never */
+    int64_t relay_us;  /**< when it was last known to be a relay; 0: never */
+    int64_t beacon_us; /**< when its last beacon came; 0: never */
 } pps_gossip_peer_t;
 
 /** A topic record that a reader relays to other hosts. */
@@ -72,6 +82,14 @@
     int64_t epoch; /**< of the offsets; 0: unknown, as from older builds */
 } pps_gossip_record_t;
 
+/** States up to where a reader has forwarded a topic's records, so that hosts
+ * notice that the last ones were lost. */
+typedef struct {
+    unsigned int topic;
+    int64_t epoch;
+    int64_t relevant_end;
+} pps_gossip_mark_t;
+
 /** Announces that a host has sent a long prompt to a worker. */
 typedef struct {
     uint64_t worker; /**< digest of the worker's id */
@@ -139,6 +157,8 @@
     void (*on_brittle)(void *user, const pps_gossip_brittle_t *brittle);
     /** Called when another host sends evidence on what ends workers. */
     void (*on_poison)(void *user, const pps_gossip_poison_t *poison);
+    /** Called when a reader states up to where it has forwarded records. */
+    void (*on_mark)(void *user, const pps_gossip_mark_t *mark);
 } pps_gossip_ops_t;
 
 /** The gossip socket of one host and the peers it knows. */
@@ -166,34 +186,51 @@
 pps_gossip_send_notice(pps_gossip_t *gossip,
                        const pps_gossip_notice_t *notice);
 
-/** Sends a record to all live peers. @return 0, PPS_ELIMIT or PPS_ENOMEM */
+/** Sends a record to all hosts, with many peers through relays.
+ * @return 0, PPS_ELIMIT or PPS_ENOMEM */
 int
 pps_gossip_send_record(pps_gossip_t *gossip,
                        const pps_gossip_record_t *record);
 
-/** Sends to all live peers that a worker is leaving. */
+/** Sends to all hosts up to where this host has forwarded records. Does
+ * nothing with few peers, whose states show it soon enough. */
+void
+pps_gossip_send_mark(pps_gossip_t *gossip, const pps_gossip_mark_t *mark);
+
+/** Asks a relay or a reader for the records of a topic from an end on, another
+ * one with each attempt. They arrive as other records do.
+ * @param attempt 0 first @return 0, or PPS_ENOTFOUND if no host can be asked
+ */
+int
+pps_gossip_request_records(pps_gossip_t *gossip, unsigned int topic,
+                           int64_t epoch, int64_t end, unsigned int attempt);
+
+/** Sends to all hosts that a worker is leaving, as the reports below: with
+ * many peers through relays. */
 void
 pps_gossip_send_leaving(pps_gossip_t *gossip,
                         const pps_gossip_leaving_t *leaving);
 
-/** Sends to all live peers what a worker has said of its limit. */
+/** Sends to all hosts what a worker has said of its limit. */
 void
 pps_gossip_send_limit(pps_gossip_t *gossip, const pps_gossip_limit_t *limit);
 
-/** Sends to all live peers what a brittle worker has said. */
+/** Sends to all hosts what a brittle worker has said. */
 void
 pps_gossip_send_brittle(pps_gossip_t *gossip,
                         const pps_gossip_brittle_t *brittle);
 
-/** Sends evidence on what ends workers to all live peers, or to one.
+/** Sends evidence on what ends workers to all hosts, or to one.
  * @param address of a known peer; NULL: all */
 void
 pps_gossip_send_poison(pps_gossip_t *gossip,
                        const pps_poison_evidence_t *items, size_t count,
                        const char *address);
 
-/** Checks whether this host passes on what is news to it: with many hosts, the
- * others do not hear each other. */
+/** Checks whether this host passes on evidence that is news to it and that one
+ * host has sent to it only: with many hosts, the others do not hear each
+ * other.
+ */
 int
 pps_gossip_relays(const pps_gossip_t *gossip);
 
@@ -220,7 +257,9 @@
 int
 pps_gossip_is_reader(const pps_gossip_t *gossip);
 
-/** Checks whether all hosts send their state to this one. */
+/** Checks whether all hosts send their state to this one. With many peers
+ * these are the readers that reach the store; if there are none, the hosts
+ * that rank first among the live ones. */
 int
 pps_gossip_hears_all(const pps_gossip_t *gossip);
 
