--- a/src/libpapayaswitch/transport/http_requester.c
+++ b/src/libpapayaswitch/transport/http_requester.c
@@ -26,6 +26,8 @@
     void *user;
     pps_http_requester_head_fn on_head;
     void *head_user;
+    const char *fields; /* of all calls */
+    size_t body_max;
 };
 
 int
@@ -38,6 +40,8 @@
         return PPS_ENOMEM;
     }
     requester->reactor = reactor;
+    requester->fields = "";
+    requester->body_max = SIZE_MAX;
     snprintf(requester->address, sizeof(requester->address), "%s", address);
     *out = requester;
     return PPS_OK;
@@ -64,6 +68,19 @@
     requester->head_user = user;
 }
 
+void
+pps_http_requester_set_fields(pps_http_requester_t *requester,
+                              const char *fields)
+{
+    requester->fields = fields;
+}
+
+void
+pps_http_requester_set_body_max(pps_http_requester_t *requester, size_t size)
+{
+    requester->body_max = size;
+}
+
 int
 pps_http_requester_is_busy(const pps_http_requester_t *requester)
 {
@@ -110,6 +127,11 @@
 {
     pps_http_requester_t *requester = user;
 
+    if (size > requester->body_max - requester->body.size) {
+        pps_http_channel_close(requester->channel);
+        finish_call(requester, PPS_ELIMIT);
+        return;
+    }
     pps_buf_append(&requester->body, data, size);
 }
 
@@ -175,8 +197,9 @@
     pps_buf_t text = PPS_BUF_INIT;
     int error;
 
-    pps_buf_printf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-                   body != NULL ? "POST" : "GET", path, requester->address);
+    pps_buf_printf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s",
+                   body != NULL ? "POST" : "GET", path, requester->address,
+                   requester->fields);
     if (body != NULL) {
         pps_buf_printf(&text, "Content-Length: %zu\r\n", body->size);
     }
--- a/src/libpapayaswitch/transport/http_requester.h
+++ b/src/libpapayaswitch/transport/http_requester.h
@@ -12,8 +12,9 @@
 
 /**
  * Reports the end of a call; may start the next one.
- * @param error 0, or PPS_EUNAVAILABLE if no complete response arrived; the
- *        server may have executed the call
+ * @param error 0; PPS_EUNAVAILABLE if no complete response arrived, or
+ *        PPS_ELIMIT if its body is too large: the server may have executed the
+ *        call
  * @param status 0 if no head arrived
  * @param body valid during the callback; may be incomplete after an error
  */
@@ -41,6 +42,17 @@
 pps_http_requester_set_head_fn(pps_http_requester_t *requester,
                                pps_http_requester_head_fn on_head, void *user);
 
+/** Sets header lines of all calls, each ending in CR LF; `fields` must outlive
+ * the requester. */
+void
+pps_http_requester_set_fields(pps_http_requester_t *requester,
+                              const char *fields);
+
+/** Sets the maximum size of a response's body; at first there is none. A call
+ * whose body is larger ends with PPS_ELIMIT. */
+void
+pps_http_requester_set_body_max(pps_http_requester_t *requester, size_t size);
+
 /** Checks whether a call is in progress. */
 int
 pps_http_requester_is_busy(const pps_http_requester_t *requester);
