--- a/src/libpapayaswitch/mirror/catch_up.c
+++ b/src/libpapayaswitch/mirror/catch_up.c
@@ -24,6 +24,10 @@
     if (lag->is_older_epoch && lag->behind_us < STORE_TIMEOUT_US) {
         return PPS_CATCH_UP_FROM_PEER;
     }
+    if (lag->is_urgent && lag->has_many_peers && !lag->is_reader &&
+        lag->behind_us < STORE_TIMEOUT_US) {
+        return PPS_CATCH_UP_FROM_PEER;
+    }
     if (lag->is_urgent) {
         return is_late ? PPS_CATCH_UP_FROM_STORE | PPS_CATCH_UP_FROM_PEER
                        : PPS_CATCH_UP_FROM_STORE;
