Start many hosts from copies of their neighbours

Cause: after a start of all hosts each of them lists all topics of the store: 1.75 MB with 3,000 workers and a large configuration, 300 times, over links of 10 Mbit/s. An answer that takes longer than 0.7 s was given up and asked again without end. A host that got its copy from a neighbour still listed the topic when it first read the store.

Change: a host that starts reads the store's list of hosts at once and asks a seed, or a host that is known to have them, for the copies of all topics in one transfer (GET /topics; hosts of older builds answer 404 and are asked for one topic). It lists the topics itself at once if there are 12 peers or fewer, else by its rank: four hosts at a time, chosen by a hash of their addresses, the next ones 0.5 s later until some host has the copies (mirror/start_plan). A topic that a copy has filled is read from its end. An answer may last longer than its limit while it arrives, 4 s at most. The statuses of roll-outs come with the copies; the host lists them itself only if they have not come 1.5 s after its start.

--- a/fuzz/fuzz_copy.c
+++ b/fuzz/fuzz_copy.c
@@ -1,5 +1,7 @@
 /** @file fuzz_copy.c @brief Fuzzes copies of topics from other hosts: first as
- * compressed bytes, then as the content of a compressed copy. */
+ * compressed bytes, then as the content of a compressed copy, and as a bundle
+ * of copies. */
+#include "mirror/copy_bundle.h"
 #include "mirror/copy_pack.h"
 #include "mirror/mirror.h"
 
@@ -46,12 +48,20 @@
     pps_buf_clear(&plain);
 }
 
+static void
+on_bundled(void *user, const char *topic, size_t topic_size,
+           const char *packed, size_t size)
+{
+    unpack(packed, size);
+}
+
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     pps_buf_t packed = PPS_BUF_INIT;
 
     unpack((const char *)data, size);
+    pps_copy_bundle_read((const char *)data, size, on_bundled, NULL);
     if (pps_copy_pack(&packed, (const char *)data, size) != 0) {
         abort();
     }
--- a/src/libpapayaswitch/transport/http_requester.c
+++ b/src/libpapayaswitch/transport/http_requester.c
@@ -28,6 +28,10 @@
     void *head_user;
     const char *fields; /* of all calls */
     size_t body_max;
+    int64_t started_us;
+    int64_t limit_us; /* of the call in progress */
+    int64_t step_us;  /* 0: a call's limit is fixed */
+    int64_t max_us;
 };
 
 int
@@ -81,6 +85,14 @@
     requester->body_max = size;
 }
 
+void
+pps_http_requester_set_progress(pps_http_requester_t *requester,
+                                int64_t step_us, int64_t max_us)
+{
+    requester->step_us = step_us;
+    requester->max_us = max_us;
+}
+
 int
 pps_http_requester_is_busy(const pps_http_requester_t *requester)
 {
@@ -122,6 +134,35 @@
     return 0;
 }
 
+static void
+on_timeout(int64_t now_us, void *user)
+{
+    pps_http_requester_t *requester = user;
+
+    if (requester->channel != NULL) {
+        pps_http_channel_close(requester->channel);
+    }
+    finish_call(requester, PPS_EUNAVAILABLE);
+}
+
+/* Moves the limit of the call, never to an earlier time. */
+static void
+extend_limit(pps_http_requester_t *requester)
+{
+    int64_t now_us = requester->reactor->now_us;
+    int64_t last_us = requester->started_us + requester->max_us;
+    int64_t limit_us = now_us + requester->step_us;
+
+    if (limit_us > last_us) {
+        limit_us = last_us;
+    }
+    if (requester->step_us > 0 && limit_us > requester->limit_us) {
+        requester->limit_us = limit_us;
+        pps_reactor_after(requester->reactor, &requester->timer,
+                          limit_us - now_us, on_timeout, requester);
+    }
+}
+
 static void
 on_body(void *user, const char *data, size_t size)
 {
@@ -133,6 +174,7 @@
         return;
     }
     pps_buf_append(&requester->body, data, size);
+    extend_limit(requester);
 }
 
 static void
@@ -150,17 +192,6 @@
 static const pps_channel_ops_t channel_ops = {on_head, on_body, on_end,
                                               on_fail};
 
-static void
-on_timeout(int64_t now_us, void *user)
-{
-    pps_http_requester_t *requester = user;
-
-    if (requester->channel != NULL) {
-        pps_http_channel_close(requester->channel);
-    }
-    finish_call(requester, PPS_EUNAVAILABLE);
-}
-
 static int
 can_be_reused(const pps_http_requester_t *requester)
 {
@@ -227,6 +258,8 @@
     requester->done = done;
     requester->user = user;
     requester->body.size = 0;
+    requester->started_us = requester->reactor->now_us;
+    requester->limit_us = requester->started_us + timeout_us;
     error = ensure_channel(requester);
     if (error == 0) {
         error = send_call(requester, path, body);
--- a/src/libpapayaswitch/transport/http_requester.h
+++ b/src/libpapayaswitch/transport/http_requester.h
@@ -53,13 +53,21 @@
 void
 pps_http_requester_set_body_max(pps_http_requester_t *requester, size_t size);
 
+/** Lets calls last longer than their limit while the response arrives: each
+ * piece of its body moves the limit to `step_us` from then, up to `max_us`
+ * after the call began. At first a call's limit is fixed. */
+void
+pps_http_requester_set_progress(pps_http_requester_t *requester,
+                                int64_t step_us, int64_t max_us);
+
 /** Checks whether a call is in progress. */
 int
 pps_http_requester_is_busy(const pps_http_requester_t *requester);
 
 /** Starts a call; the requester must not be busy. `done` is called once, never
  * from within this function. @param path path and query @param body sent by
- * POST; NULL sends a GET @param timeout_us limit of the whole call */
+ * POST; NULL sends a GET @param timeout_us limit of the whole
+ * call; see pps_http_requester_set_progress() */
 void
 pps_http_requester_call(pps_http_requester_t *requester, const char *path,
                         const pps_buf_t *body, int64_t timeout_us,
--- a/tests/entry/copy_play.c
+++ b/tests/entry/copy_play.c
@@ -2,6 +2,7 @@
 #include "copy_play_net.h"
 
 #include "clock.h"
+#include "mirror/start_plan.h"
 
 #include <criterion/criterion.h>
 #include <stdio.h>
@@ -11,6 +12,30 @@
 #define END_US (60 * PPS_US_PER_S)
 #define READERS 2
 
+static unsigned int
+count_before(const copy_play_t *play, unsigned int index)
+{
+    uint64_t own = pps_start_rank(play->hosts[index].address);
+    unsigned int before = 0;
+
+    for (unsigned int i = 0; i < play->c->hosts; i++) {
+        before += pps_start_rank(play->hosts[i].address) < own;
+    }
+    return before;
+}
+
+/* All hosts start at 0 s. Some of those that the store lists are gone. */
+static void
+prepare_start(copy_play_t *play)
+{
+    for (unsigned int i = 0; i < play->c->hosts; i++) {
+        play->hosts[i].is_down = pps_rng_unit(&play->rng) < play->c->crashing;
+        play->hosts[i].listed_us = -1;
+        play->hosts[i].before = count_before(play, i);
+        copy_play_list_hosts(play, i);
+    }
+}
+
 static void
 prepare(copy_play_t *play)
 {
@@ -26,6 +51,9 @@
         copy_play_push(play,
                        (int64_t)pps_rng_below(&play->rng, COPY_PLAY_TICK_US),
                        EVENT_TICK, i, 0);
+        if (play->c->is_start) {
+            continue;
+        }
         if (host->is_reader) {
             copy_play_read_store(play, i);
         }
@@ -88,6 +116,9 @@
     cr_assert_not_null(play->events);
     pps_rng_init(&play->rng, seed);
     prepare(play);
+    if (c->is_start) {
+        prepare_start(play);
+    }
     while (play->now_us < END_US && !is_over(play)) {
         copy_play_event_t event = copy_play_pop(play);
 
--- a/tests/entry/copy_play.h
+++ b/tests/entry/copy_play.h
@@ -27,7 +27,8 @@
     size_t copy_bytes;   /**< compressed */
     size_t store_bytes;  /**< of the same in the store's JSON */
     int64_t apply_us;    /**< of a whole core, to apply a copy */
-    double crashing;     /**< share of the hosts that fail within a second */
+    double crashing;     /**< share of the hosts that fail within a second, or
+                              are gone at a start of all */
     int sends_to_relays; /**< hosts other than readers send their state only to
                               two hosts of their domain and the readers; else
                               to their whole domain */
--- a/tests/entry/copy_play_hosts.c
+++ b/tests/entry/copy_play_hosts.c
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "mirror/catch_up.h"
+#include "mirror/start_plan.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,6 +16,8 @@
 /** Size of a state datagram, of a request and of a refusal. */
 #define STATE_BYTES 450
 #define SMALL_BYTES 400
+/** Size of a host in the list of hosts. */
+#define LISTED_BYTES 100
 /** Processor time of a whole core, for a datagram and for an HTTP call. */
 #define STATE_CORE_US 30
 #define CALL_CORE_US 200
@@ -49,7 +52,7 @@
             int64_t at_us =
                 copy_play_send(play, from, to, now_us, STATE_BYTES);
 
-            if (!copy_play_is_lost(play)) {
+            if (!copy_play_is_lost(play) && from->has_copy) {
                 copy_play_push(play, copy_play_work(to, at_us, STATE_CORE_US),
                                EVENT_STATE, i, index);
             }
@@ -116,12 +119,45 @@
     copy_play_push(play, host->down_free_us, EVENT_STORE, index, index);
 }
 
+void
+copy_play_list_hosts(copy_play_t *play, unsigned int index)
+{
+    copy_play_host_t *host = &play->hosts[index];
+    size_t size = (size_t)play->c->hosts * LISTED_BYTES;
+
+    play->store_free_us = copy_play_later(play->store_free_us, play->now_us) +
+                          (int64_t)size * 8 / STORE_MBPS;
+    host->down_free_us =
+        copy_play_later(host->down_free_us + copy_play_link_us(host, size),
+                        play->store_free_us + 2 * MS);
+    copy_play_push(play, host->down_free_us, EVENT_LISTED, index, index);
+}
+
 static int
 knows_source(const copy_play_t *play, const copy_play_host_t *host)
 {
     return memchr(host->is_ahead, 1, play->c->hosts) != NULL;
 }
 
+/* What pps_node_step_start() does. */
+static void
+step_start(copy_play_t *play, unsigned int index)
+{
+    copy_play_host_t *host = &play->hosts[index];
+    pps_start_state_t state = {
+        .elapsed_us = play->now_us,
+        .listed_us = host->listed_us,
+        .hosts = play->c->hosts,
+        .before = host->before,
+        .is_link_fast = host->is_fast,
+        .has_source = knows_source(play, host),
+    };
+
+    if (!host->has_copy && !host->is_applying && pps_start_may_list(&state)) {
+        copy_play_read_store(play, index);
+    }
+}
+
 /* What pps_node_catch_up() does. */
 static void
 catch_up(copy_play_t *play, unsigned int index)
@@ -131,7 +167,7 @@
         !host->has_copy && !host->is_applying && knows_source(play, host);
     pps_lag_t lag = {.is_behind = is_behind,
                      .is_urgent = 1,
-                     .is_loaded = 1,
+                     .is_loaded = !play->c->is_start,
                      .has_many_peers = 1,
                      .is_reader = host->is_reader};
     unsigned int actions;
@@ -248,6 +284,9 @@
 
     copy_play_push(play, play->now_us + COPY_PLAY_TICK_US, EVENT_TICK, index,
                    0);
+    if (play->c->is_start) {
+        step_start(play, index);
+    }
     catch_up(play, index);
     if (host->has_copy && ++host->ticks % (host->is_reader ? 2 : 4) == 0) {
         send_state(play, index, play->now_us);
@@ -306,6 +345,11 @@
     case EVENT_APPLIED:
         on_applied(play, event->host);
         break;
+    case EVENT_LISTED:
+        host->listed_us = play->now_us;
+        send_state(play, event->host, play->now_us);
+        step_start(play, event->host);
+        break;
     case EVENT_CRASH:
         host->is_down = 1;
         break;
--- a/tests/entry/copy_play_net.h
+++ b/tests/entry/copy_play_net.h
@@ -27,6 +27,7 @@
     EVENT_STORE, /* `host` has read the store */
     EVENT_APPLIED,
     EVENT_CRASH,
+    EVENT_LISTED, /* `host` has read the list of hosts */
 } copy_play_kind_t;
 
 typedef struct {
@@ -54,6 +55,8 @@
     unsigned int ticks;
     int64_t done_us; /* -1: not yet */
     int64_t behind_since_us;
+    int64_t listed_us;   /* -1: not yet */
+    unsigned int before; /* hosts that rank before this one at the start */
     int64_t up_free_us;
     int64_t down_free_us;
     int64_t core_free_us;
@@ -78,6 +81,10 @@
 void
 copy_play_read_store(copy_play_t *play, unsigned int index);
 
+/** Starts to read the store's list of hosts. */
+void
+copy_play_list_hosts(copy_play_t *play, unsigned int index);
+
 /** Returns whether an event concerns its host: an answer to a call that has
  * ended, or of a host that is down, does not. */
 int
--- a/tests/entry/test_copy_spread.c
+++ b/tests/entry/test_copy_spread.c
@@ -53,3 +53,46 @@
         }
     }
 }
+
+/** Requests are served again within this time after a start of all hosts. */
+#define RECOVER_MAX_US (15 * PPS_US_PER_S)
+/** A configuration of 400 KB and 3,000 workers: compressed, as the store sends
+ * them, and the time of a core to apply them. Computed. */
+#define START_PACKED_BYTES 250000
+#define START_STORE_BYTES 1750000
+#define START_APPLY_US 60000
+
+static const copy_play_case_t starts[] = {
+    {"60 hosts start", 60, 4, 900, 0, START_PACKED_BYTES, START_STORE_BYTES,
+     START_APPLY_US, 0, 0, 1},
+    {"300 hosts start", 300, 10, 1400, 0, START_PACKED_BYTES,
+     START_STORE_BYTES, START_APPLY_US, 0, 0, 1},
+    {"300 hosts start, packets are lost", 300, 10, 1400, 0.025,
+     START_PACKED_BYTES, START_STORE_BYTES, START_APPLY_US, 0, 0, 1},
+    {"300 hosts start, half of those listed are gone", 300, 10, 1400, 0.001,
+     START_PACKED_BYTES, START_STORE_BYTES, START_APPLY_US, 0.5, 0, 1},
+};
+
+/* Guards against a start of all hosts in which each lists the whole store: 300
+ * listings of 1.75 MB are 525 MB, over links of 10 Mbit/s. Less than half of
+ * the hosts may list. */
+Test(copy_spread, start_of_all_is_over_in_time)
+{
+    for (size_t i = 0; i < sizeof(starts) / sizeof(*starts); i++) {
+        for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+            copy_play_result_t r = copy_play_run(&starts[i], seed);
+
+            printf("%s, seed %u: %.3f s, median %.3f s, %u store reads, "
+                   "%u refusals\n",
+                   starts[i].name, (unsigned int)seed,
+                   (double)r.last_us / PPS_US_PER_S,
+                   (double)r.median_us / PPS_US_PER_S, r.store_reads,
+                   r.refusals);
+            cr_expect_eq(r.unfinished, 0, "%s: %u", starts[i].name,
+                         r.unfinished);
+            cr_expect_leq(r.last_us, RECOVER_MAX_US, "%s", starts[i].name);
+            cr_expect_lt(r.store_reads, starts[i].hosts / 2, "%s: %u",
+                         starts[i].name, r.store_reads);
+        }
+    }
+}
--- a/tests/entry/test_http_requester.c
+++ b/tests/entry/test_http_requester.c
@@ -73,3 +73,57 @@
     cr_expect_not_null(strstr(pps_buf_text(&server.last),
                               "\r\nAccept-Encoding: deflate\r\n\r\n"));
 }
+
+static void
+on_tick(int64_t now_us, void *user)
+{
+    net_server_send(user, "x", 1);
+}
+
+typedef struct {
+    const char *name;
+    int64_t step_ms;
+    int64_t max_ms;
+    int error;
+} progress_case_t;
+
+/* The answer of ten bytes takes 400 ms; a call's limit is 200 ms. */
+static const progress_case_t progress_cases[] = {
+    {"fixed limit", 0, 0, PPS_EUNAVAILABLE},
+    {"the limit moves while bytes arrive", 200, 2000, 0},
+    {"but not beyond the longest time", 200, 300, PPS_EUNAVAILABLE},
+    {"a short step does not shorten the limit", 1, 2000, PPS_EUNAVAILABLE},
+};
+
+/* Guards against listings that are given up although they arrive, on a slow
+ * link, and against servers that send a byte now and then. */
+Test(http_requester, limit_moves_with_progress)
+{
+    static const net_answer_t script[] = {{HEAD "10\r\n\r\n", NET_KEEP}};
+
+    for (size_t i = 0; i < sizeof(progress_cases) / sizeof(progress_case_t);
+         i++) {
+        const progress_case_t *c = &progress_cases[i];
+        pps_reactor_t reactor;
+        pps_http_requester_t *requester;
+        net_server_t server;
+        pps_timer_t timer = {0};
+        outcome_t outcome = {0};
+
+        cr_assert_eq(pps_reactor_init(&reactor), 0);
+        net_server_start(&server, &reactor, script, 1);
+        cr_assert_eq(
+            pps_http_requester_new(&requester, &reactor, server.address), 0);
+        pps_http_requester_set_progress(requester, c->step_ms * PPS_US_PER_MS,
+                                        c->max_ms * PPS_US_PER_MS);
+        pps_http_requester_call(requester, "/x", NULL, 200 * PPS_US_PER_MS,
+                                on_done, &outcome);
+        cr_assert(net_run_until(&reactor, &server.requests, 1, TIMEOUT_MS));
+        pps_reactor_every(&reactor, &timer, 40 * PPS_US_PER_MS, on_tick,
+                          &server);
+        cr_assert(net_run_until(&reactor, &outcome.ended, 1, TIMEOUT_MS));
+        pps_timers_cancel(&timer);
+        cr_expect_eq(outcome.error, c->error, "%s: %d", c->name,
+                     outcome.error);
+    }
+}
--- a/tests/entry/test_store_topic.c
+++ b/tests/entry/test_store_topic.c
@@ -317,3 +317,36 @@
     cr_expect_null(strstr(server.last.data, "after"));
     pps_buf_clear(&owner.changes);
 }
+
+/* Guards against listing the whole topic again when another host's copy has
+ * filled the mirror: only the records that follow its end are missing. A copy
+ * of an older epoch does not spare the listing. */
+Test(store_topic, copy_of_another_host_spares_the_listing)
+{
+    static const net_answer_t script[] = {{NULL, NET_KEEP}};
+    static const struct {
+        int64_t epoch;
+        const char *path;
+    } copies[] = {{0, "/-/log-newest?"},
+                  {4, "/-/log-read?topic=keyed.t&part=0&"
+                      "from=9&"}};
+
+    for (size_t i = 0; i < 2; i++) {
+        pps_reactor_t reactor;
+        net_server_t server;
+        pps_store_topic_t *topic;
+        owner_t owner;
+
+        start(&owner, &topic, &server, &reactor, script, 1);
+        pps_store_topic_set_paused(topic, 1);
+        pps_mirror_begin_listing(owner.mirror, copies[i].epoch);
+        pps_mirror_apply_listed(owner.mirror, 1, "a", 1, "1", 1);
+        pps_mirror_end_listing(owner.mirror, 9);
+        pps_store_topic_set_epoch(topic, 4);
+        pps_store_topic_set_paused(topic, 0);
+        cr_assert(net_run_until(&reactor, &server.requests, 1, TIMEOUT_MS));
+        cr_expect_not_null(strstr(server.last.data, copies[i].path), "%s",
+                           server.last.data);
+        pps_buf_clear(&owner.changes);
+    }
+}
