Send only the changes of a topic between many hosts

Cause: a host that lacks one worker's record fetched the whole topic from another host or read the store; with 300 hosts and lost datagrams that is a full copy of 3,000 workers, or a read of the store, for each.

Changes that do not follow the asker's copy are dropped. Non-readers fetch missing records this way and read the store only after a second, or if nobody is known to be ahead.

--- a/src/libpapayaswitch/mirror/catch_up.c
+++ b/src/libpapayaswitch/mirror/catch_up.c
@@ -24,9 +24,11 @@
     if (lag->is_older_epoch && lag->behind_us < STORE_TIMEOUT_US) {
         return PPS_CATCH_UP_FROM_PEER;
     }
-    if (lag->is_urgent && lag->has_many_peers && !lag->is_reader &&
+    if (lag->has_many_peers && lag->has_source && !lag->is_reader &&
         lag->behind_us < STORE_TIMEOUT_US) {
-        return PPS_CATCH_UP_FROM_PEER;
+        return lag->is_urgent || is_late || lag->has_gap
+                   ? PPS_CATCH_UP_FROM_PEER
+                   : 0;
     }
     if (lag->is_urgent) {
         return is_late ? PPS_CATCH_UP_FROM_STORE | PPS_CATCH_UP_FROM_PEER
--- a/src/libpapayaswitch/mirror/catch_up.h
+++ b/src/libpapayaswitch/mirror/catch_up.h
@@ -9,8 +9,9 @@
  *
  * With many hosts the store would send the same configuration to all of them
  * at once. There, the others ask it only when no host that is ahead has sent
- * its copy within a second. A host that knows of no host ahead is not behind:
- * when it hears no reader any more, it becomes one and reads the store.
+ * its copy, or the changes that are missing, within a second. A host that
+ * knows of no host ahead is not behind: when it hears no reader any more, it
+ * becomes one and reads the store.
  */
 #ifndef PPS_MIRROR_CATCH_UP_H
 #define PPS_MIRROR_CATCH_UP_H
@@ -38,6 +39,7 @@
     int is_older_epoch; /**< the newer copy is of a higher epoch */
     int has_many_peers; /**< more than PPS_CATCH_UP_FEW_PEERS_MAX */
     int is_reader;      /**< this host reads the store for the others */
+    int has_source;     /**< a live host has a newer copy */
 } pps_lag_t;
 
 /** Chooses the sources to update from now. @return flags of pps_catch_up_t */
--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -56,6 +56,7 @@
     cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
         free_entry(mirror, entry);
     }
+    pps_mirror_forget_deletions(mirror, INT64_MAX);
     free(mirror);
 }
 
@@ -128,13 +129,14 @@
                                  : offset > entry->offset;
 }
 
-static void
-delete_key(pps_mirror_t *mirror, int64_t offset, const char *key,
-           size_t key_size)
+void
+pps_mirror_delete_key(pps_mirror_t *mirror, int64_t offset, const char *key,
+                      size_t key_size)
 {
     pps_mirror_entry_t *entry = find_entry(mirror, key, key_size);
 
     mirror->own.key_deleted = 1;
+    pps_mirror_note_deletion(mirror, offset, key, key_size);
     if (entry != NULL && is_newer(entry, mirror->epoch, offset)) {
         delete_entry(mirror, entry, offset + 1);
     }
@@ -201,7 +203,7 @@
     }
     mirror->current_offset = offset;
     if (value == NULL) {
-        delete_key(mirror, offset, key, key_size);
+        pps_mirror_delete_key(mirror, offset, key, key_size);
     }
     else {
         error = pps_mirror_set_value(mirror, mirror->epoch, offset, key,
@@ -289,6 +291,7 @@
         return 1;
     }
     delete_absent(mirror, listing, end);
+    pps_mirror_forget_deletions(mirror, end);
     if (listing->epoch == mirror->epoch) {
         end_in_same_epoch(mirror, listing, end);
         return listing->key_deleted;
--- a/src/libpapayaswitch/mirror/mirror.h
+++ b/src/libpapayaswitch/mirror/mirror.h
@@ -105,15 +105,29 @@
 int
 pps_mirror_encode(const pps_mirror_t *mirror, pps_buf_t *out);
 
+/** Appends the changes since an offset, encoded for another host whose copy
+ * ends there. @param epoch of that copy
+ * @return 0; PPS_ENOTFOUND if the epoch is another one or not all changes are
+ *         known, then the host needs the full copy; or PPS_ENOMEM */
+int
+pps_mirror_encode_changes(const pps_mirror_t *mirror, int64_t epoch,
+                          int64_t from, pps_buf_t *out);
+
+/** Returns whether encoded bytes are a full copy: changes are none. */
+int
+pps_mirror_is_full_copy(const char *data, size_t size);
+
 /** Calls `on_changed` for each key as if its value had just been set. */
 void
 pps_mirror_replay(pps_mirror_t *mirror);
 
 /** Replaces the content with another host's encoded copy if that has a higher
  * epoch, or the same and a higher relevant end. Keeps newer entries. A copy
- * without an epoch counts as of epoch 0.
- * @return 0; PPS_ECORRUPT if it is malformed or its relevant end is -1, then
- *         nothing is applied; or PPS_ENOMEM */
+ * without an epoch counts as of epoch 0. Encoded changes are applied if they
+ * begin at or before this copy's end, in its epoch.
+ * @return 0; PPS_ECORRUPT if it is malformed or its relevant end is -1, or
+ *         PPS_ECONFLICT if changes do not follow this copy: then nothing is
+ *         applied; or PPS_ENOMEM */
 int
 pps_mirror_import(pps_mirror_t *mirror, const char *data, size_t size);
 
--- a/src/libpapayaswitch/mirror/mirror_copy.c
+++ b/src/libpapayaswitch/mirror/mirror_copy.c
@@ -11,6 +11,9 @@
  * builds without epochs lack the last one. */
 #define COPY_FIELDS 4
 #define COPY_FIELDS_MIN 3
+/** Elements of encoded changes: as above, then the offset that they begin at
+ * and the deletions. */
+#define CHANGES_FIELDS 6
 
 static int
 append(void *user, const char *data, size_t size)
@@ -18,28 +21,125 @@
     return pps_buf_append(user, data, size);
 }
 
+static void
+pack_entry(msgpack_packer *packer, const pps_mirror_entry_t *entry)
+{
+    msgpack_pack_array(packer, 3);
+    msgpack_pack_int64(packer, entry->offset);
+    msgpack_pack_bin_with_body(packer, entry->key, strlen(entry->key));
+    msgpack_pack_bin_with_body(packer, entry->value, entry->size);
+}
+
 int
 pps_mirror_encode(const pps_mirror_t *mirror, pps_buf_t *out)
 {
     msgpack_packer packer;
-    pps_mirror_entry_t *entry;
-    pps_mirror_entry_t *next;
+    const pps_mirror_entry_t *entry;
 
     msgpack_packer_init(&packer, out, append);
     msgpack_pack_array(&packer, COPY_FIELDS);
     msgpack_pack_int64(&packer, mirror->end);
     msgpack_pack_int64(&packer, mirror->relevant_end);
     msgpack_pack_array(&packer, pps_table_count(&mirror->table));
-    cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
-        msgpack_pack_array(&packer, 3);
-        msgpack_pack_int64(&packer, entry->offset);
-        msgpack_pack_bin_with_body(&packer, entry->key, strlen(entry->key));
-        msgpack_pack_bin_with_body(&packer, entry->value, entry->size);
+    cds_list_for_each_entry (entry, &mirror->entries, node) {
+        pack_entry(&packer, entry);
+    }
+    msgpack_pack_int64(&packer, mirror->epoch);
+    return out->failed ? PPS_ENOMEM : PPS_OK;
+}
+
+static size_t
+count_entries_from(const pps_mirror_t *mirror, int64_t from)
+{
+    const pps_mirror_entry_t *entry;
+    size_t count = 0;
+
+    cds_list_for_each_entry (entry, &mirror->entries, node) {
+        count += entry->offset >= from;
+    }
+    return count;
+}
+
+static int
+is_deletion_from(const pps_mirror_deletion_t *deletion, int64_t from)
+{
+    return deletion->key != NULL && deletion->offset >= from;
+}
+
+static void
+pack_deletions(msgpack_packer *packer, const pps_mirror_deletions_t *deletions,
+               int64_t from)
+{
+    size_t count = 0;
+
+    for (unsigned int i = 0; i < PPS_MIRROR_DELETIONS; i++) {
+        count += is_deletion_from(&deletions->items[i], from) != 0;
+    }
+    msgpack_pack_array(packer, count);
+    for (unsigned int i = 0; i < PPS_MIRROR_DELETIONS; i++) {
+        const pps_mirror_deletion_t *deletion = &deletions->items[i];
+
+        if (is_deletion_from(deletion, from)) {
+            msgpack_pack_array(packer, 2);
+            msgpack_pack_int64(packer, deletion->offset);
+            msgpack_pack_bin_with_body(packer, deletion->key,
+                                       strlen(deletion->key));
+        }
+    }
+}
+
+/* Returns whether all entries are of the mirror's epoch: a listing of a higher
+ * one may be in progress. */
+static int
+is_of_one_epoch(const pps_mirror_t *mirror)
+{
+    const pps_mirror_entry_t *entry;
+
+    cds_list_for_each_entry (entry, &mirror->entries, node) {
+        if (entry->epoch != mirror->epoch) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
+int
+pps_mirror_encode_changes(const pps_mirror_t *mirror, int64_t epoch,
+                          int64_t from, pps_buf_t *out)
+{
+    msgpack_packer packer;
+    const pps_mirror_entry_t *entry;
+
+    if (mirror->relevant_end < 0 || epoch != mirror->epoch || from < 0 ||
+        from < mirror->deletions.known_from || from > mirror->end ||
+        !is_of_one_epoch(mirror)) {
+        return PPS_ENOTFOUND;
+    }
+    msgpack_packer_init(&packer, out, append);
+    msgpack_pack_array(&packer, CHANGES_FIELDS);
+    msgpack_pack_int64(&packer, mirror->end);
+    msgpack_pack_int64(&packer, mirror->relevant_end);
+    msgpack_pack_array(&packer, count_entries_from(mirror, from));
+    cds_list_for_each_entry (entry, &mirror->entries, node) {
+        if (entry->offset >= from) {
+            pack_entry(&packer, entry);
+        }
     }
     msgpack_pack_int64(&packer, mirror->epoch);
+    msgpack_pack_int64(&packer, from);
+    pack_deletions(&packer, &mirror->deletions, from);
     return out->failed ? PPS_ENOMEM : PPS_OK;
 }
 
+int
+pps_mirror_is_full_copy(const char *data, size_t size)
+{
+    unsigned char head = size > 0 ? (unsigned char)data[0] : 0;
+
+    /* The first byte of a msgpack array of less than 16 elements. */
+    return head >= 0x90 + COPY_FIELDS_MIN && head < 0x90 + CHANGES_FIELDS;
+}
+
 static int
 is_entry(const msgpack_object *object)
 {
@@ -125,6 +225,75 @@
     return error;
 }
 
+static int
+are_deletions(const msgpack_object *object)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY) {
+        return 0;
+    }
+    for (uint32_t i = 0; i < object->via.array.size; i++) {
+        const msgpack_object *item = &object->via.array.ptr[i];
+        const msgpack_object *fields = item->via.array.ptr;
+
+        if (item->type != MSGPACK_OBJECT_ARRAY || item->via.array.size != 2 ||
+            fields[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+            fields[1].type != MSGPACK_OBJECT_BIN) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
+/* Checks the elements that full copies lack. */
+static int
+are_changes(const msgpack_object_array *copy)
+{
+    return copy->ptr[4].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+           are_deletions(&copy->ptr[5]);
+}
+
+static void
+apply_deletions(pps_mirror_t *mirror, const msgpack_object_array *deletions)
+{
+    for (uint32_t i = 0; i < deletions->size; i++) {
+        const msgpack_object *fields = deletions->ptr[i].via.array.ptr;
+
+        pps_mirror_delete_key(mirror, (int64_t)fields[0].via.u64,
+                              fields[1].via.bin.ptr, fields[1].via.bin.size);
+    }
+}
+
+static int
+import_changes(pps_mirror_t *mirror, const msgpack_object_array *copy)
+{
+    int64_t relevant_end = (int64_t)copy->ptr[1].via.u64;
+    int error;
+
+    if (copy_epoch(copy) != mirror->epoch ||
+        mirror->end < (int64_t)copy->ptr[4].via.u64) {
+        return PPS_ECONFLICT;
+    }
+    if (relevant_end <= mirror->relevant_end) {
+        return PPS_OK;
+    }
+    error = import_entries(mirror, mirror->epoch, &copy->ptr[2].via.array);
+    if (error == 0) {
+        apply_deletions(mirror, &copy->ptr[5].via.array);
+        pps_mirror_advance(mirror, (int64_t)copy->ptr[0].via.u64);
+        mirror->relevant_end = relevant_end;
+    }
+    return error;
+}
+
+static int
+import_any(pps_mirror_t *mirror, const msgpack_object_array *copy)
+{
+    if (copy->size < CHANGES_FIELDS) {
+        return import_copy(mirror, copy);
+    }
+    return are_changes(copy) ? import_changes(mirror, copy) : PPS_ECORRUPT;
+}
+
 int
 pps_mirror_import(pps_mirror_t *mirror, const char *data, size_t size)
 {
@@ -133,7 +302,7 @@
 
     if (pps_msgpack_unpack(&unpacked, data, size) == 0 &&
         is_copy(&unpacked.data)) {
-        error = import_copy(mirror, &unpacked.data.via.array);
+        error = import_any(mirror, &unpacked.data.via.array);
     }
     msgpack_unpacked_destroy(&unpacked);
     return error;
--- a/src/libpapayaswitch/mirror/mirror_state.h
+++ b/src/libpapayaswitch/mirror/mirror_state.h
@@ -27,6 +27,23 @@
     int key_deleted; /* a record deleted a key since the listing began */
 } pps_mirror_listing_t;
 
+/** Number of deletions that are remembered. */
+#define PPS_MIRROR_DELETIONS 256
+
+/** A key that a record deleted. */
+typedef struct {
+    int64_t offset;
+    char *key; /* NULL: unused */
+} pps_mirror_deletion_t;
+
+/** The deletions since an offset, in the mirror's epoch: entries hold the
+ * offsets of all other changes. */
+typedef struct {
+    pps_mirror_deletion_t items[PPS_MIRROR_DELETIONS];
+    unsigned int next;  /* item that is replaced next */
+    int64_t known_from; /* all deletions at or after it are remembered */
+} pps_mirror_deletions_t;
+
 struct pps_mirror {
     struct cds_list_head entries;
     pps_table_t table;
@@ -36,6 +53,7 @@
     uint64_t listing;         /* number of the newest listing */
     pps_mirror_listing_t own; /* the listing between begin and end */
     int64_t current_offset;
+    pps_mirror_deletions_t deletions;
     pps_mirror_changed_fn on_changed;
     void *user;
 };
@@ -47,6 +65,20 @@
                      const char *key, size_t key_size, const char *value,
                      size_t size);
 
+/** Deletes a key unless its value is newer, and remembers the deletion. */
+void
+pps_mirror_delete_key(pps_mirror_t *mirror, int64_t offset, const char *key,
+                      size_t key_size);
+
+/** Remembers that a record deleted a key. */
+void
+pps_mirror_note_deletion(pps_mirror_t *mirror, int64_t offset, const char *key,
+                         size_t key_size);
+
+/** Forgets the deletions below `end`: those of a listing have no offsets. */
+void
+pps_mirror_forget_deletions(pps_mirror_t *mirror, int64_t end);
+
 /** Ends a listing as pps_mirror_end_listing(). */
 int
 pps_mirror_finish_listing(pps_mirror_t *mirror,
--- a/tests/entry/copy_play_hosts.c
+++ b/tests/entry/copy_play_hosts.c
@@ -169,7 +169,8 @@
                      .is_urgent = 1,
                      .is_loaded = !play->c->is_start,
                      .has_many_peers = 1,
-                     .is_reader = host->is_reader};
+                     .is_reader = host->is_reader,
+                     .has_source = is_behind};
     unsigned int actions;
 
     if (!is_behind) {
--- a/tests/entry/test_mirror.c
+++ b/tests/entry/test_mirror.c
@@ -103,7 +103,7 @@
 #define US_PER_MS 1000
 
 /* is_behind, is_urgent, has_gap, behind_us, is_loaded, store_failing,
- * is_older_epoch, has_many_peers, is_reader */
+ * is_older_epoch, has_many_peers, is_reader, has_source */
 static const catch_up_case_t catch_ups[] = {
     {"up to date", {0, 1, 0, 0, 1, 0}, 0},
     {"a relayed record may still arrive", {1, 0, 0, 100 * US_PER_MS, 1, 0}, 0},
@@ -131,21 +131,33 @@
      {1, 1, 0, 400 * US_PER_MS, 1, 0},
      PPS_CATCH_UP_FROM_STORE | PPS_CATCH_UP_FROM_PEER},
     {"a new configuration at one of many hosts",
-     {1, 1, 0, 0, 1, 0, 0, 1, 0},
+     {1, 1, 0, 0, 1, 0, 0, 1, 0, 1},
      PPS_CATCH_UP_FROM_PEER},
     {"many hosts: the store is spared for a second",
-     {1, 1, 0, 999 * US_PER_MS, 1, 0, 0, 1, 0},
+     {1, 1, 0, 999 * US_PER_MS, 1, 0, 0, 1, 0, 1},
      PPS_CATCH_UP_FROM_PEER},
     {"many hosts: no host that is ahead has answered",
-     {1, 1, 0, 1000 * US_PER_MS, 1, 0, 0, 1, 0},
+     {1, 1, 0, 1000 * US_PER_MS, 1, 0, 0, 1, 0, 1},
      PPS_CATCH_UP_FROM_STORE | PPS_CATCH_UP_FROM_PEER},
     {"many hosts: a reader is behind another reader",
-     {1, 1, 0, 0, 1, 0, 0, 1, 1},
+     {1, 1, 0, 0, 1, 0, 0, 1, 1, 1},
      PPS_CATCH_UP_FROM_STORE},
-    {"many hosts: nobody is ahead", {0, 1, 0, 0, 1, 0, 0, 1, 0}, 0},
+    {"many hosts: nobody is ahead", {0, 1, 0, 0, 1, 0, 0, 1, 0, 0}, 0},
+    {"many hosts: a relayed record may still arrive",
+     {1, 0, 0, 100 * US_PER_MS, 1, 0, 0, 1, 0, 1},
+     0},
     {"many hosts: no relayed record arrived in time",
-     {1, 0, 0, 400 * US_PER_MS, 1, 0, 0, 1, 0},
+     {1, 0, 0, 400 * US_PER_MS, 1, 0, 0, 1, 0, 1},
+     PPS_CATCH_UP_FROM_PEER},
+    {"many hosts: a record is known to be lost",
+     {1, 0, 1, 0, 1, 0, 0, 1, 0, 1},
+     PPS_CATCH_UP_FROM_PEER},
+    {"many hosts: a record is lost, and nobody is known to have it",
+     {1, 0, 1, 0, 1, 0, 0, 1, 0, 0},
      PPS_CATCH_UP_FROM_STORE},
+    {"many hosts: nobody sent the changes in time",
+     {1, 0, 1, 1000 * US_PER_MS, 1, 0, 0, 1, 0, 1},
+     PPS_CATCH_UP_FROM_STORE | PPS_CATCH_UP_FROM_PEER},
 };
 
 Test(catch_up, table)
