--- a/tests/entry/test_records.c
+++ b/tests/entry/test_records.c
@@ -55,6 +55,38 @@
     }
 }
 
+typedef struct {
+    const char *member;
+    int64_t remaining_us; /* negative: not stated */
+} cold_record_case_t;
+
+/* Guards against a record whose time is lost or makes the worker cold for
+ * good. */
+Test(records, workers_that_are_cold)
+{
+    static const cold_record_case_t cases[] = {
+        {"", -1},
+        {",\"cold_remaining_ms\":0", 0},
+        {",\"cold_remaining_ms\":2500", 2500000},
+        {",\"cold_remaining_ms\":-5", -1},
+        {",\"cold_remaining_ms\":3600001", -1},
+        {",\"cold_remaining_ms\":\"5\"", -1},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        char text[256];
+        pps_worker_info_t info;
+
+        snprintf(text, sizeof(text),
+                 "{" WORKER_HEAD ",\"slots\":8,\"state\":\"ready\"%s}",
+                 cases[i].member);
+        cr_assert_eq(pps_record_parse_worker(&info, "w", text, strlen(text)),
+                     0);
+        cr_expect_eq(info.cold_remaining_us, cases[i].remaining_us, "%s",
+                     cases[i].member);
+    }
+}
+
 #define LIMITS                                                                \
     "\"limits\":{\"max_header_bytes\":1024,\"max_body_bytes\":2048,"          \
     "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}"
@@ -123,6 +155,52 @@
     }
 }
 
+typedef struct {
+    const char *route;  /* members of the route */
+    const char *tenant; /* members of the tenant */
+    int error;
+    size_t route_count; /* regions */
+    size_t workspace_count;
+} homes_case_t;
+
+static const homes_case_t homes_cases[] = {
+    {"", "", 0, 0, 0},
+    {",\"allowed_regions\":[]", ",\"allowed_regions\":null", 0, 0, 0},
+    {",\"allowed_regions\":[\"r1\",\"r2\"]", "", 0, 2, 0},
+    {"", ",\"allowed_regions\":[\"r1\"]", 0, 0, 1},
+    {",\"allowed_regions\":\"r1\"", "", PPS_EINVALID, 0, 0},
+    {",\"allowed_regions\":[1]", "", PPS_EINVALID, 0, 0},
+    {",\"allowed_regions\":[\"r1\",\"\"]", "", PPS_EINVALID, 0, 0},
+    {"", ",\"allowed_regions\":{\"r1\":1}", PPS_EINVALID, 0, 0},
+};
+
+/* Guards against a restriction to regions that is lost in reading. */
+Test(records, homes)
+{
+    for (size_t i = 0; i < sizeof(homes_cases) / sizeof(*homes_cases); i++) {
+        const homes_case_t *item = &homes_cases[i];
+        pps_deployment_t *deployment;
+        char text[1024];
+        int error;
+
+        snprintf(
+            text, sizeof(text),
+            "{\"version\":9,\"routes\":[" ROUTE(
+                "/x/", ",\"service\":\"a\"%s") "]," SERVICES "," LIMITS
+                                               ",\"tenants\":[{\"name\":\"t\","
+                                               "\"api_keys\":[\"k\"]%s}]}",
+            item->route, item->tenant);
+        error = pps_record_parse_deployment(&deployment, text, strlen(text));
+        cr_expect_eq(error, item->error, "case %zu", i);
+        if (error == 0) {
+            cr_expect_eq(deployment->routes[0].homes.count, item->route_count);
+            cr_expect_eq(deployment->workspaces[0].homes.count,
+                         item->workspace_count);
+            pps_deployment_unref(deployment);
+        }
+    }
+}
+
 Test(records, rollouts)
 {
     static const struct {
@@ -213,3 +291,39 @@
         pps_deployment_unref(deployment);
     }
 }
+
+typedef struct {
+    const char *members;
+    int64_t cold_us;
+    double per_s;
+} cold_config_case_t;
+
+/* Guards against a gate where the configuration has none. */
+Test(records, services_with_cold_workers)
+{
+    static const cold_config_case_t cases[] = {
+        {"", 0, 0},
+        {",\"cold_start_s\":3,\"cold_per_s\":12", 3000000, 12},
+        {",\"cold_start_s\":0.5,\"cold_per_s\":1.5", 500000, 1.5},
+        {",\"cold_start_s\":3,\"cold_per_s\":0", 3000000, 0},
+        {",\"cold_start_s\":-3,\"cold_per_s\":-1", 0, 0},
+        {",\"cold_start_s\":1e30,\"cold_per_s\":\"12\"", 0, 0},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        char text[512];
+        pps_deployment_t *deployment;
+
+        snprintf(text, sizeof(text),
+                 "{\"version\":1,\"services\":[{\"name\":\"a\"%s}],"
+                 "\"routes\":[],\"tenants\":[]," LIMITS "}",
+                 cases[i].members);
+        cr_assert_eq(
+            pps_record_parse_deployment(&deployment, text, strlen(text)), 0);
+        cr_expect_eq(deployment->upstreams[0].cold_start_us, cases[i].cold_us,
+                     "%s", cases[i].members);
+        cr_expect_eq(deployment->upstreams[0].cold_per_s, cases[i].per_s, "%s",
+                     cases[i].members);
+        pps_deployment_unref(deployment);
+    }
+}
