--- a/fuzz/fuzz_copy.c
+++ b/fuzz/fuzz_copy.c
@@ -48,6 +48,32 @@
     pps_buf_clear(&plain);
 }
 
+/* Imports valid changes after some of their bytes have been replaced: few
+ * random inputs are as far as their lists. */
+static void
+import_damaged(const uint8_t *data, size_t size)
+{
+    pps_buf_t changes = PPS_BUF_INIT;
+    pps_mirror_t *mirror;
+
+    if (pps_mirror_new(&mirror, on_changed, NULL) != 0) {
+        return;
+    }
+    pps_mirror_apply_record(mirror, 3, "a", 1, "1", 1);
+    pps_mirror_apply_record(mirror, 4, "b", 1, "22", 2);
+    pps_mirror_apply_record(mirror, 5, "a", 1, NULL, 0);
+    pps_mirror_apply_record(mirror, 6, "c", 1, "333", 3);
+    if (pps_mirror_encode_changes(mirror, 0, 4, &changes) != 0) {
+        abort();
+    }
+    for (size_t i = 0; i + 1 < size && i < 8; i += 2) {
+        changes.data[data[i] % changes.size] = (char)data[i + 1];
+    }
+    import(changes.data, changes.size);
+    pps_buf_clear(&changes);
+    pps_mirror_free(mirror);
+}
+
 static void
 on_bundled(void *user, const char *topic, size_t topic_size,
            const char *packed, size_t size)
@@ -61,6 +87,7 @@
     pps_buf_t packed = PPS_BUF_INIT;
 
     unpack((const char *)data, size);
+    import_damaged(data, size);
     pps_copy_bundle_read((const char *)data, size, on_bundled, NULL);
     if (pps_copy_pack(&packed, (const char *)data, size) != 0) {
         abort();
