--- a/tests/entry/gossip_play.c
+++ b/tests/entry/gossip_play.c
@@ -382,36 +382,3 @@
     }
     return play;
 }
-
-void
-gossip_play_reset_counts(gossip_play_t *play)
-{
-    for (unsigned int i = 0; i < play->options.hosts; i++) {
-        play->hosts[i].sent_bytes = 0;
-        play->hosts[i].received_bytes = 0;
-    }
-}
-
-static void
-stop_host(gossip_play_host_t *host)
-{
-    pps_gossip_peer_t *peer;
-    pps_gossip_peer_t *next;
-
-    cds_list_for_each_entry_safe (peer, next, &host->gossip.peers, node) {
-        free(peer);
-    }
-    pps_record_log_clear(&host->gossip.forwarding->records);
-    free(host->gossip.forwarding);
-}
-
-void
-gossip_play_free(gossip_play_t *play)
-{
-    for (unsigned int i = 0; i < play->options.hosts; i++) {
-        stop_host(&play->hosts[i]);
-    }
-    gossip_play_queue_free(play->queue);
-    free(play->hosts);
-    free(play);
-}
