Read the deployment's contracts and a worker's speed

Load headers of workers were read by sscanf, which took negative numbers and anything behind the third figure, and the fourth figure, the present processing time in percent, was not read.

[deployment] contracts sets the flag has_pressure of the dispatcher; nothing uses it yet. The load header is valid with three or four figures within their ranges and is else marked invalid.

--- a/src/libpapayaswitch/exchange/call.h
+++ b/src/libpapayaswitch/exchange/call.h
@@ -17,6 +17,13 @@
 /** Longest pause that a worker can ask for. */
 #define PPS_PAUSE_MAX_US (INT64_C(600) * 1000 * 1000)
 
+/** Largest count in a worker's load report, and largest processing time in
+ * percent of the usual one. */
+#define PPS_LOAD_COUNT_MAX 65535
+#define PPS_LOAD_SPEED_MAX 10000
+/** Processing time in percent of the usual one, if a worker states none. */
+#define PPS_LOAD_SPEED_USUAL 100
+
 /** Longest time for which a worker can state to stay cold. */
 #define PPS_COLD_MAX_US (INT64_C(3600) * 1000 * 1000)
 
@@ -64,6 +71,9 @@
     unsigned int running;
     unsigned int waiting;
     unsigned int slots;
+    unsigned int speed_percent; /**< processing time now, in percent of the
+                                     usual one */
+    int invalid_load;           /**< its load is no valid statement */
     int leaving;       /**< the worker is leaving: it wants no new requests */
     int64_t pause_us;  /**< time for which it wants no requests from this host,
                             at most PPS_PAUSE_MAX_US; 0: none */
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -48,6 +48,8 @@
     double cold_slack;
     unsigned int confidence_min; /**< threshold on idle workers, 0 to 100 */
     pps_rollout_bounds_t rollout;
+    int has_pressure; /**< the deployment has the contract `pressure`: hosts
+                           share what they know of the workers' load */
 } pps_dispatch_options_t;
 
 /** Notice to the other hosts that a long prompt was sent to a worker. */
--- a/tests/entry/test_host_settings.c
+++ b/tests/entry/test_host_settings.c
@@ -105,3 +105,39 @@
     cr_expect_eq(pps_findings_count(findings), 1);
     pps_findings_free(findings);
 }
+
+typedef struct {
+    const char *text;
+    int has_pressure;
+} contracts_case_t;
+
+/* A deployment without the contract must be served as before. */
+static const contracts_case_t contract_cases[] = {
+    {"", 0},
+    {"[deployment]\n", 0},
+    {"[deployment]\ncontracts=\n", 0},
+    {"[deployment]\ncontracts=places\n", 0},
+    {"[deployment]\ncontracts=pressures\n", 0},
+    {"[deployment]\ncontracts=pressure\n", 1},
+    {"[deployment]\ncontracts=places, pressure\n", 1},
+    {"[deployment]\ncontracts=pressure\ncontracts=places\n", 1},
+    {"[deployment]\ncontracts=places\ncontracts=pressure\n", 1},
+};
+
+Test(host_settings, contracts)
+{
+    for (size_t i = 0; i < sizeof(contract_cases) / sizeof(*contract_cases);
+         i++) {
+        char text[512];
+        const case_t item = {text, 0, ""};
+        pps_host_settings_t settings;
+        pps_findings_t *findings;
+
+        snprintf(text, sizeof(text), "%s%s", REQUIRED, contract_cases[i].text);
+        cr_assert_eq(pps_findings_new(&findings), 0);
+        load(&settings, &item, findings);
+        cr_expect_eq(pps_host_settings_has_contract(&settings, "pressure"),
+                     contract_cases[i].has_pressure, "case %zu", i);
+        pps_findings_free(findings);
+    }
+}
--- a/tests/entry/test_worker_wire.c
+++ b/tests/entry/test_worker_wire.c
@@ -230,3 +230,59 @@
         pps_headers_clear(&reply.headers);
     }
 }
+
+typedef struct {
+    const char *what;
+    const char *value; /* NULL: absent */
+    unsigned int figures[4];
+    int is_invalid;
+} load_case_t;
+
+/* A figure that is not understood must not reach the choice of a worker. */
+static const load_case_t loads[] = {
+    {"none", NULL, {0}, 0},
+    {"three figures", "5,2,16", {5, 2, 16, 100}, 0},
+    {"four figures", "5,2,16,140", {5, 2, 16, 140}, 0},
+    {"idle", "0,0,0,100", {0, 0, 0, 100}, 0},
+    {"blanks", "5, 2, 16, 140", {5, 2, 16, 140}, 0},
+    {"largest", "65535,0,16,10000", {65535, 0, 16, 10000}, 0},
+    {"two figures", "5,2", {0}, 1},
+    {"five figures", "5,2,16,100,1", {0}, 1},
+    {"a comma at the end", "5,2,16,", {0}, 1},
+    {"four figures and a comma", "5,2,16,100,", {0}, 1},
+    {"empty", "", {0}, 1},
+    {"an empty figure", "5,,16", {0}, 1},
+    {"negative", "-5,2,16", {0}, 1},
+    {"negative speed", "5,2,16,-100", {0}, 1},
+    {"no speed at all", "5,2,16,0", {0}, 1},
+    {"absurd speed", "5,2,16,10001", {0}, 1},
+    {"absurd count", "65536,2,16", {0}, 1},
+    {"beyond the integers", "99999999999999999999,2,16", {0}, 1},
+    {"not a number", "nan,2,16", {0}, 1},
+    {"a fraction", "5.5,2,16", {0}, 1},
+    {"a unit", "5,2,16,100%", {0}, 1},
+};
+
+Test(worker_wire, load)
+{
+    for (size_t i = 0; i < sizeof(loads) / sizeof(*loads); i++) {
+        const load_case_t *item = &loads[i];
+        pps_http_reply_t reply = {.status = 200};
+        pps_worker_reply_t decoded;
+
+        if (item->value != NULL) {
+            add_header(&reply, "X-Server-Load", item->value);
+        }
+        pps_headers_end(&reply.headers);
+        pps_worker_wire_ops.decode(&decoded, &reply);
+        cr_expect_eq(decoded.invalid_load, item->is_invalid, "%s", item->what);
+        cr_expect_eq(decoded.has_load, item->value && !item->is_invalid, "%s",
+                     item->what);
+        cr_expect_eq(decoded.running, item->figures[0], "%s", item->what);
+        cr_expect_eq(decoded.waiting, item->figures[1], "%s", item->what);
+        cr_expect_eq(decoded.slots, item->figures[2], "%s", item->what);
+        cr_expect_eq(decoded.speed_percent, item->figures[3], "%s",
+                     item->what);
+        pps_headers_clear(&reply.headers);
+    }
+}
