Ask the larger model under load for the requests that cost least

Cause: under load the confidence below which an answer is asked again falls alike for all requests. The larger model's time on the workers is scarce: a prompt of 12,000 tokens takes ten times as much of it as one of 800, so that a few long prompts took what many short ones needed, and short urgent answers were kept though poor. Only where capacity changes: with contract 'pressure', or where workers state the speed of their machines (fourth figure of the load header, now noted in has_speed).

--- a/src/libpapayaswitch/exchange/call.h
+++ b/src/libpapayaswitch/exchange/call.h
@@ -73,6 +73,7 @@
     unsigned int slots;
     unsigned int speed_percent; /**< processing time now, in percent of the
                                      usual one */
+    int has_speed;              /**< its load has the fourth figure */
     int invalid_load;           /**< its load is no valid statement */
     int leaving;       /**< the worker is leaving: it wants no new requests */
     int64_t pause_us;  /**< time for which it wants no requests from this host,
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -13,6 +13,7 @@
 #include "deployment/region_map.h"
 #include "evacuated_domains.h"
 #include "lateness.h"
+#include "model_cost.h"
 #include "poison/poison_table.h"
 #include "pool/cold_hosts.h"
 #include "pool/path_state.h"
@@ -130,6 +131,8 @@
     /** Digests of the targets of earlier roll-outs, as a ring; 0: none. */
     uint64_t superseded[PPS_DISPATCH_SUPERSEDED_MAX];
     unsigned int superseded_next;
+    int states_speed; /**< its workers state how fast their machines are now */
+    pps_model_cost_t cascade_cost;
     double first_byte_us; /**< smoothed time to first byte */
     pps_lateness_t lateness;
     double answer_us;                /**< smoothed time to a full answer */
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -63,6 +63,26 @@
         exchange, reply->other_worker ? "other_worker" : "worker_full", 0);
 }
 
+/* Returns the load at which the larger model is to be asked for this request.
+ * Where capacity changes, it depends on the work that the request is. */
+static double
+cascade_load(pps_exchange_t *exchange)
+{
+    pps_upstream_state_t *state = exchange->upstream_state;
+    int64_t prompt_tokens = exchange->call.prompt_tokens;
+    double load = pps_exchange_estimate_load(exchange);
+
+    if (exchange->route->model_count == 0 ||
+        (!exchange->dispatcher->options.has_pressure &&
+         !state->states_speed)) {
+        return load;
+    }
+    if (exchange->model == 0) {
+        pps_model_cost_add(&state->cascade_cost, prompt_tokens);
+    }
+    return load * pps_model_cost_factor(&state->cascade_cost, prompt_tokens);
+}
+
 /* Asks a larger model if the confidence is too low. Returns whether the answer
  * was dropped for that. */
 static int
@@ -79,7 +99,7 @@
         .confidence = reply->confidence,
         .attempts_left = route->attempts_max - exchange->runs,
         .confidence_min = exchange->dispatcher->options.confidence_min,
-        .load = pps_exchange_estimate_load(exchange),
+        .load = cascade_load(exchange),
         .repeats_used = pps_repeat_limit_used(repeats, &bounds, now_us),
     };
     size_t next;
@@ -187,6 +207,7 @@
     exchange->answer_us = now_us;
     exchange->is_unframed = decoded.is_unframed;
     exchange->is_json = decoded.is_json;
+    exchange->upstream_state->states_speed |= decoded.has_speed;
     if (decoded.has_load) {
         pps_pool_record_load(exchange->worker, decoded.running,
                              decoded.waiting, decoded.slots, now_us);
--- a/tests/entry/test_worker_wire.c
+++ b/tests/entry/test_worker_wire.c
@@ -263,6 +263,17 @@
     {"a unit", "5,2,16,100%", {0}, 1},
 };
 
+static size_t
+count_commas(const char *text)
+{
+    size_t count = 0;
+
+    for (; *text != '\0'; text++) {
+        count += *text == ',';
+    }
+    return count;
+}
+
 Test(worker_wire, load)
 {
     for (size_t i = 0; i < sizeof(loads) / sizeof(*loads); i++) {
@@ -283,6 +294,9 @@
         cr_expect_eq(decoded.slots, item->figures[2], "%s", item->what);
         cr_expect_eq(decoded.speed_percent, item->figures[3], "%s",
                      item->what);
+        cr_expect_eq(decoded.has_speed,
+                     decoded.has_load && count_commas(item->value) == 3, "%s",
+                     item->what);
         pps_headers_clear(&reply.headers);
     }
 }
