Scale the cascade's load by a request's work itself

Cause: the root of the work kept too little of the difference between long and short prompts. Change: the factor is the work over the mean, between 0.35 and 2.2.

--- a/src/libpapayaswitch/exchange/model_cost.c
+++ b/src/libpapayaswitch/exchange/model_cost.c
@@ -1,8 +1,6 @@
 /** @file model_cost.c @brief Mean work of requests, and a request's share. */
 #include "model_cost.h"
 
-#include <math.h>
-
 /** Work of generating an answer, in prompt tokens: steps are shared by the
  * requests of a batch, so that an answer of some hundred tokens takes about as
  * much of a worker as reading these. */
@@ -10,8 +8,8 @@
 #define SMOOTHING_WEIGHT 0.02
 /** Limits of the factor, so that no kind of request always or never gets the
  * larger model. */
-#define FACTOR_MIN 0.5
-#define FACTOR_MAX 1.6
+#define FACTOR_MIN 0.35
+#define FACTOR_MAX 2.2
 
 static double
 work_of(int64_t prompt_tokens)
@@ -31,7 +29,6 @@
     cost->mean_tokens += (work - cost->mean_tokens) * SMOOTHING_WEIGHT;
 }
 
-/* The root keeps the factor of a prompt of twice the mean below the limit. */
 double
 pps_model_cost_factor(const pps_model_cost_t *cost, int64_t prompt_tokens)
 {
@@ -40,7 +37,7 @@
     if (cost->mean_tokens <= 0) {
         return 1;
     }
-    factor = sqrt(work_of(prompt_tokens) / cost->mean_tokens);
+    factor = work_of(prompt_tokens) / cost->mean_tokens;
     if (factor < FACTOR_MIN) {
         return FACTOR_MIN;
     }
