Hedging: a copy of a slow request at a second worker, within a share

Change: hedge/ learns the usual wait by kind, size class and model (stochastic estimate of a quantile), limits copies to a share of a host's own requests, longest excess first, and allows none above load 0.75. exchange_hedge and exchange_copy send the copy on a connection of its own; it takes the place of the attempt when its first event or whole answer has arrived. Setting [hedging] share, 0 by default.

--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -12,6 +12,9 @@
 #include "deployment/deployment.h"
 #include "deployment/region_map.h"
 #include "evacuated_domains.h"
+#include "hedge/hedge_delay.h"
+#include "hedge/hedge_limit.h"
+#include "hedge/hedge_load.h"
 #include "lateness.h"
 #include "poison/poison_table.h"
 #include "pool/cold_hosts.h"
@@ -47,6 +50,7 @@
     double cold_over; /**< see pps_cold_rule_t; 0: workers are never cold */
     double cold_slack;
     unsigned int confidence_min; /**< threshold on idle workers, 0 to 100 */
+    double hedge_share; /**< copies per request of a caller; 0: none */
     pps_rollout_bounds_t rollout;
 } pps_dispatch_options_t;
 
@@ -132,6 +136,11 @@
     pps_lateness_t lateness;
     double answer_us;                /**< smoothed time to a full answer */
     pps_prefill_rate_t prefill_rate; /**< of its workers */
+    pps_hedge_limit_t hedge_limit;
+    pps_hedge_load_t hedge_load;
+    /** By kind and size of request and model of its route. */
+    pps_hedge_delay_t hedge_delays[PPS_ROLLOUT_KINDS][PPS_HEDGE_SIZES]
+                                  [PPS_DISPATCH_MODELS];
 } pps_upstream_state_t;
 
 /** Request routing state of one host. */
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "crash_line.h"
 #include "decision_log.h"
+#include "exchange_hedge.h"
 #include "exchange_refusal.h"
 #include "exchange_unplaced.h"
 #include "poison/poison_key.h"
@@ -72,6 +73,7 @@
     pps_exchange_discard_body(exchange);
     pps_timers_cancel(&exchange->deadline_timer);
     pps_timers_cancel(&exchange->silence_timer);
+    pps_exchange_hedge_free(exchange);
     cds_list_del(&exchange->node);
     cds_list_del(&exchange->probe_node);
     exchange->dispatcher->exchange_count--;
@@ -213,6 +215,9 @@
     }
     pps_repeat_limit_count_request(&exchange->upstream_state->repeats,
                                    dispatcher->reactor->now_us);
+    if (dispatcher->options.hedge_share > 0) {
+        pps_exchange_hedge_count_request(exchange);
+    }
     pps_decision_log_admitted(exchange);
     if (!pps_exchange_refuse_homeless(exchange)) {
         pps_exchange_send(exchange);
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -17,6 +17,9 @@
 
 #define PPS_EXCHANGE_CONNECT_TIMEOUT_US 200000
 
+/** Largest sum of the answers that are buffered. */
+#define PPS_EXCHANGE_BUFFERED_BYTES_MAX (32U << 20)
+
 typedef enum {
     PPS_ATTEMPT_NONE,
     PPS_ATTEMPT_SENT,      /**< waiting for the head of the reply */
@@ -31,6 +34,9 @@
     PPS_EVIDENCE_BAD,
 } pps_evidence_state_t;
 
+/** A second attempt under way; see exchange_hedge.h. */
+typedef struct pps_exchange_hedge pps_exchange_hedge_t;
+
 /** An active request. */
 typedef struct pps_exchange {
     struct cds_list_head node;
@@ -63,6 +69,8 @@
     int64_t last_event; /**< id of the last event that the caller has */
     int has_last_event;
 
+    pps_exchange_hedge_t *hedge; /**< NULL: it is never hedged */
+
     /* These fields cover the current attempt. */
     pps_attempt_state_t attempt;
     pps_http_channel_t *channel;  /**< to the worker, or NULL */
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -1,5 +1,5 @@
 /** @file exchange_attempt.c @brief Sends a request to a worker and retries. */
-#include "exchange.h"
+#include "exchange_attempt.h"
 
 #include "clock.h"
 #include "crash_line.h"
@@ -7,6 +7,7 @@
 #include "decision_log.h"
 #include "exchange_evidence.h"
 #include "exchange_failure.h"
+#include "exchange_hedge.h"
 #include "exchange_link.h"
 #include "exchange_poison.h"
 #include "exchange_reply.h"
@@ -49,6 +50,7 @@
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
 
     pps_timers_cancel(&exchange->silence_timer);
+    pps_exchange_hedge_note_dropped(exchange);
     pps_exchange_close_link(exchange);
     if (exchange->worker != NULL) {
         exchange->worker->borrowed -= exchange->is_borrowed != 0;
@@ -70,8 +72,8 @@
            pps_exchange_time_left_us(exchange) > TIME_LEFT_MIN_US;
 }
 
-static int
-take_repeat(pps_exchange_t *exchange, double share)
+int
+pps_exchange_take_repeat(pps_exchange_t *exchange, double share)
 {
     const pps_repeat_bounds_t bounds =
         pps_dispatcher_repeat_bounds(exchange->dispatcher);
@@ -112,9 +114,14 @@
 pps_exchange_retry(pps_exchange_t *exchange, const char *reason,
                    int may_have_run)
 {
-    int is_allowed = pps_exchange_has_attempts_left(exchange) &&
-                     (!may_have_run || pps_exchange_is_repeatable(exchange)) &&
-                     take_repeat(exchange, FAILURE_REPEAT_SHARE) == 0;
+    int is_allowed;
+
+    if (pps_exchange_hedge_take_over(exchange)) {
+        return;
+    }
+    is_allowed = pps_exchange_has_attempts_left(exchange) &&
+                 (!may_have_run || pps_exchange_is_repeatable(exchange)) &&
+                 pps_exchange_take_repeat(exchange, FAILURE_REPEAT_SHARE) == 0;
 
     retry_or_give_up(exchange, is_allowed, reason, may_have_run);
 }
@@ -122,6 +129,9 @@
 void
 pps_exchange_retry_unsent(pps_exchange_t *exchange, const char *reason)
 {
+    if (pps_exchange_hedge_take_over(exchange)) {
+        return;
+    }
     retry_or_give_up(exchange, pps_exchange_has_attempts_left(exchange),
                      reason, 0);
 }
@@ -132,8 +142,13 @@
     pps_exchange_t *exchange = user;
 
     pps_crash_line_set_request(exchange->call.id);
+    if (pps_exchange_hedge_is_under_way(exchange)) {
+        pps_exchange_blame_worker(exchange);
+        pps_exchange_hedge_take_over(exchange);
+        return;
+    }
     if (!pps_exchange_has_attempts_left(exchange) ||
-        take_repeat(exchange, SILENCE_REPEAT_SHARE) != 0) {
+        pps_exchange_take_repeat(exchange, SILENCE_REPEAT_SHARE) != 0) {
         pps_decision_log_no_repeat(exchange);
         return;
     }
@@ -216,8 +231,8 @@
     pps_exchange_on_reply_end(exchange);
 }
 
-static const pps_channel_ops_t channel_ops = {on_head, on_body, on_end,
-                                              on_failure};
+const pps_channel_ops_t pps_exchange_channel_ops = {on_head, on_body, on_end,
+                                                    on_failure};
 
 /* Returns the level of urgency. Shorter prompts are more urgent because they
  * delay later prompts less. The workspace's priority raises or lowers the
@@ -240,8 +255,10 @@
     return priority < PRIORITY_LAST ? priority : PRIORITY_LAST;
 }
 
-static int
-write_request(pps_exchange_t *exchange, const pps_pool_worker_t *worker)
+int
+pps_exchange_write_request(pps_exchange_t *exchange,
+                           const pps_pool_worker_t *worker,
+                           const pps_channel_ops_t *ops)
 {
     const pps_route_t *route = exchange->route;
     pps_buf_t text = PPS_BUF_INIT;
@@ -262,7 +279,7 @@
         &text, exchange->request, &exchange->call, &worker_request);
 
     if (error == 0) {
-        error = pps_exchange_open_link(exchange, &text, &channel_ops);
+        error = pps_exchange_open_link(exchange, &text, ops);
     }
     pps_buf_clear(&text);
     return error;
@@ -287,8 +304,8 @@
     }
 }
 
-static void
-queue_prompt(pps_exchange_t *exchange, pps_pool_worker_t *worker)
+void
+pps_exchange_queue_prompt(pps_exchange_t *exchange, pps_pool_worker_t *worker)
 {
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
     const pps_prefill_rate_t *rate = &exchange->upstream_state->prefill_rate;
@@ -298,12 +315,19 @@
     exchange->backlog =
         pps_prefill_queue_tokens(&worker->prefill, rate, now_us);
     pps_prefill_queue_add(&worker->prefill, rate, exchange->work, now_us);
+    notify_hosts(exchange, worker);
+}
+
+void
+pps_exchange_record_prefix(pps_exchange_t *exchange)
+{
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+
     if (exchange->call.shared_tokens > 0) {
-        pps_prefix_affinity_record(&dispatcher->prefixes,
-                                   pps_exchange_prefix_digest(exchange),
-                                   worker->digest, now_us);
+        pps_prefix_affinity_record(
+            &dispatcher->prefixes, pps_exchange_prefix_digest(exchange),
+            exchange->worker->digest, dispatcher->reactor->now_us);
     }
-    notify_hosts(exchange, worker);
 }
 
 /* Returns whether the request has to be refused, since no worker is reached.
@@ -328,7 +352,8 @@
     pps_dispatcher_t *dispatcher = exchange->dispatcher;
     pps_pool_worker_t *worker;
 
-    if (pps_exchange_refuse_poison(exchange)) {
+    if (pps_exchange_hedge_take_over(exchange) ||
+        pps_exchange_refuse_poison(exchange)) {
         return;
     }
     if (exchange->runs == 0 && is_out_of_reach(exchange)) {
@@ -355,14 +380,19 @@
     pps_exchange_choose_neighbour(exchange);
     pps_exchange_begin_call(exchange);
     pps_exchange_evidence_begin(exchange);
-    queue_prompt(exchange, worker);
+    pps_exchange_queue_prompt(exchange, worker);
+    pps_exchange_record_prefix(exchange);
     exchange->runs++;
     pps_decision_log_sent(exchange);
-    if (write_request(exchange, worker) != 0) {
+    if (pps_exchange_write_request(exchange, worker,
+                                   &pps_exchange_channel_ops) != 0) {
         pps_exchange_on_attempt_failed(exchange, exchange->neighbour != NULL
                                                      ? PPS_CHANNEL_NO_RELAY
                                                      : PPS_CHANNEL_UNSENT);
         return;
     }
     pps_exchange_restart_silence_timer(exchange);
+    if (dispatcher->options.hedge_share > 0) {
+        pps_exchange_hedge_watch(exchange);
+    }
 }
--- a/src/libpapayaswitch/exchange/exchange_failure.c
+++ b/src/libpapayaswitch/exchange/exchange_failure.c
@@ -5,6 +5,7 @@
 #include "cold_gate.h"
 #include "crash_watch.h"
 #include "decision_log.h"
+#include "exchange_hedge.h"
 #include "path_watch.h"
 
 /** Neighbours that are asked to pass on one request. */
@@ -144,7 +145,10 @@
         is_waiting = pps_crash_watch_note_break(exchange);
     }
     pps_exchange_blame_worker(exchange);
-    if (!is_waiting) {
+    if (is_waiting) {
+        pps_exchange_hedge_cancel(exchange);
+    }
+    else {
         pps_exchange_retry(exchange, failure_reason(failure), 1);
     }
 }
--- a/src/libpapayaswitch/exchange/exchange_poison.c
+++ b/src/libpapayaswitch/exchange/exchange_poison.c
@@ -48,6 +48,12 @@
                                        dispatcher->reactor->now_us);
 }
 
+int
+pps_exchange_is_blocked(const pps_exchange_t *exchange)
+{
+    return find_block(exchange).key != 0;
+}
+
 int
 pps_exchange_refuse_poison(pps_exchange_t *exchange)
 {
--- a/src/libpapayaswitch/exchange/exchange_poison.h
+++ b/src/libpapayaswitch/exchange/exchange_poison.h
@@ -16,6 +16,10 @@
 size_t
 pps_exchange_poison_keys(const pps_exchange_t *exchange, uint64_t *out);
 
+/** Returns whether a key of the request blocks it, even if doubtful. */
+int
+pps_exchange_is_blocked(const pps_exchange_t *exchange);
+
 /** Ends the request if it is known to end workers. @return whether it did */
 int
 pps_exchange_refuse_poison(pps_exchange_t *exchange);
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -8,6 +8,7 @@
 #include "decision_log.h"
 #include "exchange_evidence.h"
 #include "exchange_failure.h"
+#include "exchange_hedge.h"
 #include "exchange_notes.h"
 #include "exchange_poison.h"
 #include "exchange_worker.h"
@@ -21,7 +22,7 @@
 
 /** Largest answer body that is buffered, and the sum of all that are. */
 #define BODY_BYTES_MAX (8U << 20)
-#define BUFFERED_BYTES_MAX (32U << 20)
+#define BUFFERED_BYTES_MAX PPS_EXCHANGE_BUFFERED_BYTES_MAX
 /** Share of the repeat limit that answers of low confidence may use. */
 #define CONFIDENCE_REPEAT_SHARE 0.92
 #define FIRST_BYTE_SMOOTHING_WEIGHT 0.05
@@ -96,6 +97,7 @@
         return 0;
     }
     pps_decision_log_larger_model(exchange, reply->confidence, choice.load);
+    pps_exchange_hedge_cancel(exchange);
     pps_exchange_drop_attempt(exchange, PPS_WORKER_SERVED);
     exchange->model = next;
     pps_exchange_send(exchange);
@@ -119,6 +121,9 @@
     exchange->attempt = exchange->route->kind == PPS_CALL_STREAM
                             ? PPS_ATTEMPT_STREAMING
                             : PPS_ATTEMPT_BUFFERING;
+    if (exchange->attempt == PPS_ATTEMPT_BUFFERING) {
+        pps_exchange_hedge_note_first_byte(exchange);
+    }
     pps_exchange_restart_silence_timer(exchange);
 }
 
@@ -142,7 +147,8 @@
         pps_exchange_evidence_count_failure(exchange);
     }
     if ((error && pps_exchange_is_repeatable(exchange) &&
-         exchange->runs < exchange->route->attempts_max) ||
+         (exchange->runs < exchange->route->attempts_max ||
+          pps_exchange_hedge_is_under_way(exchange))) ||
         exchange->begun || untrusted) {
         pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
         pps_exchange_retry(exchange, "worker_error", 1);
@@ -244,6 +250,10 @@
     if (id >= 0 && exchange->has_last_event && id <= exchange->last_event) {
         return;
     }
+    if (!exchange->begun) {
+        pps_exchange_hedge_note_first_byte(exchange);
+        pps_exchange_hedge_cancel(exchange);
+    }
     begin_answer(exchange);
     pps_http_conn_chunk(exchange->conn, text, size);
     if (id >= 0) {
--- a/tests/entry/test_host_settings.c
+++ b/tests/entry/test_host_settings.c
@@ -25,6 +25,8 @@
     {REQUIRED "[listen]\nmetrics=10.0.0.1:9464\n", 0, ""},
     {REQUIRED "[listen]\nmetrics=\n", 0, ""},
     {REQUIRED "[cold]\nover=1.5\nmore=5\n", 0, ""},
+    {REQUIRED "[hedging]\nshare=2.5\n", 0, ""},
+    {REQUIRED "[hedging]\nshare=101\n", PPS_EINVALID, "101"},
     {REQUIRED "[cold]\nover=\n", PPS_EINVALID, "invalid value ''"},
     {"", PPS_EINVALID, "host.id is missing"},
     {REQUIRED "[cascade]\nconfidence_min=101\n", PPS_EINVALID,
