--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -16,6 +16,7 @@
 #include "hedge/hedge_limit.h"
 #include "hedge/hedge_load.h"
 #include "lateness.h"
+#include "model_cost.h"
 #include "poison/poison_table.h"
 #include "pool/cold_hosts.h"
 #include "pool/path_state.h"
@@ -52,6 +53,8 @@
     unsigned int confidence_min; /**< threshold on idle workers, 0 to 100 */
     double hedge_share; /**< copies per request of a caller; 0: none */
     pps_rollout_bounds_t rollout;
+    int has_pressure; /**< the deployment has the contract `pressure`: hosts
+                           share what they know of the workers' load */
 } pps_dispatch_options_t;
 
 /** Notice to the other hosts that a long prompt was sent to a worker. */
@@ -132,6 +135,8 @@
     /** Digests of the targets of earlier roll-outs, as a ring; 0: none. */
     uint64_t superseded[PPS_DISPATCH_SUPERSEDED_MAX];
     unsigned int superseded_next;
+    int states_speed; /**< its workers state how fast their machines are now */
+    pps_model_cost_t cascade_cost;
     double first_byte_us; /**< smoothed time to first byte */
     pps_lateness_t lateness;
     double answer_us;                /**< smoothed time to a full answer */
--- a/src/libpapayaswitch/exchange/exchange_copy.c
+++ b/src/libpapayaswitch/exchange/exchange_copy.c
@@ -11,7 +11,6 @@
 #include "hedge_log.h"
 #include "papayaswitch/errors.h"
 #include "path_watch.h"
-#include "worker_permit.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -164,18 +163,12 @@
         pps_dispatcher_note_leaving(dispatcher, exchange->worker,
                                     exchange->worker_start_ms);
     }
-    if (decoded->has_load) {
+    if (decoded->has_load && !decoded->other_worker) {
         pps_pool_record_load(exchange->worker, decoded->running,
                              decoded->waiting, decoded->slots,
                              dispatcher->reactor->now_us);
     }
-    if (!decoded->other_worker) {
-        pps_exchange_note_limit(exchange, decoded);
-        pps_exchange_note_brittle(exchange, decoded);
-        pps_cold_gate_note_reply(dispatcher, exchange->worker, decoded,
-                                 exchange->sent_us);
-    }
-    pps_dispatcher_note_pause(dispatcher, exchange->worker, decoded);
+    pps_exchange_note_gates(exchange, decoded);
 }
 
 static void
--- a/src/libpapayaswitch/exchange/exchange_notes.h
+++ b/src/libpapayaswitch/exchange/exchange_notes.h
@@ -25,4 +25,10 @@
 pps_exchange_note_limit(pps_exchange_t *exchange,
                         const pps_worker_reply_t *reply);
 
+/** Notes what the reply to the attempt says about its worker's limit, permits,
+ * coldness and pause. */
+void
+pps_exchange_note_gates(pps_exchange_t *exchange,
+                        const pps_worker_reply_t *reply);
+
 #endif
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -3,7 +3,6 @@
 
 #include "answer_end.h"
 #include "clock.h"
-#include "cold_gate.h"
 #include "crash_watch.h"
 #include "decision_log.h"
 #include "exchange_evidence.h"
@@ -16,7 +15,6 @@
 #include "model_choice.h"
 #include "papayaswitch/errors.h"
 #include "path_watch.h"
-#include "worker_permit.h"
 
 #include <string.h>
 
@@ -64,6 +62,26 @@
         exchange, reply->other_worker ? "other_worker" : "worker_full", 0);
 }
 
+/* Returns the load at which the larger model is to be asked for this request.
+ * Where capacity changes, it depends on the work that the request is. */
+static double
+cascade_load(pps_exchange_t *exchange)
+{
+    pps_upstream_state_t *state = exchange->upstream_state;
+    int64_t prompt_tokens = exchange->call.prompt_tokens;
+    double load = pps_exchange_estimate_load(exchange);
+
+    if (exchange->route->model_count == 0 ||
+        (!exchange->dispatcher->options.has_pressure &&
+         !state->states_speed)) {
+        return load;
+    }
+    if (exchange->model == 0) {
+        pps_model_cost_add(&state->cascade_cost, prompt_tokens);
+    }
+    return load * pps_model_cost_factor(&state->cascade_cost, prompt_tokens);
+}
+
 /* Asks a larger model if the confidence is too low. Returns whether the answer
  * was dropped for that. */
 static int
@@ -80,7 +98,7 @@
         .confidence = reply->confidence,
         .attempts_left = route->attempts_max - exchange->runs,
         .confidence_min = exchange->dispatcher->options.confidence_min,
-        .load = pps_exchange_estimate_load(exchange),
+        .load = cascade_load(exchange),
         .repeats_used = pps_repeat_limit_used(repeats, &bounds, now_us),
     };
     size_t next;
@@ -193,19 +211,13 @@
     exchange->answer_us = now_us;
     exchange->is_unframed = decoded.is_unframed;
     exchange->is_json = decoded.is_json;
+    exchange->upstream_state->states_speed |= decoded.has_speed;
     if (decoded.has_load) {
         pps_pool_record_load(exchange->worker, decoded.running,
                              decoded.waiting, decoded.slots, now_us);
     }
     pps_exchange_evidence_note_load(exchange, &decoded);
-    if (!decoded.other_worker) {
-        pps_exchange_note_limit(exchange, &decoded);
-        pps_exchange_note_brittle(exchange, &decoded);
-        pps_cold_gate_note_reply(exchange->dispatcher, exchange->worker,
-                                 &decoded, exchange->sent_us);
-    }
-    pps_dispatcher_note_pause(exchange->dispatcher, exchange->worker,
-                              &decoded);
+    pps_exchange_note_gates(exchange, &decoded);
     pps_decision_log_answer_began(exchange, reply->status, decoded.confidence);
     pps_timers_cancel(&exchange->silence_timer);
     if (decoded.not_run) {
@@ -232,6 +244,8 @@
 begin_answer(pps_exchange_t *exchange)
 {
     if (!exchange->begun) {
+        pps_exchange_hedge_note_first_byte(exchange);
+        pps_exchange_hedge_cancel(exchange);
         exchange->begun = 1;
         pps_histogram_observe(PPS_HISTOGRAM_ENTRY_FIRST_BYTE,
                               since_request_us(exchange));
@@ -250,10 +264,6 @@
     if (id >= 0 && exchange->has_last_event && id <= exchange->last_event) {
         return;
     }
-    if (!exchange->begun) {
-        pps_exchange_hedge_note_first_byte(exchange);
-        pps_exchange_hedge_cancel(exchange);
-    }
     begin_answer(exchange);
     pps_http_conn_chunk(exchange->conn, text, size);
     if (id >= 0) {
--- a/src/libpapayaswitch/transport/http_requester.c
+++ b/src/libpapayaswitch/transport/http_requester.c
@@ -26,6 +26,12 @@
     void *user;
     pps_http_requester_head_fn on_head;
     void *head_user;
+    const char *fields; /* of all calls */
+    size_t body_max;
+    int64_t started_us;
+    int64_t limit_us; /* of the call in progress */
+    int64_t step_us;  /* 0: a call's limit is fixed */
+    int64_t max_us;
 };
 
 int
@@ -38,6 +44,8 @@
         return PPS_ENOMEM;
     }
     requester->reactor = reactor;
+    requester->fields = "";
+    requester->body_max = SIZE_MAX;
     snprintf(requester->address, sizeof(requester->address), "%s", address);
     *out = requester;
     return PPS_OK;
@@ -64,6 +72,27 @@
     requester->head_user = user;
 }
 
+void
+pps_http_requester_set_fields(pps_http_requester_t *requester,
+                              const char *fields)
+{
+    requester->fields = fields;
+}
+
+void
+pps_http_requester_set_body_max(pps_http_requester_t *requester, size_t size)
+{
+    requester->body_max = size;
+}
+
+void
+pps_http_requester_set_progress(pps_http_requester_t *requester,
+                                int64_t step_us, int64_t max_us)
+{
+    requester->step_us = step_us;
+    requester->max_us = max_us;
+}
+
 int
 pps_http_requester_is_busy(const pps_http_requester_t *requester)
 {
@@ -105,12 +134,47 @@
     return 0;
 }
 
+static void
+on_timeout(int64_t now_us, void *user)
+{
+    pps_http_requester_t *requester = user;
+
+    if (requester->channel != NULL) {
+        pps_http_channel_close(requester->channel);
+    }
+    finish_call(requester, PPS_EUNAVAILABLE);
+}
+
+/* Moves the limit of the call, never to an earlier time. */
+static void
+extend_limit(pps_http_requester_t *requester)
+{
+    int64_t now_us = requester->reactor->now_us;
+    int64_t last_us = requester->started_us + requester->max_us;
+    int64_t limit_us = now_us + requester->step_us;
+
+    if (limit_us > last_us) {
+        limit_us = last_us;
+    }
+    if (requester->step_us > 0 && limit_us > requester->limit_us) {
+        requester->limit_us = limit_us;
+        pps_reactor_after(requester->reactor, &requester->timer,
+                          limit_us - now_us, on_timeout, requester);
+    }
+}
+
 static void
 on_body(void *user, const char *data, size_t size)
 {
     pps_http_requester_t *requester = user;
 
+    if (size > requester->body_max - requester->body.size) {
+        pps_http_channel_close(requester->channel);
+        finish_call(requester, PPS_ELIMIT);
+        return;
+    }
     pps_buf_append(&requester->body, data, size);
+    extend_limit(requester);
 }
 
 static void
@@ -128,17 +192,6 @@
 static const pps_channel_ops_t channel_ops = {on_head, on_body, on_end,
                                               on_fail};
 
-static void
-on_timeout(int64_t now_us, void *user)
-{
-    pps_http_requester_t *requester = user;
-
-    if (requester->channel != NULL) {
-        pps_http_channel_close(requester->channel);
-    }
-    finish_call(requester, PPS_EUNAVAILABLE);
-}
-
 static int
 can_be_reused(const pps_http_requester_t *requester)
 {
@@ -175,8 +228,9 @@
     pps_buf_t text = PPS_BUF_INIT;
     int error;
 
-    pps_buf_printf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-                   body != NULL ? "POST" : "GET", path, requester->address);
+    pps_buf_printf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s",
+                   body != NULL ? "POST" : "GET", path, requester->address,
+                   requester->fields);
     if (body != NULL) {
         pps_buf_printf(&text, "Content-Length: %zu\r\n", body->size);
     }
@@ -204,6 +258,8 @@
     requester->done = done;
     requester->user = user;
     requester->body.size = 0;
+    requester->started_us = requester->reactor->now_us;
+    requester->limit_us = requester->started_us + timeout_us;
     error = ensure_channel(requester);
     if (error == 0) {
         error = send_call(requester, path, body);
--- a/src/libpapayaswitch/transport/http_requester.h
+++ b/src/libpapayaswitch/transport/http_requester.h
@@ -12,8 +12,9 @@
 
 /**
  * Reports the end of a call; may start the next one.
- * @param error 0, or PPS_EUNAVAILABLE if no complete response arrived; the
- *        server may have executed the call
+ * @param error 0; PPS_EUNAVAILABLE if no complete response arrived, or
+ *        PPS_ELIMIT if its body is too large: the server may have executed the
+ *        call
  * @param status 0 if no head arrived
  * @param body valid during the callback; may be incomplete after an error
  */
@@ -41,13 +42,32 @@
 pps_http_requester_set_head_fn(pps_http_requester_t *requester,
                                pps_http_requester_head_fn on_head, void *user);
 
+/** Sets header lines of all calls, each ending in CR LF; `fields` must outlive
+ * the requester. */
+void
+pps_http_requester_set_fields(pps_http_requester_t *requester,
+                              const char *fields);
+
+/** Sets the maximum size of a response's body; at first there is none. A call
+ * whose body is larger ends with PPS_ELIMIT. */
+void
+pps_http_requester_set_body_max(pps_http_requester_t *requester, size_t size);
+
+/** Lets calls last longer than their limit while the response arrives: each
+ * piece of its body moves the limit to `step_us` from then, up to `max_us`
+ * after the call began. At first a call's limit is fixed. */
+void
+pps_http_requester_set_progress(pps_http_requester_t *requester,
+                                int64_t step_us, int64_t max_us);
+
 /** Checks whether a call is in progress. */
 int
 pps_http_requester_is_busy(const pps_http_requester_t *requester);
 
 /** Starts a call; the requester must not be busy. `done` is called once, never
  * from within this function. @param path path and query @param body sent by
- * POST; NULL sends a GET @param timeout_us limit of the whole call */
+ * POST; NULL sends a GET @param timeout_us limit of the whole
+ * call; see pps_http_requester_set_progress() */
 void
 pps_http_requester_call(pps_http_requester_t *requester, const char *path,
                         const pps_buf_t *body, int64_t timeout_us,
