--- a/src/libpapayaswitch/exchange/exchange_notes.c
+++ b/src/libpapayaswitch/exchange/exchange_notes.c
@@ -1,7 +1,9 @@
 /** @file exchange_notes.c @brief Tells the pool and the other hosts. */
 #include "exchange_notes.h"
 
+#include "cold_gate.h"
 #include "decision_log.h"
+#include "worker_permit.h"
 #include "worker_share.h"
 
 void
@@ -72,3 +74,18 @@
                              exchange->sent_us);
     }
 }
+
+void
+pps_exchange_note_gates(pps_exchange_t *exchange,
+                        const pps_worker_reply_t *reply)
+{
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
+
+    if (!reply->other_worker) {
+        pps_exchange_note_limit(exchange, reply);
+        pps_exchange_note_brittle(exchange, reply);
+        pps_cold_gate_note_reply(dispatcher, exchange->worker, reply,
+                                 exchange->sent_us);
+    }
+    pps_dispatcher_note_pause(dispatcher, exchange->worker, reply);
+}
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -3,11 +3,11 @@
 
 #include "answer_end.h"
 #include "clock.h"
-#include "cold_gate.h"
 #include "crash_watch.h"
 #include "decision_log.h"
 #include "exchange_evidence.h"
 #include "exchange_failure.h"
+#include "exchange_hedge.h"
 #include "exchange_notes.h"
 #include "exchange_poison.h"
 #include "exchange_worker.h"
@@ -15,13 +15,12 @@
 #include "model_choice.h"
 #include "papayaswitch/errors.h"
 #include "path_watch.h"
-#include "worker_permit.h"
 
 #include <string.h>
 
 /** Largest answer body that is buffered, and the sum of all that are. */
 #define BODY_BYTES_MAX (8U << 20)
-#define BUFFERED_BYTES_MAX (32U << 20)
+#define BUFFERED_BYTES_MAX PPS_EXCHANGE_BUFFERED_BYTES_MAX
 /** Share of the repeat limit that answers of low confidence may use. */
 #define CONFIDENCE_REPEAT_SHARE 0.92
 #define FIRST_BYTE_SMOOTHING_WEIGHT 0.05
@@ -116,6 +115,7 @@
         return 0;
     }
     pps_decision_log_larger_model(exchange, reply->confidence, choice.load);
+    pps_exchange_hedge_cancel(exchange);
     pps_exchange_drop_attempt(exchange, PPS_WORKER_SERVED);
     exchange->model = next;
     pps_exchange_send(exchange);
@@ -139,6 +139,9 @@
     exchange->attempt = exchange->route->kind == PPS_CALL_STREAM
                             ? PPS_ATTEMPT_STREAMING
                             : PPS_ATTEMPT_BUFFERING;
+    if (exchange->attempt == PPS_ATTEMPT_BUFFERING) {
+        pps_exchange_hedge_note_first_byte(exchange);
+    }
     pps_exchange_restart_silence_timer(exchange);
 }
 
@@ -162,7 +165,8 @@
         pps_exchange_evidence_count_failure(exchange);
     }
     if ((error && pps_exchange_is_repeatable(exchange) &&
-         exchange->runs < exchange->route->attempts_max) ||
+         (exchange->runs < exchange->route->attempts_max ||
+          pps_exchange_hedge_is_under_way(exchange))) ||
         exchange->begun || untrusted) {
         pps_exchange_drop_attempt(exchange, PPS_WORKER_FAILED);
         pps_exchange_retry(exchange, "worker_error", 1);
@@ -213,14 +217,7 @@
                              decoded.waiting, decoded.slots, now_us);
     }
     pps_exchange_evidence_note_load(exchange, &decoded);
-    if (!decoded.other_worker) {
-        pps_exchange_note_limit(exchange, &decoded);
-        pps_exchange_note_brittle(exchange, &decoded);
-        pps_cold_gate_note_reply(exchange->dispatcher, exchange->worker,
-                                 &decoded, exchange->sent_us);
-    }
-    pps_dispatcher_note_pause(exchange->dispatcher, exchange->worker,
-                              &decoded);
+    pps_exchange_note_gates(exchange, &decoded);
     pps_decision_log_answer_began(exchange, reply->status, decoded.confidence);
     pps_timers_cancel(&exchange->silence_timer);
     if (decoded.not_run) {
@@ -247,6 +244,8 @@
 begin_answer(pps_exchange_t *exchange)
 {
     if (!exchange->begun) {
+        pps_exchange_hedge_note_first_byte(exchange);
+        pps_exchange_hedge_cancel(exchange);
         exchange->begun = 1;
         pps_histogram_observe(PPS_HISTOGRAM_ENTRY_FIRST_BYTE,
                               since_request_us(exchange));
