Tests: give each worker more chances to get a request

Cause: entry_test_evacuation failed in 4 of 60 runs: each of three workers that are chosen at random has to get one of 12 requests, which fails by chance in 2 to 7 of 100 runs. Change: 40 requests, of which a worker gets none in 1 of 10 million runs. What is expected of each worker stays the same.

--- a/tests/entry/test_evacuation.c
+++ b/tests/entry/test_evacuation.c
@@ -10,7 +10,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define REQUESTS 12
+#define REQUESTS 40
 #define ORDER "evacuate/x"
 #define WAIT_MS 3500
 
