--- a/src/libpapayaswitch/exchange/model_cost.c
+++ b/src/libpapayaswitch/exchange/model_cost.c
@@ -9,7 +9,7 @@
 /** Limits of the factor, so that no kind of request always or never gets the
  * larger model. */
 #define FACTOR_MIN 0.35
-#define FACTOR_MAX 2.2
+#define FACTOR_MAX 1.6
 
 static double
 work_of(int64_t prompt_tokens)
