--- a/src/libpapayaswitch/deployment/deployment.h
+++ b/src/libpapayaswitch/deployment/deployment.h
@@ -65,10 +65,10 @@
     char *name;
     pps_model_price_t models[PPS_MODELS_MAX];
     size_t model_count;
-    int64_t cold_start_us; /**< time for which a worker is cold after its
-                                start */
-    double cold_per_s; /**< requests a second that a cold worker takes from all
-                            hosts; 0: workers are never cold */
+    int64_t cold_start_us;  /**< time for which a worker is cold after its
+                                 start */
+    double cold_rate_per_s; /**< requests a second that a cold worker takes
+                            from all hosts; 0: workers are never cold */
 } pps_upstream_t;
 
 /** An account of callers. */
--- a/src/libpapayaswitch/exchange/cold_gate.c
+++ b/src/libpapayaswitch/exchange/cold_gate.c
@@ -31,11 +31,11 @@
 read_rule(pps_cold_rule_t *out, const pps_dispatcher_t *dispatcher,
           const pps_upstream_t *upstream)
 {
-    if (upstream == NULL || upstream->cold_per_s <= 0) {
+    if (upstream == NULL || upstream->cold_rate_per_s <= 0) {
         return 0;
     }
     *out = (pps_cold_rule_t){
-        .per_s = upstream->cold_per_s,
+        .per_s = upstream->cold_rate_per_s,
         .cold_us = upstream->cold_start_us,
         .over = dispatcher->options.cold_over,
         .slack = dispatcher->options.cold_slack,
@@ -197,7 +197,7 @@
     for (size_t i = 0; dispatcher->options.cold_over > 0 &&
                        deployment != NULL && i < deployment->upstream_count;
          i++) {
-        if (deployment->upstreams[i].cold_per_s > 0) {
+        if (deployment->upstreams[i].cold_rate_per_s > 0) {
             return 1;
         }
     }
--- a/src/libpapayaswitch/transport/http_conn.c
+++ b/src/libpapayaswitch/transport/http_conn.c
@@ -36,25 +36,6 @@
     free(conn);
 }
 
-/* Writes the output that has been collected. @return 0 or an error */
-static int
-flush_output(pps_http_conn_t *conn)
-{
-    uv_buf_t piece =
-        uv_buf_init(conn->output.data, (unsigned int)conn->output.size);
-    int error = PPS_OK;
-
-    pps_reactor_cancel_deferred(&conn->flush);
-    if (conn->output.failed) {
-        error = PPS_ENOMEM;
-    }
-    else if (conn->output.size > 0) {
-        error = pps_tcp_write(&conn->tcp, &piece, 1);
-    }
-    pps_buf_clear(&conn->output);
-    return error;
-}
-
 void
 pps_http_conn_close(pps_http_conn_t *conn)
 {
@@ -64,7 +45,7 @@
     conn->state = CONN_CLOSED;
     conn->exchange = NULL;
     pps_timers_cancel(&conn->timer);
-    flush_output(conn);
+    pps_http_conn_flush(conn);
     cds_list_del(&conn->node);
     conn->server->conn_count--;
     uv_close((uv_handle_t *)&conn->tcp, on_closed);
@@ -88,24 +69,11 @@
 {
     pps_http_conn_t *conn = user;
 
-    if (flush_output(conn) != 0) {
+    if (pps_http_conn_flush(conn) != 0) {
         disconnect(conn);
     }
 }
 
-/* Collects output until the loop waits for events again. The head of a
- * response, the events that arrived together and the end are then one write:
- * each packet can be lost, which delays the response by a retransmission. */
-static void
-collect_output(pps_http_conn_t *conn, const uv_buf_t *pieces,
-               unsigned int count)
-{
-    for (unsigned int i = 0; i < count; i++) {
-        pps_buf_append(&conn->output, pieces[i].base, pieces[i].len);
-    }
-    pps_reactor_defer(conn->server->reactor, &conn->flush, on_flush, conn);
-}
-
 static void
 on_linger_timer(int64_t now_us, void *user)
 {
@@ -121,7 +89,7 @@
 start_lingering(pps_http_conn_t *conn)
 {
     conn->state = CONN_LINGERING;
-    flush_output(conn);
+    pps_http_conn_flush(conn);
     uv_shutdown(&conn->shutdown, (uv_stream_t *)&conn->tcp, on_shutdown);
     pps_reactor_after(conn->server->reactor, &conn->timer, LINGER_US,
                       on_linger_timer, conn);
@@ -320,7 +288,8 @@
     pieces[1] = uv_buf_init((char *)fields, (unsigned int)strlen(fields));
     pieces[2] = uv_buf_init("\r\n", 2);
     pieces[3] = uv_buf_init((char *)body, (unsigned int)size);
-    if (flush_output(conn) != 0 || pps_tcp_write(&conn->tcp, pieces, 4) != 0) {
+    if (pps_http_conn_flush(conn) != 0 ||
+        pps_tcp_write(&conn->tcp, pieces, 4) != 0) {
         pps_http_conn_close(conn);
         return;
     }
@@ -342,7 +311,7 @@
     pieces[0] = uv_buf_init(head, (unsigned int)length);
     pieces[1] = uv_buf_init((char *)fields, (unsigned int)strlen(fields));
     pieces[2] = uv_buf_init("\r\n", 2);
-    collect_output(conn, pieces, 3);
+    pps_http_conn_collect(conn, pieces, 3, on_flush);
 }
 
 void
@@ -363,7 +332,7 @@
         disconnect_later(conn);
         return;
     }
-    collect_output(conn, pieces, 3);
+    pps_http_conn_collect(conn, pieces, 3, on_flush);
 }
 
 void
@@ -372,7 +341,7 @@
     uv_buf_t piece = uv_buf_init("0\r\n\r\n", 5);
 
     conn->exchange = NULL;
-    collect_output(conn, &piece, 1);
+    pps_http_conn_collect(conn, &piece, 1, on_flush);
     finish_response(conn);
 }
 
--- a/src/libpapayaswitch/transport/http_server_state.h
+++ b/src/libpapayaswitch/transport/http_server_state.h
@@ -57,4 +57,16 @@
 void
 pps_http_conn_close(pps_http_conn_t *conn);
 
+/** Writes the output that has been collected. @return 0 or an error */
+int
+pps_http_conn_flush(pps_http_conn_t *conn);
+
+/** Collects output until the loop waits for events again; then `on_flush` is
+ * called with the connection. The head of a response, the events that arrived
+ * together and the end are one write that way: each packet can be lost, which
+ * delays the response by a retransmission. */
+void
+pps_http_conn_collect(pps_http_conn_t *conn, const uv_buf_t *pieces,
+                      unsigned int count, void (*on_flush)(void *user));
+
 #endif
--- a/tests/entry/test_evacuation.c
+++ b/tests/entry/test_evacuation.c
@@ -248,7 +248,7 @@
     start(&fixture, script, 1);
     fixture.dispatcher.options.cold_over = COLD_OVER;
     fixture.dispatcher.options.cold_slack = COLD_SLACK;
-    fixture.dispatcher.deployment->upstreams[0].cold_per_s = COLD_PER_S;
+    fixture.dispatcher.deployment->upstreams[0].cold_rate_per_s = COLD_PER_S;
     fixture.dispatcher.deployment->upstreams[0].cold_start_us =
         3 * PPS_US_PER_S;
     pps_evacuation_begin(&fixture.dispatcher, "za", ORDER);
--- a/tests/entry/test_exchange_cold.c
+++ b/tests/entry/test_exchange_cold.c
@@ -23,7 +23,7 @@
 {
     pps_upstream_t *upstream = &dispatcher->deployment->upstreams[0];
 
-    upstream->cold_per_s = PER_S;
+    upstream->cold_rate_per_s = PER_S;
     upstream->cold_start_us = COLD_US;
     dispatcher->options.cold_over = OVER;
     dispatcher->options.cold_slack = SLACK;
--- a/tests/entry/test_exchange_hedge_refused.c
+++ b/tests/entry/test_exchange_hedge_refused.c
@@ -16,7 +16,7 @@
     pps_upstream_t *upstream = &dispatcher->deployment->upstreams[0];
     pps_pool_worker_t *worker;
 
-    upstream->cold_per_s = 12;
+    upstream->cold_rate_per_s = 12;
     upstream->cold_start_us = 3 * PPS_US_PER_S;
     dispatcher->options.cold_over = 1.5;
     dispatcher->options.cold_slack = 5;
--- a/tests/entry/test_hedge_pool.c
+++ b/tests/entry/test_hedge_pool.c
@@ -15,7 +15,7 @@
 #define WORKERS 40
 #define SLOTS 8
 #define REQUESTS 40000
-/** Requests that are not measured, while the estimates form. */
+/** Requests at the beginning that do not count, while the estimates form. */
 #define WARM_UP 10000
 #define SERVICE_US 20000.0
 /** One request in 100 takes ten times as long at the worker it is sent to. */
--- a/tests/entry/test_records.c
+++ b/tests/entry/test_records.c
@@ -322,8 +322,8 @@
             pps_record_parse_deployment(&deployment, text, strlen(text)), 0);
         cr_expect_eq(deployment->upstreams[0].cold_start_us, cases[i].cold_us,
                      "%s", cases[i].members);
-        cr_expect_eq(deployment->upstreams[0].cold_per_s, cases[i].per_s, "%s",
-                     cases[i].members);
+        cr_expect_eq(deployment->upstreams[0].cold_rate_per_s, cases[i].per_s,
+                     "%s", cases[i].members);
         pps_deployment_unref(deployment);
     }
 }
