--- a/src/libpapayaswitch/deployment/deployment.h
+++ b/src/libpapayaswitch/deployment/deployment.h
@@ -65,6 +65,8 @@
     char *name;
     pps_model_price_t models[PPS_MODELS_MAX];
     size_t model_count;
+    int64_t memory_tokens;  /**< of prompts that a worker's memory holds; 0:
+                                 unknown */
     int64_t cold_start_us;  /**< time for which a worker is cold after its
                                  start */
     double cold_rate_per_s; /**< requests a second that a cold worker takes
--- a/src/libpapayaswitch/exchange/crash_watch.c
+++ b/src/libpapayaswitch/exchange/crash_watch.c
@@ -16,14 +16,23 @@
 #define PROBE_TIMEOUT_US (50 * PPS_US_PER_MS)
 /** Time after which a worker is probed whose silent attempt was dropped. */
 #define SILENT_PROBE_US (150 * PPS_US_PER_MS)
+/** Shortest time from a worker's end to its next answer. */
+#define RESTART_MIN_US (50 * PPS_US_PER_MS)
 /** Number of keys that are noted for one end of a worker. */
 #define SUSPECTS_MAX 128
 
+/* How an attempt ended. */
+typedef enum {
+    ATTEMPT_BROKEN, /* its connection was lost */
+    ATTEMPT_SILENT, /* dropped; the worker may have ended before it */
+    ATTEMPT_CLOSED, /* in order; the answer is whole if the worker goes on */
+} attempt_end_t;
+
 /* A key of a request whose answer was at its beginning. */
 typedef struct {
     uint64_t key;
     int64_t begun_us;
-    int is_whole; /* the answer is whole if the worker goes on */
+    attempt_end_t end;
 } suspect_t;
 
 /* The answers of one worker that broke off while it is probed. */
@@ -56,12 +65,57 @@
     return NULL;
 }
 
-/* Returns a number for the worker's end that all hosts agree on. */
+/* Returns when the last of the broken answers began, or its request was sent;
+ * INT64_MIN if all were silent. */
+static int64_t
+last_begun_us(const worker_break_t *found)
+{
+    int64_t last_us = INT64_MIN;
+
+    for (size_t i = 0; i < found->suspect_count; i++) {
+        const suspect_t *suspect = &found->suspects[i];
+
+        if (suspect->end != ATTEMPT_SILENT && suspect->begun_us > last_us) {
+            last_us = suspect->begun_us;
+        }
+    }
+    return last_us;
+}
+
+/* Numbers the ends of a worker by the start that this host has on record: the
+ * worker may have started again before its new record has come.
+ * @return the number of this end, from 0 */
+static unsigned int
+number_end(const worker_break_t *found)
+{
+    pps_pool_worker_t *worker =
+        pps_pool_lookup_digest(found->dispatcher->pool, found->worker_digest);
+    pps_worker_ends_t *ends;
+
+    if (worker == NULL) {
+        return 0;
+    }
+    ends = &worker->ends;
+    if (ends->last_us == 0 || ends->start_ms != found->worker.start_ms) {
+        *ends = (pps_worker_ends_t){found->worker.start_ms, found->at_us, 0};
+    }
+    else if (last_begun_us(found) > ends->last_us + RESTART_MIN_US) {
+        ends->last_us = found->at_us;
+        ends->number++;
+    }
+    return ends->number;
+}
+
+/* Returns a number for the worker's end. Hosts that know the same start of the
+ * worker agree on it. */
 static uint64_t
 crash_id(const worker_break_t *found)
 {
-    return XXH64(&found->worker.start_ms, sizeof(found->worker.start_ms),
-                 found->worker_digest);
+    uint64_t id = XXH64(&found->worker.start_ms,
+                        sizeof(found->worker.start_ms), found->worker_digest);
+    unsigned int number = number_end(found);
+
+    return number == 0 ? id : XXH64(&number, sizeof(number), id);
 }
 
 static void
@@ -69,12 +123,16 @@
 {
     pps_dispatcher_t *dispatcher = found->dispatcher;
     uint64_t keys[SUSPECTS_MAX];
+    uint64_t id = crash_id(found);
 
     for (size_t i = 0; i < found->suspect_count; i++) {
+        const suspect_t *suspect = &found->suspects[i];
         const pps_poison_evidence_t evidence = {
-            .key = found->suspects[i].key,
-            .crashes = {{crash_id(found), found->suspects[i].begun_us,
-                         found->at_us}},
+            .key = suspect->key,
+            .crashes = {{id, suspect->begun_us, found->at_us,
+                         suspect->end == ATTEMPT_SILENT
+                             ? 0
+                             : found->worker_digest}},
             .crash_count = 1,
         };
 
@@ -91,7 +149,7 @@
 clear_whole(const worker_break_t *found)
 {
     for (size_t i = 0; i < found->suspect_count; i++) {
-        if (found->suspects[i].is_whole) {
+        if (found->suspects[i].end == ATTEMPT_CLOSED) {
             pps_dispatcher_note_good(found->dispatcher,
                                      &found->suspects[i].key, 1,
                                      found->suspects[i].begun_us);
@@ -235,7 +293,7 @@
 
 static void
 note_suspects(worker_break_t *found, const pps_exchange_t *exchange,
-              int is_whole)
+              attempt_end_t end)
 {
     uint64_t keys[PPS_EXCHANGE_KEYS_MAX];
     size_t count = pps_exchange_exposed_keys(exchange, keys);
@@ -245,7 +303,7 @@
     for (size_t i = 0; i < count && found->suspect_count < SUSPECTS_MAX; i++) {
         if (!is_noted(found, keys[i])) {
             found->suspects[found->suspect_count++] =
-                (suspect_t){keys[i], begun_us, is_whole};
+                (suspect_t){keys[i], begun_us, end};
         }
     }
 }
@@ -254,7 +312,7 @@
  * attempt.
  */
 static worker_break_t *
-note_attempt(pps_exchange_t *exchange, int is_whole)
+note_attempt(pps_exchange_t *exchange, attempt_end_t end)
 {
     worker_break_t *found =
         find_break(exchange->dispatcher, exchange->worker->digest,
@@ -269,7 +327,7 @@
         return NULL;
     }
     found->answers++;
-    note_suspects(found, exchange, is_whole);
+    note_suspects(found, exchange, end);
     return found;
 }
 
@@ -289,7 +347,7 @@
 int
 pps_crash_watch_note_break(pps_exchange_t *exchange)
 {
-    worker_break_t *found = note_attempt(exchange, 0);
+    worker_break_t *found = note_attempt(exchange, ATTEMPT_BROKEN);
 
     pps_decision_log_broken(exchange);
     if (found == NULL) {
@@ -306,7 +364,7 @@
 void
 pps_crash_watch_note_silence(pps_exchange_t *exchange)
 {
-    worker_break_t *found = note_attempt(exchange, 0);
+    worker_break_t *found = note_attempt(exchange, ATTEMPT_SILENT);
 
     if (found != NULL) {
         schedule_probe(found, SILENT_PROBE_US);
@@ -316,7 +374,7 @@
 void
 pps_crash_watch_note_end(pps_exchange_t *exchange)
 {
-    worker_break_t *found = note_attempt(exchange, 1);
+    worker_break_t *found = note_attempt(exchange, ATTEMPT_CLOSED);
 
     if (found != NULL) {
         schedule_probe(found, 0);
--- a/src/libpapayaswitch/exchange/decision_log.c
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -184,7 +184,7 @@
 pps_decision_log_ended(const pps_exchange_t *exchange, unsigned int status,
                        const char *outcome)
 {
-    int served = status >= 200 && status < 300;
+    int served = pps_http_status_is_success(status);
 
     pps_counter_add(
         served ? PPS_COUNTER_ENTRY_SERVED : PPS_COUNTER_ENTRY_UNSERVED, 1);
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -158,10 +158,11 @@
 pps_decision_log_upstream_brittle(const pps_pool_worker_t *worker,
                                   int is_brittle, const char *source);
 
-/** Logs and counts that a brittle worker rejected a request, and by what right
- * that was sent. */
+/** Logs and counts that a brittle worker rejected a request, by what right
+ * that was sent, and what the worker says that it holds. */
 void
-pps_decision_log_brittle_rejected(const pps_exchange_t *exchange);
+pps_decision_log_brittle_rejected(const pps_exchange_t *exchange,
+                                  const pps_worker_reply_t *reply);
 
 /** Logs a brittle worker's statement that is no number. */
 void
--- a/src/libpapayaswitch/exchange/decision_log_worker.c
+++ b/src/libpapayaswitch/exchange/decision_log_worker.c
@@ -174,7 +174,8 @@
 }
 
 void
-pps_decision_log_brittle_rejected(const pps_exchange_t *exchange)
+pps_decision_log_brittle_rejected(const pps_exchange_t *exchange,
+                                  const pps_worker_reply_t *reply)
 {
     static const struct {
         const char *name;
@@ -195,6 +196,10 @@
                    PPS_STR("worker", worker->info.id),
                    PPS_INT("start_ms", exchange->worker_start_ms),
                    PPS_STR("permit", uses[exchange->permit_use].name),
+                   PPS_INT("running", reply->running),
+                   PPS_INT("waiting", reply->waiting),
+                   PPS_INT("slots", worker->slots),
+                   PPS_INT("tokens", exchange->call.prompt_tokens),
                    PPS_INT("busy_here", worker->in_flight),
                    PPS_INT("rank", worker->permit_rank.before),
                    PPS_INT("hosts", worker->permit_rank.hosts)));
--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -39,6 +39,7 @@
         HEADER_BYTES_MAX, BODY_BYTES_MAX, HEADER_TIMEOUT_US, IDLE_TIMEOUT_US};
     CDS_INIT_LIST_HEAD(&dispatcher->exchanges);
     CDS_INIT_LIST_HEAD(&dispatcher->breaks);
+    CDS_INIT_LIST_HEAD(&dispatcher->left_calls);
     pps_evacuated_domains_init(&dispatcher->evacuated);
     dispatcher->worker_back = pps_cold_gate_expect;
     pps_rng_init(&dispatcher->rng, pps_rng_system_seed());
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -24,6 +24,7 @@
 #include "pool/pool.h"
 #include "pool/prefix_affinity.h"
 #include "pool/reachability.h"
+#include "pool/request_size.h"
 #include "relay/borrow_budget.h"
 #include "relay/neighbours.h"
 #include "repeat_limit.h"
@@ -92,9 +93,13 @@
     int64_t start_ms; /**< of the worker that said it; 0: unknown */
     int is_brittle;
     int is_rejected; /**< it rejected a request */
-    double held;     /**< requests at it then */
+    double held;     /**< requests at it then; 0: unknown */
     int64_t age_us;  /**< if brittle, since the answer, else since its request
                       */
+    int64_t longest_tokens; /**< longest prompt known for its upstream; 0: not
+                                 told */
+    int is_for_older;       /**< the rejection is none: it tells hosts of older
+                                 builds to send less */
 } pps_brittle_notice_t;
 
 /** Requests at a worker that a report of a rejection states if there was none:
@@ -108,6 +113,10 @@
 typedef int (*pps_brittle_repeats_fn)(void *user,
                                       const pps_pool_worker_t *worker);
 
+/** Returns whether hosts of builds are live that divide permits without regard
+ * to the size of requests. */
+typedef int (*pps_ignores_size_fn)(void *user);
+
 /** Tells the other hosts of a brittle worker. */
 typedef void (*pps_brittle_notice_fn)(void *user,
                                       const pps_brittle_notice_t *notice);
@@ -149,11 +158,21 @@
     uint64_t superseded[PPS_DISPATCH_SUPERSEDED_MAX];
     unsigned int superseded_next;
     pps_brittle_upstream_t brittle;
+    pps_longest_prompt_t longest_prompt;
+    int64_t memory_tokens;     /**< of each worker; 0: unknown */
+    pps_size_balance_t demand; /**< of callers, by size */
+    unsigned int worker_slots; /**< of its workers, as last seen; 0: unknown */
     int states_speed; /**< its workers state how fast their machines are now */
     pps_model_cost_t cascade_cost;
     double first_byte_us; /**< smoothed time to first byte */
     pps_lateness_t lateness;
-    double answer_us;                /**< smoothed time to a full answer */
+    double answer_us; /**< smoothed time to a full answer */
+    double long_times_us[PPS_ROLLOUT_KINDS]; /**< from arrival to the whole
+                                                   answer, by kind of request,
+                                                   of those that take long; 0:
+                                                   none yet */
+    double long_answer_us;           /**< the same of those that take long; 0:
+                                          none yet */
     pps_prefill_rate_t prefill_rate; /**< of its workers */
     pps_hedge_limit_t hedge_limit;
     pps_hedge_load_t hedge_load;
@@ -172,10 +191,12 @@
     pps_dispatch_options_t options;
     pps_rng_t rng;
     unsigned int hosts; /**< live hosts that share the workers */
+    int64_t stops_us;   /**< when this host ends, at the latest; 0: unknown */
     struct cds_list_head exchanges;
     size_t exchange_count;
     struct cds_list_head breaks; /**< workers being probed; crash_watch.h */
-    size_t buffered_bytes;       /**< of answers, over all exchanges */
+    struct cds_list_head left_calls; /**< see left_call.h */
+    size_t buffered_bytes;           /**< of answers, over all exchanges */
     pps_prefix_affinity_t prefixes;
     pps_reachability_t reach;    /**< reachability of the workers */
     pps_path_state_t paths;      /**< whether other hosts reach them */
@@ -192,6 +213,7 @@
     pps_brittle_notice_fn brittle_notice;   /**< sends to the other hosts, or
                                                  NULL */
     pps_brittle_repeats_fn brittle_repeats; /**< NULL: never */
+    pps_ignores_size_fn ignores_size;       /**< NULL: no host does */
     pps_limit_rank_fn limit_rank;       /**< NULL: this host is the only one */
     pps_poison_notice_fn poison_notice; /**< sends to the other hosts, or NULL
                                          */
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -7,6 +7,8 @@
 #include "exchange_hedge.h"
 #include "exchange_refusal.h"
 #include "exchange_unplaced.h"
+#include "host_stop.h"
+#include "permit_size.h"
 #include "poison/poison_key.h"
 
 #include <stdlib.h>
@@ -213,15 +215,21 @@
                             "too_many_upstreams");
         return;
     }
+    pps_permit_size_count_demand(exchange);
     pps_repeat_limit_count_request(&exchange->upstream_state->repeats,
                                    dispatcher->reactor->now_us);
     if (dispatcher->options.hedge_share > 0) {
         pps_exchange_hedge_count_request(exchange);
     }
     pps_decision_log_admitted(exchange);
-    if (!pps_exchange_refuse_homeless(exchange)) {
-        pps_exchange_send(exchange);
+    if (pps_exchange_refuse_homeless(exchange)) {
+        return;
+    }
+    if (!pps_host_stop_leaves_time(exchange)) {
+        pps_exchange_give_up(exchange, PPS_RETRY_AFTER_OTHER_HOST, "stopping");
+        return;
     }
+    pps_exchange_send(exchange);
 }
 
 static int64_t
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -77,7 +77,8 @@
     pps_relay_call_t *relay_call; /**< through a neighbour, or NULL */
     pps_neighbour_t *neighbour;   /**< of the relay call, or NULL */
     pps_pool_worker_t *worker;
-    int is_borrowed; /**< sent with the neighbour's share of the worker */
+    int is_borrowed;   /**< sent with the neighbour's share of the worker */
+    unsigned int size; /**< slots of the worker that it takes */
     pps_permit_use_t permit_use; /**< by what right it was sent */
     int64_t worker_start_ms;     /**< the worker's start time at the send */
     int on_target;      /**< the worker runs the version being rolled out */
@@ -89,6 +90,8 @@
     int64_t sent_us;
     int64_t answer_us; /**< when its answer began; 0: not yet */
     int went_on;       /**< its answer went on or is whole */
+    int is_sent;       /**< it may have reached the worker */
+    int is_whole;      /**< its answer has ended */
     int is_unframed;   /**< it ends with the connection */
     int is_json;
     int64_t last_received_us; /**< when bytes last arrived from the worker */
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -14,6 +14,7 @@
 #include "exchange_unplaced.h"
 #include "exchange_worker.h"
 #include "home_gate.h"
+#include "left_call.h"
 #include "papayaswitch/errors.h"
 #include "path_watch.h"
 
@@ -47,18 +48,15 @@
 pps_exchange_drop_attempt(pps_exchange_t *exchange,
                           pps_worker_outcome_t outcome)
 {
-    pps_dispatcher_t *dispatcher = exchange->dispatcher;
-
     pps_timers_cancel(&exchange->silence_timer);
     pps_exchange_hedge_note_dropped(exchange);
-    pps_exchange_close_link(exchange);
     if (exchange->worker != NULL) {
         exchange->worker->borrowed -= exchange->is_borrowed != 0;
+        pps_left_call_end_attempt(exchange, outcome);
         exchange->is_borrowed = 0;
-        pps_pool_end_call(dispatcher->pool, exchange->worker, outcome,
-                          dispatcher->reactor->now_us);
         exchange->worker = NULL;
     }
+    pps_exchange_close_link(exchange);
     exchange->attempt = PPS_ATTEMPT_NONE;
     exchange->events.partial.size = 0;
     pps_exchange_discard_body(exchange);
@@ -375,6 +373,8 @@
     exchange->connection = "";
     exchange->answer_us = 0;
     exchange->went_on = 0;
+    exchange->is_sent = 0;
+    exchange->is_whole = 0;
     exchange->has_event = 0;
     exchange->last_received_us = exchange->sent_us;
     pps_exchange_choose_neighbour(exchange);
@@ -391,6 +391,7 @@
                                                      : PPS_CHANNEL_UNSENT);
         return;
     }
+    exchange->is_sent = 1;
     pps_exchange_restart_silence_timer(exchange);
     if (dispatcher->options.hedge_share > 0) {
         pps_exchange_hedge_watch(exchange);
--- a/src/libpapayaswitch/exchange/exchange_copy.c
+++ b/src/libpapayaswitch/exchange/exchange_copy.c
@@ -35,6 +35,7 @@
     SWAP(pps_neighbour_t *, exchange->neighbour, copy->neighbour);
     SWAP(pps_pool_worker_t *, exchange->worker, copy->worker);
     SWAP(int, exchange->is_borrowed, copy->is_borrowed);
+    SWAP(unsigned int, exchange->size, copy->size);
     SWAP(pps_permit_use_t, exchange->permit_use, copy->permit_use);
     SWAP(int64_t, exchange->worker_start_ms, copy->worker_start_ms);
     SWAP(int, exchange->on_target, copy->on_target);
@@ -103,6 +104,7 @@
     if (hedge->fields.channel != NULL) {
         pps_http_channel_close(hedge->fields.channel);
     }
+    pps_pool_return_slots(hedge->fields.worker, hedge->fields.size);
     pps_pool_end_call(dispatcher->pool, hedge->fields.worker, outcome,
                       dispatcher->reactor->now_us);
     hedge->fields = (pps_copy_fields_t){0};
@@ -191,7 +193,7 @@
 is_usable(const pps_exchange_t *exchange, const pps_http_reply_t *reply,
           const pps_worker_reply_t *decoded)
 {
-    return reply->status >= 200 && reply->status < 300 && decoded->sealed &&
+    return pps_http_status_is_success(reply->status) && decoded->sealed &&
            decoded->id != NULL && !decoded->not_run &&
            (exchange->route->kind == PPS_CALL_STREAM || !decoded->is_unframed);
 }
--- a/src/libpapayaswitch/exchange/exchange_copy.h
+++ b/src/libpapayaswitch/exchange/exchange_copy.h
@@ -15,6 +15,7 @@
     pps_neighbour_t *neighbour;
     pps_pool_worker_t *worker;
     int is_borrowed;
+    unsigned int size;
     pps_permit_use_t permit_use;
     int64_t worker_start_ms;
     int on_target;
--- a/src/libpapayaswitch/exchange/exchange_failure.c
+++ b/src/libpapayaswitch/exchange/exchange_failure.c
@@ -139,6 +139,7 @@
         pps_cold_gate_note_refused(exchange->dispatcher, exchange->worker);
     }
     if (pps_channel_is_unsent(failure)) {
+        exchange->is_sent = 0;
         exchange->runs--;
         retry_unsent(exchange, failure);
         return;
--- a/src/libpapayaswitch/exchange/exchange_link.c
+++ b/src/libpapayaswitch/exchange/exchange_link.c
@@ -4,6 +4,7 @@
 #include "home_gate.h"
 #include "papayaswitch/errors.h"
 #include "path_watch.h"
+#include "permit_size.h"
 #include "worker_permit.h"
 
 /** Hosts that are asked to send one request with their share. */
@@ -62,7 +63,7 @@
         .neighbour = exchange->neighbour->address,
         .local_address = exchange->dispatcher->options.local_address,
         .worker = exchange->worker->digest,
-        .takes_share = exchange->is_borrowed,
+        .slots = exchange->is_borrowed ? exchange->size : 0,
     };
     return pps_relay_call_new(&exchange->relay_call,
                               exchange->dispatcher->reactor, &route,
@@ -146,11 +147,16 @@
     pps_pool_worker_t *worker = exchange->worker;
 
     exchange->permit_use = permit_use(exchange);
+    exchange->size = exchange->permit_use == PPS_PERMIT_NOT_NEEDED
+                         ? 1
+                         : pps_permit_size_of(exchange, worker);
+    exchange->upstream_state->worker_slots = worker->slots;
     pps_pool_begin_call(worker);
     if (exchange->is_borrowed) {
         worker->borrowed++;
         take_borrow_try(exchange);
         return;
     }
+    pps_pool_take_slots(worker, exchange->size);
     pps_worker_gates_take(exchange->dispatcher, worker);
 }
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -2,6 +2,7 @@
 #include "exchange_reply.h"
 
 #include "answer_end.h"
+#include "answer_times.h"
 #include "clock.h"
 #include "crash_watch.h"
 #include "decision_log.h"
@@ -11,7 +12,6 @@
 #include "exchange_notes.h"
 #include "exchange_poison.h"
 #include "exchange_worker.h"
-#include "histograms.h"
 #include "model_choice.h"
 #include "papayaswitch/errors.h"
 #include "path_watch.h"
@@ -23,33 +23,6 @@
 #define BUFFERED_BYTES_MAX PPS_EXCHANGE_BUFFERED_BYTES_MAX
 /** Share of the repeat limit that answers of low confidence may use. */
 #define CONFIDENCE_REPEAT_SHARE 0.92
-#define FIRST_BYTE_SMOOTHING_WEIGHT 0.05
-#define ANSWER_SMOOTHING_WEIGHT 0.05
-
-static int
-is_success(unsigned int status)
-{
-    return status >= 200 && status < 300;
-}
-
-static void
-record_first_byte_time(pps_exchange_t *exchange)
-{
-    int64_t elapsed_us =
-        exchange->dispatcher->reactor->now_us - exchange->sent_us;
-    double *smoothed_us = &exchange->upstream_state->first_byte_us;
-
-    if (!exchange->on_target) {
-        pps_prefill_rate_update(&exchange->upstream_state->prefill_rate,
-                                exchange->work + exchange->backlog,
-                                elapsed_us);
-    }
-    pps_histogram_observe(PPS_HISTOGRAM_ENTRY_WORKER, elapsed_us);
-    *smoothed_us +=
-        ((double)elapsed_us - *smoothed_us) * FIRST_BYTE_SMOOTHING_WEIGHT;
-    pps_lateness_record(&exchange->upstream_state->lateness, elapsed_us,
-                        exchange->route->target_us);
-}
 
 /* Retries a request that has not run, as stated by the worker. */
 static void
@@ -126,7 +99,7 @@
 accept_success(pps_exchange_t *exchange, const pps_http_reply_t *reply,
                const pps_worker_reply_t *decoded)
 {
-    record_first_byte_time(exchange);
+    pps_answer_times_note_first_byte(exchange);
     pps_exchange_evidence_count_head(exchange);
     if (ask_larger_model(exchange, decoded)) {
         return;
@@ -223,7 +196,7 @@
     if (decoded.not_run) {
         retry_refused(exchange, &decoded);
     }
-    else if (is_success(reply->status) && decoded.sealed &&
+    else if (pps_http_status_is_success(reply->status) && decoded.sealed &&
              decoded.id != NULL) {
         accept_success(exchange, reply, &decoded);
     }
@@ -233,13 +206,6 @@
     return 0;
 }
 
-static int64_t
-since_request_us(const pps_exchange_t *exchange)
-{
-    return exchange->dispatcher->reactor->now_us -
-           exchange->request->received_us;
-}
-
 static void
 begin_answer(pps_exchange_t *exchange)
 {
@@ -247,8 +213,7 @@
         pps_exchange_hedge_note_first_byte(exchange);
         pps_exchange_hedge_cancel(exchange);
         exchange->begun = 1;
-        pps_histogram_observe(PPS_HISTOGRAM_ENTRY_FIRST_BYTE,
-                              since_request_us(exchange));
+        pps_answer_times_observe_first_byte(exchange);
         pps_http_conn_begin(exchange->conn, exchange->status,
                             pps_buf_text(&exchange->fields));
     }
@@ -326,28 +291,6 @@
     }
 }
 
-static void
-observe_latency(const pps_exchange_t *exchange)
-{
-    int64_t elapsed_us = since_request_us(exchange);
-
-    if (!exchange->begun) {
-        pps_histogram_observe(PPS_HISTOGRAM_ENTRY_FIRST_BYTE, elapsed_us);
-    }
-    pps_histogram_observe(PPS_HISTOGRAM_ENTRY_ANSWER, elapsed_us);
-}
-
-static void
-record_answer_time(const pps_exchange_t *exchange)
-{
-    double *smoothed_us = &exchange->upstream_state->answer_us;
-    int64_t elapsed_us =
-        exchange->dispatcher->reactor->now_us - exchange->sent_us;
-
-    *smoothed_us +=
-        ((double)elapsed_us - *smoothed_us) * ANSWER_SMOOTHING_WEIGHT;
-}
-
 static void
 finish(pps_exchange_t *exchange)
 {
@@ -360,15 +303,15 @@
     exchange->fields = (pps_buf_t)PPS_BUF_INIT;
     exchange->dispatcher->buffered_bytes -= body.size;
     exchange->body = (pps_buf_t)PPS_BUF_INIT;
-    if (is_success(status)) {
-        observe_latency(exchange);
-        record_answer_time(exchange);
+    if (pps_http_status_is_success(status)) {
+        pps_answer_times_note_end(exchange);
         pps_exchange_evidence_count_end(exchange);
         pps_exchange_note_whole(exchange);
     }
     pps_decision_log_ended(exchange, status, "answered");
-    pps_exchange_drop_attempt(
-        exchange, is_success(status) ? PPS_WORKER_SERVED : PPS_WORKER_FAILED);
+    pps_exchange_drop_attempt(exchange, pps_http_status_is_success(status)
+                                            ? PPS_WORKER_SERVED
+                                            : PPS_WORKER_FAILED);
     pps_exchange_free(exchange);
     if (begun) {
         pps_http_conn_end(conn);
@@ -387,6 +330,7 @@
     if (exchange->attempt == PPS_ATTEMPT_NONE) {
         return;
     }
+    exchange->is_whole = 1;
     if (pps_exchange_is_cut_off(exchange)) {
         pps_exchange_on_attempt_failed(exchange, PPS_CHANNEL_BROKEN);
         return;
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -355,7 +355,7 @@
             continue;
         }
         pps_worker_gates_check(&share, dispatcher, worker, exchange,
-                               PPS_GATE_OF_SHARE);
+                               PPS_GATES_OF_SHARES);
         us = opening_us(dispatcher, &state);
         if (opening_us(dispatcher, &share) > us) {
             us = opening_us(dispatcher, &share);
--- a/src/libpapayaswitch/exchange/worker_gate.c
+++ b/src/libpapayaswitch/exchange/worker_gate.c
@@ -11,7 +11,8 @@
 static const pps_worker_gate_t *const gates[] = {
     &pps_gate_leaving, &pps_gate_home,    &pps_gate_evacuated,
     &pps_gate_full,    &pps_gate_paused,  &pps_gate_avoided,
-    &pps_gate_limit,   &pps_gate_permits, &pps_gate_cold,
+    &pps_gate_limit,   &pps_gate_permits, &pps_gate_room,
+    &pps_gate_cold,
 };
 
 #define GATE_COUNT (sizeof(gates) / sizeof(gates[0]))
@@ -53,7 +54,7 @@
     pps_gate_answer_t answer;
 
     pps_worker_gates_check(&answer, dispatcher, worker, exchange,
-                           PPS_GATE_OF_SHARE);
+                           PPS_GATES_OF_SHARES);
     return answer.state == PPS_GATE_OPEN;
 }
 
--- a/src/libpapayaswitch/exchange/worker_gate.h
+++ b/src/libpapayaswitch/exchange/worker_gate.h
@@ -21,12 +21,16 @@
 
 /** What a gate refers to. */
 typedef enum {
-    PPS_GATE_OF_WORKER = 1, /**< the worker's state */
-    PPS_GATE_OF_SHARE = 2,  /**< this host's share of what the worker takes;
-                                 another host may have one */
+    PPS_GATE_OF_WORKER = 1,  /**< the worker's state */
+    PPS_GATE_OF_SHARE = 2,   /**< this host's share of what the worker takes;
+                                  another host may have one */
+    PPS_GATE_OF_PERMITS = 4, /**< the same, by the size of the request, which a
+                                  call of another host states apart */
 } pps_gate_kind_t;
 
-#define PPS_GATES_ALL (PPS_GATE_OF_WORKER | PPS_GATE_OF_SHARE)
+/** All of this host's shares. */
+#define PPS_GATES_OF_SHARES (PPS_GATE_OF_SHARE | PPS_GATE_OF_PERMITS)
+#define PPS_GATES_ALL (PPS_GATE_OF_WORKER | PPS_GATES_OF_SHARES)
 
 /** The answer of one or several gates. */
 typedef struct {
--- a/src/libpapayaswitch/exchange/worker_permit.h
+++ b/src/libpapayaswitch/exchange/worker_permit.h
@@ -10,6 +10,27 @@
 /** Gate: this host's permits of a brittle worker. */
 extern const pps_worker_gate_t pps_gate_permits;
 
+/** Gate: whether a brittle worker has room, whoever sends. */
+extern const pps_worker_gate_t pps_gate_room;
+
+/** Returns the permits of all hosts for the requests that they have sent since
+ * they keep to permits. */
+double
+pps_worker_permit_total_for_new(const pps_dispatcher_t *dispatcher,
+                                const pps_pool_worker_t *worker);
+
+/** Returns whether this host has free permits for a request of a size. If it
+ * has not, and the size is larger than 1, smaller ones leave them to it for a
+ * time. */
+int
+pps_worker_permit_is_free(const pps_dispatcher_t *dispatcher,
+                          pps_pool_worker_t *worker, unsigned int size);
+
+/** Returns how long requests take at the worker. */
+pps_service_time_t
+pps_worker_permit_service_time(const pps_dispatcher_t *dispatcher,
+                               const pps_pool_worker_t *worker);
+
 /** Returns whether requests to the worker need a permit: it says that it is
  * brittle, or is taken for so by what other workers of its upstream say.
  * @param exchange a request to it; NULL: a call of another host */
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -30,6 +30,7 @@
 #define PPS_GOSSIP_LACKS_FORWARDING 1U
 #define PPS_GOSSIP_LACKS_DIGESTS 2U
 #define PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS 4U
+#define PPS_GOSSIP_LACKS_PERMIT_SIZES 8U
 
 /** A roll-out and the evidence that one host has collected. */
 typedef struct {
@@ -127,6 +128,10 @@
     uint64_t held;    /**< requests that were at it then */
     int64_t age_us;   /**< if brittle, since the answer, else since its request
                            was sent */
+    int64_t longest_tokens; /**< longest prompt known for its upstream; 0: not
+                                 told */
+    int is_for_older;       /**< the rejection is none: it tells hosts of older
+                                 builds to send less */
 } pps_gossip_brittle_t;
 
 /** Evidence on what ends workers. */
@@ -248,6 +253,11 @@
 pps_gossip_rank(const pps_gossip_t *gossip, uint64_t key,
                 const char *failure_domain);
 
+/** Returns whether a live host is of an older build that does not do
+ * something. @param lacks PPS_GOSSIP_LACKS_... */
+int
+pps_gossip_has_older(const pps_gossip_t *gossip, unsigned int lacks);
+
 /** Checks whether this host is one of the first `first` by rank for a key
  * among those of a build that does something, while a live host is of one that
  * does not. @param lacks PPS_GOSSIP_LACKS_... */
--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -21,7 +21,7 @@
 /** All PPS_GOSSIP_LACKS_... bits. */
 #define ABILITIES                                                             \
     (PPS_GOSSIP_LACKS_FORWARDING | PPS_GOSSIP_LACKS_DIGESTS |                 \
-     PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS)
+     PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS | PPS_GOSSIP_LACKS_PERMIT_SIZES)
 #define ROLLOUT_FIELDS 14
 #define COUNT_FIELDS 10
 
--- a/src/libpapayaswitch/gossip/gossip_event_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_event_codec.c
@@ -15,6 +15,8 @@
 #define RECORD_FIELDS 7
 #define LEAVING_FIELDS 3
 #define LIMIT_FIELDS 6
+/** Without the longest prompt and whether it is for older hosts, which stand
+ * last if they are told. */
 #define BRITTLE_FIELDS 7
 /** First byte of a msgpack array of up to 15 elements, without their count. */
 #define SHORT_ARRAY 0x90
@@ -180,13 +182,24 @@
     return error;
 }
 
+/* Returns how many of the fields behind the first ones are told. */
+static unsigned int
+count_last_fields(const pps_gossip_brittle_t *brittle)
+{
+    if (brittle->is_for_older) {
+        return 2;
+    }
+    return brittle->longest_tokens > 0;
+}
+
 int
 pps_gossip_encode_brittle(pps_buf_t *out, const pps_gossip_brittle_t *brittle)
 {
+    unsigned int last_fields = count_last_fields(brittle);
     msgpack_packer packer;
 
     msgpack_packer_init(&packer, out, pps_gossip_append);
-    msgpack_pack_array(&packer, BRITTLE_FIELDS);
+    msgpack_pack_array(&packer, BRITTLE_FIELDS + last_fields);
     msgpack_pack_int(&packer, PPS_GOSSIP_BRITTLE_VERSION);
     msgpack_pack_uint64(&packer, brittle->worker);
     msgpack_pack_int64(&packer, brittle->start_ms);
@@ -194,6 +207,12 @@
     msgpack_pack_int(&packer, brittle->is_rejected);
     msgpack_pack_uint64(&packer, brittle->held);
     msgpack_pack_int64(&packer, brittle->age_us);
+    if (last_fields >= 1) {
+        msgpack_pack_int64(&packer, brittle->longest_tokens);
+    }
+    if (last_fields >= 2) {
+        msgpack_pack_int(&packer, brittle->is_for_older);
+    }
     return out->failed ? PPS_ENOMEM : PPS_OK;
 }
 
@@ -213,6 +232,8 @@
         out->is_rejected = (int)pps_cursor_read_integer(&fields);
         out->held = (uint64_t)pps_cursor_read_integer(&fields);
         out->age_us = pps_cursor_read_integer(&fields);
+        out->longest_tokens =
+            fields.unread_count > 0 ? pps_cursor_read_integer(&fields) : 0;
         error = fields.failed || out->age_us < 0 ? PPS_ECORRUPT : PPS_OK;
     }
     msgpack_unpacked_destroy(&unpacked);
--- a/src/libpapayaswitch/gossip/gossip_poison.c
+++ b/src/libpapayaswitch/gossip/gossip_poison.c
@@ -12,7 +12,7 @@
 
 #define POISON_FIELDS 3
 #define EVIDENCE_FIELDS 4
-#define CRASH_FIELDS 3
+#define CRASH_FIELDS 4
 #define NEVER (-1)
 /** Largest age that is told. */
 #define AGE_MAX_US (86400 * PPS_US_PER_S)
@@ -46,6 +46,7 @@
         msgpack_pack_uint64(packer, crash->id);
         pack_age(packer, crash->begun_us, now_us);
         pack_age(packer, crash->at_us, now_us);
+        msgpack_pack_uint64(packer, crash->worker);
     }
 }
 
@@ -87,11 +88,14 @@
 decode_crash(pps_poison_evidence_t *out, pps_cursor_t *list, int64_t now_us)
 {
     pps_cursor_t fields = pps_cursor_read_array(list);
-    pps_poison_crash_t crash;
+    pps_poison_crash_t crash = {0};
 
     crash.id = (uint64_t)pps_cursor_read_integer(&fields);
     crash.begun_us = read_time(&fields, now_us);
     crash.at_us = read_time(&fields, now_us);
+    if (fields.unread_count > 0) {
+        crash.worker = (uint64_t)pps_cursor_read_integer(&fields);
+    }
     list->failed |= fields.failed;
     if (!list->failed) {
         pps_poison_evidence_add_crash(out, &crash);
--- a/src/libpapayaswitch/gossip/gossip_rank.c
+++ b/src/libpapayaswitch/gossip/gossip_rank.c
@@ -78,8 +78,8 @@
     return rank.hosts > 0 ? rank : rank_among_hubs(gossip, key);
 }
 
-static int
-has_older(const pps_gossip_t *gossip, unsigned int lacks)
+int
+pps_gossip_has_older(const pps_gossip_t *gossip, unsigned int lacks)
 {
     const pps_gossip_peer_t *peer;
 
@@ -99,7 +99,7 @@
 {
     pps_gossip_rank_t rank;
 
-    if (!has_older(gossip, lacks)) {
+    if (!pps_gossip_has_older(gossip, lacks)) {
         return 0;
     }
     rank = rank_among(gossip, key, failure_domain, lacks);
--- a/src/libpapayaswitch/poison/poison_evidence.c
+++ b/src/libpapayaswitch/poison/poison_evidence.c
@@ -12,6 +12,8 @@
 /** Crashes that are further apart than this are independent of each other. A
  * rack that loses power ends many workers at once. */
 #define SAME_CAUSE_US (30 * PPS_US_PER_MS)
+/** Shortest time from a crash of a worker to its next answer. */
+#define RESTART_MIN_US (50 * PPS_US_PER_MS)
 /** Largest difference of the times of one crash at two hosts. */
 #define TIME_DIFFERENCE_US (200 * PPS_US_PER_MS)
 /** Only crashes that are this much older than the last one count. */
@@ -23,15 +25,33 @@
 /** Time after the last crash for which a conviction is remembered. */
 #define REMEMBERED_US (86400 * PPS_US_PER_S)
 
+/* Returns whether two notes are of the same crash. Hosts that know the worker
+ * by different starts give it different ids. An answer that began when the
+ * worker had crashed was broken off by its next crash. */
 static int
-has_crash(const pps_poison_evidence_t *evidence, uint64_t crash_id)
+is_same(const pps_poison_crash_t *first, const pps_poison_crash_t *second)
 {
-    for (unsigned int i = 0; i < evidence->crash_count; i++) {
-        if (evidence->crashes[i].id == crash_id) {
-            return 1;
-        }
+    const pps_poison_crash_t *earlier =
+        first->at_us <= second->at_us ? first : second;
+    const pps_poison_crash_t *later = earlier == first ? second : first;
+
+    return first->id == second->id ||
+           (first->worker != 0 && first->worker == second->worker &&
+            later->begun_us - earlier->at_us < RESTART_MIN_US);
+}
+
+/* Returns its index, or `crash_count`. */
+static unsigned int
+find_crash(const pps_poison_evidence_t *evidence,
+           const pps_poison_crash_t *crash)
+{
+    unsigned int at = 0;
+
+    while (at < evidence->crash_count &&
+           !is_same(&evidence->crashes[at], crash)) {
+        at++;
     }
-    return 0;
+    return at;
 }
 
 int
@@ -40,22 +60,29 @@
 {
     unsigned int count = evidence->crash_count;
 
-    return has_crash(evidence, crash->id) ||
+    return find_crash(evidence, crash) < count ||
            (count == PPS_POISON_CRASHES_MAX &&
             crash->at_us - evidence->crashes[count - 1].at_us <
                 TIME_DIFFERENCE_US);
 }
 
-int
-pps_poison_evidence_add_crash(pps_poison_evidence_t *evidence,
-                              const pps_poison_crash_t *crash)
+/* Of the ids that hosts give to one crash all keep the same one. */
+static int
+keep_one_id(pps_poison_crash_t *known, const pps_poison_crash_t *crash)
 {
-    unsigned int at = 0;
-
-    if ((evidence->good_us != 0 && crash->begun_us < evidence->good_us) ||
-        has_crash(evidence, crash->id)) {
+    if (crash->id <= known->id) {
         return 0;
     }
+    known->id = crash->id;
+    return 1;
+}
+
+/* Inserts a crash by its time. @return 0: all that are kept are newer */
+static int
+insert_crash(pps_poison_evidence_t *evidence, const pps_poison_crash_t *crash)
+{
+    unsigned int at = 0;
+
     while (at < evidence->crash_count &&
            evidence->crashes[at].at_us >= crash->at_us) {
         at++;
@@ -72,6 +99,22 @@
     return 1;
 }
 
+int
+pps_poison_evidence_add_crash(pps_poison_evidence_t *evidence,
+                              const pps_poison_crash_t *crash)
+{
+    unsigned int at;
+
+    if (evidence->good_us != 0 && crash->begun_us < evidence->good_us) {
+        return 0;
+    }
+    at = find_crash(evidence, crash);
+    if (at < evidence->crash_count) {
+        return keep_one_id(&evidence->crashes[at], crash);
+    }
+    return insert_crash(evidence, crash);
+}
+
 int
 pps_poison_evidence_add_good(pps_poison_evidence_t *evidence, int64_t begun_us)
 {
--- a/src/libpapayaswitch/poison/poison_evidence.h
+++ b/src/libpapayaswitch/poison/poison_evidence.h
@@ -18,10 +18,13 @@
 
 /** An end of a worker while an answer with the key was beginning. */
 typedef struct {
-    uint64_t id;      /**< the same for all answers that the worker's end broke
-                           off, at all hosts */
+    uint64_t id;      /**< of the worker, its start as the host knew it, and
+                           the number of the crash by that start */
     int64_t begun_us; /**< when the answer began */
     int64_t at_us;    /**< when it broke off */
+    uint64_t worker;  /**< digest of the worker's name; 0: not told, or the
+                           worker may have ended before the request was sent
+                           to it, so that `id` alone says which crash it is */
 } pps_poison_crash_t;
 
 /** Evidence on one key. Times are those of this host's clock; they are
--- a/src/libpapayaswitch/poison/poison_judge.c
+++ b/src/libpapayaswitch/poison/poison_judge.c
@@ -111,6 +111,24 @@
             pps_poison_key_is_request(evidence->key));
 }
 
+int
+pps_poison_table_is_explained(const pps_poison_table_t *table,
+                              const pps_poison_evidence_t *evidence)
+{
+    const pps_poison_entry_t *other;
+
+    cds_list_for_each_entry (other, &table->list, node) {
+        if (other->evidence.key != evidence->key &&
+            (evidence->good_us != 0 || other->evidence.good_us == 0) &&
+            (!pps_poison_key_is_request(other->evidence.key) ||
+             pps_poison_key_is_request(evidence->key)) &&
+            pps_poison_evidence_covers(&other->evidence, evidence)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 /* Returns whether a crash of a key is explained by a key that the request does
  * not hold. */
 static int
--- a/src/libpapayaswitch/poison/poison_table.h
+++ b/src/libpapayaswitch/poison/poison_table.h
@@ -57,6 +57,14 @@
                             const uint64_t *keys, size_t count,
                             int64_t now_us);
 
+/** Returns whether a key, whatever requests hold it, may be one that was only
+ * under way when another key ended workers: all its crashes may be that one's.
+ * Keys of whole requests do not explain a part, as each request with a bad
+ * part has one. */
+int
+pps_poison_table_is_explained(const pps_poison_table_t *table,
+                              const pps_poison_evidence_t *evidence);
+
 /** Takes the right to let one request with a doubtful key through, which shows
  * whether the key is sound. Such trials become rare if they change nothing.
  * @return whether it was granted */
--- a/src/libpapayaswitch/pool/brittle_upstream.h
+++ b/src/libpapayaswitch/pool/brittle_upstream.h
@@ -17,6 +17,7 @@
 typedef struct {
     int is_known; /**< one of them has answered since this host started */
     int is_brittle;
+    int64_t began_us; /**< when one of them first said so in this time */
     int64_t named_us; /**< when one of them last said so */
 } pps_brittle_upstream_t;
 
--- a/src/libpapayaswitch/pool/pool.c
+++ b/src/libpapayaswitch/pool/pool.c
@@ -155,6 +155,9 @@
     worker->limit_told_us = 0;
     worker->limit_ended_us = 0;
     worker->permits = (pps_worker_permits_t){0};
+    worker->uncounted = (pps_uncounted_calls_t){0};
+    worker->slots_before = 0;
+    worker->permits_told_held = 0;
     worker->permits_told_us = 0;
     worker->permits_repeated_us = 0;
     worker->is_brittle_reported = 0;
@@ -225,6 +228,7 @@
     worker->slots = info->slots ? info->slots : SLOTS_DEFAULT;
     worker->digest = digest_id(info->id);
     note_cold(worker, info, 0);
+    pps_uncounted_calls_begin(&worker->uncounted, info->received_us);
     removed = find_removed(pool, worker->digest);
     if (removed != NULL) {
         worker->said_leaving = removed->said_leaving;
@@ -356,9 +360,9 @@
     }
 }
 
-static void
-record_outcome(pps_pool_worker_t *worker, pps_worker_outcome_t outcome,
-               int64_t now_us)
+void
+pps_pool_note_outcome(pps_pool_worker_t *worker, pps_worker_outcome_t outcome,
+                      int64_t now_us)
 {
     switch (outcome) {
     case PPS_WORKER_SERVED:
@@ -387,6 +391,6 @@
                   pps_worker_outcome_t outcome, int64_t now_us)
 {
     worker->in_flight--;
-    record_outcome(worker, outcome, now_us);
+    pps_pool_note_outcome(worker, outcome, now_us);
     free_if_unused(worker);
 }
--- a/src/libpapayaswitch/pool/pool.h
+++ b/src/libpapayaswitch/pool/pool.h
@@ -8,7 +8,9 @@
 #include "cold_start.h"
 #include "deployment/deployment.h"
 #include "prefill_queue.h"
+#include "size_balance.h"
 #include "table.h"
+#include "uncounted_calls.h"
 #include "worker_limit.h"
 #include "worker_permits.h"
 
@@ -34,6 +36,13 @@
     size_t model_count; /**< 0: serves any model */
 } pps_worker_info_t;
 
+/** Ends of a worker that this host saw. */
+typedef struct {
+    int64_t start_ms;    /**< the worker's start, as this host knew it */
+    int64_t last_us;     /**< the last end by that start; 0: none */
+    unsigned int number; /**< of the last end, from 0 */
+} pps_worker_ends_t;
+
 /** A worker. Freed once it is unlisted and has no calls in flight. */
 typedef struct {
     struct cds_list_head node;
@@ -41,11 +50,19 @@
     pps_table_item_t digest_item;
     pps_worker_info_t info;
     int listed;
-    int64_t remove_at_us;   /**< scheduled removal; 0: none */
-    unsigned int in_flight; /**< calls from this host */
-    unsigned int borrowed;  /**< of these, with the share of another host */
-    double reported_busy;   /**< running and queued, last report */
-    unsigned int slots;     /**< last reported, or as first listed */
+    int64_t remove_at_us;      /**< scheduled removal; 0: none */
+    unsigned int in_flight;    /**< calls from this host */
+    unsigned int borrowed;     /**< of these, with the share of another host */
+    unsigned int slots_held;   /**< by this host's calls with own permits, see
+                                    request_size.h */
+    unsigned int slots_before; /**< of these, by calls from before the hosts
+                                    kept to its permits */
+    pps_size_balance_t taken;  /**< of this host's permits, by size */
+    int64_t large_wanted_us;   /**< when a large request last had too few
+                                    permits; 0: never */
+    double reported_busy;      /**< running and queued, last report */
+    unsigned int reported_waiting;    /**< of these, queued */
+    unsigned int slots;               /**< last reported, or as first listed */
     unsigned int in_flight_at_report; /**< at the last report */
     int64_t reported_us;              /**< time of the last report; 0: none */
     double failure_share;             /**< smoothed share of failed calls */
@@ -61,8 +78,13 @@
     int64_t limit_told_us;        /**< when other hosts were last told of it */
     int64_t limit_ended_us;       /**< when it ended; 0: never */
     pps_worker_permits_t permits; /**< while it is brittle */
-    pps_host_rank_t permit_rank;  /**< of this host, until the time below */
+    pps_uncounted_calls_t uncounted; /**< requests at it without a permit */
+    double permits_told_held;        /**< requests at it that other hosts were
+                                          last told of */
+    pps_host_rank_t permit_rank;     /**< of this host, until the time below */
     int64_t permit_rank_until_us;
+    int permit_ignores_size; /**< hosts that divide its permits ignore sizes;
+                                  until the same time */
     int64_t permits_told_us; /**< when other hosts were last told of them */
     int64_t permits_repeated_us; /**< the same to hosts of older builds */
     int is_brittle_reported;     /**< an invalid statement was logged */
@@ -72,6 +94,7 @@
     int said_leaving;            /**< it has said so itself, in an answer */
     int64_t
         said_leaving_start_ms;   /**< start time of the worker that said it */
+    pps_worker_ends_t ends;      /**< as this host saw them */
     pps_cold_start_t cold;       /**< while it has just started */
     pps_prefill_queue_t prefill; /**< prompts not yet processed */
     uint64_t digest;             /**< hash of the id */
@@ -179,11 +202,33 @@
 void
 pps_pool_begin_call(pps_pool_worker_t *worker);
 
+/** Updates the health by the outcome of a call that goes on. */
+void
+pps_pool_note_outcome(pps_pool_worker_t *worker, pps_worker_outcome_t outcome,
+                      int64_t now_us);
+
+/** Notes that the hosts keep to the worker's permits from now on. */
+void
+pps_pool_begin_permits(pps_pool_worker_t *worker, int64_t now_us);
+
+/** Counts the slots that a call of this host holds. */
+void
+pps_pool_take_slots(pps_pool_worker_t *worker, unsigned int slots);
+
+/** Ends that. Calls from before the permits are taken to end first. */
+void
+pps_pool_return_slots(pps_pool_worker_t *worker, unsigned int slots);
+
 /** Ends a call and updates the health. Frees an unlisted, idle worker. */
 void
 pps_pool_end_call(pps_pool_t *pool, pps_pool_worker_t *worker,
                   pps_worker_outcome_t outcome, int64_t now_us);
 
+/** Notes what another host saw a worker hold, if that is newer than the last
+ * report. */
+void
+pps_pool_note_held(pps_pool_worker_t *worker, double held, int64_t at_us);
+
 /** Records a worker's load report. @param slots 0 when not reported */
 void
 pps_pool_record_load(pps_pool_worker_t *worker, unsigned int running,
--- a/src/libpapayaswitch/pool/pool_worker.c
+++ b/src/libpapayaswitch/pool/pool_worker.c
@@ -6,6 +6,8 @@
 
 /** Load reports older than this are ignored. */
 #define REPORT_AGE_MAX_US (3 * PPS_US_PER_S)
+/** Multiple of a worker's slots for which permits are shared by size. */
+#define TAKEN_WINDOW 4
 
 double
 pps_pool_worker_busy(const pps_pool_worker_t *worker, int64_t now_us,
@@ -54,11 +56,47 @@
     worker->in_flight++;
 }
 
+void
+pps_pool_begin_permits(pps_pool_worker_t *worker, int64_t now_us)
+{
+    pps_uncounted_calls_begin(&worker->uncounted, now_us);
+    worker->slots_before = worker->slots_held;
+}
+
+void
+pps_pool_take_slots(pps_pool_worker_t *worker, unsigned int slots)
+{
+    worker->slots_held += slots;
+    worker->large_wanted_us = slots > 1 ? 0 : worker->large_wanted_us;
+    pps_size_balance_add(&worker->taken, slots,
+                         (double)worker->slots * TAKEN_WINDOW);
+}
+
+void
+pps_pool_return_slots(pps_pool_worker_t *worker, unsigned int slots)
+{
+    worker->slots_held -= slots;
+    worker->slots_before -=
+        slots < worker->slots_before ? slots : worker->slots_before;
+}
+
+void
+pps_pool_note_held(pps_pool_worker_t *worker, double held, int64_t at_us)
+{
+    if (at_us > worker->reported_us) {
+        worker->reported_busy = held;
+        worker->reported_waiting = 0;
+        worker->in_flight_at_report = worker->in_flight;
+        worker->reported_us = at_us;
+    }
+}
+
 void
 pps_pool_record_load(pps_pool_worker_t *worker, unsigned int running,
                      unsigned int waiting, unsigned int slots, int64_t now_us)
 {
     worker->reported_busy = (double)running + waiting;
+    worker->reported_waiting = waiting;
     worker->in_flight_at_report = worker->in_flight;
     worker->reported_us = now_us;
     if (slots > 0) {
--- a/src/libpapayaswitch/pool/worker_permits.c
+++ b/src/libpapayaswitch/pool/worker_permits.c
@@ -56,6 +56,12 @@
     permits->rejected_us = now_us;
 }
 
+double
+pps_worker_permits_held_for(double total)
+{
+    return total / HELD_SHARE;
+}
+
 double
 pps_worker_permits_total(const pps_worker_permits_t *permits,
                          unsigned int slots, int64_t now_us)
@@ -72,13 +78,15 @@
     return total > PERMITS_MIN ? total : PERMITS_MIN;
 }
 
-unsigned int
-pps_worker_permits_holders(const pps_worker_permits_t *permits,
-                           unsigned int slots, const pps_host_rank_t *rank,
-                           int64_t now_us)
+/* Returns the permits that the known hosts divide. */
+static unsigned int
+count_divided(const pps_permit_pool_t *pool, const pps_host_rank_t *rank)
 {
-    double total = pps_worker_permits_total(permits, slots, now_us);
+    double total = pool->total;
 
+    if (total < PERMITS_MIN) {
+        return 0;
+    }
     if (rank->hosts < rank->peak) {
         total = total * rank->hosts / rank->peak;
     }
@@ -86,16 +94,30 @@
 }
 
 unsigned int
-pps_worker_permits_part(const pps_worker_permits_t *permits,
-                        unsigned int slots, const pps_host_rank_t *rank,
-                        int64_t now_us)
+pps_permit_holders(const pps_permit_pool_t *pool, const pps_host_rank_t *rank)
 {
-    unsigned int total =
-        pps_worker_permits_holders(permits, slots, rank, now_us);
+    unsigned int permits = count_divided(pool, rank);
+    unsigned int holders =
+        pool->largest > 1 ? permits / pool->largest : permits;
 
-    if (rank->before < 0 || rank->hosts == 0) {
+    if (permits > 0 && holders == 0) {
+        return 1;
+    }
+    return holders;
+}
+
+unsigned int
+pps_permit_part(const pps_permit_pool_t *pool, const pps_host_rank_t *rank)
+{
+    unsigned int permits = count_divided(pool, rank);
+    unsigned int holders = pps_permit_holders(pool, rank);
+
+    if (holders > rank->hosts) {
+        holders = rank->hosts;
+    }
+    if (rank->before < 0 || (unsigned int)rank->before >= holders) {
         return 0;
     }
-    return total / rank->hosts +
-           ((unsigned int)rank->before < total % rank->hosts);
+    return permits / holders +
+           ((unsigned int)rank->before < permits % holders);
 }
--- a/src/libpapayaswitch/pool/worker_permits.h
+++ b/src/libpapayaswitch/pool/worker_permits.h
@@ -52,23 +52,31 @@
 pps_worker_permits_reject(pps_worker_permits_t *permits, double held,
                           unsigned int slots, int64_t now_us);
 
+/** Returns what a rejecting worker has to have held for hosts to give it so
+ * many permits after that. */
+double
+pps_worker_permits_held_for(double total);
+
 /** Returns the permits of all hosts together. */
 double
 pps_worker_permits_total(const pps_worker_permits_t *permits,
                          unsigned int slots, int64_t now_us);
 
-/** Returns the permits that the known hosts divide, and so how many hosts, the
- * first ones by rank, have a part. Hosts that were known lately and are not
- * heard any more keep theirs: they may be cut off and still send. */
+/** The permits of a worker. A request takes as many as its size is. */
+typedef struct {
+    double total;         /**< of all hosts together */
+    unsigned int largest; /**< size of the largest requests: a host's part
+                               takes at least one of them */
+} pps_permit_pool_t;
+
+/** Returns how many hosts, the first ones by rank, have a part of the permits.
+ * Hosts that were known lately and are not heard any more keep theirs: they
+ * may be cut off and still send. */
 unsigned int
-pps_worker_permits_holders(const pps_worker_permits_t *permits,
-                           unsigned int slots, const pps_host_rank_t *rank,
-                           int64_t now_us);
+pps_permit_holders(const pps_permit_pool_t *pool, const pps_host_rank_t *rank);
 
-/** Returns the requests that this host may have at the worker. */
+/** Returns this host's part of the permits. */
 unsigned int
-pps_worker_permits_part(const pps_worker_permits_t *permits,
-                        unsigned int slots, const pps_host_rank_t *rank,
-                        int64_t now_us);
+pps_permit_part(const pps_permit_pool_t *pool, const pps_host_rank_t *rank);
 
 #endif
--- a/src/libpapayaswitch/relay/relay_call.c
+++ b/src/libpapayaswitch/relay/relay_call.c
@@ -3,10 +3,10 @@
 
 #include "clock.h"
 #include "papayaswitch/errors.h"
+#include "relay_target.h"
 #include "relay_wire.h"
 #include "transport/reply_reader.h"
 
-#include <inttypes.h>
 #include <stdlib.h>
 
 #define NEIGHBOUR_CONNECT_US (200 * PPS_US_PER_MS)
@@ -184,15 +184,16 @@
 send_request(pps_relay_call_t *call, const pps_relay_route_t *route,
              const void *text, size_t size)
 {
+    const pps_relay_target_t target = {route->worker, route->slots};
     pps_buf_t request = PPS_BUF_INIT;
     int error;
 
-    pps_buf_printf(
-        &request,
-        "POST %s%016" PRIx64 " HTTP/1.1\r\n"
-        "Host: relay\r\nConnection: close\r\nContent-Length: %zu\r\n\r\n",
-        route->takes_share ? PPS_RELAY_SHARE_PATH : PPS_RELAY_PATH,
-        route->worker, size);
+    pps_buf_puts(&request, "POST ");
+    pps_relay_target_write(&request, &target);
+    pps_buf_printf(&request,
+                   " HTTP/1.1\r\nHost: relay\r\nConnection: close\r\n"
+                   "Content-Length: %zu\r\n\r\n",
+                   size);
     pps_buf_append(&request, text, size);
     error = request.failed
                 ? PPS_ENOMEM
--- a/src/libpapayaswitch/relay/relay_call.h
+++ b/src/libpapayaswitch/relay/relay_call.h
@@ -17,8 +17,8 @@
     const char *local_address; /**< IPv4 of this host, by which the neighbour
                                     knows it; NULL: any */
     uint64_t worker;           /**< digest of the worker's id */
-    int takes_share; /**< the neighbour's share of the worker is used, not that
-                          of this host */
+    unsigned int slots; /**< of the neighbour's share of the worker that the
+                             request takes; 0: it takes this host's */
 } pps_relay_route_t;
 
 /** Sends a request to a worker. The callbacks are those of a call on a
--- a/src/libpapayaswitch/relay/relay_probe.c
+++ b/src/libpapayaswitch/relay/relay_probe.c
@@ -2,9 +2,9 @@
  * connections. */
 #include "papayaswitch/errors.h"
 #include "relay_call.h"
+#include "relay_target.h"
 #include "relay_wire.h"
 
-#include <inttypes.h>
 #include <stdlib.h>
 
 #define USER_TIMEOUT_MS 1000
@@ -87,13 +87,14 @@
 static int
 send_probe(relay_probe_t *probe, const pps_relay_route_t *route)
 {
+    const pps_relay_target_t target = {.worker = route->worker};
     pps_buf_t text = PPS_BUF_INIT;
     int error;
 
-    pps_buf_printf(&text,
-                   "GET " PPS_RELAY_PATH "%016" PRIx64 " HTTP/1.1\r\n"
-                   "Host: relay\r\nConnection: close\r\n\r\n",
-                   route->worker);
+    pps_buf_puts(&text, "GET ");
+    pps_relay_target_write(&text, &target);
+    pps_buf_puts(&text, " HTTP/1.1\r\nHost: relay\r\n"
+                        "Connection: close\r\n\r\n");
     error = text.failed ? PPS_ENOMEM
                         : pps_http_channel_call(probe->channel, text.data,
                                                 text.size, &ops, probe);
--- a/src/libpapayaswitch/relay/relay_server.c
+++ b/src/libpapayaswitch/relay/relay_server.c
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "papayaswitch/errors.h"
+#include "relay_target.h"
 #include "transport/address.h"
 #include "transport/reply_reader.h"
 #include "transport/tcp_write.h"
@@ -23,7 +24,6 @@
  * read from the worker, and the time until that is checked again. */
 #define QUEUED_BYTES_MAX (256U << 10)
 #define RESUME_US (5 * PPS_US_PER_MS)
-#define DIGEST_BASE 16
 
 struct pps_relay_server {
     pps_reactor_t *reactor;
@@ -46,8 +46,10 @@
     uv_tcp_t tcp;
     uv_connect_t connect;
     pps_timer_t timer;         /* of connecting, then of a pause in reading */
-    pps_reply_reader_t reader; /* finds the head of the answer */
-    int is_head_read;
+    pps_reply_reader_t reader; /* finds the head and the end of the answer */
+    int is_sent;               /* the request may have reached the worker */
+    int is_answered;           /* the answer is whole, or can't be read */
+    int is_success;            /* the answer's status says so */
     int is_closing;
 } call_t;
 
@@ -61,10 +63,10 @@
 }
 
 static void
-end_hold(const pps_relay_server_t *server, void *hold)
+end_hold(const pps_relay_server_t *server, void *hold, int is_served)
 {
     if (hold != NULL) {
-        server->ops->on_end(server->user, hold);
+        server->ops->on_end(server->user, hold, is_served);
     }
 }
 
@@ -77,7 +79,7 @@
     call->is_closing = 1;
     call->conn = NULL;
     call->server->call_count--;
-    end_hold(call->server, call->hold);
+    end_hold(call->server, call->hold, 0);
     pps_timers_cancel(&call->timer);
     uv_close((uv_handle_t *)&call->tcp, on_closed);
 }
@@ -96,7 +98,7 @@
 {
     call_t *call = user;
 
-    call->is_head_read = 1;
+    call->is_success = pps_http_status_is_success(reply->status);
     call->server->ops->on_reply(call->server->user, call->worker,
                                 call->started_us, reply);
     return 0;
@@ -110,16 +112,22 @@
 static const pps_channel_ops_t reply_ops = {.on_head = on_reply_head,
                                             .on_body = on_reply_body};
 
-/* Reads the answer up to its head, whatever follows. */
+/* Follows the answer. What the call holds ends with it, whatever comes then.
+ */
 static void
-read_head(call_t *call, const char *data, size_t size)
+read_answer(call_t *call, const char *data, size_t size)
 {
     size_t used;
+    pps_reply_state_t state;
 
-    if (!call->is_head_read &&
-        pps_reply_reader_feed(&call->reader, data, size, &used) !=
-            PPS_REPLY_MORE) {
-        call->is_head_read = 1;
+    if (call->is_answered) {
+        return;
+    }
+    state = pps_reply_reader_feed(&call->reader, data, size, &used);
+    call->is_answered = state != PPS_REPLY_MORE;
+    if (state == PPS_REPLY_WHOLE) {
+        end_hold(call->server, call->hold, call->is_success);
+        call->hold = NULL;
     }
 }
 
@@ -165,7 +173,7 @@
         end_answer(call, size == UV_EOF && !pps_tcp_was_reset(&call->tcp));
         return;
     }
-    read_head(call, buffer->base, (size_t)size);
+    read_answer(call, buffer->base, (size_t)size);
     pps_http_conn_chunk(call->conn, buffer->base, (size_t)size);
     if (pps_http_conn_queued_bytes(call->conn) > QUEUED_BYTES_MAX) {
         uv_read_stop(stream);
@@ -183,6 +191,7 @@
     uv_tcp_nodelay(&call->tcp, 1);
     pps_tcp_set_user_timeout(&call->tcp, WORKER_USER_TIMEOUT_MS);
     pps_http_conn_begin(call->conn, PPS_RELAY_CONNECTED, "");
+    call->is_sent = 1;
     if (pps_tcp_write(&call->tcp, &piece, 1) != 0) {
         end_answer(call, 0);
         return;
@@ -237,7 +246,7 @@
     call_t *call = malloc(sizeof(*call));
 
     if (call == NULL) {
-        end_hold(server, prepared->hold);
+        end_hold(server, prepared->hold, 0);
         pps_http_conn_respond(prepared->conn, PPS_RELAY_BUSY, "", "", 0);
         return;
     }
@@ -260,27 +269,6 @@
                       on_connect_timer, call);
 }
 
-static int
-parse_digest(uint64_t *out, const char *target, const char *path)
-{
-    const char *digits = target + strlen(path);
-    char *end;
-
-    if (strncmp(target, path, strlen(path)) != 0) {
-        return PPS_EINVALID;
-    }
-    *out = strtoull(digits, &end, DIGEST_BASE);
-    return end == digits || *end != '\0' ? PPS_EINVALID : PPS_OK;
-}
-
-static int
-parse_target(uint64_t *worker, int *takes_share, const char *target)
-{
-    *takes_share = parse_digest(worker, target, PPS_RELAY_SHARE_PATH) == 0;
-    return *takes_share ? PPS_OK
-                        : parse_digest(worker, target, PPS_RELAY_PATH);
-}
-
 /* Fills in the call and the worker's address. Returns PPS_RELAY_CONNECTED, or
  * the status to refuse it with. */
 static pps_relay_status_t
@@ -290,21 +278,22 @@
     char address[PPS_RELAY_ADDRESS_BYTES];
     char peer[PPS_RELAY_ADDRESS_BYTES];
     pps_relay_status_t status;
-    int takes_share;
+    pps_relay_target_t target;
 
     if (server->is_draining || server->call_count >= CALLS_MAX) {
         return PPS_RELAY_BUSY;
     }
-    if (parse_target(&call->worker, &takes_share,
-                     pps_buf_text(&call->request->target)) != 0) {
+    if (pps_relay_target_parse(&target,
+                               pps_buf_text(&call->request->target)) != 0) {
         return PPS_RELAY_UNKNOWN;
     }
+    call->worker = target.worker;
     pps_http_conn_peer_address(peer, sizeof(peer), call->conn);
     status = server->ops->find(server->user, address, &call->hold, peer,
-                               call->worker, takes_share);
+                               target.worker, target.slots);
     if (status == PPS_RELAY_CONNECTED &&
         pps_address_parse(endpoint, address) != 0) {
-        end_hold(server, call->hold);
+        end_hold(server, call->hold, 0);
         status = PPS_RELAY_UNKNOWN;
     }
     return status;
@@ -325,10 +314,18 @@
     start_call(&call, &endpoint);
 }
 
+/* Leaves what the call holds to its owner: the worker may go on. */
 static void
 on_disconnect(void *user, void *exchange)
 {
-    close_call(exchange);
+    call_t *call = exchange;
+    void *hold = call->hold;
+
+    if (hold != NULL && call->is_sent && !call->is_closing) {
+        call->hold = NULL;
+        call->server->ops->on_left(call->server->user, hold, call->started_us);
+    }
+    close_call(call);
 }
 
 static const pps_http_server_ops_t server_ops = {on_request, on_disconnect};
--- a/src/libpapayaswitch/relay/relay_server.h
+++ b/src/libpapayaswitch/relay/relay_server.h
@@ -15,16 +15,22 @@
 typedef struct {
     /** Finds the address of a worker for a call of another host.
      * @param peer IPv4 address of that host @param worker digest of its id
-     * @param takes_share the call takes this host's share of the worker
+     * @param slots of this host's share of the worker that the call takes; 0:
+     *        it takes none
      * @param out receives IPv4:PORT, of PPS_RELAY_ADDRESS_BYTES
      * @param hold receives what `on_end` is called with when the call has
      *        ended, or NULL
      * @return PPS_RELAY_CONNECTED, or the status to refuse the call with */
     pps_relay_status_t (*find)(void *user, char *out, void **hold,
                                const char *peer, uint64_t worker,
-                               int takes_share);
-    /** Ends what a call held. */
-    void (*on_end)(void *user, void *hold);
+                               unsigned int slots);
+    /** Ends what a call held.
+     * @param is_served the worker's answer is whole and a success; else it
+     *        was refused, lost or not sent */
+    void (*on_end)(void *user, void *hold, int is_served);
+    /** Takes over what a call held whose caller has left, while its worker may
+     * still be at work on it. @param begun_us when it was sent */
+    void (*on_left)(void *user, void *hold, int64_t begun_us);
     /** Receives the head of a worker's answer to another host.
      * @param tried_us when connecting to the worker began */
     void (*on_reply)(void *user, uint64_t worker, int64_t tried_us,
--- a/src/libpapayaswitch/relay/relay_wire.h
+++ b/src/libpapayaswitch/relay/relay_wire.h
@@ -19,6 +19,12 @@
  * permits. */
 #define PPS_RELAY_SHARE_PATH "/shares/"
 
+/** Follows the digest if the call takes more than one slot of the share; their
+ * number follows. Hosts of older builds answer PPS_RELAY_UNKNOWN. */
+#define PPS_RELAY_SLOTS_QUERY "?slots="
+/** Most slots that a call can take. */
+#define PPS_RELAY_SLOTS_MAX 4096
+
 /** Statuses of the neighbour's answer. */
 typedef enum {
     PPS_RELAY_CONNECTED = 200,
--- a/src/libpapayaswitch/transport/channel_ops.h
+++ b/src/libpapayaswitch/transport/channel_ops.h
@@ -7,6 +7,17 @@
 
 #include "headers.h"
 
+/** Lowest and highest status code of a success. */
+#define PPS_HTTP_SUCCESS_MIN 200
+#define PPS_HTTP_SUCCESS_MAX 299
+
+/** Returns whether a response with this status code is a success. */
+static inline int
+pps_http_status_is_success(unsigned int status)
+{
+    return status >= PPS_HTTP_SUCCESS_MIN && status <= PPS_HTTP_SUCCESS_MAX;
+}
+
 /** Status and header fields of a response. */
 typedef struct {
     unsigned int status;
--- a/src/libpapayaswitch/transport/reactor.c
+++ b/src/libpapayaswitch/transport/reactor.c
@@ -17,7 +17,7 @@
 {
     pps_reactor_t *reactor = check->data;
 
-    reactor->now_us = pps_clock_now_us();
+    reactor->now_us = reactor->read_clock();
 }
 
 static void
@@ -39,7 +39,7 @@
     int64_t next_due_us;
     int64_t delay_ms;
 
-    reactor->now_us = pps_clock_now_us();
+    reactor->now_us = reactor->read_clock();
     next_due_us = pps_timers_run(&reactor->timers, reactor->now_us);
     run_deferred(reactor);
     if (reactor->before_poll != NULL) {
@@ -64,7 +64,8 @@
     }
     reactor->before_poll = NULL;
     reactor->user = NULL;
-    reactor->now_us = pps_clock_now_us();
+    reactor->read_clock = pps_clock_now_us;
+    reactor->now_us = reactor->read_clock();
     pps_timers_init(&reactor->timers);
     CDS_INIT_LIST_HEAD(&reactor->deferred);
     uv_timer_init(&reactor->loop, &reactor->wake);
--- a/src/libpapayaswitch/transport/reactor.h
+++ b/src/libpapayaswitch/transport/reactor.h
@@ -28,6 +28,7 @@
     uv_check_t check;
     pps_timers_t timers;
     struct cds_list_head deferred; /**< tasks, in the order of their start */
+    int64_t (*read_clock)(void);   /**< microseconds; a test may replace it */
     int64_t now_us; /**< clock read before timers run and after polling */
     void (*before_poll)(void *user); /**< runs once an iteration, or NULL */
     void *user;
--- a/tests/entry/brittle_worker.c
+++ b/tests/entry/brittle_worker.c
@@ -2,6 +2,7 @@
 #include "brittle_worker.h"
 
 #include "clock.h"
+#include "exchange_fixture.h"
 
 #include <criterion/criterion.h>
 #include <stdio.h>
@@ -11,8 +12,9 @@
 typedef struct {
     struct cds_list_head node;
     brittle_worker_t *worker;
-    pps_http_conn_t *conn;
+    pps_http_conn_t *conn; /* NULL: the caller has left */
     char id[64];
+    unsigned int size; /* of its memory, in slots */
     int is_running;
     pps_timer_t timer;
 } run_t;
@@ -25,6 +27,7 @@
 {
     if (run->is_running) {
         run->worker->running--;
+        run->worker->memory_used -= run->size;
     }
     else {
         run->worker->waiting--;
@@ -38,11 +41,15 @@
 write_fields(char *out, size_t size, const brittle_worker_t *worker,
              const char *id, const char *more)
 {
-    snprintf(out, size,
-             "X-Request-Id: %s\r\nX-Server-Load: %u,%u,%u\r\n"
-             "Server-Brittle: %u\r\n%s",
+    char brittle[32] = "";
+
+    if (!worker->options.is_quiet) {
+        snprintf(brittle, sizeof(brittle), "Server-Brittle: %u\r\n",
+                 worker->options.rejected_per_s);
+    }
+    snprintf(out, size, "X-Request-Id: %s\r\nX-Server-Load: %u,%u,%u\r\n%s%s",
              id, worker->running, worker->waiting, worker->options.slots,
-             worker->options.rejected_per_s, more);
+             brittle, more);
 }
 
 static void
@@ -51,28 +58,40 @@
     run_t *run = user;
     brittle_worker_t *worker = run->worker;
     pps_http_conn_t *conn = run->conn;
+    int is_large = run->size > 1;
     char fields[256];
 
     write_fields(fields, sizeof(fields), worker, run->id,
                  "X-Response-Seal: s\r\n");
     remove_run(run);
     worker->served++;
-    pps_http_conn_attach(conn, NULL);
-    pps_http_conn_respond(conn, 200, fields, "hi", 2);
+    worker->served_large += is_large != 0;
+    if (conn != NULL) {
+        pps_http_conn_attach(conn, NULL);
+        pps_http_conn_respond(conn, 200, fields, "hi", 2);
+    }
     start_next(worker);
 }
 
+static int
+has_place(const brittle_worker_t *worker, unsigned int size)
+{
+    return worker->running < worker->options.slots &&
+           worker->memory_used + size <= worker->options.slots;
+}
+
 static void
 start_next(brittle_worker_t *worker)
 {
     run_t *run;
 
     cds_list_for_each_entry (run, &worker->runs, node) {
-        if (worker->running >= worker->options.slots) {
-            return;
-        }
         if (!run->is_running) {
+            if (!has_place(worker, run->size)) {
+                return;
+            }
             run->is_running = 1;
+            worker->memory_used += run->size;
             worker->waiting--;
             worker->running++;
             pps_reactor_after(worker->reactor, &run->timer,
@@ -105,8 +124,10 @@
         pps_http_conn_t *conn = run->conn;
 
         remove_run(run);
-        pps_http_conn_attach(conn, NULL);
-        pps_http_conn_abort(conn);
+        if (conn != NULL) {
+            pps_http_conn_attach(conn, NULL);
+            pps_http_conn_abort(conn);
+        }
     }
     pps_reactor_after(worker->reactor, &worker->down_timer,
                       worker->options.down_ms * PPS_US_PER_MS, on_restart,
@@ -132,12 +153,30 @@
     return kept;
 }
 
+/* Returns the slots' worth of memory that a request takes. */
+static unsigned int
+size_of(const pps_http_request_t *request, unsigned int slots)
+{
+    const char *text = pps_headers_get(&request->headers, "X-Token-Usage");
+    unsigned long tokens = text != NULL ? strtoul(text, NULL, 10) : 0;
+
+    return (unsigned int)(tokens * slots / FIXTURE_MEMORY_TOKENS) + 1;
+}
+
+static int
+can_take(const brittle_worker_t *worker, unsigned int size)
+{
+    return (worker->waiting == 0 && has_place(worker, size)) ||
+           worker->waiting < worker->options.room;
+}
+
 static void
 on_request(void *user, pps_http_conn_t *conn,
            const pps_http_request_t *request)
 {
     brittle_worker_t *worker = user;
     const char *id = pps_headers_get(&request->headers, "X-Request-Id");
+    unsigned int size = size_of(request, worker->options.slots);
     char fields[256];
     run_t *run;
 
@@ -145,13 +184,13 @@
         pps_http_conn_abort(conn);
         return;
     }
-    if (worker->running >= worker->options.slots &&
-        worker->waiting >= worker->options.room) {
+    if (!can_take(worker, size)) {
         write_fields(fields, sizeof(fields), worker, id,
                      "X-Not-Executed: 1\r\n");
         pps_http_conn_respond(conn, 503, fields, "", 0);
         worker->rejected_in_all++;
-        if (count_rejection(worker) > worker->options.rejected_per_s) {
+        if (!worker->options.is_quiet &&
+            count_rejection(worker) > worker->options.rejected_per_s) {
             worker->falls++;
             brittle_worker_kill(worker);
         }
@@ -160,6 +199,7 @@
     run = calloc(1, sizeof(*run));
     run->worker = worker;
     run->conn = conn;
+    run->size = size;
     snprintf(run->id, sizeof(run->id), "%s", id);
     cds_list_add_tail(&run->node, &worker->runs);
     worker->waiting++;
@@ -170,7 +210,14 @@
 static void
 on_disconnect(void *user, void *exchange)
 {
-    remove_run(exchange);
+    const brittle_worker_t *worker = user;
+    run_t *run = exchange;
+
+    if (worker->options.works_on) {
+        run->conn = NULL;
+        return;
+    }
+    remove_run(run);
     start_next(user);
 }
 
--- a/tests/entry/brittle_worker.h
+++ b/tests/entry/brittle_worker.h
@@ -1,7 +1,8 @@
 /**
  * @file brittle_worker.h
- * @brief A worker that runs a few requests at once, lets a few wait, rejects
- * the others, and ends for a while if it has to reject too many in a second.
+ * @brief A worker that runs as many requests at once as its slots and its
+ * memory take, lets a few wait, rejects the others, and ends for a while if it
+ * has to reject too many in a second.
  */
 #ifndef PPS_TESTS_ENTRY_BRITTLE_WORKER_H
 #define PPS_TESTS_ENTRY_BRITTLE_WORKER_H
@@ -18,6 +19,8 @@
     unsigned int rejected_per_s; /**< that it bears */
     unsigned int work_ms;        /**< of each request */
     unsigned int down_ms;        /**< after it has ended */
+    int is_quiet; /**< it does not say that it is brittle, and does not end */
+    int works_on; /**< a request whose caller has left */
 } brittle_options_t;
 
 /** A worker. Zero-initialize it. */
@@ -30,9 +33,11 @@
     struct cds_list_head runs; /**< running first, then waiting */
     unsigned int running;
     unsigned int waiting;
+    unsigned int memory_used; /**< of `slots`, by those that run */
     int64_t rejected_us[BRITTLE_REJECTIONS_MAX];
     unsigned int rejected;
     unsigned int served;
+    unsigned int served_large; /**< of these, larger than one slot */
     unsigned int falls;
     unsigned int rejected_in_all;
     int is_down;
--- a/tests/entry/exchange_fixture.c
+++ b/tests/entry/exchange_fixture.c
@@ -18,7 +18,8 @@
 
 static const char config[] =
     "{\"version\":1,\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":8,"
-    "\"models\":[{\"name\":\"m0\",\"cost\":0.1},{\"name\":\"m1\",\"cost\":1}]"
+    "\"kv_tokens\":8000,\"models\":[{\"name\":\"m0\",\"cost\":0.1},{\"name\":"
+    "\"m1\",\"cost\":1}]"
     "}}],\"routes\":["
     "{\"name\":\"a\",\"host\":\"h\",\"path_prefix\":\"/safe/\",\"kind\":"
     "\"safe\",\"service\":\"s\",\"max_attempts\":2,\"timeout_ms\":3000,"
--- a/tests/entry/exchange_fixture.h
+++ b/tests/entry/exchange_fixture.h
@@ -10,6 +10,8 @@
 #include "net.h"
 
 #define FIXTURE_WORKERS 3
+/** Tokens that a worker's memory holds, by the deployment. */
+#define FIXTURE_MEMORY_TOKENS 8000
 
 /** Replies and parts of replies; "%s" stands for the request's id. The id
  * of EVENT must have one digit, because the chunk size is fixed. */
--- a/tests/entry/test_brittle_builds.c
+++ b/tests/entry/test_brittle_builds.c
@@ -10,6 +10,8 @@
 
 #define NOTICES_MAX 16
 #define LOAD_AGE_US (300 * PPS_US_PER_MS)
+/** Time in which one request ends at a worker. */
+#define DRAINED_MS 150
 /** The build before forgets a rejection after this time. */
 #define OLD_CALM_US (3 * PPS_US_PER_S)
 
@@ -79,6 +81,19 @@
     pps_dispatcher_on_brittle(dispatcher, &heard);
 }
 
+/* The worker has been seen to hold nothing from before the statement. */
+static void
+see_empty(pps_dispatcher_t *dispatcher, const pps_pool_worker_t *worker)
+{
+    const pps_brittle_notice_t heard = {.worker = worker->digest,
+                                        .start_ms = worker->info.start_ms,
+                                        .is_brittle = 1,
+                                        .held = 1};
+
+    pps_dispatcher_on_brittle(dispatcher, &heard);
+    net_run_for(dispatcher->reactor, DRAINED_MS);
+}
+
 typedef struct {
     const char *name;
     int has_older_hosts;
@@ -124,12 +139,15 @@
 {
     pps_reactor_t reactor;
     pps_dispatcher_t dispatcher;
+    pps_pool_worker_t *worker;
     int64_t begin_us;
     size_t told;
 
     start(&dispatcher, &reactor);
     has_older_hosts = 1;
-    hear_brittle(&dispatcher, put(&dispatcher, "w0", 1));
+    worker = put(&dispatcher, "w0", 1);
+    hear_brittle(&dispatcher, worker);
+    see_empty(&dispatcher, worker);
     begin_us = reactor.now_us;
     while (reactor.now_us - begin_us < 2 * OLD_CALM_US) {
         pps_brittle_step(&dispatcher);
@@ -143,6 +161,45 @@
     }
 }
 
+typedef struct {
+    const char *name;
+    double held;     /* by the worker, when it states that it is brittle */
+    double told_max; /* held, as told to older hosts */
+} queue_case_t;
+
+static const queue_case_t queues[] = {
+    {"its queue is full", 24, 1.2},
+    {"half of its slots are taken", 4, 5},
+};
+
+/* Older hosts count no requests from before the statement. */
+Test(brittle_builds, older_hosts_send_on_top_of_full_queues)
+{
+    for (size_t i = 0; i < sizeof(queues) / sizeof(*queues); i++) {
+        pps_reactor_t reactor;
+        pps_dispatcher_t dispatcher;
+        pps_pool_worker_t *worker;
+        pps_brittle_notice_t heard = {.is_brittle = 1};
+
+        start(&dispatcher, &reactor);
+        has_older_hosts = 0;
+        worker = put(&dispatcher, "w0", 1);
+        heard.worker = worker->digest;
+        heard.start_ms = worker->info.start_ms;
+        heard.held = queues[i].held;
+        pps_dispatcher_on_brittle(&dispatcher, &heard);
+        has_older_hosts = 1;
+        pps_brittle_step(&dispatcher);
+        cr_assert_eq(notice_count, 1, "%s: %zu", queues[i].name, notice_count);
+        cr_expect_eq(notices[0].is_for_older, 1);
+        cr_expect_eq(notices[0].is_rejected, 1);
+        cr_expect_leq(notices[0].held, queues[i].told_max, "%s: %f",
+                      queues[i].name, notices[0].held);
+        pps_dispatcher_on_brittle(&dispatcher, &notices[0]);
+        cr_expect_eq(worker->permits.rejected_us, 0, "%s", queues[i].name);
+    }
+}
+
 /* What is repeated for older hosts is no rejection for this build. */
 Test(brittle_builds, repeated_report_lowers_no_permits)
 {
--- a/tests/entry/test_crashing_request.c
+++ b/tests/entry/test_crashing_request.c
@@ -122,3 +122,27 @@
                   fixture_count_crashes(&fixture));
     cr_expect_eq(send_request(&fixture, &sound, REPEATS), 200);
 }
+
+/* The worker is back before its new record has come. */
+Test(crashing_request, ends_of_a_worker_with_an_old_record_count_once)
+{
+    static const request_t bad = {"/safe/x", "key", "bad!"};
+    fixture_t fixture;
+
+    start(&fixture);
+    for (int i = 0; i < FIXTURE_WORKERS; i++) {
+        char id[8];
+
+        fixture.workers[i].on_restart = NULL;
+        snprintf(id, sizeof(id), "w%d", i);
+        if (i > 0) {
+            pps_pool_remove(fixture.dispatcher.pool, id);
+        }
+    }
+    for (int n = 0; n < REPEATS; n++) {
+        send_request(&fixture, &bad, n);
+        fixture_wait_for_workers(&fixture);
+    }
+    cr_expect_leq(fixture_count_crashes(&fixture), CRASHES_MAX, "%zu",
+                  fixture_count_crashes(&fixture));
+}
--- a/tests/entry/test_gossip_codec.c
+++ b/tests/entry/test_gossip_codec.c
@@ -177,7 +177,8 @@
     cr_expect_eq(state.state.takes_relays, 0);
     cr_expect_eq(state.state.lacks, PPS_GOSSIP_LACKS_FORWARDING |
                                         PPS_GOSSIP_LACKS_DIGESTS |
-                                        PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS);
+                                        PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS |
+                                        PPS_GOSSIP_LACKS_PERMIT_SIZES);
     pps_buf_clear(&encoded);
     cr_assert_eq(pps_gossip_encode_record(&encoded, &record), 0);
     encoded.data[0]--;
@@ -268,7 +269,7 @@
         .items = {{.key = UINT64_C(0x9123456789abcdef),
                    .convicted = 1,
                    .crashes = {{7, ENCODED_US - 60, ENCODED_US - 50},
-                               {8, ENCODED_US - 900, ENCODED_US - 800}},
+                               {8, ENCODED_US - 900, ENCODED_US - 800, 9}},
                    .crash_count = 2},
                   {.key = 5, .good_us = ENCODED_US - 40}},
         .count = 2,
@@ -290,6 +291,7 @@
     cr_assert_eq(decoded.items[0].crash_count, 2);
     cr_expect_eq(decoded.items[0].crashes[1].begun_us, DECODED_US - 900);
     cr_expect_eq(decoded.items[0].crashes[1].at_us, DECODED_US - 800);
+    cr_expect_eq(decoded.items[0].crashes[1].worker, 9);
     cr_expect_eq(decoded.items[1].good_us, DECODED_US - 40);
     for (size_t length = 0; length < encoded.size; length++) {
         cr_expect_eq(pps_gossip_decode_poison(&decoded, encoded.data, length,
--- a/tests/entry/test_gossip_golden.c
+++ b/tests/entry/test_gossip_golden.c
@@ -42,6 +42,22 @@
     pps_gossip_encode_brittle(out, &brittle);
 }
 
+static void
+encode_brittle_of_long_prompts(pps_buf_t *out)
+{
+    const pps_gossip_brittle_t brittle = {1, 7, 1, 1, 12, 20, 1000};
+
+    pps_gossip_encode_brittle(out, &brittle);
+}
+
+static void
+encode_brittle_for_older(pps_buf_t *out)
+{
+    const pps_gossip_brittle_t brittle = {1, 7, 1, 1, 12, 20, 0, 1};
+
+    pps_gossip_encode_brittle(out, &brittle);
+}
+
 static void
 encode_record(pps_buf_t *out)
 {
@@ -89,6 +105,20 @@
     pps_gossip_encode_state(out, &message, NOW_US);
 }
 
+static void
+encode_poison(pps_buf_t *out)
+{
+    const pps_gossip_poison_t poison = {
+        .from = "10.0.0.1",
+        .items = {{.key = 5,
+                   .crashes = {{7, NOW_US - 60, NOW_US - 50, 9}},
+                   .crash_count = 1}},
+        .count = 1,
+    };
+
+    pps_gossip_encode_poison(out, &poison, NOW_US);
+}
+
 typedef struct {
     const char *name;
     void (*encode)(pps_buf_t *out);
@@ -100,13 +130,18 @@
     {"leaving", encode_leaving, "9305cf9123456789abcdef07"},
     {"limit", encode_limit, "9606010701cd05dc14"},
     {"brittle", encode_brittle, "9708010701010c14"},
+    {"brittle, long prompts", encode_brittle_of_long_prompts,
+     "9808010701010c14cd03e8"},
+    {"brittle, for older hosts", encode_brittle_for_older,
+     "9908010701010c140001"},
+    {"poison", encode_poison, "9307a831302e302e302e3191940500ff9194073c3209"},
     {"record", encode_record, "970301cd0384cd0370c4036b6579c4017604"},
     {"mark", encode_mark, "94160103cd0384"},
     {"envelope", encode_envelope, "961401a831302e302e302e31a1614dc40178"},
     {"record request", encode_record_request,
      "9515a831302e302e302e310103cd0384"},
     {"state", encode_state,
-     "9f04a168a831302e302e302e31a161084d93000000930000000000009090950000000107"
+     "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000010f"
      "09"},
 };
 
@@ -146,15 +181,28 @@
     }
 }
 
-/* The state that the build of dde14ba sends. */
-static const char state_before[] = "9f04a168a831302e302e302e31a161084d93000000"
-                                   "93000000000000909095000000010309";
+/* The states that builds before send. */
+static const struct {
+    const char *build;
+    const char *hex;
+    unsigned int lacks;
+} states_before[] = {
+    {"dde14ba",
+     "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000010"
+     "309",
+     PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS | PPS_GOSSIP_LACKS_PERMIT_SIZES},
+    {"239b270",
+     "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000010"
+     "709",
+     PPS_GOSSIP_LACKS_PERMIT_SIZES},
+};
 
-Test(gossip_golden, state_of_the_build_before_is_not_read)
+static void
+expect_state_of_build_before(const char *hex, unsigned int lacks)
 {
     pps_gossip_message_t message;
     char data[HEX_BYTES];
-    size_t size = read_hex(data, state_before);
+    size_t size = read_hex(data, hex);
 
     cr_assert_eq(pps_gossip_decode_state(&message, data, size, NOW_US), 0);
     cr_expect_str_eq(message.state.host_id, "h");
@@ -162,5 +210,29 @@
     cr_expect_eq(message.state.live_hosts, 8);
     cr_expect_eq(message.state.takes_relays, 1);
     cr_expect_eq(message.state.poison_digest, 9);
-    cr_expect_eq(message.state.lacks, PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS);
+    cr_expect_eq(message.state.lacks, lacks);
+}
+
+Test(gossip_golden, state_of_the_build_before_is_not_read)
+{
+    for (size_t i = 0; i < sizeof(states_before) / sizeof(*states_before);
+         i++) {
+        expect_state_of_build_before(states_before[i].hex,
+                                     states_before[i].lacks);
+    }
+}
+
+/* Builds before this one do not tell which worker it was. */
+Test(gossip_golden, poison_of_the_builds_before_is_not_read)
+{
+    pps_gossip_poison_t poison;
+    char data[HEX_BYTES];
+    size_t size = read_hex(data, "9307a831302e302e302e3191940500ff9193073c32");
+
+    cr_assert_eq(pps_gossip_decode_poison(&poison, data, size, NOW_US), 0);
+    cr_assert_eq(poison.count, 1);
+    cr_assert_eq(poison.items[0].crash_count, 1);
+    cr_expect_eq(poison.items[0].crashes[0].id, 7);
+    cr_expect_eq(poison.items[0].crashes[0].at_us, NOW_US - 50);
+    cr_expect_eq(poison.items[0].crashes[0].worker, 0);
 }
--- a/tests/entry/test_homes.c
+++ b/tests/entry/test_homes.c
@@ -9,7 +9,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#define REQUESTS 12
+/** Enough that each of three equal workers gets one. */
+#define REQUESTS 60
 #define WAIT_MS 3500
 #define NO_MAP ""
 #define MAP "za:r1,zb:r2,zc:r2,zh:r3"
--- a/tests/entry/test_poison_table.c
+++ b/tests/entry/test_poison_table.c
@@ -20,6 +20,8 @@
     int begun_ms;  /* how long before its answer had begun */
     int is_good;
     uint64_t keys[KEYS_MAX];
+    uint64_t worker; /* that ended; 0: not told */
+    uint64_t id;     /* of the end; 0: its place in the case */
 } event_t;
 
 typedef struct {
@@ -166,6 +168,55 @@
      {PART(1)},
      0,
      0},
+    {"a host knew the worker by the start before",
+     {{0, 50, 0, {PART(8), REQUEST(5)}, 1, 1},
+      {100, 50, 0, {PART(8), REQUEST(5)}, 2, 2},
+      {1000, 50, 0, {PART(8)}, 2, 9},
+      {1002, 50, 0, {REQUEST(5)}, 2, 3}},
+     1100,
+     {REQUEST(5)},
+     0,
+     0},
+    {"a worker ends again",
+     {{0, 50, 0, {PART(1)}, 1, 1},
+      {1000, 50, 0, {PART(1)}, 1, 2},
+      {2000, 50, 0, {PART(1)}, 1, 3}},
+     2100,
+     {PART(1)},
+     PART(1),
+     0},
+    {"one end that is told again, late",
+     {{0, 50, 0, {PART(1)}, 1, 1},
+      {600, 50, 0, {PART(1)}, 1, 1},
+      {900, 50, 0, {PART(1)}, 2, 2}},
+     1000,
+     {PART(1)},
+     0,
+     0},
+    {"one end under two names",
+     {{0, 50, 0, {PART(1)}, 1, 1},
+      {40, 50, 0, {PART(1)}, 1, 2},
+      {200, 50, 0, {PART(1)}, 2, 3}},
+     300,
+     {PART(1)},
+     0,
+     0},
+    {"silent attempts after an end",
+     {{0, 50, 0, {PART(1)}, 1, 1},
+      {400, 150, 0, {PART(1)}, 0, 1},
+      {900, 150, 0, {PART(1)}, 0, 1}},
+     1000,
+     {PART(1)},
+     0,
+     0},
+    {"one end that a host sees late",
+     {{0, 50, 0, {PART(1)}, 1, 1},
+      {900, 950, 0, {PART(1)}, 1, 1},
+      {1000, 50, 0, {PART(1)}, 2, 3}},
+     1100,
+     {PART(1)},
+     0,
+     0},
     {"one more end after half an hour",
      {{0, 50, 0, {PART(1)}},
       {100, 50, 0, {PART(1)}},
@@ -197,7 +248,8 @@
     for (size_t i = 0; i < count_keys(event->keys); i++) {
         const pps_poison_evidence_t evidence = {
             .key = event->keys[i],
-            .crashes = {{id, begun_us, at_us}},
+            .crashes = {{event->id != 0 ? event->id : id, begun_us, at_us,
+                         event->worker}},
             .crash_count = 1,
         };
 
--- a/tests/entry/test_worker_permits.c
+++ b/tests/entry/test_worker_permits.c
@@ -14,7 +14,8 @@
     double held;        /* at the last rejection; negative: none */
     int64_t rejected_s; /* time since then */
     pps_host_rank_t rank;
-    unsigned int part; /* requests that this host may have at the worker */
+    unsigned int part;    /* requests that this host may have at the worker */
+    unsigned int largest; /* size of the largest ones */
 } permit_case_t;
 
 static const permit_case_t permit_cases[] = {
@@ -32,6 +33,13 @@
     {"it has just rejected, ranks after", 6, 0, {20, 20, 5}, 0},
     {"two of four hosts are not heard", -1, 0, {2, 4, 0}, 3},
     {"most hosts are not heard", -1, 0, {1, 20, 0}, 1},
+    {"requests of three, ranks first", -1, 0, {20, 20, 0}, 4, 3},
+    {"requests of three, ranks third", -1, 0, {20, 20, 2}, 3, 3},
+    {"requests of three, ranks fourth", -1, 0, {20, 20, 3}, 0, 3},
+    {"requests of three, the only host", -1, 0, {1, 1, 0}, 10, 3},
+    {"requests of all slots, ranks first", -1, 0, {20, 20, 0}, 10, 10},
+    {"requests of all slots, ranks second", -1, 0, {20, 20, 1}, 0, 10},
+    {"it has just rejected, requests of six", 6, 0, {20, 20, 0}, 5, 6},
 };
 
 Test(worker_permits, table)
@@ -39,6 +47,8 @@
     for (size_t i = 0; i < sizeof(permit_cases) / sizeof(*permit_cases); i++) {
         const permit_case_t *item = &permit_cases[i];
         pps_worker_permits_t permits = {0};
+        pps_permit_pool_t pool;
+        unsigned int part;
 
         cr_expect_eq(pps_worker_permits_name(&permits, NOW_US), 1);
         cr_expect_eq(pps_worker_permits_name(&permits, NOW_US), 0);
@@ -47,10 +57,10 @@
                                       NOW_US -
                                           item->rejected_s * PPS_US_PER_S);
         }
-        cr_expect_eq(
-            pps_worker_permits_part(&permits, SLOTS, &item->rank, NOW_US),
-            item->part, "%s: %u", item->name,
-            pps_worker_permits_part(&permits, SLOTS, &item->rank, NOW_US));
+        pool.largest = item->largest;
+        pool.total = pps_worker_permits_total(&permits, SLOTS, NOW_US);
+        part = pps_permit_part(&pool, &item->rank);
+        cr_expect_eq(part, item->part, "%s: %u", item->name, part);
     }
 }
 
@@ -58,14 +68,16 @@
  * together is not more than its slots. */
 Test(worker_permits, sum_of_all_hosts)
 {
-    for (unsigned int hosts = 1; hosts <= 300; hosts++) {
-        const pps_worker_permits_t permits = {0};
+    for (unsigned int n = 0; n < 4 * 300; n++) {
+        unsigned int hosts = n / 4 + 1;
+        unsigned int largest = n % 4 + 1;
+        const pps_permit_pool_t pool = {SLOTS, largest};
         unsigned int sum = 0;
 
         for (unsigned int i = 0; i < hosts; i++) {
             const pps_host_rank_t rank = {hosts, hosts, (int)i};
 
-            sum += pps_worker_permits_part(&permits, SLOTS, &rank, NOW_US);
+            sum += pps_permit_part(&pool, &rank);
         }
         cr_expect_eq(sum, SLOTS, "%u hosts: %u", hosts, sum);
     }
@@ -105,21 +117,23 @@
 
 typedef struct {
     const char *name;
-    int64_t named_ms;         /* when a worker said so; negative: none has */
+    int64_t named_ms[2];      /* when a worker said so; negative: none has */
     int64_t upstream_deny_ms; /* an answer without; negative: none */
     int64_t denied_ms; /* the same of the worker; 0: it has not answered */
     int is_covered;
 } upstream_case_t;
 
 static const upstream_case_t upstream_cases[] = {
-    {"nothing is heard of any worker", -1, -1, 0, 1},
-    {"another worker bears rejections", -1, 500, 0, 0},
-    {"another worker is brittle", 5000, -1, 0, 1},
-    {"it answered just before another said so", 5000, -1, 4000, 0},
-    {"it answered long before another said so", 5000, -1, 1000, 1},
-    {"an answer is as old as the statement", 5000, 5000, 0, 1},
-    {"an answer crossed the statement", 5000, 5800, 0, 1},
-    {"nobody has said so for a while", 5000, 6500, 0, 0},
+    {"nothing is heard of any worker", {-1, -1}, -1, 0, 1},
+    {"another worker bears rejections", {-1, -1}, 500, 0, 0},
+    {"another worker is brittle", {5000, -1}, -1, 0, 1},
+    {"it answered just before the first statement", {5000, -1}, -1, 4990, 1},
+    {"it answered long before another said so", {5000, -1}, -1, 1000, 1},
+    {"it has answered without it since", {5000, 6000}, -1, 5500, 0},
+    {"it answered without it, others go on", {5000, 8000}, -1, 5500, 1},
+    {"an answer is as old as the statement", {5000, -1}, 5000, 0, 1},
+    {"an answer crossed the statement", {5000, -1}, 5800, 0, 1},
+    {"nobody has said so for a while", {5000, -1}, 6500, 0, 0},
 };
 
 Test(brittle_upstream, table)
@@ -129,10 +143,10 @@
         const upstream_case_t *item = &upstream_cases[i];
         pps_brittle_upstream_t upstream = {0};
 
-        if (item->named_ms >= 0) {
+        for (int n = 0; n < 2 && item->named_ms[n] >= 0; n++) {
             cr_expect_eq(pps_brittle_upstream_name(
-                             &upstream, item->named_ms * PPS_US_PER_MS),
-                         1);
+                             &upstream, item->named_ms[n] * PPS_US_PER_MS),
+                         n == 0);
         }
         if (item->upstream_deny_ms >= 0) {
             pps_brittle_upstream_deny(&upstream,
