--- a/tests/entry/test_poison_store.c
+++ b/tests/entry/test_poison_store.c
@@ -17,6 +17,8 @@
 #define KEY_TEXT "9123456789abcdef"
 #define KEY UINT64_C(0x9123456789abcdef)
 #define OTHER_KEY UINT64_C(0x42)
+#define OTHER_KEY_TEXT "0000000000000042"
+#define OTHER_REQUEST UINT64_C(0x43)
 #define HEAD "HTTP/1.1 200 OK\r\nContent-Length: "
 #define EMPTY HEAD "39\r\n\r\n{\"entries\":[],\"has_more\":false,\"end\":0}"
 #define WRITTEN HEAD "20\r\n\r\n{\"offset\":0,\"end\":1}"
@@ -25,7 +27,7 @@
 static const pps_poison_evidence_t convicted = {
     .key = KEY,
     .convicted = 1,
-    .crashes = {{3, NOW_US - 1 * S, NOW_US - 1 * S + 90 * MS},
+    .crashes = {{3, NOW_US - 1 * S, NOW_US - 1 * S + 90 * MS, 7},
                 {2, NOW_US - 2 * S, NOW_US - 2 * S + 90 * MS},
                 {1, NOW_US - 3 * S, NOW_US - 3 * S + 90 * MS}},
     .crash_count = 3,
@@ -80,6 +82,8 @@
         cr_expect_eq(now_us - read.crashes[0].at_us, records[i].age_us, "%s",
                      records[i].what);
         cr_expect(pps_poison_evidence_is_suspect(&read, now_us));
+        cr_expect_eq(read.crashes[0].worker, 7);
+        cr_expect_eq(read.crashes[1].worker, 0);
         pps_buf_clear(&text);
     }
 }
@@ -153,19 +157,35 @@
 }
 
 static int
-was_written(const fixture_t *fixture, const char *text)
+has_text(const pps_buf_t *buf, const char *text)
 {
-    const pps_buf_t *last = &fixture->server.last;
+    return memmem(buf->data, buf->size, text, strlen(text)) != NULL;
+}
 
-    return memmem(last->data, last->size, text, strlen(text)) != NULL;
+static int
+was_written(const fixture_t *fixture, const char *text)
+{
+    return has_text(&fixture->server.last, text);
 }
 
-static void
-convict(fixture_t *fixture, uint64_t key)
+/* Returns evidence that convicts a key. @param first_id of its crashes */
+static pps_poison_evidence_t
+crashes_of(uint64_t key, uint64_t first_id)
 {
     pps_poison_evidence_t evidence = convicted;
 
     evidence.key = key;
+    for (unsigned int i = 0; i < evidence.crash_count; i++) {
+        evidence.crashes[i].id += first_id - 1;
+    }
+    return evidence;
+}
+
+static void
+convict(fixture_t *fixture, uint64_t key, uint64_t first_id)
+{
+    pps_poison_evidence_t evidence = crashes_of(key, first_id);
+
     cr_assert_eq(pps_poison_table_merge(fixture->table, &evidence, NULL), 1);
 }
 
@@ -177,7 +197,7 @@
 
     start(&fixture, script, 3);
     step_until(&fixture, 1);
-    convict(&fixture, KEY);
+    convict(&fixture, KEY, 1);
     step_until(&fixture, 3);
     cr_expect(was_written(&fixture, KEY_TEXT "{\"crashes\":["));
     pps_poison_store_step(fixture.store);
@@ -196,13 +216,65 @@
     fixture_t fixture;
 
     start(&fixture, script, 2);
-    convict(&fixture, KEY);
-    convict(&fixture, OTHER_KEY);
+    convict(&fixture, KEY, 1);
+    convict(&fixture, OTHER_KEY, 9);
     step_until(&fixture, 3);
     pps_poison_store_forget(fixture.store);
     step_until(&fixture, 5);
 }
 
+typedef struct {
+    const char *what;
+    uint64_t other;
+    uint64_t first_id; /* of the other key's crashes; 1: the same ones */
+    int64_t good_us;   /* of the other key */
+    const char *written;
+    const char *not_written;
+} explained_case_t;
+
+static const explained_case_t explained[] = {
+    {"a request, by a part", OTHER_KEY, 1, 0, OTHER_KEY_TEXT, KEY_TEXT},
+    {"not by a part that is good", OTHER_KEY, 1, NOW_US - 20 * S, KEY_TEXT,
+     NULL},
+    {"not by a part with other crashes", OTHER_KEY, 9, 0, KEY_TEXT, NULL},
+    {"not by a request with other crashes", OTHER_REQUEST, 9, 0, KEY_TEXT,
+     NULL},
+    {"two requests, by each other", OTHER_REQUEST, 1, 0, NULL, KEY_TEXT},
+};
+
+/* Guards against refusing a sound request after an end of all hosts: what
+ * explains the ends of workers under it is forgotten then. */
+Test(poison_store, key_that_another_one_explains_is_not_written)
+{
+    static const net_answer_t script[] = {{EMPTY, NET_KEEP},
+                                          {WRITTEN, NET_KEEP}};
+
+    for (size_t i = 0; i < sizeof(explained) / sizeof(*explained); i++) {
+        const explained_case_t *item = &explained[i];
+        pps_poison_evidence_t other = crashes_of(item->other, item->first_id);
+        pps_buf_t written = PPS_BUF_INIT;
+        fixture_t fixture;
+
+        start(&fixture, script, 2);
+        step_until(&fixture, 1);
+        other.good_us = item->good_us;
+        convict(&fixture, KEY, 1);
+        cr_assert_eq(pps_poison_table_merge(fixture.table, &other, NULL), 1);
+        for (int step = 0; step < 20; step++) {
+            pps_poison_store_step(fixture.store);
+            net_run_for(&fixture.reactor, 5);
+            pps_buf_append(&written, fixture.server.last.data,
+                           fixture.server.last.size);
+        }
+        cr_expect(item->written == NULL || has_text(&written, item->written),
+                  "%s", item->what);
+        cr_expect(item->not_written == NULL ||
+                      !has_text(&written, item->not_written),
+                  "%s", item->what);
+        pps_buf_clear(&written);
+    }
+}
+
 Test(poison_store, host_that_starts_reads_what_the_store_has)
 {
     static const net_answer_t script[] = {
@@ -239,7 +311,7 @@
     fixture_t fixture;
 
     start(&fixture, script, 2);
-    convict(&fixture, KEY);
+    convict(&fixture, KEY, 1);
     step_until(&fixture, 2);
     cr_assert_eq(pps_poison_table_merge(fixture.table, &another, NULL), 1);
     step_until(&fixture, 3);
