Store topic: a read of an older epoch does not move the end of the copy

Cause: with two returns of the store during one read, the second one was taken for the first page of a listing, and records were passed over.

--- a/tests/entry/test_store_topic.c
+++ b/tests/entry/test_store_topic.c
@@ -304,6 +304,44 @@
     pps_buf_clear(&owner.changes);
 }
 
+/* Guards against passing over records that a store writes after it came back
+ * several times during one read: the read's offsets are of the first epoch. */
+Test(store_topic, read_of_an_older_epoch_does_not_move_the_end)
+{
+    static const net_answer_t script[] = {
+        {ONE_KEY("1", "MQ==", "9"), NET_KEEP}, {NULL, NET_KEEP}};
+    static const struct {
+        int64_t epoch; /* the last one that is learned during the read */
+        const char *answer;
+    } returns[] = {{2, EPOCH("2") NO_RECORDS},
+                   {3, EPOCH("3") NO_RECORDS},
+                   {4, EPOCH("4") NO_RECORDS}};
+
+    for (size_t i = 0; i < sizeof(returns) / sizeof(*returns); i++) {
+        pps_reactor_t reactor;
+        net_server_t server;
+        pps_store_topic_t *topic;
+        owner_t owner;
+
+        start(&owner, &topic, &server, &reactor, script, 2);
+        cr_assert(net_run_until(&reactor, &server.requests, 2, TIMEOUT_MS));
+        for (int64_t epoch = 2; epoch <= returns[i].epoch; epoch++) {
+            pps_store_topic_set_epoch(topic, epoch);
+        }
+        pps_mirror_begin_listing(owner.mirror, returns[i].epoch);
+        pps_mirror_apply_listed(owner.mirror, 1, "a", 1, "9", 1);
+        pps_mirror_end_listing(owner.mirror, 2);
+        net_server_send(&server, returns[i].answer, strlen(returns[i].answer));
+        cr_assert(net_run_until(&reactor, &server.requests, 3, TIMEOUT_MS));
+        cr_expect_eq(pps_mirror_end(owner.mirror), 2, "epoch %d: %d",
+                     (int)returns[i].epoch, (int)pps_mirror_end(owner.mirror));
+        cr_expect_not_null(strstr(server.last.data,
+                                  "/-/log-read?topic=keyed.t&part=0&from=2&"),
+                           "%s", server.last.data);
+        pps_buf_clear(&owner.changes);
+    }
+}
+
 /* The place in a listing of several pages must not outlive it: a later listing
  * would skip the keys before it. */
 Test(store_topic, later_listing_starts_at_the_first_key)
