Tests: limits of the HTTP server run in manual time

Cause: a request had 40 ms of real time; a loop that stood still used them up. Change: limits run in time that the test advances, with a lower bound besides.

--- a/tests/entry/test_http_server.c
+++ b/tests/entry/test_http_server.c
@@ -7,7 +7,9 @@
 #include <criterion/criterion.h>
 #include <string.h>
 
-#define WAIT_MS 40
+#define LIMIT_MS 5000 /* for what happens at once on an idle machine */
+#define SETTLE_MS 40
+#define STEP_MS 10
 
 typedef struct {
     size_t requests;
@@ -44,6 +46,41 @@
 static pps_http_limits_t limits = {200, 20, 200 * PPS_US_PER_MS,
                                    400 * PPS_US_PER_MS};
 
+/* Time of a server whose limits are tested; it stands while a test waits for
+ * bytes, so that a busy machine does not use up a limit. */
+static int64_t manual_now_us;
+
+static int64_t
+read_manual_clock(void)
+{
+    return manual_now_us;
+}
+
+static void
+init_reactor(pps_reactor_t *reactor)
+{
+    cr_assert_eq(pps_reactor_init(reactor), 0);
+    manual_now_us = reactor->now_us;
+    reactor->read_clock = read_manual_clock;
+}
+
+/** Advances the time until the server ends the connection.
+ * @return the time that passed, at most `limit_ms`, in milliseconds */
+static unsigned int
+advance_until_ended(pps_reactor_t *reactor, const net_client_t *client,
+                    unsigned int limit_ms)
+{
+    unsigned int passed_ms = 0;
+
+    while (!client->ended && passed_ms < limit_ms) {
+        net_run_for(reactor, 5);
+        passed_ms += STEP_MS;
+        manual_now_us += STEP_MS * PPS_US_PER_MS;
+    }
+    net_run_for(reactor, SETTLE_MS);
+    return passed_ms;
+}
+
 #define GET "GET /a HTTP/1.1\r\nHost: h\r\n"
 #define POST "POST /b HTTP/1.1\r\nHost: h\r\n"
 
@@ -107,6 +144,24 @@
     cr_expect_eq(client->ended, item->ended, "%s", item->name);
 }
 
+/** Runs the loop until the server has done what is expected of it. */
+static void
+run_case(pps_reactor_t *reactor, const owner_t *owner,
+         const net_client_t *client, const case_t *item)
+{
+    size_t size = strlen(item->answer);
+
+    for (unsigned int waited_ms = 0; waited_ms < LIMIT_MS; waited_ms += 5) {
+        if (strcmp(pps_buf_text(&owner->log), item->requests) == 0 &&
+            strncmp(pps_buf_text(&client->got), item->answer, size) == 0 &&
+            client->ended == item->ended) {
+            break;
+        }
+        net_run_for(reactor, 5);
+    }
+    net_run_for(reactor, SETTLE_MS);
+}
+
 Test(http_server, requests)
 {
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
@@ -115,13 +170,13 @@
         owner_t owner = {0};
         net_client_t client;
 
-        cr_assert_eq(pps_reactor_init(&reactor), 0);
+        init_reactor(&reactor);
         cr_assert_eq(pps_http_server_new(&server, &reactor, "127.0.0.1", 0,
                                          &limits, &ops, &owner),
                      0);
         net_client_start(&client, &reactor, pps_http_server_port(server),
                          cases[i].text);
-        net_run_for(&reactor, WAIT_MS);
+        run_case(&reactor, &owner, &client, &cases[i]);
         cr_expect_str_eq(pps_buf_text(&owner.log), cases[i].requests, "%s",
                          cases[i].name);
         expect_answer(&client, &cases[i]);
@@ -136,14 +191,16 @@
     owner_t owner = {0};
     net_client_t client;
     const case_t item = {"slow", "", "", "HTTP/1.1 408 Request Timeout", 1};
+    unsigned int passed_ms;
 
-    cr_assert_eq(pps_reactor_init(&reactor), 0);
+    init_reactor(&reactor);
     cr_assert_eq(pps_http_server_new(&server, &reactor, "127.0.0.1", 0,
                                      &limits, &ops, &owner),
                  0);
     net_client_start(&client, &reactor, pps_http_server_port(server),
                      "GET /a HT");
-    net_run_for(&reactor, 400);
+    passed_ms = advance_until_ended(&reactor, &client, 400);
+    cr_expect_gt(passed_ms, 200);
     expect_answer(&client, &item);
     cr_expect_eq(owner.requests, 0);
 }
@@ -155,15 +212,15 @@
     owner_t owner = {.hold = 1};
     net_client_t client;
 
-    cr_assert_eq(pps_reactor_init(&reactor), 0);
+    init_reactor(&reactor);
     cr_assert_eq(pps_http_server_new(&server, &reactor, "127.0.0.1", 0,
                                      &limits, &ops, &owner),
                  0);
     net_client_start(&client, &reactor, pps_http_server_port(server),
                      GET "\r\n");
-    cr_assert(net_run_until(&reactor, &owner.requests, 1, 2000));
+    cr_assert(net_run_until(&reactor, &owner.requests, 1, LIMIT_MS));
     net_client_close(&client);
-    cr_expect(net_run_until(&reactor, &owner.disconnects, 1, 2000));
+    cr_expect(net_run_until(&reactor, &owner.disconnects, 1, LIMIT_MS));
     cr_expect_eq(pps_http_server_connections(server), 0);
 }
 
@@ -173,12 +230,14 @@
     pps_http_server_t *server;
     owner_t owner = {0};
     net_client_t client;
+    unsigned int passed_ms;
 
-    cr_assert_eq(pps_reactor_init(&reactor), 0);
+    init_reactor(&reactor);
     cr_assert_eq(pps_http_server_new(&server, &reactor, "127.0.0.1", 0,
                                      &limits, &ops, &owner),
                  0);
     net_client_start(&client, &reactor, pps_http_server_port(server), "");
-    net_run_for(&reactor, 600);
+    passed_ms = advance_until_ended(&reactor, &client, 600);
+    cr_expect_gt(passed_ms, 400);
     cr_expect_eq(client.ended, 1);
 }
