--- a/tests/entry/net.h
+++ b/tests/entry/net.h
@@ -1,7 +1,7 @@
 /**
  * @file net.h
  * @brief Scripted servers and raw clients on loopback that run in the
- * event loop of the test.
+ * event loop of the test. Its waits count the time of steady_clock.h.
  */
 #ifndef PPS_TESTS_ENTRY_NET_H
 #define PPS_TESTS_ENTRY_NET_H
--- a/tests/entry/steady_clock.c
+++ b/tests/entry/steady_clock.c
@@ -14,15 +14,10 @@
     int64_t real_us = pps_clock_now_us();
     int64_t passed_us = real_us - read_real_us;
 
-    if (read_real_us == 0) {
-        now_us = real_us;
-    }
-    else if (passed_us < STEADY_CLOCK_TURN_MAX_US) {
-        now_us += passed_us;
-    }
-    else {
-        now_us += STEADY_CLOCK_TURN_MAX_US;
+    if (read_real_us > 0 && passed_us > STEADY_CLOCK_TURN_MAX_US) {
+        passed_us = STEADY_CLOCK_TURN_MAX_US;
     }
+    now_us += passed_us;
     read_real_us = real_us;
     return now_us;
 }
