--- a/src/libpapayaswitch/exchange/exchange_copy.c
+++ b/src/libpapayaswitch/exchange/exchange_copy.c
@@ -49,7 +49,7 @@
     SWAP(double, exchange->backlog, copy->backlog);
 }
 
-/* Copies the head of the answer, to which the channel may add trailers.
+/* Copies the head of the answer, which is needed if the copy wins.
  * @return 0 or a negative error */
 static int
 keep_reply(pps_exchange_hedge_t *hedge, const pps_http_reply_t *reply)
--- a/src/libpapayaswitch/transport/http_conn.c
+++ b/src/libpapayaswitch/transport/http_conn.c
@@ -17,7 +17,6 @@
 /** Maximum queued response bytes; a slower caller is disconnected. */
 #define QUEUED_BYTES_MAX (1U << 20)
 
-#define STATUS_BAD_REQUEST 400
 #define STATUS_TIMEOUT 408
 
 static void
@@ -28,9 +27,7 @@
 {
     pps_http_conn_t *conn = handle->data;
 
-    pps_buf_clear(&conn->request.target);
-    pps_headers_clear(&conn->request.headers);
-    pps_buf_clear(&conn->request.body);
+    pps_request_reader_clear(&conn->reader);
     pps_buf_clear(&conn->pending);
     pps_buf_clear(&conn->output);
     free(conn);
@@ -122,12 +119,8 @@
 
     conn->state = CONN_READING;
     conn->request_started = 0;
-    conn->header_bytes = 0;
-    conn->error_status = 0;
     conn->exchange = NULL;
-    conn->request.target.size = 0;
-    conn->request.body.size = 0;
-    pps_headers_reset(&conn->request.headers);
+    pps_request_reader_begin(&conn->reader);
     pps_reactor_after(conn->server->reactor, &conn->timer,
                       limits->idle_timeout_us, on_read_timer, conn);
 }
@@ -139,11 +132,23 @@
 
     pps_timers_cancel(&conn->timer);
     conn->state = CONN_SERVING;
-    conn->keep_alive =
-        http_should_keep_alive(&conn->parser) && !server->draining;
-    conn->request.method = http_method_str(conn->parser.method);
-    conn->request.received_us = server->reactor->now_us;
-    server->ops->on_request(server->user, conn, &conn->request);
+    conn->keep_alive = conn->reader.keep_alive && !server->draining;
+    conn->reader.request.received_us = server->reactor->now_us;
+    server->ops->on_request(server->user, conn, &conn->reader.request);
+}
+
+/* A caller that has sent its whole request already waits for no interim
+ * answer. */
+static void
+send_continue_if_expected(pps_http_conn_t *conn)
+{
+    static char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+    uv_buf_t piece = uv_buf_init(text, sizeof(text) - 1);
+
+    if (conn->reader.expects_continue) {
+        conn->reader.expects_continue = 0;
+        pps_tcp_write(&conn->tcp, &piece, 1);
+    }
 }
 
 static void
@@ -157,16 +162,17 @@
                           conn->server->limits->request_timeout_us,
                           on_read_timer, conn);
     }
-    used = http_parser_execute(&conn->parser, &pps_http_conn_parser_settings,
-                               data, size);
-    if (HTTP_PARSER_ERRNO(&conn->parser) == HPE_PAUSED) {
+    switch (pps_request_reader_feed(&conn->reader, data, size, &used)) {
+    case PPS_REQUEST_MORE:
+        send_continue_if_expected(conn);
+        break;
+    case PPS_REQUEST_WHOLE:
         pps_buf_append(&conn->pending, data + used, size - used);
         deliver_request(conn);
-        return;
-    }
-    if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
-        respond_error(conn, conn->error_status != 0 ? conn->error_status
-                                                    : STATUS_BAD_REQUEST);
+        break;
+    case PPS_REQUEST_REJECTED:
+        respond_error(conn, conn->reader.error_status);
+        break;
     }
 }
 
@@ -210,8 +216,7 @@
         return;
     }
     uv_tcp_nodelay(&conn->tcp, 1);
-    http_parser_init(&conn->parser, HTTP_REQUEST);
-    conn->parser.data = conn;
+    pps_request_reader_init(&conn->reader, server->limits);
     await_request(conn);
     uv_read_start((uv_stream_t *)&conn->tcp, pps_tcp_get_read_buffer, on_read);
 }
@@ -228,7 +233,6 @@
         return;
     }
     await_request(conn);
-    http_parser_pause(&conn->parser, 0);
     if (conn->pending.size > 0) {
         pending = conn->pending;
         conn->pending = (pps_buf_t)PPS_BUF_INIT;
--- a/src/libpapayaswitch/transport/http_server.c
+++ b/src/libpapayaswitch/transport/http_server.c
@@ -3,6 +3,7 @@
 
 #include "papayaswitch/errors.h"
 
+#include <http_parser.h>
 #include <stdlib.h>
 
 #define LISTEN_BACKLOG 1024
--- a/src/libpapayaswitch/transport/http_server.h
+++ b/src/libpapayaswitch/transport/http_server.h
@@ -9,7 +9,7 @@
 #ifndef PPS_TRANSPORT_HTTP_SERVER_H
 #define PPS_TRANSPORT_HTTP_SERVER_H
 
-#include "headers.h"
+#include "http_request.h"
 #include "reactor.h"
 
 /** A listening socket and its connections. */
@@ -18,26 +18,10 @@
 /** A connection from one caller. */
 typedef struct pps_http_conn pps_http_conn_t;
 
-/** A complete request, valid until its response or `on_disconnect`. */
-typedef struct {
-    const char *method;
-    pps_buf_t target; /**< path and query */
-    pps_headers_t headers;
-    pps_buf_t body;
-    int64_t received_us; /**< when its last byte was parsed */
-} pps_http_request_t;
-
-/** Limits on requests, read anew for each; the owner may change them. */
-typedef struct {
-    size_t header_bytes; /**< target, field names and values together */
-    size_t body_bytes;
-    int64_t request_timeout_us; /**< from a request's first byte to its last */
-    int64_t idle_timeout_us;    /**< wait for the first byte of a request */
-} pps_http_limits_t;
-
 /** Callbacks of the owner. */
 typedef struct {
-    /** Delivers a request that must be answered or aborted, now or later. */
+    /** Delivers a request that must be answered or aborted, now or later. It
+     * is valid until its response or `on_disconnect`. */
     void (*on_request)(void *user, pps_http_conn_t *conn,
                        const pps_http_request_t *request);
     /** Reports a disconnect before the response ended; called only if an
--- a/src/libpapayaswitch/transport/http_server_state.h
+++ b/src/libpapayaswitch/transport/http_server_state.h
@@ -3,8 +3,8 @@
 #define PPS_TRANSPORT_HTTP_SERVER_STATE_H
 
 #include "http_server.h"
+#include "request_reader.h"
 
-#include <http_parser.h>
 #include <urcu/list.h>
 
 struct pps_http_server {
@@ -31,24 +31,17 @@
     pps_http_server_t *server;
     uv_tcp_t tcp;
     uv_shutdown_t shutdown;
-    http_parser parser;
+    pps_request_reader_t reader;
     conn_state_t state;
     int request_started; /* the first byte of a request was read */
     int keep_alive;      /* keep the connection open after this response */
-    unsigned int error_status; /* status of a rejected request, or 0 */
-    size_t header_bytes;
-    pps_http_request_t request;
-    pps_buf_t pending; /* input read while a request is being served */
-    pps_buf_t output;  /* of the response, not yet written */
+    pps_buf_t pending;   /* input read while a request is being served */
+    pps_buf_t output;    /* of the response, not yet written */
     pps_deferred_t flush;
     pps_timer_t timer; /* read timeout, end of lingering or disconnect */
     void *exchange;    /* set by pps_http_conn_attach(), or NULL */
 };
 
-/** Parser callbacks. `data` of the parser is the connection, whose `request`
- * they fill. A rejected request sets `error_status` and stops the parser. */
-extern const http_parser_settings pps_http_conn_parser_settings;
-
 /** Accepts a pending connection and starts reading. */
 void
 pps_http_conn_accept(pps_http_server_t *server);
--- a/src/libpapayaswitch/transport/reply_reader.h
+++ b/src/libpapayaswitch/transport/reply_reader.h
@@ -7,6 +7,7 @@
 #define PPS_TRANSPORT_REPLY_READER_H
 
 #include "channel_ops.h"
+#include "trailer.h"
 
 #include <http_parser.h>
 #include <stdint.h>
@@ -26,6 +27,9 @@
     void *user;
     pps_http_reply_t reply;
     size_t before_head_bytes; /**< received before the head of the response */
+    size_t header_bytes;      /**< names and values of the head's fields */
+    pps_trailer_t trailer;
+    int in_trailer;
     int has_head;
     int skipping; /**< the response is interim or of another call */
     int reusable; /**< the response allows keep-alive */
--- /dev/null
+++ b/src/libpapayaswitch/transport/request_reader.h
@@ -0,0 +1,55 @@
+/**
+ * @file request_reader.h
+ * @brief Reads the requests of one caller's connection from its bytes, one at
+ * a time. Does no I/O.
+ */
+#ifndef PPS_TRANSPORT_REQUEST_READER_H
+#define PPS_TRANSPORT_REQUEST_READER_H
+
+#include "http_request.h"
+#include "trailer.h"
+
+#include <http_parser.h>
+
+/** State of a request after more of its bytes. */
+typedef enum {
+    PPS_REQUEST_MORE,     /**< it goes on */
+    PPS_REQUEST_WHOLE,    /**< it is complete */
+    PPS_REQUEST_REJECTED, /**< it can't be served; see `error_status` */
+} pps_request_state_t;
+
+/** Reader of one connection. */
+typedef struct {
+    http_parser parser;
+    const pps_http_limits_t *limits;
+    pps_http_request_t request; /**< valid until the next one begins */
+    pps_trailer_t trailer;
+    int in_trailer;
+    size_t header_bytes;  /**< of the head */
+    int expects_continue; /**< the head asks for an interim answer; the owner
+                               may clear it */
+    int keep_alive;       /**< the head allows further requests */
+    unsigned int error_status; /**< HTTP status of a rejected request */
+} pps_request_reader_t;
+
+/** Initializes a reader. @param limits must outlive it */
+void
+pps_request_reader_init(pps_request_reader_t *reader,
+                        const pps_http_limits_t *limits);
+
+/** Forgets the last request, but keeps its memory for the next one. Must be
+ * called before each request. */
+void
+pps_request_reader_begin(pps_request_reader_t *reader);
+
+/** Reads bytes of a request that is not complete.
+ * @param used set to the number of bytes that belong to the request */
+pps_request_state_t
+pps_request_reader_feed(pps_request_reader_t *reader, const char *data,
+                        size_t size, size_t *used);
+
+/** Frees what the reader holds. */
+void
+pps_request_reader_clear(pps_request_reader_t *reader);
+
+#endif
--- a/tests/entry/channel_cases.c
+++ b/tests/entry/channel_cases.c
@@ -44,6 +44,10 @@
 const pps_channel_ops_t channel_outcome_ops = {on_head, on_body, on_end,
                                                on_fail};
 #define OK "HTTP/1.1 200 OK\r\n"
+#define CHUNKED_AB OK "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+#define OTHER_CHUNKED                                                         \
+    OK "X-Request-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n"            \
+       "3\r\nxxx\r\n0\r\n"
 
 const channel_case_t channel_cases[] = {
     {"with a length",
@@ -95,6 +99,46 @@
       NET_KEEP},
      CHANNEL_COMPLETE,
      "ab"},
+    {"a trailer",
+     {CHUNKED_AB "X-A: 1\r\nX-A: 2\r\n\r\n", NET_KEEP},
+     CHANNEL_COMPLETE,
+     "ab"},
+    {"a trailer that names another request",
+     {CHUNKED_AB "X-Request-Id: other\r\n\r\n", NET_KEEP},
+     CHANNEL_COMPLETE,
+     "ab"},
+    {"a trailer with lengths",
+     {CHUNKED_AB "Content-Length: 7\r\nContent-Length: x\r\n\r\n", NET_KEEP},
+     CHANNEL_COMPLETE,
+     "ab"},
+    {"a trailer with an encoding",
+     {CHUNKED_AB "Transfer-Encoding: gzip\r\n\r\n", NET_KEEP},
+     CHANNEL_COMPLETE,
+     "ab"},
+    {"a trailer, then the end of the connection",
+     {CHUNKED_AB "X-A: 1\r\n\r\n", NET_CLOSE},
+     CHANNEL_COMPLETE,
+     "ab"},
+    {"a trailer behind an interim answer",
+     {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" CHUNKED_AB
+      "X-A: 1\r\n\r\n",
+      NET_KEEP},
+     CHANNEL_COMPLETE,
+     "ab"},
+    {"another request's answer with a trailer first",
+     {OTHER_CHUNKED "Connection: close\r\nContent-Length: x\r\n\r\n" OK
+                    "Content-Length: 2\r\n\r\nab",
+      NET_KEEP},
+     CHANNEL_COMPLETE,
+     "ab"},
+    {"a trailer without an end",
+     {CHUNKED_AB "X-A: 1\r\n", NET_CLOSE},
+     PPS_CHANNEL_BROKEN,
+     "ab"},
+    {"an answer in place of a trailer",
+     {CHUNKED_AB OK "Content-Length: 0\r\n\r\n", NET_KEEP},
+     PPS_CHANNEL_MALFORMED,
+     "ab"},
 };
 
 const size_t channel_case_count =
--- a/tests/entry/test_http_channel.c
+++ b/tests/entry/test_http_channel.c
@@ -83,3 +83,35 @@
     }
     cr_expect_eq(pps_http_channel_calls(channel), 3);
 }
+
+/* Guards against a trailer field that decides about the connection, or that
+ * the next answer on it is read with. */
+Test(http_channel, trailer_ends_a_channel)
+{
+    static const net_answer_t answer = {
+        OK "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+           "Connection: close\r\nKeep-Alive: timeout=0\r\n"
+           "Transfer-Encoding: gzip\r\n\r\n",
+        NET_KEEP};
+    pps_reactor_t reactor;
+    net_server_t server;
+    pps_http_channel_t *channel;
+
+    steady_clock_init_reactor(&reactor);
+    net_server_start(&server, &reactor, &answer, 1);
+    cr_assert_eq(pps_http_channel_new(&channel, &reactor, server.address,
+                                      &options, NULL, NULL),
+                 0);
+    for (int i = 0; i < 3; i++) {
+        channel_outcome_t outcome;
+
+        call(channel, &outcome);
+        cr_assert(net_run_until(&reactor, &outcome.finished, 1, LIMIT_MS));
+        cr_expect_eq(outcome.failure, CHANNEL_COMPLETE);
+        cr_expect_str_eq(pps_buf_text(&outcome.body), "ab");
+        cr_expect(pps_http_channel_is_idle(channel));
+        cr_expect_eq(pps_http_channel_expires_us(channel), INT64_MAX);
+        pps_buf_clear(&outcome.body);
+    }
+    cr_expect_eq(pps_http_channel_calls(channel), 3);
+}
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -9,6 +9,8 @@
 
 #define EVENT_COUNT 8
 #define CLIENT_TIMEOUT_US (2500 * PPS_US_PER_MS)
+/** Each so many requests one has a trailer. */
+#define TRAILER_INTERVAL 4
 /** After this time every host must refuse a revoked key. */
 #define REVOKE_DEADLINE_US (4 * PPS_US_PER_S)
 
@@ -293,6 +295,23 @@
     return client;
 }
 
+/* Writes the lines that frame a body, and the body. Each fourth request has
+ * it in a chunk, with a trailer that no worker may see. */
+static void
+write_body(char *out, size_t size, const client_t *client, const char *body)
+{
+    if (client->soak->sent_count % TRAILER_INTERVAL != 0) {
+        snprintf(out, size, "Content-Length: %zu\r\n\r\n%s", strlen(body),
+                 body);
+        return;
+    }
+    snprintf(out, size,
+             "Transfer-Encoding: chunked\r\n\r\n%zx\r\n%s\r\n0\r\n"
+             "X-Request-Id: of-a-trailer\r\nAuthorization: Token nokey\r\n"
+             "X-Deadline-Ms: 1\r\nContent-Length: 1\r\n\r\n",
+             strlen(body), body);
+}
+
 /* Sends a request. @param key index in `keys` @param parts of the prompt */
 static void
 start(client_t *client, int key, const char *parts, const char *body)
@@ -300,7 +319,8 @@
     static const pps_channel_options_t options = {PPS_US_PER_S, 3000};
     soak_t *soak = client->soak;
     char address[SOAK_TEXT_BYTES + 8];
-    char text[512];
+    char framed_body[384];
+    char text[768];
 
     snprintf(address, sizeof(address), "%s:%u",
              soak->hosts[client->host].address, soak->callers_port);
@@ -311,12 +331,12 @@
     }
     client->uses_key2 = key == 1;
     record_request(client, key != 2);
+    write_body(framed_body, sizeof(framed_body), client, body);
     snprintf(text, sizeof(text),
              "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n"
              "X-Deadline-Ms: 2000\r\nAuthorization: Token %s\r\n"
-             "X-Prefix-Hash: %s\r\nContent-Length: %zu\r\n\r\n%s",
-             paths[client->kind], client->id, keys[key], parts, strlen(body),
-             body);
+             "X-Prefix-Hash: %s\r\n%s",
+             paths[client->kind], client->id, keys[key], parts, framed_body);
     pps_reactor_after(&soak->reactor, &client->timer, CLIENT_TIMEOUT_US,
                       on_client_timeout, client);
     pps_http_channel_call(client->channel, text, strlen(text), &ops, client);
