--- a/src/cli/load_answer.c
+++ b/src/cli/load_answer.c
@@ -11,6 +11,8 @@
 
 #define COMPLETION_ID_PREFIX "chatcmpl-"
 #define EVENT_PREFIX "data: "
+#define STATUS_LINE_PREFIX "HTTP/1.1 "
+#define INTERIM_STATUS_DIGIT '1'
 #define STATUS_OK 200
 
 const char *
@@ -63,11 +65,29 @@
     return 1;
 }
 
+/* Reads the lines that begin and end a head. */
+static void
+note_head_line(load_answer_t *answer, const char *line, size_t size)
+{
+    size_t length = strlen(STATUS_LINE_PREFIX);
+
+    if (size > length && strncmp(line, STATUS_LINE_PREFIX, length) == 0) {
+        answer->is_interim = line[length] == INTERIM_STATUS_DIGIT;
+    }
+    if (size > 0 && (line[0] == '\r' || line[0] == '\n')) {
+        answer->has_head = !answer->is_interim;
+    }
+}
+
 void
 load_answer_add_header(load_answer_t *answer, const char *line, size_t size)
 {
     char value[64];
 
+    if (answer->has_head) {
+        return;
+    }
+    note_head_line(answer, line, size);
     parse_header(answer->request_id, sizeof(answer->request_id), line, size,
                  "X-Request-Id");
     parse_header(answer->version, sizeof(answer->version), line, size,
--- a/src/cli/load_answer.h
+++ b/src/cli/load_answer.h
@@ -33,6 +33,8 @@
     char request_id[64];   /**< from the header, or "" */
     char version[64];      /**< from the header, or "" */
     int retry_after_s;     /**< from the header, or -1 */
+    int is_interim; /**< the head that is being read is an interim one */
+    int has_head;   /**< the final head is complete */
     int is_stream;
     pps_buf_t raw;  /**< unparsed bytes; without a stream, the entire body */
     pps_buf_t text; /**< generated text */
@@ -52,7 +54,8 @@
 void
 load_answer_clear(load_answer_t *answer);
 
-/** Parses a header line. */
+/** Parses a line of a head. Lines that follow the final head, which are those
+ * of a trailer, are ignored. */
 void
 load_answer_add_header(load_answer_t *answer, const char *line, size_t size);
 
--- a/src/util/http_prepare.c
+++ b/src/util/http_prepare.c
@@ -19,6 +19,10 @@
     size_t total = size * count;
     char value[16] = "";
 
+    /* libcurl reports the fields of a trailer in the same way. */
+    if (stream->headers_done) {
+        return total;
+    }
     if (total > sizeof(retry_after) &&
         strncasecmp(line, retry_after, sizeof(retry_after) - 1) == 0) {
         size_t length = total - (sizeof(retry_after) - 1);
