--- a/fuzz/fuzz_wire.c
+++ b/fuzz/fuzz_wire.c
@@ -62,7 +62,7 @@
     pps_headers_clear(&request.headers);
     pps_headers_clear(&reply.headers);
     pps_buf_clear(&request.target);
-    pps_buf_clear(&split.partial);
+    pps_event_split_reset(&split);
     pps_buf_clear(&out);
     return 0;
 }
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -82,7 +82,7 @@
     pps_deployment_unref(exchange->deployment);
     pps_buf_clear(&exchange->fields);
     pps_buf_clear(&exchange->body);
-    pps_buf_clear(&exchange->events.partial);
+    pps_event_split_reset(&exchange->events);
     free(exchange);
 }
 
--- a/src/libpapayaswitch/exchange/exchange_copy.c
+++ b/src/libpapayaswitch/exchange/exchange_copy.c
@@ -84,7 +84,7 @@
 
     exchange->dispatcher->buffered_bytes -= body.size;
     hedge->body = (pps_buf_t)PPS_BUF_INIT;
-    hedge->events.partial.size = 0;
+    pps_event_split_reset(&hedge->events);
     hedge->reply = NULL;
     hedge->is_sent = 0;
     return body;
--- a/tests/entry/test_exchange_parts.c
+++ b/tests/entry/test_exchange_parts.c
@@ -55,12 +55,67 @@
             cr_expect_str_eq(pps_buf_text(&received), splits[i].events,
                              "case %zu split at %zu", i, split_at);
             cr_expect_eq(split.partial.size, splits[i].partial_bytes);
-            pps_buf_clear(&split.partial);
+            pps_event_split_reset(&split);
             pps_buf_clear(&received);
         }
     }
 }
 
+static void
+on_long_event(void *user, const char *text, size_t size, int64_t id)
+{
+    *(size_t *)user += size;
+}
+
+#define LONG_EVENT_BYTES (250U << 10)
+#define LONG_EVENTS 40
+#define SMALL_PIECE_BYTES 8
+
+/* Guards against a search that begins anew with each piece: an event in small
+ * pieces then takes the host's time from all others. That would be 10 TB to
+ * search here, for the timeout of the test. */
+Test(event_split, small_pieces_are_searched_again, .timeout = 30)
+{
+    static const struct {
+        const char *name;
+        char piece[SMALL_PIECE_BYTES + 1];
+    } forms[] = {{"one line", "a long l"},
+                 {"many lines", "data: x\n"},
+                 {"empty line ends", "data: \r\n"}};
+
+    for (size_t i = 0; i < sizeof(forms) / sizeof(*forms); i++) {
+        pps_event_split_t split = {PPS_BUF_INIT};
+        size_t passed = 0;
+
+        for (int event = 0; event < LONG_EVENTS; event++) {
+            for (size_t sent = 0; sent < LONG_EVENT_BYTES;
+                 sent += SMALL_PIECE_BYTES) {
+                cr_assert_eq(pps_event_split_feed(&split, forms[i].piece,
+                                                  SMALL_PIECE_BYTES,
+                                                  on_long_event, &passed),
+                             0);
+            }
+            pps_event_split_feed(&split, "\n\n\n", 3, on_long_event, &passed);
+            pps_event_split_reset(&split);
+        }
+        cr_expect_geq(passed, (size_t)LONG_EVENTS * LONG_EVENT_BYTES, "%s",
+                      forms[i].name);
+    }
+}
+
+/* What was passed on is not kept. */
+Test(event_split, memory_of_passed_events_is_kept)
+{
+    pps_event_split_t split = {PPS_BUF_INIT};
+    size_t passed = 0;
+
+    pps_event_split_feed(&split, "id: 1\ndata", 10, on_long_event, &passed);
+    cr_expect_eq(split.partial.size, 10);
+    pps_event_split_feed(&split, ": a\n\n", 5, on_long_event, &passed);
+    cr_expect_eq(passed, 15);
+    cr_expect_eq(split.partial.capacity, 0);
+}
+
 typedef struct {
     pps_model_choice_t choice;
     size_t next;
