--- a/src/libpapayaswitch/exchange/decision_log.c
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -180,6 +180,27 @@
                                 PPS_STR("worker", exchange->worker->info.id)));
 }
 
+void
+pps_decision_log_given_up(const pps_exchange_t *exchange,
+                          const pps_pool_worker_t *worker,
+                          const pps_held_t *held)
+{
+    const pps_byte_account_t *account = held->account;
+
+    pps_counter_add(PPS_COUNTER_ENTRY_ANSWERS_GIVEN_UP, 1);
+    pps_logger_write(
+        PPS_LOG_WARN, "answer_given_up",
+        PPS_FIELDS(PPS_STR("request", exchange->call.id),
+                   PPS_STR("upstream", exchange->upstream->name),
+                   PPS_STR("worker", worker->info.id),
+                   PPS_STR("kind", pps_held_kind_name(held->kind)),
+                   PPS_INT("bytes", held->bytes),
+                   PPS_INT("worker_bytes", held->source->bytes),
+                   PPS_INT("worker_answers", held->source->holdings),
+                   PPS_INT("all_bytes", account->bytes),
+                   PPS_INT("max_bytes", account->max)));
+}
+
 void
 pps_decision_log_ended(const pps_exchange_t *exchange, unsigned int status,
                        const char *outcome)
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -46,6 +46,14 @@
 void
 pps_decision_log_foreign_answer(const pps_exchange_t *exchange);
 
+/** Logs and counts that what is held of an answer is given up, as the host
+ * holds too much in all.
+ * @param held of the attempt, or of its copy, before it is released */
+void
+pps_decision_log_given_up(const pps_exchange_t *exchange,
+                          const pps_pool_worker_t *worker,
+                          const pps_held_t *held);
+
 /** Logs the end of a request. @param status 0: no complete answer was sent */
 void
 pps_decision_log_ended(const pps_exchange_t *exchange, unsigned int status,
--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -28,7 +28,8 @@
 {
     memset(dispatcher, 0, sizeof(*dispatcher));
     dispatcher->reactor = reactor;
-    dispatcher->options = *options;
+    pps_byte_account_init(&dispatcher->held, 0);
+    pps_dispatcher_set_options(dispatcher, options);
     dispatcher->caller = caller;
     dispatcher->worker = worker;
     dispatcher->hosts = 1;
@@ -49,6 +50,16 @@
     return pps_pool_new(&dispatcher->pool);
 }
 
+void
+pps_dispatcher_set_options(pps_dispatcher_t *dispatcher,
+                           const pps_dispatch_options_t *options)
+{
+    dispatcher->options = *options;
+    dispatcher->held.max = options->held_bytes_max > 0
+                               ? options->held_bytes_max
+                               : PPS_HELD_BYTES_DEFAULT;
+}
+
 int
 pps_dispatcher_deploy(pps_dispatcher_t *dispatcher,
                       pps_deployment_t *deployment)
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -16,6 +16,7 @@
 #include "hedge/hedge_limit.h"
 #include "hedge/hedge_load.h"
 #include "lateness.h"
+#include "memory/byte_account.h"
 #include "model_cost.h"
 #include "poison/poison_table.h"
 #include "pool/brittle_upstream.h"
@@ -41,6 +42,9 @@
 /** Number of models of a route whose usual times are kept apart. */
 #define PPS_DISPATCH_MODELS 4
 
+/** Bytes of workers' answers that a host holds if its memory is not known. */
+#define PPS_HELD_BYTES_DEFAULT (32U << 20)
+
 /** Settings of the routing decisions. */
 typedef struct {
     const char *failure_domain;      /**< of this host */
@@ -56,6 +60,8 @@
     unsigned int confidence_min; /**< threshold on idle workers, 0 to 100 */
     double hedge_share; /**< copies per request of a caller; 0: none */
     pps_rollout_bounds_t rollout;
+    size_t held_bytes_max; /**< of workers' answers, over all requests; 0:
+                                PPS_HELD_BYTES_DEFAULT */
     int has_pressure; /**< the deployment has the contract `pressure`: hosts
                            share what they know of the workers' load */
 } pps_dispatch_options_t;
@@ -196,7 +202,7 @@
     size_t exchange_count;
     struct cds_list_head breaks; /**< workers being probed; crash_watch.h */
     struct cds_list_head left_calls; /**< see left_call.h */
-    size_t buffered_bytes;           /**< of answers, over all exchanges */
+    pps_byte_account_t held;         /**< bytes that workers have sent */
     pps_prefix_affinity_t prefixes;
     pps_reachability_t reach;    /**< reachability of the workers */
     pps_path_state_t paths;      /**< whether other hosts reach them */
@@ -236,6 +242,11 @@
                     const pps_caller_ops_t *caller,
                     const pps_worker_ops_t *worker);
 
+/** Replaces the settings, from now on. */
+void
+pps_dispatcher_set_options(pps_dispatcher_t *dispatcher,
+                           const pps_dispatch_options_t *options);
+
 /** Puts a deployment in force unless its revision is not newer than the
  * current one's. Takes ownership of the reference.
  * @return 1 when it is in force, else 0 */
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -63,16 +63,17 @@
 }
 
 void
-pps_exchange_discard_body(pps_exchange_t *exchange)
+pps_exchange_discard_answer(pps_exchange_t *exchange)
 {
-    exchange->dispatcher->buffered_bytes -= exchange->body.size;
-    exchange->body.size = 0;
+    pps_held_release(&exchange->held);
+    pps_buf_clear(&exchange->body);
+    pps_event_split_reset(&exchange->events);
 }
 
 void
 pps_exchange_free(pps_exchange_t *exchange)
 {
-    pps_exchange_discard_body(exchange);
+    pps_exchange_discard_answer(exchange);
     pps_timers_cancel(&exchange->deadline_timer);
     pps_timers_cancel(&exchange->silence_timer);
     pps_exchange_hedge_free(exchange);
@@ -81,8 +82,6 @@
     exchange->dispatcher->exchange_count--;
     pps_deployment_unref(exchange->deployment);
     pps_buf_clear(&exchange->fields);
-    pps_buf_clear(&exchange->body);
-    pps_event_split_reset(&exchange->events);
     free(exchange);
 }
 
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -17,9 +17,6 @@
 
 #define PPS_EXCHANGE_CONNECT_TIMEOUT_US 200000
 
-/** Largest sum of the answers that are buffered. */
-#define PPS_EXCHANGE_BUFFERED_BYTES_MAX (32U << 20)
-
 typedef enum {
     PPS_ATTEMPT_NONE,
     PPS_ATTEMPT_SENT,      /**< waiting for the head of the reply */
@@ -105,6 +102,7 @@
     pps_buf_t fields; /**< header lines of the answer */
     pps_buf_t body;
     pps_event_split_t events;
+    pps_held_t held; /**< what `body` and `events` take */
 } pps_exchange_t;
 
 /** Starts serving a request that the HTTP server has received. */
@@ -176,9 +174,9 @@
                      pps_retry_after_reason_t retry_reason,
                      const char *reason);
 
-/** Discards the buffered part of the answer. */
+/** Discards what is held of the answer, and frees its memory. */
 void
-pps_exchange_discard_body(pps_exchange_t *exchange);
+pps_exchange_discard_answer(pps_exchange_t *exchange);
 
 /** Frees an exchange without answering it. */
 void
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -58,8 +58,7 @@
     }
     pps_exchange_close_link(exchange);
     exchange->attempt = PPS_ATTEMPT_NONE;
-    pps_event_split_reset(&exchange->events);
-    pps_exchange_discard_body(exchange);
+    pps_exchange_discard_answer(exchange);
 }
 
 int
--- a/src/libpapayaswitch/exchange/exchange_copy.c
+++ b/src/libpapayaswitch/exchange/exchange_copy.c
@@ -6,6 +6,7 @@
 #include "crash_watch.h"
 #include "decision_log.h"
 #include "exchange_attempt.h"
+#include "exchange_held.h"
 #include "exchange_notes.h"
 #include "exchange_reply.h"
 #include "hedge_log.h"
@@ -82,7 +83,7 @@
     pps_exchange_hedge_t *hedge = exchange->hedge;
     pps_buf_t body = hedge->body;
 
-    exchange->dispatcher->buffered_bytes -= body.size;
+    pps_held_release(&hedge->held);
     hedge->body = (pps_buf_t)PPS_BUF_INIT;
     pps_event_split_reset(&hedge->events);
     hedge->reply = NULL;
@@ -239,18 +240,17 @@
 buffer_body(pps_exchange_t *exchange, const char *data, size_t size)
 {
     pps_exchange_hedge_t *hedge = exchange->hedge;
-    size_t *all_bytes = &exchange->dispatcher->buffered_bytes;
+    int error = PPS_OK;
 
     if (hedge->body.size + size > BODY_BYTES_MAX ||
-        *all_bytes + size > PPS_EXCHANGE_BUFFERED_BYTES_MAX ||
         pps_buf_append(&hedge->body, data, size) != 0) {
         return PPS_ELIMIT;
     }
-    *all_bytes += size;
-    if (exchange->route->kind != PPS_CALL_STREAM) {
-        return 0;
+    if (exchange->route->kind == PPS_CALL_STREAM) {
+        error =
+            pps_event_split_feed(&hedge->events, data, size, on_event, hedge);
     }
-    return pps_event_split_feed(&hedge->events, data, size, on_event, hedge);
+    return error != 0 ? error : pps_exchange_hold_copy(exchange);
 }
 
 static void
--- a/src/libpapayaswitch/exchange/exchange_copy.h
+++ b/src/libpapayaswitch/exchange/exchange_copy.h
@@ -40,6 +40,7 @@
     pps_http_reply_t *reply;   /**< head of its answer, or NULL */
     pps_buf_t body;            /**< of its answer, as received */
     pps_event_split_t events;  /**< finds the end of its first event */
+    pps_held_t held;           /**< what `body` and `events` take */
     int has_event;
     int *is_over; /**< set when the attempt that the copy has become is
                        dropped; NULL: no need */
--- a/src/libpapayaswitch/exchange/exchange_hedge.c
+++ b/src/libpapayaswitch/exchange/exchange_hedge.c
@@ -271,8 +271,6 @@
 {
     pps_exchange_hedge_cancel(exchange);
     if (exchange->hedge != NULL) {
-        pps_buf_clear(&exchange->hedge->body);
-        pps_event_split_reset(&exchange->hedge->events);
         free(exchange->hedge);
         exchange->hedge = NULL;
     }
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -9,6 +9,7 @@
 #include "exchange_evidence.h"
 #include "exchange_failure.h"
 #include "exchange_hedge.h"
+#include "exchange_held.h"
 #include "exchange_notes.h"
 #include "exchange_poison.h"
 #include "exchange_worker.h"
@@ -18,9 +19,6 @@
 
 #include <string.h>
 
-/** Largest answer body that is buffered, and the sum of all that are. */
-#define BODY_BYTES_MAX (8U << 20)
-#define BUFFERED_BYTES_MAX PPS_EXCHANGE_BUFFERED_BYTES_MAX
 /** Share of the repeat limit that answers of low confidence may use. */
 #define CONFIDENCE_REPEAT_SHARE 0.92
 
@@ -247,28 +245,25 @@
     exchange->event_arrived = 0;
     error = pps_event_split_feed(&exchange->events, data, size, on_event,
                                  exchange);
+    if (error == 0) {
+        error = pps_exchange_hold_answer(exchange);
+    }
     if (exchange->event_arrived) {
         pps_exchange_restart_silence_timer(exchange);
     }
     return error;
 }
 
-/* Buffers a part of an answer, as long as this answer and all answers together
- * stay within their limits. */
 static int
 buffer_body(pps_exchange_t *exchange, const char *data, size_t size)
 {
-    size_t *all_bytes = &exchange->dispatcher->buffered_bytes;
-
-    if (exchange->body.size + size > BODY_BYTES_MAX ||
-        *all_bytes + size > BUFFERED_BYTES_MAX) {
+    if (exchange->body.size + size > PPS_HELD_ANSWER_BYTES_MAX) {
         return PPS_ELIMIT;
     }
     if (pps_buf_append(&exchange->body, data, size) != 0) {
         return PPS_ENOMEM;
     }
-    *all_bytes += size;
-    return PPS_OK;
+    return pps_exchange_hold_answer(exchange);
 }
 
 void
@@ -301,7 +296,7 @@
     int begun = exchange->begun;
 
     exchange->fields = (pps_buf_t)PPS_BUF_INIT;
-    exchange->dispatcher->buffered_bytes -= body.size;
+    pps_held_release(&exchange->held);
     exchange->body = (pps_buf_t)PPS_BUF_INIT;
     if (pps_http_status_is_success(status)) {
         pps_answer_times_note_end(exchange);
--- a/src/libpapayaswitch/relay/relay_server.c
+++ b/src/libpapayaswitch/relay/relay_server.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "papayaswitch/errors.h"
 #include "relay_target.h"
+#include "relay_window.h"
 #include "transport/address.h"
 #include "transport/reply_reader.h"
 #include "transport/tcp_write.h"
@@ -20,10 +21,10 @@
 #define REQUEST_BYTES_DEFAULT (1U << 20)
 #define REQUEST_TIMEOUT_US (2 * PPS_US_PER_S)
 #define IDLE_TIMEOUT_US (5 * PPS_US_PER_S)
-/** Bytes of an answer that may wait for the other host, above which no more is
- * read from the worker, and the time until that is checked again. */
-#define QUEUED_BYTES_MAX (256U << 10)
+/** Time until it is checked again whether an answer is read on. */
 #define RESUME_US (5 * PPS_US_PER_MS)
+/** Bytes that are read of an answer at once. */
+#define READ_BYTES_MAX (16U << 10)
 
 struct pps_relay_server {
     pps_reactor_t *reactor;
@@ -32,11 +33,14 @@
     char local_address[PPS_RELAY_ADDRESS_BYTES]; /* "": any */
     const pps_relay_ops_t *ops;
     void *user;
+    struct cds_list_head calls;
     size_t call_count;
+    size_t queued_max; /* bytes of all answers that may wait */
     int is_draining;
 };
 
 typedef struct {
+    struct cds_list_head node;
     pps_relay_server_t *server;
     pps_http_conn_t *conn; /* NULL: the other host's connection has ended */
     const pps_http_request_t *request;
@@ -78,6 +82,7 @@
     }
     call->is_closing = 1;
     call->conn = NULL;
+    cds_list_del(&call->node);
     call->server->call_count--;
     end_hold(call->server, call->hold, 0);
     pps_timers_cancel(&call->timer);
@@ -134,17 +139,34 @@
 static void
 on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer);
 
+static void
+get_read_buffer(uv_handle_t *handle, size_t wanted, uv_buf_t *out)
+{
+    pps_tcp_get_read_buffer(handle, wanted, out);
+    out->len = READ_BYTES_MAX;
+}
+
+/* Returns whether so much of an answer waits for the other host that no more
+ * is read from the worker. */
+static int
+is_held_back(const call_t *call)
+{
+    return pps_http_conn_queued_bytes(call->conn) >
+           pps_relay_window_bytes(call->server->queued_max,
+                                  call->server->call_count);
+}
+
 static void
 on_resume(int64_t now_us, void *user)
 {
     call_t *call = user;
 
-    if (pps_http_conn_queued_bytes(call->conn) > QUEUED_BYTES_MAX) {
+    if (is_held_back(call)) {
         pps_reactor_after(call->server->reactor, &call->timer, RESUME_US,
                           on_resume, call);
         return;
     }
-    uv_read_start((uv_stream_t *)&call->tcp, pps_tcp_get_read_buffer, on_read);
+    uv_read_start((uv_stream_t *)&call->tcp, get_read_buffer, on_read);
 }
 
 static void
@@ -175,7 +197,7 @@
     }
     read_answer(call, buffer->base, (size_t)size);
     pps_http_conn_chunk(call->conn, buffer->base, (size_t)size);
-    if (pps_http_conn_queued_bytes(call->conn) > QUEUED_BYTES_MAX) {
+    if (is_held_back(call)) {
         uv_read_stop(stream);
         pps_reactor_after(call->server->reactor, &call->timer, RESUME_US,
                           on_resume, call);
@@ -196,7 +218,7 @@
         end_answer(call, 0);
         return;
     }
-    uv_read_start((uv_stream_t *)&call->tcp, pps_tcp_get_read_buffer, on_read);
+    uv_read_start((uv_stream_t *)&call->tcp, get_read_buffer, on_read);
 }
 
 static void
@@ -258,6 +280,7 @@
                       server->local_address);
     call->tcp.data = call;
     call->connect.data = call;
+    cds_list_add_tail(&call->node, &server->calls);
     server->call_count++;
     pps_http_conn_attach(call->conn, call);
     if (uv_tcp_connect(&call->connect, &call->tcp,
@@ -345,6 +368,8 @@
     server->reactor = reactor;
     server->ops = ops;
     server->user = user;
+    CDS_INIT_LIST_HEAD(&server->calls);
+    server->queued_max = PPS_RELAY_QUEUED_DEFAULT;
     server->limits =
         (pps_http_limits_t){HEADER_BYTES_MAX, REQUEST_BYTES_DEFAULT,
                             REQUEST_TIMEOUT_US, IDLE_TIMEOUT_US};
@@ -366,6 +391,12 @@
     server->limits.body_bytes = size;
 }
 
+void
+pps_relay_server_set_queued_max(pps_relay_server_t *server, size_t size)
+{
+    server->queued_max = size;
+}
+
 void
 pps_relay_server_drain(pps_relay_server_t *server)
 {
@@ -378,6 +409,18 @@
     return server->call_count;
 }
 
+size_t
+pps_relay_server_queued(const pps_relay_server_t *server)
+{
+    const call_t *call;
+    size_t sum = 0;
+
+    cds_list_for_each_entry (call, &server->calls, node) {
+        sum += pps_http_conn_queued_bytes(call->conn);
+    }
+    return sum;
+}
+
 unsigned int
 pps_relay_server_port(const pps_relay_server_t *server)
 {
--- a/src/libpapayaswitch/relay/relay_server.h
+++ b/src/libpapayaswitch/relay/relay_server.h
@@ -10,6 +10,8 @@
 #include "transport/http_server.h"
 
 #define PPS_RELAY_ADDRESS_BYTES 64
+/** See pps_relay_server_set_queued_max(). */
+#define PPS_RELAY_QUEUED_DEFAULT (8U << 20)
 
 /** Decisions and notes of the owner. */
 typedef struct {
@@ -56,6 +58,12 @@
 void
 pps_relay_server_set_request_max(pps_relay_server_t *server, size_t size);
 
+/** Sets about how many bytes of all answers together may wait for the hosts
+ * that they go to; initially PPS_RELAY_QUEUED_DEFAULT. Workers are not read
+ * from meanwhile. */
+void
+pps_relay_server_set_queued_max(pps_relay_server_t *server, size_t size);
+
 /** Refuses further calls; those under way go on. */
 void
 pps_relay_server_drain(pps_relay_server_t *server);
@@ -64,6 +72,10 @@
 size_t
 pps_relay_server_calls(const pps_relay_server_t *server);
 
+/** Returns the bytes of answers that wait for the hosts that they go to. */
+size_t
+pps_relay_server_queued(const pps_relay_server_t *server);
+
 /** Returns the port of the listener. */
 unsigned int
 pps_relay_server_port(const pps_relay_server_t *server);
--- a/src/util/buf.c
+++ b/src/util/buf.c
@@ -9,6 +9,10 @@
 #include <string.h>
 
 #define INITIAL_CAPACITY 64
+/** Larger buffers grow by a part of their size only, so that little of a large
+ * one is unused. */
+#define DOUBLED_BYTES_MAX (64U << 10)
+#define GROWTH_DIVISOR_OF_LARGE 4
 
 static int
 reserve(pps_buf_t *buf, size_t extra)
@@ -24,7 +28,9 @@
         return PPS_OK;
     }
     while (capacity < wanted) {
-        capacity *= 2;
+        capacity += capacity < DOUBLED_BYTES_MAX
+                        ? capacity
+                        : capacity / GROWTH_DIVISOR_OF_LARGE;
     }
     data = realloc(buf->data, capacity);
     if (data == NULL) {
--- a/tests/entry/test_exchange_hedge.c
+++ b/tests/entry/test_exchange_hedge.c
@@ -110,7 +110,7 @@
         cr_expect_eq(fixture_request_count(&fixture), cases[i].sends, "%s",
                      cases[i].name);
         cr_expect_eq(fixture.dispatcher.exchange_count, 0);
-        cr_expect_eq(fixture.dispatcher.buffered_bytes, 0);
+        cr_expect_eq(fixture.dispatcher.held.bytes, 0);
         cr_expect_eq(pps_counter_sum(PPS_COUNTER_ENTRY_HEDGES_WON), won + 1,
                      "%s", cases[i].name);
         net_run_for(&fixture.reactor, 50);
--- a/tests/entry/test_host_settings.c
+++ b/tests/entry/test_host_settings.c
@@ -35,6 +35,15 @@
      "invalid value 'x'"},
     {REQUIRED "[host]\nregions=za:r1,zb:r2\n", 0, ""},
     {REQUIRED "[host]\nregions=za\n", PPS_EINVALID, "invalid value 'za'"},
+    {REQUIRED "[host]\nmemory_mb=88\n", 0, ""},
+    {REQUIRED "[host]\nmemory_mb=40\n", 0, ""},
+    {REQUIRED "[host]\nmemory_mb=39\n", PPS_EINVALID, "invalid value '39'"},
+    {REQUIRED "[host]\nmemory_mb=0\n", PPS_EINVALID, "invalid value '0'"},
+    {REQUIRED "[host]\nmemory_mb=-88\n", PPS_EINVALID, "invalid value '-88'"},
+    {REQUIRED "[host]\nmemory_mb=1e12\n", PPS_EINVALID,
+     "invalid value '1e12'"},
+    {REQUIRED "[host]\nmemory_mb=nan\n", PPS_EINVALID, "invalid value 'nan'"},
+    {REQUIRED "[host]\nmemory_mb=\n", PPS_EINVALID, "invalid value ''"},
     {REQUIRED "[what]\never=1\n", PPS_EINVALID, "unknown setting what.ever"},
     {REQUIRED "[store]\naddress=10.0.0.9:5\n", PPS_EINVALID,
      "is already set on line 12"},
@@ -94,6 +103,7 @@
     cr_expect_str_eq(pps_region_map_find(&settings.regions, "zb"), "r2");
     cr_expect_float_eq(settings.repeat_ratio, 0.25, 1e-9);
     cr_expect_eq(settings.confidence_min, 50);
+    cr_expect_eq(settings.memory_mb, 128);
     pps_findings_free(findings);
 }
 
