--- a/src/libpapayaswitch/transport/http_conn_output.c
+++ b/src/libpapayaswitch/transport/http_conn_output.c
@@ -16,7 +16,8 @@
         error = PPS_ENOMEM;
     }
     else if (conn->output.size > 0) {
-        error = pps_tcp_write(&conn->tcp, &piece, 1);
+        error = pps_tcp_write_then(&conn->tcp, &piece, 1,
+                                   pps_http_conn_on_written, conn);
     }
     pps_buf_clear(&conn->output);
     return error;
--- a/src/libpapayaswitch/transport/http_server.c
+++ b/src/libpapayaswitch/transport/http_server.c
@@ -72,9 +72,7 @@
         uv_close((uv_handle_t *)&server->listener, NULL);
     }
     cds_list_for_each_entry_safe (conn, next, &server->conns, node) {
-        if (conn->state == CONN_READING && !conn->request_started) {
-            pps_http_conn_close(conn);
-        }
+        pps_http_conn_stop(conn);
     }
 }
 
@@ -88,6 +86,18 @@
     return ntohs(endpoint.sin_port);
 }
 
+size_t
+pps_http_server_queued_bytes(const pps_http_server_t *server)
+{
+    const pps_http_conn_t *conn;
+    size_t sum = 0;
+
+    cds_list_for_each_entry (conn, &server->conns, node) {
+        sum += pps_http_conn_queued_bytes(conn);
+    }
+    return sum;
+}
+
 size_t
 pps_http_server_connections(const pps_http_server_t *server)
 {
--- a/src/libpapayaswitch/transport/http_server.h
+++ b/src/libpapayaswitch/transport/http_server.h
@@ -27,6 +27,9 @@
     /** Reports a disconnect before the response ended; called only if an
      * exchange is attached. The connection must not be used afterwards. */
     void (*on_disconnect)(void *user, void *exchange);
+    /** Reports that the caller has read on; see
+     * pps_http_conn_await_drained(). May be NULL if that is not used. */
+    void (*on_drained)(void *user, void *exchange);
 } pps_http_server_ops_t;
 
 /** Listens on an IPv4 address; port 0 selects a free port. `limits` and `ops`
@@ -41,7 +44,8 @@
 void
 pps_http_server_drain(pps_http_server_t *server);
 
-/** Stops listening, closes idle connections and drains the others. */
+/** Stops listening, drains all connections, and closes those that are idle as
+ * soon as their output is written. */
 void
 pps_http_server_stop(pps_http_server_t *server);
 
@@ -49,6 +53,10 @@
 unsigned int
 pps_http_server_port(const pps_http_server_t *server);
 
+/** Returns the bytes that wait on all connections to be written. */
+size_t
+pps_http_server_queued_bytes(const pps_http_server_t *server);
+
 /** Returns the number of open connections. */
 size_t
 pps_http_server_connections(const pps_http_server_t *server);
@@ -69,8 +77,9 @@
 pps_http_conn_begin(pps_http_conn_t *conn, unsigned int status,
                     const char *fields);
 
-/** Sends a chunk; `size` 0 does nothing. A write error or a caller that reads
- * too slowly leads to `on_disconnect` later. */
+/** Sends a chunk; `size` 0 does nothing. Bytes that the caller does not read
+ * are queued, up to 4 MiB: the owner should stop before. A write error or more
+ * bytes than that lead to `on_disconnect` later, and the answer has no end. */
 void
 pps_http_conn_chunk(pps_http_conn_t *conn, const void *data, size_t size);
 
@@ -82,6 +91,11 @@
 void
 pps_http_conn_abort(pps_http_conn_t *conn);
 
+/** Calls `on_drained` once, when no more than `bytes` of the response wait for
+ * the caller. Only if an exchange is attached and more bytes wait now. */
+void
+pps_http_conn_await_drained(pps_http_conn_t *conn, size_t bytes);
+
 /** Returns the number of bytes of the response that are not yet sent. */
 size_t
 pps_http_conn_queued_bytes(const pps_http_conn_t *conn);
--- a/src/libpapayaswitch/transport/http_server_state.h
+++ b/src/libpapayaswitch/transport/http_server_state.h
@@ -2,6 +2,7 @@
 #ifndef PPS_TRANSPORT_HTTP_SERVER_STATE_H
 #define PPS_TRANSPORT_HTTP_SERVER_STATE_H
 
+#include "conn_table.h"
 #include "http_server.h"
 #include "request_reader.h"
 
@@ -19,36 +20,36 @@
     size_t conn_count;
 };
 
-typedef enum {
-    CONN_READING,   /* waiting for or reading a request */
-    CONN_SERVING,   /* a request is being served */
-    CONN_LINGERING, /* the last response was sent, input is discarded */
-    CONN_CLOSED,
-} conn_state_t;
-
 struct pps_http_conn {
     struct cds_list_head node;
     pps_http_server_t *server;
     uv_tcp_t tcp;
     uv_shutdown_t shutdown;
     pps_request_reader_t reader;
-    conn_state_t state;
-    int request_started; /* the first byte of a request was read */
-    int keep_alive;      /* keep the connection open after this response */
-    pps_buf_t pending;   /* input read while a request is being served */
-    pps_buf_t output;    /* of the response, not yet written */
+    pps_conn_state_t state;
+    int keep_alive;    /* keep the connection open after this response */
+    pps_buf_t pending; /* input read while a request is being served */
+    pps_buf_t output;  /* of the response, not yet written */
     pps_deferred_t flush;
-    pps_timer_t timer; /* read timeout, end of lingering or disconnect */
-    void *exchange;    /* set by pps_http_conn_attach(), or NULL */
+    pps_deferred_t report; /* of a broken answer */
+    pps_timer_t timer;     /* of the state */
+    size_t unwritten;      /* when that timer was set */
+    int awaits_drained;
+    size_t drained_bytes; /* at which the owner is told */
+    void *exchange;       /* set by pps_http_conn_attach(), or NULL */
 };
 
 /** Accepts a pending connection and starts reading. */
 void
 pps_http_conn_accept(pps_http_server_t *server);
 
-/** Closes a connection without calling `on_disconnect`. */
+/** Closes a connection that is idle once its output is written. */
+void
+pps_http_conn_stop(pps_http_conn_t *conn);
+
+/** Handles output that has been written, or can't be. */
 void
-pps_http_conn_close(pps_http_conn_t *conn);
+pps_http_conn_on_written(void *user, int error);
 
 /** Writes the output that has been collected. @return 0 or an error */
 int
--- a/src/libpapayaswitch/transport/tcp_write.c
+++ b/src/libpapayaswitch/transport/tcp_write.c
@@ -13,6 +13,8 @@
 
 typedef struct {
     uv_write_t request;
+    pps_tcp_written_fn written; /* or NULL */
+    void *user;
     char data[];
 } queued_write_t;
 
@@ -21,7 +23,12 @@
 static void
 on_written(uv_write_t *request, int status)
 {
-    free(request->data);
+    queued_write_t *queued = request->data;
+
+    if (queued->written != NULL) {
+        queued->written(queued->user, status);
+    }
+    free(queued);
 }
 
 static size_t
@@ -35,11 +42,13 @@
     return size;
 }
 
+/* Queues a copy of what `skip` bytes leave. */
 static int
 queue_remainder(uv_tcp_t *tcp, const uv_buf_t *pieces, unsigned int count,
-                size_t skip, size_t size)
+                size_t skip, pps_tcp_written_fn written, void *user)
 {
-    queued_write_t *queued = malloc(sizeof(*queued) + size);
+    queued_write_t *queued =
+        malloc(sizeof(*queued) + total_size(pieces, count) - skip);
     size_t filled = 0;
     uv_buf_t remainder;
 
@@ -57,6 +66,8 @@
         skip = 0;
     }
     queued->request.data = queued;
+    queued->written = written;
+    queued->user = user;
     remainder = uv_buf_init(queued->data, (unsigned int)filled);
     if (uv_write(&queued->request, (uv_stream_t *)tcp, &remainder, 1,
                  on_written) != 0) {
@@ -68,6 +79,13 @@
 
 int
 pps_tcp_write(uv_tcp_t *tcp, const uv_buf_t *pieces, unsigned int count)
+{
+    return pps_tcp_write_then(tcp, pieces, count, NULL, NULL);
+}
+
+int
+pps_tcp_write_then(uv_tcp_t *tcp, const uv_buf_t *pieces, unsigned int count,
+                   pps_tcp_written_fn on_done, void *user)
 {
     size_t size = total_size(pieces, count);
     int written = 0;
@@ -84,8 +102,7 @@
     if ((size_t)written == size) {
         return PPS_OK;
     }
-    return queue_remainder(tcp, pieces, count, (size_t)written,
-                           size - (size_t)written);
+    return queue_remainder(tcp, pieces, count, (size_t)written, on_done, user);
 }
 
 void
--- a/src/libpapayaswitch/transport/tcp_write.h
+++ b/src/libpapayaswitch/transport/tcp_write.h
@@ -9,6 +9,16 @@
 int
 pps_tcp_write(uv_tcp_t *tcp, const uv_buf_t *pieces, unsigned int count);
 
+/** Called when a write that could not be done at once has ended.
+ * @param error 0 or a libuv error */
+typedef void (*pps_tcp_written_fn)(void *user, int error);
+
+/** The same as pps_tcp_write(). Bytes that are queued are reported when they
+ * are written or given up; nothing is reported if none are queued. */
+int
+pps_tcp_write_then(uv_tcp_t *tcp, const uv_buf_t *pieces, unsigned int count,
+                   pps_tcp_written_fn on_done, void *user);
+
 /** Supplies the read buffer that all connections of the process share. The
  * read callback must consume or copy the bytes. */
 void
--- a/tests/entry/test_http_output.c
+++ b/tests/entry/test_http_output.c
@@ -109,3 +109,88 @@
         cr_expect_eq(client.ended, cases[i].ended, "%s", cases[i].name);
     }
 }
+
+#define LARGE_BYTES (9U << 20)
+#define PIECE_BYTES 65536
+#define SMALL_WINDOW_BYTES 65536
+#define READ_MS 20000
+
+/** Connects with a small receive buffer and does not read yet. */
+static void
+start_slow_client(net_client_t *client, pps_reactor_t *reactor,
+                  unsigned int port, const char *text)
+{
+    int size = SMALL_WINDOW_BYTES;
+
+    net_client_start(client, reactor, port, text);
+    uv_recv_buffer_size((uv_handle_t *)&client->tcp, &size);
+}
+
+typedef struct {
+    const char *name;
+    const char *request;
+    size_t bytes; /* of the answer */
+    finish_t finish;
+    int is_whole;
+} slow_case_t;
+
+/* The first has more than an owner may queue. */
+static const slow_case_t slow_cases[] = {
+    {"over the limit", REQUEST, LARGE_BYTES, END, 0},
+    {"over the limit, closing", CLOSING, LARGE_BYTES, END, 0},
+    {"over the limit, draining", REQUEST, LARGE_BYTES, DRAIN_AND_END, 0},
+    {"kept open", REQUEST, 3U << 20, END, 1},
+    {"closing", CLOSING, 3U << 20, END, 1},
+    {"draining", REQUEST, 3U << 20, DRAIN_AND_END, 1},
+    {"stopped after the end", REQUEST, 3U << 20, END_AND_STOP, 1},
+};
+
+/* Guards against an answer that ends as if it were whole though pieces of it
+ * were dropped, and against a stop that cuts off what a caller still reads. */
+Test(http_output, slow_caller_gets_a_cut_answer_as_whole, .timeout = 60)
+{
+    static char piece[PIECE_BYTES];
+
+    for (size_t i = 0; i < sizeof(slow_cases) / sizeof(*slow_cases); i++) {
+        const slow_case_t *item = &slow_cases[i];
+        pps_reactor_t reactor;
+        pps_http_server_t *server;
+        owner_t owner = {0};
+        net_client_t client;
+        int has_end;
+
+        steady_clock_init_reactor(&reactor);
+        cr_assert_eq(pps_http_server_new(&server, &reactor, "127.0.0.1", 0,
+                                         &limits, &ops, &owner),
+                     0);
+        start_slow_client(&client, &reactor, pps_http_server_port(server),
+                          item->request);
+        cr_assert(net_run_until(&reactor, &owner.requests, 1, 2000));
+        pps_http_conn_begin(owner.conn, 200, "");
+        for (size_t sent = 0; sent < item->bytes; sent += PIECE_BYTES) {
+            pps_http_conn_chunk(owner.conn, piece, PIECE_BYTES);
+        }
+        finish(server, owner.conn, item->finish);
+        for (int waited = 0;
+             waited < READ_MS && !client.ended &&
+             (!item->is_whole || client.got.size < item->bytes);
+             waited += 10) {
+            net_run_for(&reactor, 10);
+        }
+        net_run_for(&reactor, 100);
+        has_end =
+            client.got.size > 5 &&
+            memcmp(client.got.data + client.got.size - 5, "0\r\n\r\n", 5) == 0;
+        cr_expect_eq(has_end, item->is_whole, "%s: %zu bytes", item->name,
+                     client.got.size);
+        if (item->is_whole) {
+            cr_expect_gt(client.got.size, item->bytes, "%s", item->name);
+        }
+        else {
+            cr_expect_neq(client.ended, 0, "%s: not ended", item->name);
+        }
+        net_client_close(&client);
+        pps_http_server_stop(server);
+        pps_buf_clear(&client.got);
+    }
+}
