--- a/src/libpapayaswitch/transport/request_reader.c
+++ b/src/libpapayaswitch/transport/request_reader.c
@@ -7,6 +7,9 @@
 #include <string.h>
 #include <strings.h>
 
+/** Largest buffers of a request that are kept for the next one. */
+#define KEPT_BYTES_MAX 4096
+
 #define STATUS_BAD_REQUEST 400
 #define STATUS_BODY_TOO_LARGE 413
 #define STATUS_HEADERS_TOO_LARGE 431
@@ -156,14 +159,26 @@
     pps_request_reader_begin(reader);
 }
 
+/* Empties a buffer, and frees it if it is large: a connection that is kept may
+ * never need as much again. */
+static void
+empty(pps_buf_t *buf)
+{
+    buf->size = 0;
+    if (buf->capacity > KEPT_BYTES_MAX) {
+        pps_buf_clear(buf);
+    }
+}
+
 void
 pps_request_reader_begin(pps_request_reader_t *reader)
 {
     http_parser_init(&reader->parser, HTTP_REQUEST);
     reader->parser.data = reader;
-    reader->request.target.size = 0;
-    reader->request.body.size = 0;
     pps_headers_reset(&reader->request.headers);
+    empty(&reader->request.headers.text);
+    empty(&reader->request.target);
+    empty(&reader->request.body);
     reader->trailer = (pps_trailer_t){0};
     reader->in_trailer = 0;
     reader->header_bytes = 0;
--- a/src/libpapayaswitch/transport/request_reader.h
+++ b/src/libpapayaswitch/transport/request_reader.h
@@ -37,8 +37,8 @@
 pps_request_reader_init(pps_request_reader_t *reader,
                         const pps_http_limits_t *limits);
 
-/** Forgets the last request, but keeps its memory for the next one. Must be
- * called before each request. */
+/** Forgets the last request, and frees its large buffers. Must be called
+ * before each request. */
 void
 pps_request_reader_begin(pps_request_reader_t *reader);
 
