--- a/src/libpapayaswitch/exchange/decision_log.c
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -201,6 +201,20 @@
                    PPS_INT("max_bytes", account->max)));
 }
 
+void
+pps_decision_log_caller_slow(const pps_exchange_t *exchange, size_t queued)
+{
+    pps_counter_add(PPS_COUNTER_ENTRY_CALLERS_SLOW, 1);
+    if (!pps_logger_is_sampled(exchange->call.id)) {
+        return;
+    }
+    pps_logger_write(PPS_LOG_INFO, "caller_slow",
+                     PPS_FIELDS(PPS_STR("request", exchange->call.id),
+                                PPS_STR("worker", exchange->worker->info.id),
+                                PPS_INT("queued_bytes", queued),
+                                PPS_INT("last_event", exchange->last_event)));
+}
+
 void
 pps_decision_log_ended(const pps_exchange_t *exchange, unsigned int status,
                        const char *outcome)
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -54,6 +54,11 @@
                           const pps_pool_worker_t *worker,
                           const pps_held_t *held);
 
+/** Logs and counts that a caller reads slower than its worker sends.
+ * @param queued bytes that wait for it */
+void
+pps_decision_log_caller_slow(const pps_exchange_t *exchange, size_t queued);
+
 /** Logs the end of a request. @param status 0: no complete answer was sent */
 void
 pps_decision_log_ended(const pps_exchange_t *exchange, unsigned int status,
--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -5,6 +5,7 @@
 #include "cold_gate.h"
 #include "decision_log.h"
 #include "exchange.h"
+#include "exchange_flow.h"
 #include "papayaswitch/errors.h"
 
 #include <stdio.h>
@@ -168,5 +169,11 @@
     pps_exchange_on_caller_gone(exchange);
 }
 
-const pps_http_server_ops_t pps_dispatcher_server_ops = {on_request,
-                                                         on_caller_gone};
+static void
+on_caller_drained(void *user, void *exchange)
+{
+    pps_exchange_on_caller_drained(exchange);
+}
+
+const pps_http_server_ops_t pps_dispatcher_server_ops = {
+    on_request, on_caller_gone, on_caller_drained};
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -92,6 +92,8 @@
     int is_unframed;   /**< it ends with the connection */
     int is_json;
     int64_t last_received_us; /**< when bytes last arrived from the worker */
+    int is_held_back;         /**< not read from, as the caller is slow */
+    int was_held_back;        /**< at any time of the attempt */
     int event_arrived;        /**< a complete event since the last check */
     int has_event;            /**< a complete event has arrived */
     double work;    /**< prompt tokens, weighted as in prefill_queue.h */
--- a/src/libpapayaswitch/exchange/exchange_attempt.c
+++ b/src/libpapayaswitch/exchange/exchange_attempt.c
@@ -58,6 +58,7 @@
     }
     pps_exchange_close_link(exchange);
     exchange->attempt = PPS_ATTEMPT_NONE;
+    exchange->is_held_back = 0;
     pps_exchange_discard_answer(exchange);
 }
 
@@ -79,20 +80,22 @@
                                  exchange->dispatcher->reactor->now_us, share);
 }
 
-/* A host that has lost its path to the worker blames neither the worker nor
- * its version for a connection that broke or fell silent. */
+/* A host that has lost its path to the worker, or has not read what it sent,
+ * blames neither the worker nor its version for a connection that broke or
+ * fell silent. */
 void
 pps_exchange_blame_worker(pps_exchange_t *exchange)
 {
     int is_lost =
         exchange->neighbour == NULL &&
         pps_path_watch_is_lost(exchange->dispatcher, exchange->worker);
+    int is_excused = is_lost || exchange->was_held_back;
 
-    if (!is_lost) {
+    if (!is_excused) {
         pps_exchange_evidence_count_failure(exchange);
     }
-    pps_exchange_drop_attempt(exchange, is_lost ? PPS_WORKER_ABANDONED
-                                                : PPS_WORKER_FAILED);
+    pps_exchange_drop_attempt(exchange, is_excused ? PPS_WORKER_ABANDONED
+                                                   : PPS_WORKER_FAILED);
 }
 
 static void
@@ -374,6 +377,7 @@
     exchange->went_on = 0;
     exchange->is_sent = 0;
     exchange->is_whole = 0;
+    exchange->was_held_back = 0;
     exchange->has_event = 0;
     exchange->last_received_us = exchange->sent_us;
     pps_exchange_choose_neighbour(exchange);
--- a/src/libpapayaswitch/exchange/exchange_evidence.c
+++ b/src/libpapayaswitch/exchange/exchange_evidence.c
@@ -144,6 +144,9 @@
 {
     pps_usual_time_t *usual = &usual_times(exchange)->answer;
 
+    if (exchange->was_held_back) {
+        return;
+    }
     if (elapsed_us(exchange) > answer_limit_us(exchange)) {
         count_once(exchange, PPS_ROLLOUT_SLOW);
     }
@@ -174,7 +177,8 @@
 
     cds_list_for_each_entry (exchange, &dispatcher->exchanges, node) {
         if (exchange->upstream_state == state &&
-            exchange->attempt != PPS_ATTEMPT_NONE && is_late(exchange)) {
+            exchange->attempt != PPS_ATTEMPT_NONE &&
+            !exchange->was_held_back && is_late(exchange)) {
             score_first_byte(exchange);
             count_once(exchange, PPS_ROLLOUT_SLOW);
         }
--- a/src/libpapayaswitch/exchange/exchange_failure.c
+++ b/src/libpapayaswitch/exchange/exchange_failure.c
@@ -144,7 +144,7 @@
         retry_unsent(exchange, failure);
         return;
     }
-    if (failure == PPS_CHANNEL_BROKEN) {
+    if (failure == PPS_CHANNEL_BROKEN && !exchange->was_held_back) {
         is_waiting = pps_crash_watch_note_break(exchange);
     }
     pps_exchange_blame_worker(exchange);
--- a/src/libpapayaswitch/exchange/exchange_link.c
+++ b/src/libpapayaswitch/exchange/exchange_link.c
@@ -2,6 +2,7 @@
 #include "exchange_link.h"
 
 #include "home_gate.h"
+#include "memory/window.h"
 #include "papayaswitch/errors.h"
 #include "path_watch.h"
 #include "permit_size.h"
@@ -29,6 +30,28 @@
     }
 }
 
+void
+pps_exchange_pause_link(pps_exchange_t *exchange)
+{
+    if (exchange->channel != NULL) {
+        pps_http_channel_pause(exchange->channel);
+    }
+    if (exchange->relay_call != NULL) {
+        pps_relay_call_pause(exchange->relay_call);
+    }
+}
+
+void
+pps_exchange_resume_link(pps_exchange_t *exchange)
+{
+    if (exchange->channel != NULL) {
+        pps_http_channel_resume(exchange->channel);
+    }
+    if (exchange->relay_call != NULL) {
+        pps_relay_call_resume(exchange->relay_call);
+    }
+}
+
 static int
 send_directly(pps_exchange_t *exchange, const pps_buf_t *text,
               const pps_channel_ops_t *ops)
@@ -37,6 +60,7 @@
         .connect_us = PPS_EXCHANGE_CONNECT_TIMEOUT_US,
         .user_timeout_ms = USER_TIMEOUT_MS,
         .local_address = exchange->dispatcher->options.local_address,
+        .read_bytes = PPS_WINDOW_READ_BYTES,
     };
     int error = pps_http_channel_new(
         &exchange->channel, exchange->dispatcher->reactor,
--- a/src/libpapayaswitch/exchange/exchange_link.h
+++ b/src/libpapayaswitch/exchange/exchange_link.h
@@ -24,6 +24,14 @@
 pps_exchange_open_link(pps_exchange_t *exchange, const pps_buf_t *text,
                        const pps_channel_ops_t *ops);
 
+/** Stops to read the answer, until it is resumed. */
+void
+pps_exchange_pause_link(pps_exchange_t *exchange);
+
+/** Goes on to read. */
+void
+pps_exchange_resume_link(pps_exchange_t *exchange);
+
 /** Ends the connection, if there is one. */
 void
 pps_exchange_close_link(pps_exchange_t *exchange);
--- a/src/libpapayaswitch/exchange/exchange_reply.c
+++ b/src/libpapayaswitch/exchange/exchange_reply.c
@@ -8,6 +8,7 @@
 #include "decision_log.h"
 #include "exchange_evidence.h"
 #include "exchange_failure.h"
+#include "exchange_flow.h"
 #include "exchange_hedge.h"
 #include "exchange_held.h"
 #include "exchange_notes.h"
@@ -251,6 +252,9 @@
     if (exchange->event_arrived) {
         pps_exchange_restart_silence_timer(exchange);
     }
+    if (error == 0) {
+        pps_exchange_check_flow(exchange);
+    }
     return error;
 }
 
--- a/src/libpapayaswitch/relay/relay_call.c
+++ b/src/libpapayaswitch/relay/relay_call.c
@@ -2,6 +2,7 @@
 #include "relay_call.h"
 
 #include "clock.h"
+#include "memory/window.h"
 #include "papayaswitch/errors.h"
 #include "relay_target.h"
 #include "relay_wire.h"
@@ -44,6 +45,22 @@
     free_unless_reading(call);
 }
 
+void
+pps_relay_call_pause(pps_relay_call_t *call)
+{
+    if (call->channel != NULL) {
+        pps_http_channel_pause(call->channel);
+    }
+}
+
+void
+pps_relay_call_resume(pps_relay_call_t *call)
+{
+    if (call->channel != NULL) {
+        pps_http_channel_resume(call->channel);
+    }
+}
+
 static void
 fail(pps_relay_call_t *call, pps_channel_failure_t failure)
 {
@@ -174,6 +191,7 @@
         .connect_us = NEIGHBOUR_CONNECT_US,
         .user_timeout_ms = NEIGHBOUR_USER_TIMEOUT_MS,
         .local_address = route->local_address,
+        .read_bytes = PPS_WINDOW_READ_BYTES,
     };
 
     return pps_http_channel_new(&call->channel, reactor, route->neighbour,
--- a/src/libpapayaswitch/relay/relay_call.h
+++ b/src/libpapayaswitch/relay/relay_call.h
@@ -38,6 +38,15 @@
 void
 pps_relay_call_close(pps_relay_call_t *call);
 
+/** Stops to read the answer, until it is resumed. The neighbour stops to read
+ * it from the worker when its buffer is full. */
+void
+pps_relay_call_pause(pps_relay_call_t *call);
+
+/** Goes on to read. */
+void
+pps_relay_call_resume(pps_relay_call_t *call);
+
 /** Asks a neighbour whether a worker takes connections, and reports it once.
  * PPS_PROBE_UNANSWERED also says that the neighbour gave no answer.
  * @return 0, PPS_EINVALID, PPS_ENOMEM or PPS_EIO; then nothing is reported */
--- a/src/libpapayaswitch/relay/relay_server.c
+++ b/src/libpapayaswitch/relay/relay_server.c
@@ -2,9 +2,9 @@
 #include "relay_server.h"
 
 #include "clock.h"
+#include "memory/window.h"
 #include "papayaswitch/errors.h"
 #include "relay_target.h"
-#include "relay_window.h"
 #include "transport/address.h"
 #include "transport/reply_reader.h"
 #include "transport/tcp_write.h"
@@ -23,8 +23,6 @@
 #define IDLE_TIMEOUT_US (5 * PPS_US_PER_S)
 /** Time until it is checked again whether an answer is read on. */
 #define RESUME_US (5 * PPS_US_PER_MS)
-/** Bytes that are read of an answer at once. */
-#define READ_BYTES_MAX (16U << 10)
 
 struct pps_relay_server {
     pps_reactor_t *reactor;
@@ -33,14 +31,12 @@
     char local_address[PPS_RELAY_ADDRESS_BYTES]; /* "": any */
     const pps_relay_ops_t *ops;
     void *user;
-    struct cds_list_head calls;
     size_t call_count;
     size_t queued_max; /* bytes of all answers that may wait */
     int is_draining;
 };
 
 typedef struct {
-    struct cds_list_head node;
     pps_relay_server_t *server;
     pps_http_conn_t *conn; /* NULL: the other host's connection has ended */
     const pps_http_request_t *request;
@@ -82,7 +78,6 @@
     }
     call->is_closing = 1;
     call->conn = NULL;
-    cds_list_del(&call->node);
     call->server->call_count--;
     end_hold(call->server, call->hold, 0);
     pps_timers_cancel(&call->timer);
@@ -143,7 +138,7 @@
 get_read_buffer(uv_handle_t *handle, size_t wanted, uv_buf_t *out)
 {
     pps_tcp_get_read_buffer(handle, wanted, out);
-    out->len = READ_BYTES_MAX;
+    out->len = PPS_WINDOW_READ_BYTES;
 }
 
 /* Returns whether so much of an answer waits for the other host that no more
@@ -152,8 +147,8 @@
 is_held_back(const call_t *call)
 {
     return pps_http_conn_queued_bytes(call->conn) >
-           pps_relay_window_bytes(call->server->queued_max,
-                                  call->server->call_count);
+           pps_window_bytes(call->server->queued_max,
+                            call->server->call_count);
 }
 
 static void
@@ -280,7 +275,6 @@
                       server->local_address);
     call->tcp.data = call;
     call->connect.data = call;
-    cds_list_add_tail(&call->node, &server->calls);
     server->call_count++;
     pps_http_conn_attach(call->conn, call);
     if (uv_tcp_connect(&call->connect, &call->tcp,
@@ -368,7 +362,6 @@
     server->reactor = reactor;
     server->ops = ops;
     server->user = user;
-    CDS_INIT_LIST_HEAD(&server->calls);
     server->queued_max = PPS_RELAY_QUEUED_DEFAULT;
     server->limits =
         (pps_http_limits_t){HEADER_BYTES_MAX, REQUEST_BYTES_DEFAULT,
@@ -412,13 +405,7 @@
 size_t
 pps_relay_server_queued(const pps_relay_server_t *server)
 {
-    const call_t *call;
-    size_t sum = 0;
-
-    cds_list_for_each_entry (call, &server->calls, node) {
-        sum += pps_http_conn_queued_bytes(call->conn);
-    }
-    return sum;
+    return pps_http_server_queued_bytes(server->listener);
 }
 
 unsigned int
--- a/src/libpapayaswitch/transport/http_channel.c
+++ b/src/libpapayaswitch/transport/http_channel.c
@@ -31,6 +31,7 @@
     int sent;         /* nonzero if bytes of the call may have been written */
     unsigned int call_count;
     unsigned int user_timeout_ms;
+    size_t read_bytes; /* most that is read at once; 0: any number */
     int64_t idle_since_us;
     int64_t expires_us;
     pps_timer_t connect_timer;
@@ -150,6 +151,33 @@
     }
 }
 
+static void
+get_read_buffer(uv_handle_t *handle, size_t wanted, uv_buf_t *out)
+{
+    const pps_http_channel_t *channel = handle->data;
+
+    pps_tcp_get_read_buffer(handle, wanted, out);
+    if (channel->read_bytes > 0 && channel->read_bytes < out->len) {
+        out->len = channel->read_bytes;
+    }
+}
+
+void
+pps_http_channel_pause(pps_http_channel_t *channel)
+{
+    if (channel->state == CHANNEL_BUSY) {
+        uv_read_stop((uv_stream_t *)&channel->tcp);
+    }
+}
+
+void
+pps_http_channel_resume(pps_http_channel_t *channel)
+{
+    if (channel->state == CHANNEL_BUSY) {
+        uv_read_start((uv_stream_t *)&channel->tcp, get_read_buffer, on_read);
+    }
+}
+
 static int
 write_call(pps_http_channel_t *channel, const void *text, size_t size)
 {
@@ -177,8 +205,7 @@
     }
     uv_tcp_nodelay(&channel->tcp, 1);
     pps_tcp_set_user_timeout(&channel->tcp, channel->user_timeout_ms);
-    uv_read_start((uv_stream_t *)&channel->tcp, pps_tcp_get_read_buffer,
-                  on_read);
+    uv_read_start((uv_stream_t *)&channel->tcp, get_read_buffer, on_read);
     if (channel->ops == NULL) {
         channel->state = CHANNEL_IDLE;
         channel->idle_since_us = channel->reactor->now_us;
@@ -216,6 +243,7 @@
     }
     channel->reactor = reactor;
     channel->user_timeout_ms = options->user_timeout_ms;
+    channel->read_bytes = options->read_bytes;
     channel->expires_us = INT64_MAX;
     channel->on_closed = on_closed;
     channel->owner = owner;
--- a/src/libpapayaswitch/transport/http_channel.h
+++ b/src/libpapayaswitch/transport/http_channel.h
@@ -19,6 +19,7 @@
     int64_t connect_us;           /**< time limit for connecting */
     unsigned int user_timeout_ms; /**< as in pps_tcp_set_user_timeout() */
     const char *local_address; /**< IPv4 address to connect from; NULL: any */
+    size_t read_bytes;         /**< most that is read at once; 0: any number */
 } pps_channel_options_t;
 
 /** Reports that a channel closes, also if its owner closed it; the owner must
@@ -43,6 +44,15 @@
 void
 pps_http_channel_close(pps_http_channel_t *channel);
 
+/** Stops to read the response of a call, until it is resumed. Bytes that have
+ * been read are still reported. */
+void
+pps_http_channel_pause(pps_http_channel_t *channel);
+
+/** Goes on to read. */
+void
+pps_http_channel_resume(pps_http_channel_t *channel);
+
 /** Checks whether the channel is connected and has no call in progress. */
 int
 pps_http_channel_is_idle(const pps_http_channel_t *channel);
--- a/tests/entry/test_relay_window.c
+++ b/tests/entry/test_window.c
@@ -1,8 +1,8 @@
-/** @file test_relay_window.c @brief How much waits of answers that a host
+/** @file test_window.c @brief How much waits of answers that a host
  * passes on, in all. */
+#include "memory/window.h"
 #include "net.h"
 #include "relay/relay_server.h"
-#include "relay/relay_window.h"
 #include "steady_clock.h"
 #include "transport/tcp_write.h"
 
@@ -30,11 +30,11 @@
     {"no memory", 0, 10, 8 * KIB},
 };
 
-Test(relay_window, a_call_takes_the_part_of_others)
+Test(window, a_call_takes_the_part_of_others)
 {
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
         cr_expect_eq(
-            pps_relay_window_bytes(cases[i].queued_max, cases[i].calls),
+            pps_window_bytes(cases[i].queued_max, cases[i].calls),
             cases[i].window, "%s", cases[i].name);
     }
 }
@@ -118,7 +118,7 @@
 
 /* Guards against answers that fill the memory of the host that passes them on,
  * each of them within its own limit, while the other hosts do not read. */
-Test(relay_window, answers_for_other_hosts_fill_the_memory, .timeout = 60)
+Test(window, answers_for_other_hosts_fill_the_memory, .timeout = 60)
 {
     static silent_host_t silent[CALLS];
     static net_answer_t answer = {NULL, NET_KEEP};
