--- a/src/libpapayaswitch/exchange/exchange_flow.c
+++ b/src/libpapayaswitch/exchange/exchange_flow.c
@@ -5,8 +5,8 @@
 
 #include "crash_line.h"
 #include "decision_log.h"
-#include "exchange_reply.h"
 #include "exchange_link.h"
+#include "exchange_reply.h"
 #include "memory/window.h"
 
 /** Part of the bytes that are held of answers that those which wait for
--- a/tests/entry/test_window.c
+++ b/tests/entry/test_window.c
@@ -33,9 +33,8 @@
 Test(window, a_call_takes_the_part_of_others)
 {
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
-        cr_expect_eq(
-            pps_window_bytes(cases[i].queued_max, cases[i].calls),
-            cases[i].window, "%s", cases[i].name);
+        cr_expect_eq(pps_window_bytes(cases[i].queued_max, cases[i].calls),
+                     cases[i].window, "%s", cases[i].name);
     }
 }
 
