--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -32,13 +32,11 @@
 #include "rng.h"
 #include "rollout/rollout.h"
 #include "rollout/usual_times.h"
+#include "rollout/version_set.h"
 
 /** Maximum number of upstreams with state. */
 #define PPS_DISPATCH_UPSTREAMS_MAX 32
 
-/** Number of superseded roll-outs remembered per upstream. */
-#define PPS_DISPATCH_SUPERSEDED_MAX 8
-
 /** Number of models of a route whose usual times are kept apart. */
 #define PPS_DISPATCH_MODELS 4
 
@@ -158,11 +156,12 @@
     /** Of the baseline, by kind of request and model of its route. */
     pps_usual_times_t usual[PPS_ROLLOUT_KINDS][PPS_DISPATCH_MODELS];
     int64_t next_evidence_log_us;
-    int64_t complete_since_us; /**< the roll-out can be completed since then
-                                    without an objection; 0: it can't */
-    /** Digests of the targets of earlier roll-outs, as a ring; 0: none. */
-    uint64_t superseded[PPS_DISPATCH_SUPERSEDED_MAX];
-    unsigned int superseded_next;
+    int64_t complete_since_us;    /**< the roll-out can be completed since then
+                                       without an objection; 0: it can't */
+    pps_version_set_t superseded; /**< targets of earlier roll-outs */
+    pps_version_set_t rolled_back; /**< of these, those that were rolled back:
+                                        they get no requests while another
+                                        version can serve them */
     pps_brittle_upstream_t brittle;
     pps_longest_prompt_t longest_prompt;
     int64_t memory_tokens;     /**< of each worker; 0: unknown */
--- a/src/libpapayaswitch/exchange/exchange_worker.c
+++ b/src/libpapayaswitch/exchange/exchange_worker.c
@@ -26,14 +26,19 @@
     return 0;
 }
 
-/* Returns 1 if the roll-out assigns the session to another version. */
+/* Returns 1 if the roll-out assigns the session to another version, or this
+ * one was rolled back before. */
 static int
 has_other_version(const pps_exchange_t *exchange,
                   const pps_worker_info_t *info)
 {
-    const pps_rollout_t *rollout = &exchange->upstream_state->rollout;
+    const pps_upstream_state_t *state = exchange->upstream_state;
+    const pps_rollout_t *rollout = &state->rollout;
 
-    return rollout->state != PPS_ROLLOUT_NONE &&
+    if (rollout->state == PPS_ROLLOUT_NONE) {
+        return 0;
+    }
+    return pps_version_set_contains(&state->rolled_back, info->version) ||
            (strcmp(info->version, rollout->target) == 0) !=
                pps_exchange_has_moved(exchange);
 }
--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -6,7 +6,6 @@
 #include "rollout_log.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #define EVIDENCE_LOG_PERIOD_US (1 * PPS_US_PER_S)
 /** Oldest state of a live host on which a completion may rest: some datagrams
@@ -16,42 +15,36 @@
  * so that other hosts can object. */
 #define OBJECTION_TIME_US (300 * PPS_US_PER_MS)
 
-static uint64_t
-digest_target(const char *target)
+/* Returns whether the target gets no sessions any more, declared or not. */
+static int
+is_rolled_back(const pps_rollout_t *rollout)
 {
-    return XXH64(target, strlen(target), 0);
+    return rollout->state == PPS_ROLLOUT_ROLLED_BACK ||
+           (rollout->state == PPS_ROLLOUT_ACTIVE && rollout->held);
 }
 
-static int
-is_superseded(const pps_upstream_state_t *state, const char *target)
+/* Keeps what was decided on a target, as this host, another one or the store
+ * says. */
+static void
+note_decision(pps_upstream_state_t *state, const pps_rollout_t *rollout)
 {
-    uint64_t digest = digest_target(target);
-
-    for (size_t i = 0; i < PPS_DISPATCH_SUPERSEDED_MAX; i++) {
-        if (state->superseded[i] == digest) {
-            return 1;
-        }
+    if (is_rolled_back(rollout)) {
+        pps_version_set_add(&state->rolled_back, rollout->target);
     }
-    return 0;
 }
 
 /* Records that the current roll-out is replaced by one to a new target, which
- * may have been superseded before. */
+ * may have been superseded before. What was decided on the old target stays.
+ */
 static void
 supersede(pps_upstream_state_t *state, const char *new_target)
 {
-    uint64_t digest = digest_target(new_target);
-
-    for (size_t i = 0; i < PPS_DISPATCH_SUPERSEDED_MAX; i++) {
-        if (state->superseded[i] == digest) {
-            state->superseded[i] = 0;
-        }
-    }
     if (state->rollout.state != PPS_ROLLOUT_NONE) {
-        state->superseded[state->superseded_next++ %
-                          PPS_DISPATCH_SUPERSEDED_MAX] =
-            digest_target(state->rollout.target);
+        pps_version_set_add(&state->superseded, state->rollout.target);
     }
+    note_decision(state, &state->rollout);
+    pps_version_set_remove(&state->superseded, new_target);
+    pps_version_set_remove(&state->rolled_back, new_target);
 }
 
 int
@@ -61,7 +54,8 @@
     const pps_upstream_state_t *state =
         pps_dispatcher_upstream(dispatcher, order->upstream);
 
-    return state != NULL && is_superseded(state, order->target);
+    return state != NULL &&
+           pps_version_set_contains(&state->superseded, order->target);
 }
 
 void
@@ -89,7 +83,11 @@
     pps_upstream_state_t *state =
         pps_dispatcher_upstream(dispatcher, status->upstream);
 
-    if (state == NULL || is_superseded(state, status->target)) {
+    if (state == NULL) {
+        return;
+    }
+    if (pps_version_set_contains(&state->superseded, status->target)) {
+        note_decision(state, status);
         return;
     }
     if (strcmp(state->rollout.target, status->target) != 0) {
@@ -129,10 +127,16 @@
         pps_upstream_state_t *state =
             pps_dispatcher_upstream(dispatcher, remote->upstream);
 
-        if (state != NULL &&
-            strcmp(state->rollout.target, remote->target) == 0) {
+        if (state == NULL) {
+            continue;
+        }
+        if (strcmp(state->rollout.target, remote->target) == 0) {
             merge_remote(state, remote);
         }
+        else if (pps_version_set_contains(&state->superseded,
+                                          remote->target)) {
+            note_decision(state, remote);
+        }
     }
 }
 
--- a/src/libpapayaswitch/rollout/controller.h
+++ b/src/libpapayaswitch/rollout/controller.h
@@ -20,8 +20,8 @@
 pps_rollout_controller_is_superseded(pps_dispatcher_t *dispatcher,
                                      const pps_rollout_t *order);
 
-/** Applies the declared state of a roll-out; `status` names its upstream. A
- * status of a superseded roll-out is ignored. */
+/** Applies the declared state of a roll-out; `status` names its upstream. Of a
+ * superseded roll-out only that it was rolled back is kept. */
 void
 pps_rollout_controller_apply_status(pps_dispatcher_t *dispatcher,
                                     const pps_rollout_t *status);
