--- a/review/8/case.c
+++ b/review/8/case.c
@@ -21,7 +21,7 @@
 #define ROUNDS 5
 #define ROUND_MS 5000
 #define USUAL_BODY_BYTES 600
-#define DEADLINE_MS 10000
+#define DEADLINE_MS 1500
 /* Ends of a process by itself that are a fault, if they happen at two machines
  * or more. */
 #define ENDS_OF_FAULT 3
