Keys: a configuration without any key refuses requests instead of serving all

Cause: whether requests need a key was derived from the number of keys in the configuration. Ruled out by the hosts' log: an older configuration (the `admitted` lines have the new revision) and one that can't be read.

Change: the deployment says by itself whether requests need a key: as soon as the configuration has the list of workspaces, also if it is empty or null.

--- a/src/libpapayaswitch/deployment/deployment.h
+++ b/src/libpapayaswitch/deployment/deployment.h
@@ -97,6 +97,8 @@
     size_t workspace_count;
     pps_workspace_key_t *keys; /**< sorted by key */
     size_t key_count;
+    int requires_key; /**< requests need a key, unless the route is anonymous;
+                           then none is valid while `key_count` is 0 */
     pps_http_limits_t limits;
     unsigned int refs;
 } pps_deployment_t;
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -144,7 +144,7 @@
     if (call->key != NULL) {
         *workspace = pps_deployment_find_workspace(deployment, call->key);
     }
-    if (*workspace == NULL && deployment->key_count > 0 &&
+    if (*workspace == NULL && deployment->requires_key &&
         !(*route)->anonymous) {
         return STATUS_UNAUTHORIZED;
     }
