Roll-outs: each one is told to all hosts, and silence completes none

Cause: a state datagram holds two roll-outs, and a host told those of the two upstreams that it had met first, ended ones included. The hold and the failures that the second host saw reached nobody. The first host took that silence for consent, as it only asked whether each host had been heard lately at all. Ruled out: lost datagrams and hosts that ignore them (without the two roll-outs before, the hold arrives).

Change: active roll-outs are told first, then those that ended in the last 10 s; those for which the state has no room go out in datagrams of their own, to hosts of builds that read them. What a host tells is kept for each roll-out, and a completion needs a recent report of each live host on this one. On a related path, hosts had state for 32 names of upstreams and refused the requests of all others; it is a list now. The codec of roll-outs and their selection are files of their own.

--- a/src/libpapayaswitch/exchange/brittle_step.c
+++ b/src/libpapayaswitch/exchange/brittle_step.c
@@ -88,8 +88,10 @@
 static int
 has_brittle_upstream(const pps_dispatcher_t *dispatcher)
 {
-    for (size_t i = 0; i < dispatcher->upstream_count; i++) {
-        if (dispatcher->upstreams[i].brittle.is_brittle) {
+    const pps_upstream_state_t *state;
+
+    cds_list_for_each_entry (state, &dispatcher->upstreams, node) {
+        if (state->brittle.is_brittle) {
             return 1;
         }
     }
--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -40,6 +40,7 @@
     dispatcher->limits = (pps_http_limits_t){
         HEADER_BYTES_MAX, BODY_BYTES_MAX, HEADER_TIMEOUT_US, IDLE_TIMEOUT_US};
     CDS_INIT_LIST_HEAD(&dispatcher->exchanges);
+    CDS_INIT_LIST_HEAD(&dispatcher->upstreams);
     CDS_INIT_LIST_HEAD(&dispatcher->breaks);
     CDS_INIT_LIST_HEAD(&dispatcher->left_calls);
     pps_evacuated_domains_init(&dispatcher->evacuated);
@@ -81,9 +82,11 @@
 pps_dispatcher_find_upstream(const pps_dispatcher_t *dispatcher,
                              const char *name)
 {
-    for (size_t i = 0; i < dispatcher->upstream_count; i++) {
-        if (strcmp(dispatcher->upstreams[i].name, name) == 0) {
-            return (pps_upstream_state_t *)&dispatcher->upstreams[i];
+    pps_upstream_state_t *state;
+
+    cds_list_for_each_entry (state, &dispatcher->upstreams, node) {
+        if (strcmp(state->name, name) == 0) {
+            return state;
         }
     }
     return NULL;
@@ -98,10 +101,12 @@
     if (state != NULL) {
         return state;
     }
-    if (dispatcher->upstream_count == PPS_DISPATCH_UPSTREAMS_MAX) {
+    state = calloc(1, sizeof(*state));
+    if (state == NULL) {
         return NULL;
     }
-    state = &dispatcher->upstreams[dispatcher->upstream_count++];
+    cds_list_add_tail(&state->node, &dispatcher->upstreams);
+    CDS_INIT_LIST_HEAD(&state->reports);
     snprintf(state->name, sizeof(state->name), "%s", name);
     pps_prefill_rate_init(&state->prefill_rate);
     pps_hedge_load_init(&state->hedge_load);
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -34,9 +34,6 @@
 #include "rollout/usual_times.h"
 #include "rollout/version_set.h"
 
-/** Maximum number of upstreams with state. */
-#define PPS_DISPATCH_UPSTREAMS_MAX 32
-
 /** Number of models of a route whose usual times are kept apart. */
 #define PPS_DISPATCH_MODELS 4
 
@@ -149,10 +146,15 @@
 
 /** State of an upstream, kept by name across deployment revisions. */
 typedef struct {
+    struct cds_list_head node;
     char name[PPS_WORKER_TEXT_BYTES];
     pps_repeat_limit_t repeats;
     pps_rollout_t rollout;
-    pps_rollout_tally_t tally; /**< counts of this host only */
+    pps_rollout_tally_t tally;    /**< counts of this host only */
+    struct cds_list_head reports; /**< of other hosts on the active roll-out;
+                                       see rollout_reports.h */
+    int64_t told_until_us;        /**< until when other hosts are told how the
+                                       roll-out has ended */
     /** Of the baseline, by kind of request and model of its route. */
     pps_usual_times_t usual[PPS_ROLLOUT_KINDS][PPS_DISPATCH_MODELS];
     int64_t next_evidence_log_us;
@@ -224,9 +226,8 @@
                                          */
     pps_tests_poison_fn tests_poison;   /**< NULL: this host is the only one */
     void *notice_user;                  /**< of these functions */
-    pps_poison_table_t *poison; /**< requests under which workers end */
-    pps_upstream_state_t upstreams[PPS_DISPATCH_UPSTREAMS_MAX];
-    size_t upstream_count;
+    pps_poison_table_t *poison;     /**< requests under which workers end */
+    struct cds_list_head upstreams; /**< pps_upstream_state_t */
     pps_known_hosts_t known_hosts;  /**< known lately, by failure domain */
     pps_known_hosts_t permit_hosts; /**< the same over a shorter time, for
                                          permits */
@@ -253,8 +254,8 @@
 pps_dispatcher_deploy(pps_dispatcher_t *dispatcher,
                       pps_deployment_t *deployment);
 
-/** Returns the state of an upstream, creating it if needed. NULL when
- * PPS_DISPATCH_UPSTREAMS_MAX is reached. */
+/** Returns the state of an upstream, creating it if needed. NULL when memory
+ * is exhausted. */
 pps_upstream_state_t *
 pps_dispatcher_upstream(pps_dispatcher_t *dispatcher, const char *name);
 
--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -210,8 +210,7 @@
     exchange->has_last_event = exchange->call.has_last_event;
     set_deadline(exchange);
     if (exchange->upstream_state == NULL) {
-        pps_exchange_refuse(exchange, STATUS_UNAVAILABLE, -1,
-                            "too_many_upstreams");
+        pps_exchange_refuse(exchange, STATUS_UNAVAILABLE, -1, "out_of_memory");
         return;
     }
     pps_permit_size_count_demand(exchange);
--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -31,6 +31,7 @@
 #define PPS_GOSSIP_LACKS_DIGESTS 2U
 #define PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS 4U
 #define PPS_GOSSIP_LACKS_PERMIT_SIZES 8U
+#define PPS_GOSSIP_LACKS_ROLLOUT_REPORTS 16U
 
 /** A roll-out and the evidence that one host has collected. */
 typedef struct {
@@ -38,6 +39,13 @@
     pps_rollout_tally_t tally;
 } pps_gossip_rollout_t;
 
+/** What a host tells of roll-outs beside those in its state. */
+typedef struct {
+    char from[PPS_GOSSIP_TEXT_BYTES]; /**< address of the sender */
+    pps_gossip_rollout_t items[PPS_GOSSIP_ROLLOUTS];
+    size_t count;
+} pps_gossip_rollouts_t;
+
 /** The state that a host reports about itself; ages are as of sending. */
 typedef struct {
     char host_id[PPS_GOSSIP_TEXT_BYTES];
@@ -53,6 +61,7 @@
     int64_t read_age_us; /**< of its last store reads; -1: none or failed */
     int leaving;         /**< nonzero: the host is stopping */
     int link_mbps;       /**< speed of its network link, Mbit/s; 0: unknown */
+    /** The first of its roll-outs; pps_gossip_rollouts_t has the others. */
     pps_gossip_rollout_t rollouts[PPS_GOSSIP_ROLLOUTS];
     size_t rollout_count;
     int takes_relays;   /**< it takes calls to workers for other hosts; 0 also
@@ -150,7 +159,8 @@
 
 /** Callbacks of the owner, on the reactor's thread. */
 typedef struct {
-    /** Fills in the topic offsets, roll-outs, `read_age_us` and `leaving`. */
+    /** Fills in the topic offsets, the first roll-outs, `read_age_us` and
+     * `leaving`. */
     void (*fill_state)(void *user, pps_gossip_state_t *out);
     /** Called after a peer's state has been received. */
     void (*on_state)(void *user, const pps_gossip_peer_t *peer);
@@ -168,6 +178,12 @@
     void (*on_poison)(void *user, const pps_gossip_poison_t *poison);
     /** Called when a reader states up to where it has forwarded records. */
     void (*on_mark)(void *user, const pps_gossip_mark_t *mark);
+    /** Copies the roll-outs from number `first` on. NULL: the state has all.
+     * @return the count, at most PPS_GOSSIP_ROLLOUTS */
+    size_t (*fill_rollouts)(void *user, pps_gossip_rollout_t *out,
+                            size_t first);
+    /** Called when a peer tells of roll-outs that are not in its state. */
+    void (*on_rollouts)(void *user, const pps_gossip_rollouts_t *rollouts);
 } pps_gossip_ops_t;
 
 /** The gossip socket of one host and the peers it knows. */
--- a/src/libpapayaswitch/gossip/gossip_codec.h
+++ b/src/libpapayaswitch/gossip/gossip_codec.h
@@ -33,6 +33,7 @@
     PPS_GOSSIP_DIGEST,
     PPS_GOSSIP_BEACON,
     PPS_GOSSIP_STATE_REQUEST,
+    PPS_GOSSIP_ROLLOUT_REPORT,
 } pps_gossip_kind_t;
 
 /** Returns the kind that the first bytes of a datagram state. */
@@ -107,6 +108,18 @@
 pps_gossip_decode_record(pps_gossip_record_t *out, msgpack_unpacked *unpacked,
                          const char *data, size_t size);
 
+/** Appends roll-outs. Start times become ages. @return 0 or PPS_ENOMEM */
+int
+pps_gossip_encode_rollouts(pps_buf_t *out,
+                           const pps_gossip_rollouts_t *rollouts,
+                           int64_t now_us);
+
+/** Decodes roll-outs. Items beyond the maximum number are left out.
+ * @return 0, or PPS_ECORRUPT if it has none */
+int
+pps_gossip_decode_rollouts(pps_gossip_rollouts_t *out, const char *data,
+                           size_t size, int64_t now_us);
+
 /** Decodes a state datagram. Ages become start times on this host's clock.
  * @return 0 or PPS_ECORRUPT */
 int
--- a/src/libpapayaswitch/gossip/gossip_receive.c
+++ b/src/libpapayaswitch/gossip/gossip_receive.c
@@ -165,6 +165,20 @@
     return error;
 }
 
+static int
+receive_rollouts(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_rollouts_t rollouts;
+    int error = pps_gossip_decode_rollouts(&rollouts, data, size,
+                                           gossip->reactor->now_us);
+
+    if (error == 0 && gossip->ops->on_rollouts != NULL &&
+        pps_gossip_find_peer(gossip, rollouts.from) != NULL) {
+        gossip->ops->on_rollouts(gossip->user, &rollouts);
+    }
+    return error;
+}
+
 int
 pps_gossip_receive(pps_gossip_t *gossip, const char *data, size_t size)
 {
@@ -190,6 +204,8 @@
         return receive_beacon(gossip, data, size);
     case PPS_GOSSIP_STATE_REQUEST:
         return receive_state_request(gossip, data, size);
+    case PPS_GOSSIP_ROLLOUT_REPORT:
+        return receive_rollouts(gossip, data, size);
     case PPS_GOSSIP_MARK:
         return receive_mark(gossip, data, size);
     case PPS_GOSSIP_FORWARD:
--- a/src/libpapayaswitch/gossip/gossip_state_send.c
+++ b/src/libpapayaswitch/gossip/gossip_state_send.c
@@ -83,6 +83,48 @@
     gossip->period_scale = (double)hosts / DOMAIN_HOSTS_PER_S;
 }
 
+/* Sends roll-outs to the live hosts that get the state. */
+static void
+send_rollouts(pps_gossip_t *gossip, const pps_state_plan_t *plan,
+              const pps_gossip_rollouts_t *rollouts)
+{
+    pps_buf_t encoded = PPS_BUF_INIT;
+    const pps_gossip_peer_t *peer;
+
+    if (pps_gossip_encode_rollouts(&encoded, rollouts,
+                                   gossip->reactor->now_us) == 0) {
+        cds_list_for_each_entry (peer, &gossip->peers, node) {
+            if (pps_gossip_is_live(gossip, peer) &&
+                pps_state_plan_is_target(plan, gossip, peer) &&
+                (peer->state.lacks & PPS_GOSSIP_LACKS_ROLLOUT_REPORTS) == 0) {
+                pps_gossip_send_to(gossip, peer->state.address, &encoded);
+            }
+        }
+    }
+    pps_buf_clear(&encoded);
+}
+
+/* Sends the roll-outs for which the state has no room. */
+static void
+send_further_rollouts(pps_gossip_t *gossip, const pps_state_plan_t *plan)
+{
+    static pps_gossip_rollouts_t rollouts;
+    size_t first = gossip->own.state.rollout_count;
+
+    if (gossip->ops->fill_rollouts == NULL || first < PPS_GOSSIP_ROLLOUTS) {
+        return;
+    }
+    memcpy(rollouts.from, gossip->own.state.address, sizeof(rollouts.from));
+    do {
+        rollouts.count =
+            gossip->ops->fill_rollouts(gossip->user, rollouts.items, first);
+        first += rollouts.count;
+        if (rollouts.count > 0) {
+            send_rollouts(gossip, plan, &rollouts);
+        }
+    } while (rollouts.count == PPS_GOSSIP_ROLLOUTS);
+}
+
 static void
 send_state(pps_gossip_t *gossip, int is_urgent)
 {
@@ -106,6 +148,7 @@
         }
     }
     pps_buf_clear(&encoded);
+    send_further_rollouts(gossip, &plan);
 }
 
 void
--- a/src/libpapayaswitch/gossip/gossip_versions.h
+++ b/src/libpapayaswitch/gossip/gossip_versions.h
@@ -18,6 +18,7 @@
 #define PPS_GOSSIP_DIGEST_VERSION 23
 #define PPS_GOSSIP_BEACON_VERSION 24
 #define PPS_GOSSIP_STATE_REQUEST_VERSION 25
+#define PPS_GOSSIP_ROLLOUTS_VERSION 26
 
 /** Writes packed bytes to a pps_buf_t, as msgpack_packer_init() expects. */
 int
--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -4,13 +4,17 @@
 #include "clock.h"
 #include "exchange/exchange_evidence.h"
 #include "rollout_log.h"
+#include "rollout_reports.h"
 
 #include <string.h>
 
 #define EVIDENCE_LOG_PERIOD_US (1 * PPS_US_PER_S)
-/** Oldest state of a live host on which a completion may rest: some datagrams
+/** Oldest report of a live host on which a completion may rest: some datagrams
  * in a row may be lost. */
 #define OBJECTION_AGE_MAX_US (1500 * PPS_US_PER_MS)
+/** Time for which other hosts are told how a roll-out has ended: since then,
+ * or since one of them last took it for active. */
+#define END_TOLD_US (10 * PPS_US_PER_S)
 /** Time for which a roll-out must be due for completion before it is declared,
  * so that other hosts can object. */
 #define OBJECTION_TIME_US (300 * PPS_US_PER_MS)
@@ -33,6 +37,29 @@
     }
 }
 
+static void
+tell_end(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state)
+{
+    state->told_until_us = dispatcher->reactor->now_us + END_TOLD_US;
+}
+
+/* Adopts a later state of the roll-out. Nothing is counted once it has ended.
+ */
+static void
+advance(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
+        pps_rollout_state_t new_state, const char *event)
+{
+    if (new_state <= state->rollout.state) {
+        return;
+    }
+    state->rollout.state = new_state;
+    pps_rollout_log(event, &state->rollout, &state->tally);
+    if (new_state != PPS_ROLLOUT_ACTIVE) {
+        tell_end(dispatcher, state);
+        pps_rollout_reports_clear(&state->reports);
+    }
+}
+
 /* Records that the current roll-out is replaced by one to a new target, which
  * may have been superseded before. What was decided on the old target stays.
  */
@@ -45,6 +72,7 @@
     note_decision(state, &state->rollout);
     pps_version_set_remove(&state->superseded, new_target);
     pps_version_set_remove(&state->rolled_back, new_target);
+    pps_rollout_reports_clear(&state->reports);
 }
 
 int
@@ -95,21 +123,20 @@
         supersede(state, status->target);
         state->rollout = *status;
         state->rollout.started_us = dispatcher->reactor->now_us;
+        tell_end(dispatcher, state);
     }
-    if (status->state > state->rollout.state) {
-        state->rollout.state = status->state;
-        pps_rollout_log("rollout_declared", &state->rollout, &state->tally);
-    }
+    advance(dispatcher, state, status->state, "rollout_declared");
 }
 
 static void
-merge_remote(pps_upstream_state_t *state, const pps_rollout_t *remote)
+merge_remote(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
+             const pps_rollout_t *remote)
 {
     pps_rollout_t *local = &state->rollout;
 
-    if (remote->state > local->state) {
-        local->state = remote->state;
-        pps_rollout_log("rollout_heard", local, &state->tally);
+    advance(dispatcher, state, remote->state, "rollout_heard");
+    if (local->state > remote->state) {
+        tell_end(dispatcher, state);
     }
     pps_rollout_merge(local, remote);
     if (remote->held && !local->held) {
@@ -118,53 +145,60 @@
     }
 }
 
-void
-pps_rollout_controller_merge_peer(pps_dispatcher_t *dispatcher,
-                                  const pps_gossip_peer_t *peer)
+static void
+merge_report(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
+             const char *host, const pps_gossip_rollout_t *report)
 {
-    for (size_t i = 0; i < peer->state.rollout_count; i++) {
-        const pps_rollout_t *remote = &peer->state.rollouts[i].rollout;
-        pps_upstream_state_t *state =
-            pps_dispatcher_upstream(dispatcher, remote->upstream);
-
-        if (state == NULL) {
-            continue;
-        }
-        if (strcmp(state->rollout.target, remote->target) == 0) {
-            merge_remote(state, remote);
-        }
-        else if (pps_version_set_contains(&state->superseded,
-                                          remote->target)) {
-            note_decision(state, remote);
+    if (strcmp(state->rollout.target, report->rollout.target) != 0) {
+        if (pps_version_set_contains(&state->superseded,
+                                     report->rollout.target)) {
+            note_decision(state, &report->rollout);
         }
+        return;
+    }
+    merge_remote(dispatcher, state, &report->rollout);
+    if (state->rollout.state == PPS_ROLLOUT_ACTIVE) {
+        pps_rollout_reports_note(&state->reports, host, &report->tally,
+                                 dispatcher->reactor->now_us);
     }
 }
 
 static void
-add_peer(pps_rollout_tally_t *out, const pps_rollout_t *rollout,
-         const pps_gossip_peer_t *peer)
+merge_reports(const pps_dispatcher_t *dispatcher, const char *host,
+              const pps_gossip_rollout_t *reports, size_t count)
 {
-    for (size_t i = 0; i < peer->state.rollout_count; i++) {
-        const pps_gossip_rollout_t *item = &peer->state.rollouts[i];
+    for (size_t i = 0; i < count; i++) {
+        pps_upstream_state_t *state = pps_dispatcher_find_upstream(
+            dispatcher, reports[i].rollout.upstream);
 
-        if (strcmp(item->rollout.upstream, rollout->upstream) == 0 &&
-            strcmp(item->rollout.target, rollout->target) == 0) {
-            pps_rollout_tally_add(out, &item->tally);
+        if (state != NULL) {
+            merge_report(dispatcher, state, host, &reports[i]);
         }
     }
 }
 
 void
-pps_rollout_controller_sum(pps_rollout_tally_t *out,
-                           const pps_upstream_state_t *state,
-                           pps_gossip_t *gossip)
+pps_rollout_controller_merge_peer(pps_dispatcher_t *dispatcher,
+                                  const pps_gossip_peer_t *peer)
+{
+    merge_reports(dispatcher, peer->state.address, peer->state.rollouts,
+                  peer->state.rollout_count);
+}
+
+void
+pps_rollout_controller_merge_rollouts(pps_dispatcher_t *dispatcher,
+                                      const pps_gossip_rollouts_t *rollouts)
 {
-    pps_gossip_peer_t *peer;
+    merge_reports(dispatcher, rollouts->from, rollouts->items,
+                  rollouts->count);
+}
 
+void
+pps_rollout_controller_sum(pps_rollout_tally_t *out,
+                           const pps_upstream_state_t *state)
+{
     *out = state->tally;
-    cds_list_for_each_entry (peer, pps_gossip_peers(gossip), node) {
-        add_peer(out, &state->rollout, peer);
-    }
+    pps_rollout_reports_sum(out, &state->reports);
 }
 
 static void
@@ -226,16 +260,22 @@
 }
 
 static void
-view_peers(pps_rollout_view_t *out, pps_gossip_t *gossip, int64_t now_us)
+view_peers(pps_rollout_view_t *out, const pps_upstream_state_t *state,
+           pps_gossip_t *gossip, int64_t now_us)
 {
     const pps_gossip_peer_t *peer;
 
     cds_list_for_each_entry (peer, pps_gossip_peers(gossip), node) {
-        int64_t age_us = now_us - peer->last_received_us;
+        int64_t age_us = now_us - pps_rollout_reports_told_us(
+                                      &state->reports, peer->state.address);
 
-        if (pps_gossip_is_live(gossip, peer) && age_us > out->oldest_peer_us) {
-            out->oldest_peer_us = age_us;
+        if (!pps_gossip_is_live(gossip, peer)) {
+            continue;
+        }
+        if (age_us > out->oldest_report_us) {
+            out->oldest_report_us = age_us;
         }
+        out->unheard_hosts += age_us > OBJECTION_AGE_MAX_US;
     }
 }
 
@@ -253,13 +293,14 @@
     state->next_evidence_log_us = now_us + EVIDENCE_LOG_PERIOD_US;
     view_exchanges(&view, dispatcher, state);
     view_workers(&view, dispatcher, state);
-    view_peers(&view, gossip, now_us);
+    view_peers(&view, state, gossip, now_us);
     pps_rollout_log_evidence(&state->rollout, sum, &view);
 }
 
-/* Returns whether a completion can be declared: the state of each live host is
- * recent, none objects, and this has been so for a time. A hold that arrives
- * within that time wins. */
+/* Returns whether a completion can be declared: each live host has told of
+ * this roll-out lately, none objects, and this has been so for a time. A hold
+ * that arrives within that time wins. A host that tells nothing does not
+ * agree. */
 static int
 is_unopposed(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
              pps_gossip_t *gossip, pps_rollout_verdict_t verdict)
@@ -267,9 +308,10 @@
     int64_t now_us = dispatcher->reactor->now_us;
     pps_rollout_view_t view = {0};
 
-    view_peers(&view, gossip, now_us);
-    if (verdict != PPS_ROLLOUT_COMPLETE ||
-        view.oldest_peer_us > OBJECTION_AGE_MAX_US) {
+    if (verdict == PPS_ROLLOUT_COMPLETE) {
+        view_peers(&view, state, gossip, now_us);
+    }
+    if (verdict != PPS_ROLLOUT_COMPLETE || view.unheard_hosts > 0) {
         state->complete_since_us = 0;
         return 0;
     }
@@ -295,7 +337,7 @@
     pps_rollout_verdict_t verdict;
 
     pps_exchange_evidence_count_waiting(dispatcher, state);
-    pps_rollout_controller_sum(&sum, state, gossip);
+    pps_rollout_controller_sum(&sum, state);
     log_evidence(dispatcher, state, &sum, gossip);
     verdict = pps_rollout_step(&state->rollout, &sum, &basis,
                                dispatcher->reactor->now_us);
@@ -316,21 +358,3 @@
     }
     return verdict;
 }
-
-void
-pps_rollout_controller_export(const pps_dispatcher_t *dispatcher,
-                              pps_gossip_state_t *out)
-{
-    out->rollout_count = 0;
-    for (size_t i = 0; i < dispatcher->upstream_count; i++) {
-        const pps_upstream_state_t *state = &dispatcher->upstreams[i];
-
-        if (state->rollout.state == PPS_ROLLOUT_NONE ||
-            out->rollout_count == PPS_GOSSIP_ROLLOUTS) {
-            continue;
-        }
-        out->rollouts[out->rollout_count].rollout = state->rollout;
-        out->rollouts[out->rollout_count].tally = state->tally;
-        out->rollout_count++;
-    }
-}
--- a/src/libpapayaswitch/rollout/controller.h
+++ b/src/libpapayaswitch/rollout/controller.h
@@ -27,16 +27,21 @@
                                     const pps_rollout_t *status);
 
 /** Merges another host's view of the roll-outs with the same target: state,
- * start, share, planned move and hold. */
+ * start, share, planned move and hold. Notes its counts. */
 void
 pps_rollout_controller_merge_peer(pps_dispatcher_t *dispatcher,
                                   const pps_gossip_peer_t *peer);
 
-/** Sums the roll-out's tallies of this host and all peers, live or not. */
+/** The same for the roll-outs that another host tells beside its state. */
+void
+pps_rollout_controller_merge_rollouts(pps_dispatcher_t *dispatcher,
+                                      const pps_gossip_rollouts_t *rollouts);
+
+/** Sums the roll-out's tallies of this host and all that have told of it, live
+ * or not. */
 void
 pps_rollout_controller_sum(pps_rollout_tally_t *out,
-                           const pps_upstream_state_t *state,
-                           pps_gossip_t *gossip);
+                           const pps_upstream_state_t *state);
 
 /** Steps one roll-out and announces a new plan or hold to the other hosts.
  * @return the action to declare */
@@ -44,9 +49,4 @@
 pps_rollout_controller_step(pps_dispatcher_t *dispatcher,
                             pps_upstream_state_t *state, pps_gossip_t *gossip);
 
-/** Copies up to PPS_GOSSIP_ROLLOUTS roll-outs with this host's tallies. */
-void
-pps_rollout_controller_export(const pps_dispatcher_t *dispatcher,
-                              pps_gossip_state_t *out);
-
 #endif
--- a/src/libpapayaswitch/rollout/rollout_log.c
+++ b/src/libpapayaswitch/rollout/rollout_log.c
@@ -78,5 +78,7 @@
             PPS_INT("waiting", view->waiting),
             PPS_INT("longest_wait_ms", view->longest_wait_us / PPS_US_PER_MS),
             PPS_INT("target_load_percent", view->target_load * 100),
-            PPS_INT("oldest_peer_ms", view->oldest_peer_us / PPS_US_PER_MS)));
+            PPS_INT("unheard_hosts", view->unheard_hosts),
+            PPS_INT("oldest_report_ms",
+                    view->oldest_report_us / PPS_US_PER_MS)));
 }
--- a/src/libpapayaswitch/rollout/rollout_log.h
+++ b/src/libpapayaswitch/rollout/rollout_log.h
@@ -9,11 +9,13 @@
 
 /** What one host sees of a roll-out beside the counted results. */
 typedef struct {
-    unsigned int waiting;    /**< calls to the target without an answer yet */
-    int64_t longest_wait_us; /**< of these calls */
-    double target_load;      /**< requests per slot of the target's busiest
-                                  worker */
-    int64_t oldest_peer_us;  /**< age of the oldest state of a live peer */
+    unsigned int waiting;     /**< calls to the target without an answer yet */
+    int64_t longest_wait_us;  /**< of these calls */
+    double target_load;       /**< requests per slot of the target's busiest
+                                   worker */
+    int64_t oldest_report_us; /**< age of the oldest report of a live host */
+    unsigned int unheard_hosts; /**< live hosts that have not told of it
+                                     lately */
 } pps_rollout_view_t;
 
 /** Logs a change of a roll-out with the results that it rests on. */
--- a/tests/entry/test_gossip_codec.c
+++ b/tests/entry/test_gossip_codec.c
@@ -85,6 +85,67 @@
     pps_buf_clear(&encoded);
 }
 
+static pps_gossip_rollouts_t
+make_rollouts(void)
+{
+    pps_gossip_message_t message = make_message();
+    pps_gossip_rollouts_t rollouts = {.count = PPS_GOSSIP_ROLLOUTS};
+
+    snprintf(rollouts.from, sizeof(rollouts.from), "10.0.0.1");
+    for (size_t i = 0; i < rollouts.count; i++) {
+        rollouts.items[i] = message.state.rollouts[0];
+    }
+    rollouts.items[1].rollout.held = 1;
+    return rollouts;
+}
+
+Test(gossip_codec, rollouts_round_trip)
+{
+    pps_gossip_rollouts_t rollouts = make_rollouts();
+    pps_gossip_rollouts_t decoded;
+    pps_buf_t encoded = PPS_BUF_INIT;
+
+    cr_assert_eq(pps_gossip_encode_rollouts(&encoded, &rollouts, ENCODED_US),
+                 0);
+    cr_assert_eq(pps_gossip_decode_rollouts(&decoded, encoded.data,
+                                            encoded.size, DECODED_US),
+                 0);
+    cr_expect_str_eq(decoded.from, "10.0.0.1");
+    cr_assert_eq(decoded.count, PPS_GOSSIP_ROLLOUTS);
+    cr_expect_str_eq(decoded.items[1].rollout.upstream, "drafting");
+    cr_expect_eq(decoded.items[0].rollout.held, 0);
+    cr_expect_eq(decoded.items[1].rollout.held, 1);
+    cr_expect_eq(decoded.items[1].rollout.started_us,
+                 DECODED_US - 3 * PPS_US_PER_S);
+    cr_expect_eq(memcmp(&decoded.items[1].tally, &rollouts.items[1].tally,
+                        sizeof(decoded.items[1].tally)),
+                 0);
+    for (size_t length = 0; length < encoded.size; length++) {
+        cr_expect_eq(pps_gossip_decode_rollouts(&decoded, encoded.data, length,
+                                                DECODED_US),
+                     PPS_ECORRUPT, "cut at %zu", length);
+    }
+    pps_buf_clear(&encoded);
+}
+
+Test(gossip_codec, flipped_bits_in_rollouts_do_not_crash_the_decoder)
+{
+    pps_gossip_rollouts_t rollouts = make_rollouts();
+    pps_gossip_rollouts_t decoded;
+    pps_buf_t encoded = PPS_BUF_INIT;
+
+    cr_assert_eq(pps_gossip_encode_rollouts(&encoded, &rollouts, ENCODED_US),
+                 0);
+    for (size_t bit = 0; bit < encoded.size * 8; bit++) {
+        encoded.data[bit / 8] ^= (char)(1 << bit % 8);
+        pps_gossip_decode_rollouts(&decoded, encoded.data, encoded.size,
+                                   DECODED_US);
+        cr_expect_leq(decoded.count, PPS_GOSSIP_ROLLOUTS);
+        encoded.data[bit / 8] ^= (char)(1 << bit % 8);
+    }
+    pps_buf_clear(&encoded);
+}
+
 Test(gossip_codec, flipped_bits_do_not_crash_the_decoder)
 {
     pps_gossip_message_t message = make_message();
@@ -178,7 +239,8 @@
     cr_expect_eq(state.state.lacks, PPS_GOSSIP_LACKS_FORWARDING |
                                         PPS_GOSSIP_LACKS_DIGESTS |
                                         PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS |
-                                        PPS_GOSSIP_LACKS_PERMIT_SIZES);
+                                        PPS_GOSSIP_LACKS_PERMIT_SIZES |
+                                        PPS_GOSSIP_LACKS_ROLLOUT_REPORTS);
     pps_buf_clear(&encoded);
     cr_assert_eq(pps_gossip_encode_record(&encoded, &record), 0);
     encoded.data[0]--;
--- a/tests/entry/test_gossip_golden.c
+++ b/tests/entry/test_gossip_golden.c
@@ -119,6 +119,25 @@
     pps_gossip_encode_poison(out, &poison, NOW_US);
 }
 
+static void
+encode_rollouts(pps_buf_t *out)
+{
+    static pps_gossip_rollouts_t rollouts;
+    pps_rollout_t *rollout = &rollouts.items[0].rollout;
+
+    snprintf(rollouts.from, sizeof(rollouts.from), "10.0.0.1");
+    snprintf(rollout->upstream, sizeof(rollout->upstream), "s");
+    snprintf(rollout->target, sizeof(rollout->target), "v2");
+    rollout->state = PPS_ROLLOUT_ACTIVE;
+    rollout->started_us = NOW_US - 7;
+    rollout->duration_us = 9;
+    rollout->held = 1;
+    rollouts.items[0].tally.requests = 5;
+    rollouts.items[0].tally.target[1] = (pps_rollout_count_t){2, 1};
+    rollouts.count = 1;
+    pps_gossip_encode_rollouts(out, &rollouts, NOW_US);
+}
+
 typedef struct {
     const char *name;
     void (*encode)(pps_buf_t *out);
@@ -141,8 +160,11 @@
     {"record request", encode_record_request,
      "9515a831302e302e302e310103cd0384"},
     {"state", encode_state,
-     "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000010f"
+     "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000011f"
      "09"},
+    {"roll-outs", encode_rollouts,
+     "931aa831302e302e302e31919ea173a27632010709000100000500919a01010201000000"
+     "000000929a000000000000000000009a0100000000000000000000"},
 };
 
 static void
@@ -190,11 +212,16 @@
     {"dde14ba",
      "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000010"
      "309",
-     PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS | PPS_GOSSIP_LACKS_PERMIT_SIZES},
+     PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS | PPS_GOSSIP_LACKS_PERMIT_SIZES |
+         PPS_GOSSIP_LACKS_ROLLOUT_REPORTS},
     {"239b270",
      "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000010"
      "709",
-     PPS_GOSSIP_LACKS_PERMIT_SIZES},
+     PPS_GOSSIP_LACKS_PERMIT_SIZES | PPS_GOSSIP_LACKS_ROLLOUT_REPORTS},
+    {"72556c90",
+     "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000010"
+     "f09",
+     PPS_GOSSIP_LACKS_ROLLOUT_REPORTS},
 };
 
 static void
--- a/tests/entry/test_rolled_back.c
+++ b/tests/entry/test_rolled_back.c
@@ -120,7 +120,7 @@
         pps_rollout_controller_merge_peer(dispatcher, &peer);
         break;
     case HOLDS:
-        dispatcher->upstreams[0].rollout.held = 1;
+        pps_dispatcher_find_upstream(dispatcher, "s")->rollout.held = 1;
         break;
     }
 }
@@ -133,16 +133,19 @@
         const rolled_back_case_t *item = &cases[i];
         static pps_dispatcher_t dispatcher;
         static pps_reactor_t reactor;
+        const pps_upstream_state_t *state;
 
         memset(&dispatcher, 0, sizeof(dispatcher));
         dispatcher.reactor = &reactor;
+        CDS_INIT_LIST_HEAD(&dispatcher.upstreams);
         dispatcher.options.repeat_window_us = 10 * PPS_US_PER_S;
         for (size_t step = 0; step < STEPS_MAX; step++) {
             run_step(&dispatcher, &item->steps[step]);
         }
-        cr_expect_eq(pps_version_set_contains(
-                         &dispatcher.upstreams[0].rolled_back, item->asked),
-                     item->is_rolled_back, "%s", item->name);
+        state = pps_dispatcher_find_upstream(&dispatcher, "s");
+        cr_expect_eq(
+            pps_version_set_contains(&state->rolled_back, item->asked),
+            item->is_rolled_back, "%s", item->name);
     }
 }
 
--- a/tests/entry/test_rollout.c
+++ b/tests/entry/test_rollout.c
@@ -306,6 +306,7 @@
 
         memset(&dispatcher, 0, sizeof(dispatcher));
         dispatcher.reactor = &reactor;
+        CDS_INIT_LIST_HEAD(&dispatcher.upstreams);
         dispatcher.options.repeat_window_us = 10 * S;
         for (size_t n = 0; n < 4 && item->orders[n] != NULL; n++) {
             snprintf(order.target, sizeof(order.target), "%s",
@@ -326,13 +327,16 @@
     pps_rollout_t order = {.upstream = "s", .target = "v2"};
     pps_rollout_t status = {
         .upstream = "s", .target = "v2", .state = PPS_ROLLOUT_COMPLETED};
+    const pps_upstream_state_t *state;
 
     dispatcher.reactor = &reactor;
+    CDS_INIT_LIST_HEAD(&dispatcher.upstreams);
     dispatcher.options.repeat_window_us = 10 * S;
     pps_rollout_controller_apply_order(&dispatcher, &order);
     snprintf(order.target, sizeof(order.target), "v3");
     pps_rollout_controller_apply_order(&dispatcher, &order);
     pps_rollout_controller_apply_status(&dispatcher, &status);
-    cr_expect_str_eq(dispatcher.upstreams[0].rollout.target, "v3");
-    cr_expect_eq(dispatcher.upstreams[0].rollout.state, PPS_ROLLOUT_ACTIVE);
+    state = pps_dispatcher_find_upstream(&dispatcher, "s");
+    cr_expect_str_eq(state->rollout.target, "v3");
+    cr_expect_eq(state->rollout.state, PPS_ROLLOUT_ACTIVE);
 }
--- a/tests/entry/test_rollout_completion.c
+++ b/tests/entry/test_rollout_completion.c
@@ -4,6 +4,7 @@
 #include "gossip/gossip_codec.h"
 #include "gossip/gossip_state.h"
 #include "rollout/controller.h"
+#include "rollout/rollout_export.h"
 
 #include <criterion/criterion.h>
 #include <stdio.h>
@@ -14,7 +15,7 @@
 static void
 fill_state(void *user, pps_gossip_state_t *out)
 {
-    pps_rollout_controller_export(user, out);
+    out->rollout_count = pps_rollout_export(user, out->rollouts, 0);
 }
 
 static void
