Answers: a reset that a write of the request meets does not complete one

Cause: the kernel reports a reset once. A write of the upload took it, its result was dropped, and the socket then read as ended in order. Ruled out: resets are told apart where no write is under way, and answers with a length count as broken.

Change: channels to workers and the relay between hosts keep the first error of a write; after one, the end of the connection completes no answer.

Measured: test_early_answers, which lets the write meet the reset each time, fails with the results dropped (three answers without a length complete, and one through a neighbour), and passes now.

--- a/src/libpapayaswitch/relay/relay_server.c
+++ b/src/libpapayaswitch/relay/relay_server.c
@@ -48,6 +48,7 @@
     pps_timer_t timer;         /* of connecting, then of a pause in reading */
     pps_reply_reader_t reader; /* finds the head and the end of the answer */
     int is_sent;               /* the request may have reached the worker */
+    int write_error;           /* of the worker's connection; 0: none */
     int is_answered;           /* the answer is whole, or can't be read */
     int is_success;            /* the answer's status says so */
     int is_closing;
@@ -187,7 +188,8 @@
         return;
     }
     if (size < 0) {
-        end_answer(call, size == UV_EOF && !pps_tcp_was_reset(&call->tcp));
+        end_answer(
+            call, pps_tcp_ended_in_order(&call->tcp, size, call->write_error));
         return;
     }
     read_answer(call, buffer->base, (size_t)size);
@@ -199,6 +201,17 @@
     }
 }
 
+/* The answer may be complete all the same, so it is passed on to its end. */
+static void
+on_written(void *user, int error)
+{
+    call_t *call = user;
+
+    if (error != 0) {
+        call->write_error = error;
+    }
+}
+
 static void
 pass_on(call_t *call)
 {
@@ -209,7 +222,7 @@
     pps_tcp_set_user_timeout(&call->tcp, WORKER_USER_TIMEOUT_MS);
     pps_http_conn_begin(call->conn, PPS_RELAY_CONNECTED, "");
     call->is_sent = 1;
-    if (pps_tcp_write(&call->tcp, &piece, 1) != 0) {
+    if (pps_tcp_write_then(&call->tcp, &piece, 1, on_written, call) != 0) {
         end_answer(call, 0);
         return;
     }
--- a/src/libpapayaswitch/transport/http_channel.c
+++ b/src/libpapayaswitch/transport/http_channel.c
@@ -29,6 +29,7 @@
     void *user;
     pps_buf_t unsent; /* request of a call made while connecting */
     int sent;         /* nonzero if bytes of the call may have been written */
+    int write_error;  /* of the connection; 0: no write has failed */
     unsigned int call_count;
     unsigned int user_timeout_ms;
     size_t read_bytes; /* most that is read at once; 0: any number */
@@ -105,7 +106,7 @@
     channel->ops = NULL;
     set_expiry(channel);
     if (surplus_bytes > 0 || at_eof || !channel->reader.reusable ||
-        channel->tcp.write_queue_size > 0) {
+        channel->write_error != 0 || channel->tcp.write_queue_size > 0) {
         pps_http_channel_close(channel);
     }
     else {
@@ -124,7 +125,8 @@
     if (size == 0) {
         return;
     }
-    if (size < 0 && (size != UV_EOF || pps_tcp_was_reset(&channel->tcp))) {
+    if (size < 0 && !pps_tcp_ended_in_order(&channel->tcp, size,
+                                            channel->write_error)) {
         fail_call(channel, PPS_CHANNEL_BROKEN);
         return;
     }
@@ -178,13 +180,24 @@
     }
 }
 
+/* The answer may be complete all the same, so it is read to its end. */
+static void
+on_written(void *user, int error)
+{
+    pps_http_channel_t *channel = user;
+
+    if (error != 0) {
+        channel->write_error = error;
+    }
+}
+
 static int
 write_call(pps_http_channel_t *channel, const void *text, size_t size)
 {
     uv_buf_t piece = uv_buf_init((char *)text, (unsigned int)size);
 
     channel->sent = 1;
-    return pps_tcp_write(&channel->tcp, &piece, 1);
+    return pps_tcp_write_then(&channel->tcp, &piece, 1, on_written, channel);
 }
 
 static void
--- a/src/libpapayaswitch/transport/tcp_write.c
+++ b/src/libpapayaswitch/transport/tcp_write.c
@@ -150,8 +150,8 @@
     uv_tcp_bind(tcp, (const struct sockaddr *)&endpoint, 0);
 }
 
-int
-pps_tcp_was_reset(const uv_tcp_t *tcp)
+static int
+was_reset(const uv_tcp_t *tcp)
 {
     uv_os_fd_t fd;
     char byte;
@@ -159,3 +159,10 @@
     return uv_fileno((const uv_handle_t *)tcp, &fd) != 0 ||
            recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
 }
+
+int
+pps_tcp_ended_in_order(const uv_tcp_t *tcp, ssize_t read_error,
+                       int write_error)
+{
+    return read_error == UV_EOF && write_error == 0 && !was_reset(tcp);
+}
--- a/src/libpapayaswitch/transport/tcp_write.h
+++ b/src/libpapayaswitch/transport/tcp_write.h
@@ -34,9 +34,14 @@
 void
 pps_tcp_init_from(uv_tcp_t *tcp, uv_loop_t *loop, const char *address);
 
-/** Returns whether a connection at its end was reset, which libuv reports as
- * the end of file right after data. */
+/** Returns whether the peer has ended a connection in order, so that what it
+ * sent is complete. A reset is not always what a read reports: libuv gives the
+ * end of file right after data, and a write that fails takes the error from
+ * the socket, which then reads as ended.
+ * @param read_error what the read reported, negative
+ * @param write_error what a write reported before, 0: none has failed */
 int
-pps_tcp_was_reset(const uv_tcp_t *tcp);
+pps_tcp_ended_in_order(const uv_tcp_t *tcp, ssize_t read_error,
+                       int write_error);
 
 #endif
