Answers: what is against the grammar of HTTP/1.1 is no answer

Cause: the parser isn't strict, and what it read was taken for what the worker had said. Ruled out: the answers came out of the parser as sound ones, so it wasn't the forwarding.

Change: heads are checked by the grammar before they are parsed, where a body ends is decided from the head, and chunks are decoded by a module of their own. Contradictory framing, codings other than chunks and a switch of protocols are malformed. trailer.c is field_lines.c now, for heads too. Blanks behind a value do not belong to it.

Measured: channel_cases has a row for each sentence of RFC 9112 and 9110 on what an answer is, driven through the reader (split at each byte), the channel, the relay and a whole exchange. On the code before, 36 rows failed at the channel: 31 counted as complete, 5 never ended. All pass now.

--- a/src/libpapayaswitch/transport/headers.c
+++ b/src/libpapayaswitch/transport/headers.c
@@ -3,15 +3,30 @@
 
 #include "papayaswitch/errors.h"
 
+#include <ctype.h>
 #include <string.h>
 #include <strings.h>
 
 #define NUMBER_DIGITS_MAX 15
 
+/* Blanks behind a value do not belong to it. */
+static void
+trim_value(pps_headers_t *headers)
+{
+    size_t begin = headers->offsets[headers->count - 1].value;
+    const char *text = headers->text.data;
+
+    while (headers->text.size > begin &&
+           isblank((unsigned char)text[headers->text.size - 1])) {
+        headers->text.size--;
+    }
+}
+
 static void
 end_value(pps_headers_t *headers)
 {
     if (headers->in_value) {
+        trim_value(headers);
         pps_buf_append(&headers->text, "", 1);
         headers->in_value = 0;
     }
--- a/src/libpapayaswitch/transport/http_channel.c
+++ b/src/libpapayaswitch/transport/http_channel.c
@@ -125,8 +125,8 @@
     if (size == 0) {
         return;
     }
-    if (size < 0 && !pps_tcp_ended_in_order(&channel->tcp, size,
-                                            channel->write_error)) {
+    if (size < 0 &&
+        !pps_tcp_ended_in_order(&channel->tcp, size, channel->write_error)) {
         fail_call(channel, PPS_CHANNEL_BROKEN);
         return;
     }
--- a/src/libpapayaswitch/transport/reply_reader.c
+++ b/src/libpapayaswitch/transport/reply_reader.c
@@ -1,4 +1,5 @@
-/** @file reply_reader.c @brief Reads HTTP responses with http_parser. */
+/** @file reply_reader.c @brief Reads HTTP responses: heads with http_parser,
+ * once their grammar has been checked, and bodies by their framing. */
 #include "reply_reader.h"
 
 #include "counters.h"
@@ -9,9 +10,13 @@
 /** Bytes that a server may send before the head of the answer: interim answers
  * and answers to other requests. */
 #define BEFORE_HEAD_BYTES_MAX (1U << 20)
-/** Bytes of the fields of a head and a trailer together. */
+/** Bytes of a head and a trailer together. */
 #define HEADER_BYTES_MAX HTTP_MAX_HEADER_SIZE
 #define NO_KEEP_ALIVE (-1)
+#define STATUS_SWITCHING_PROTOCOLS 101
+
+/* What on_headers_complete() returns to end the parsing of a message. */
+#define PARSER_STOP 2
 
 static int
 on_name(http_parser *parser, const char *data, size_t size)
@@ -19,7 +24,6 @@
     pps_reply_reader_t *reader = parser->data;
 
     pps_headers_append_name(&reader->reply.headers, data, size);
-    reader->header_bytes += size;
     return 0;
 }
 
@@ -29,22 +33,27 @@
     pps_reply_reader_t *reader = parser->data;
 
     pps_headers_append_value(&reader->reply.headers, data, size);
-    reader->header_bytes += size;
     return 0;
 }
 
 static int
-on_message_begin(http_parser *parser)
+on_headers_complete(http_parser *parser)
 {
     pps_reply_reader_t *reader = parser->data;
 
-    pps_headers_reset(&reader->reply.headers);
-    reader->header_bytes = 0;
-    reader->skipping = 0;
-    /* A response without a call in progress is an error. */
-    return reader->ops == NULL ? -1 : 0;
+    pps_headers_end(&reader->reply.headers);
+    reader->reply.status = parser->status_code;
+    reader->reusable = http_should_keep_alive(parser);
+    reader->is_parsed = 1;
+    return PARSER_STOP;
 }
 
+static const http_parser_settings parser_settings = {
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers_complete,
+};
+
 static void
 read_keep_alive(pps_reply_reader_t *reader)
 {
@@ -56,80 +65,23 @@
                                : NO_KEEP_ALIVE;
 }
 
-static int
-on_headers_complete(http_parser *parser)
-{
-    pps_reply_reader_t *reader = parser->data;
-    int interim = parser->status_code < 200;
-
-    pps_headers_end(&reader->reply.headers);
-    reader->reply.status = parser->status_code;
-    if (interim) {
-        reader->skipping = 1;
-        return 0;
-    }
-    if (reader->ops == NULL || reader->reply.headers.overflow) {
-        return -1;
-    }
-    read_keep_alive(reader);
-    reader->reusable = http_should_keep_alive(parser);
-    reader->skipping = reader->ops->on_head(reader->user, &reader->reply);
-    reader->has_head = !reader->skipping;
-    return reader->stopped ? -1 : 0;
-}
-
-/* Keeps the trailer from the parser, which would report its fields as those of
- * the head and apply the ones that concern framing. */
-static int
-on_chunk_header(http_parser *parser)
-{
-    pps_reply_reader_t *reader = parser->data;
-
-    if (parser->content_length == 0) {
-        reader->in_trailer = 1;
-        reader->trailer = (pps_trailer_t){0};
-        http_parser_pause(parser, 1);
-    }
-    return 0;
-}
-
-static int
-on_body(http_parser *parser, const char *data, size_t size)
-{
-    pps_reply_reader_t *reader = parser->data;
-
-    if (!reader->skipping && reader->ops != NULL) {
-        reader->ops->on_body(reader->user, data, size);
-    }
-    return reader->stopped ? -1 : 0;
-}
-
-static int
-on_message_complete(http_parser *parser)
+/* Prepares for the next message. */
+static void
+start_message(pps_reply_reader_t *reader)
 {
-    pps_reply_reader_t *reader = parser->data;
-
-    if (!reader->skipping) {
-        http_parser_pause(parser, 1);
-    }
-    return 0;
+    http_parser_init(&reader->parser, HTTP_RESPONSE);
+    pps_headers_reset(&reader->reply.headers);
+    pps_head_lines_init(&reader->head);
+    reader->is_parsed = 0;
+    reader->skipping = 0;
+    reader->part = PPS_REPLY_IN_HEAD;
 }
 
-static const http_parser_settings parser_settings = {
-    .on_message_begin = on_message_begin,
-    .on_header_field = on_name,
-    .on_header_value = on_value,
-    .on_headers_complete = on_headers_complete,
-    .on_chunk_header = on_chunk_header,
-    .on_body = on_body,
-    .on_message_complete = on_message_complete,
-};
-
 void
 pps_reply_reader_init(pps_reply_reader_t *reader)
 {
     memset(reader, 0, sizeof(*reader));
-    http_parser_init(&reader->parser, HTTP_RESPONSE);
+    start_message(reader);
     reader->parser.data = reader;
     reader->keep_alive_s = NO_KEEP_ALIVE;
 }
@@ -144,7 +96,6 @@
 pps_reply_reader_begin(pps_reply_reader_t *reader,
                        const pps_channel_ops_t *ops, void *user)
 {
-    http_parser_pause(&reader->parser, 0);
     reader->ops = ops;
     reader->user = user;
     reader->before_head_bytes = 0;
@@ -152,54 +103,177 @@
 }
 
 static pps_reply_state_t
-read_message(pps_reply_reader_t *reader, const char *data, size_t size,
-             size_t *used)
+end_message(pps_reply_reader_t *reader)
 {
-    *used = http_parser_execute(&reader->parser, &parser_settings, data, size);
-    if (reader->stopped) {
-        return PPS_REPLY_STOPPED;
+    int is_answer = !reader->skipping;
+
+    start_message(reader);
+    return is_answer ? PPS_REPLY_WHOLE : PPS_REPLY_MORE;
+}
+
+static pps_reply_state_t
+start_body(pps_reply_reader_t *reader)
+{
+    switch (reader->framing.kind) {
+    case PPS_FRAMING_EMPTY:
+        return end_message(reader);
+    case PPS_FRAMING_CHUNKS:
+        reader->part = PPS_REPLY_IN_CHUNKS;
+        reader->chunks = (pps_chunks_t){0};
+        break;
+    case PPS_FRAMING_LENGTH:
+    case PPS_FRAMING_END:
+        reader->part = PPS_REPLY_IN_BODY;
+        break;
     }
-    switch (HTTP_PARSER_ERRNO(&reader->parser)) {
-    case HPE_OK:
-        return PPS_REPLY_MORE;
-    case HPE_PAUSED:
-        return reader->in_trailer ? PPS_REPLY_MORE : PPS_REPLY_WHOLE;
-    default:
+    return PPS_REPLY_MORE;
+}
+
+/* Hands a final head to the owner, who may skip it. */
+static void
+report_head(pps_reply_reader_t *reader)
+{
+    read_keep_alive(reader);
+    reader->skipping = reader->ops->on_head(reader->user, &reader->reply);
+    reader->has_head = !reader->skipping;
+}
+
+static pps_reply_state_t
+end_head(pps_reply_reader_t *reader)
+{
+    unsigned int status = reader->reply.status;
+
+    if (!reader->is_parsed || reader->reply.headers.overflow ||
+        status == STATUS_SWITCHING_PROTOCOLS ||
+        pps_reply_framing_read(&reader->framing, &reader->reply,
+                               reader->parser.http_minor) != 0) {
         return PPS_REPLY_MALFORMED;
     }
+    if (status < PPS_HTTP_SUCCESS_MIN) {
+        reader->skipping = 1;
+    }
+    else {
+        report_head(reader);
+    }
+    return reader->stopped ? PPS_REPLY_STOPPED : start_body(reader);
 }
 
-/* The parser has not seen the end of the message, so it starts anew. */
 static pps_reply_state_t
-end_trailer(pps_reply_reader_t *reader)
+read_head(pps_reply_reader_t *reader, const char *data, size_t size,
+          size_t *used)
 {
-    reader->in_trailer = 0;
-    pps_counter_add(PPS_COUNTER_ENTRY_TRAILERS,
-                    reader->trailer.field_bytes > 0);
-    http_parser_init(&reader->parser, HTTP_RESPONSE);
-    return reader->skipping ? PPS_REPLY_MORE : PPS_REPLY_WHOLE;
+    pps_field_lines_state_t state =
+        pps_head_lines_read(&reader->head, data, size, used);
+
+    if (state == PPS_FIELD_LINES_MALFORMED || reader->ops == NULL ||
+        pps_head_lines_bytes(&reader->head) > HEADER_BYTES_MAX) {
+        return PPS_REPLY_MALFORMED;
+    }
+    http_parser_execute(&reader->parser, &parser_settings, data, *used);
+    if (HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK) {
+        return PPS_REPLY_MALFORMED;
+    }
+    return state == PPS_FIELD_LINES_WHOLE ? end_head(reader) : PPS_REPLY_MORE;
 }
 
 static pps_reply_state_t
-skip_trailer(pps_reply_reader_t *reader, const char *data, size_t size,
+report_body(pps_reply_reader_t *reader, const char *data, size_t size)
+{
+    if (size > 0 && !reader->skipping && reader->ops != NULL) {
+        reader->ops->on_body(reader->user, data, size);
+    }
+    return reader->stopped ? PPS_REPLY_STOPPED : PPS_REPLY_MORE;
+}
+
+/* Reads a body that ends after its length or with the connection. */
+static pps_reply_state_t
+read_body(pps_reply_reader_t *reader, const char *data, size_t size,
+          size_t *used)
+{
+    pps_reply_framing_t *framing = &reader->framing;
+    int has_length = framing->kind == PPS_FRAMING_LENGTH;
+    pps_reply_state_t state;
+
+    *used =
+        has_length && framing->length < size ? (size_t)framing->length : size;
+    framing->length -= has_length ? *used : 0;
+    state = report_body(reader, data, *used);
+    return state == PPS_REPLY_MORE && has_length && framing->length == 0
+               ? end_message(reader)
+               : state;
+}
+
+static pps_reply_state_t
+read_chunks(pps_reply_reader_t *reader, const char *data, size_t size,
+            size_t *used)
+{
+    pps_chunk_piece_t piece;
+
+    switch (pps_chunks_read(&reader->chunks, &piece, data, size, used)) {
+    case PPS_CHUNKS_MALFORMED:
+        return PPS_REPLY_MALFORMED;
+    case PPS_CHUNKS_LAST:
+        reader->part = PPS_REPLY_IN_TRAILER;
+        reader->trailer = (pps_field_lines_t){0};
+        break;
+    case PPS_CHUNKS_MORE:
+        break;
+    }
+    return report_body(reader, piece.data, piece.size);
+}
+
+static pps_reply_state_t
+read_trailer(pps_reply_reader_t *reader, const char *data, size_t size,
              size_t *used)
 {
-    pps_trailer_state_t state =
-        pps_trailer_skip(&reader->trailer, data, size, used);
+    pps_field_lines_state_t state =
+        pps_field_lines_read(&reader->trailer, data, size, used);
 
-    if (state == PPS_TRAILER_MALFORMED ||
-        reader->header_bytes + reader->trailer.field_bytes >
+    if (state == PPS_FIELD_LINES_MALFORMED ||
+        pps_head_lines_bytes(&reader->head) + reader->trailer.field_bytes >
             HEADER_BYTES_MAX) {
         return PPS_REPLY_MALFORMED;
     }
-    return state == PPS_TRAILER_WHOLE ? end_trailer(reader) : PPS_REPLY_MORE;
+    if (state == PPS_FIELD_LINES_MORE) {
+        return PPS_REPLY_MORE;
+    }
+    pps_counter_add(PPS_COUNTER_ENTRY_TRAILERS,
+                    reader->trailer.field_bytes > 0);
+    return end_message(reader);
+}
+
+static pps_reply_state_t
+read_part(pps_reply_reader_t *reader, const char *data, size_t size,
+          size_t *used)
+{
+    switch (reader->part) {
+    case PPS_REPLY_IN_HEAD:
+        return read_head(reader, data, size, used);
+    case PPS_REPLY_IN_BODY:
+        return read_body(reader, data, size, used);
+    case PPS_REPLY_IN_CHUNKS:
+        return read_chunks(reader, data, size, used);
+    case PPS_REPLY_IN_TRAILER:
+        break;
+    }
+    return read_trailer(reader, data, size, used);
+}
+
+/* Only a body without a length may end with the connection. */
+static pps_reply_state_t
+end_connection(pps_reply_reader_t *reader)
+{
+    int ends_body = reader->part == PPS_REPLY_IN_BODY &&
+                    reader->framing.kind == PPS_FRAMING_END;
+
+    return ends_body ? end_message(reader) : PPS_REPLY_MORE;
 }
 
 pps_reply_state_t
 pps_reply_reader_feed(pps_reply_reader_t *reader, const char *data,
                       size_t size, size_t *used)
 {
-    pps_reply_state_t state;
+    pps_reply_state_t state = PPS_REPLY_MORE;
 
     *used = 0;
     if (!reader->has_head) {
@@ -208,15 +282,15 @@
     if (reader->before_head_bytes > BEFORE_HEAD_BYTES_MAX) {
         return PPS_REPLY_MALFORMED;
     }
-    do {
+    if (size == 0) {
+        state = end_connection(reader);
+    }
+    while (state == PPS_REPLY_MORE && *used < size) {
         size_t part_used = 0;
 
-        state =
-            reader->in_trailer
-                ? skip_trailer(reader, data + *used, size - *used, &part_used)
-                : read_message(reader, data + *used, size - *used, &part_used);
+        state = read_part(reader, data + *used, size - *used, &part_used);
         *used += part_used;
-    } while (state == PPS_REPLY_MORE && *used < size);
+    }
     if (state == PPS_REPLY_WHOLE) {
         reader->ops = NULL;
     }
--- a/src/libpapayaswitch/transport/reply_reader.h
+++ b/src/libpapayaswitch/transport/reply_reader.h
@@ -7,7 +7,10 @@
 #define PPS_TRANSPORT_REPLY_READER_H
 
 #include "channel_ops.h"
-#include "trailer.h"
+#include "chunks.h"
+#include "field_lines.h"
+#include "head_lines.h"
+#include "reply_framing.h"
 
 #include <http_parser.h>
 #include <stdint.h>
@@ -20,16 +23,27 @@
     PPS_REPLY_STOPPED,   /**< the owner has stopped the reader */
 } pps_reply_state_t;
 
+/** Part of a message to which the next byte belongs. */
+typedef enum {
+    PPS_REPLY_IN_HEAD,
+    PPS_REPLY_IN_BODY, /**< by its length, or up to the connection's end */
+    PPS_REPLY_IN_CHUNKS,
+    PPS_REPLY_IN_TRAILER,
+} pps_reply_part_t;
+
 /** Reader of one connection. */
 typedef struct {
-    http_parser parser;
+    http_parser parser;           /**< of heads */
     const pps_channel_ops_t *ops; /**< of the call in progress, or NULL */
     void *user;
     pps_http_reply_t reply;
     size_t before_head_bytes; /**< received before the head of the response */
-    size_t header_bytes;      /**< names and values of the head's fields */
-    pps_trailer_t trailer;
-    int in_trailer;
+    pps_reply_part_t part;
+    pps_head_lines_t head;
+    pps_reply_framing_t framing;
+    pps_chunks_t chunks;
+    pps_field_lines_t trailer;
+    int is_parsed; /**< the parser has seen the end of the head */
     int has_head;
     int skipping; /**< the response is interim or of another call */
     int reusable; /**< the response allows keep-alive */
--- a/src/libpapayaswitch/transport/request_reader.c
+++ b/src/libpapayaswitch/transport/request_reader.c
@@ -179,7 +179,7 @@
     empty(&reader->request.headers.text);
     empty(&reader->request.target);
     empty(&reader->request.body);
-    reader->trailer = (pps_trailer_t){0};
+    reader->trailer = (pps_field_lines_t){0};
     reader->in_trailer = 0;
     reader->header_bytes = 0;
     reader->expects_continue = 0;
@@ -209,17 +209,17 @@
 skip_trailer(pps_request_reader_t *reader, const char *data, size_t size,
              size_t *used)
 {
-    pps_trailer_state_t state =
-        pps_trailer_skip(&reader->trailer, data, size, used);
+    pps_field_lines_state_t state =
+        pps_field_lines_read(&reader->trailer, data, size, used);
 
     if (check_header_bytes(reader) != 0) {
         return PPS_REQUEST_REJECTED;
     }
-    if (state == PPS_TRAILER_MALFORMED) {
+    if (state == PPS_FIELD_LINES_MALFORMED) {
         reject(reader, STATUS_BAD_REQUEST);
         return PPS_REQUEST_REJECTED;
     }
-    if (state == PPS_TRAILER_MORE) {
+    if (state == PPS_FIELD_LINES_MORE) {
         return PPS_REQUEST_MORE;
     }
     pps_counter_add(PPS_COUNTER_ENTRY_TRAILERS,
--- a/src/libpapayaswitch/transport/request_reader.h
+++ b/src/libpapayaswitch/transport/request_reader.h
@@ -6,8 +6,8 @@
 #ifndef PPS_TRANSPORT_REQUEST_READER_H
 #define PPS_TRANSPORT_REQUEST_READER_H
 
+#include "field_lines.h"
 #include "http_request.h"
-#include "trailer.h"
 
 #include <http_parser.h>
 
@@ -23,7 +23,7 @@
     http_parser parser;
     const pps_http_limits_t *limits;
     pps_http_request_t request; /**< valid until the next one begins */
-    pps_trailer_t trailer;
+    pps_field_lines_t trailer;
     int in_trailer;
     size_t header_bytes;  /**< of the head */
     int expects_continue; /**< the head asks for an interim answer; the owner
