papayaswitchd: answers against the grammar of HTTP/1.1 are no answers

Callers could get answers of engines and services in trouble as sound ones: the same cause as in the hosts' reader, in the client on libcurl.

Cause: libcurl accepts statuses over 599, names with blanks and control bytes, two lengths and a length beside chunks.

Change: the lines of a head, as libcurl hands them over, are checked by the grammar that the hosts' reader uses, and so is that one field at most says where the body ends. libcurl's decoder of chunks stays as it is.

--- a/src/util/http_handle.h
+++ b/src/util/http_handle.h
@@ -5,6 +5,7 @@
 #ifndef PPS_UTIL_HTTP_HANDLE_H
 #define PPS_UTIL_HTTP_HANDLE_H
 
+#include "http_answer_head.h"
 #include "http_client.h"
 
 #include <curl/curl.h>
@@ -35,6 +36,7 @@
     int retry_after_s;
     int performed; /* whether curl_multi_perform() was called */
     int headers_done;
+    pps_http_answer_head_t head;
     int finished;
     CURLcode result;
 };
--- a/src/util/http_prepare.c
+++ b/src/util/http_prepare.c
@@ -23,6 +23,9 @@
     if (stream->headers_done) {
         return total;
     }
+    if (pps_http_answer_head_check(&stream->head, line, total) != 0) {
+        return 0;
+    }
     if (total > sizeof(retry_after) &&
         strncasecmp(line, retry_after, sizeof(retry_after) - 1) == 0) {
         size_t length = total - (sizeof(retry_after) - 1);
@@ -89,6 +92,7 @@
     stream->retry_after_s = -1;
     stream->performed = 0;
     stream->headers_done = 0;
+    stream->head = (pps_http_answer_head_t){0};
     stream->finished = 0;
     stream->result = CURLE_OK;
     pps_buf_clear(&stream->received);
