Requests: heads and chunks against the grammar are refused with 400

Callers and workers could see: a request whose end a worker finds elsewhere. A caller's `Content-Length : 3` framed its request at the host and was passed on, beside the length that the host sets itself.

Cause: the same as for answers: what a lenient parser reads was taken for what was sent.

Change: the reader of requests checks heads by the grammar before they are parsed, and decodes chunks with the module that answers have. An empty length and chunks in HTTP/1.0 are ambiguous framing, too.

--- a/src/libpapayaswitch/transport/reply_reader.c
+++ b/src/libpapayaswitch/transport/reply_reader.c
@@ -71,7 +71,7 @@
 {
     http_parser_init(&reader->parser, HTTP_RESPONSE);
     pps_headers_reset(&reader->reply.headers);
-    pps_head_lines_init(&reader->head);
+    pps_head_lines_init(&reader->head, PPS_HEAD_OF_ANSWER);
     reader->is_parsed = 0;
     reader->skipping = 0;
     reader->part = PPS_REPLY_IN_HEAD;
--- a/src/libpapayaswitch/transport/request_reader.c
+++ b/src/libpapayaswitch/transport/request_reader.c
@@ -2,8 +2,8 @@
 #include "request_reader.h"
 
 #include "counters.h"
+#include "papayaswitch/errors.h"
 
-#include <limits.h>
 #include <string.h>
 #include <strings.h>
 
@@ -14,6 +14,9 @@
 #define STATUS_BODY_TOO_LARGE 413
 #define STATUS_HEADERS_TOO_LARGE 431
 
+/* What on_headers_complete() returns to end the parsing of a request. */
+#define PARSER_STOP 2
+
 static int
 reject(pps_request_reader_t *reader, unsigned int status)
 {
@@ -67,77 +70,61 @@
 }
 
 /* Detects body framing that a proxy or backend could read differently, which
- * would allow request smuggling. */
+ * would allow request smuggling. Sets the length, 0 if there is none. */
 static int
-framing_is_ambiguous(const pps_headers_t *headers)
+framing_is_ambiguous(int64_t *length, const pps_headers_t *headers,
+                     unsigned int http_minor)
 {
     const char *encoding = pps_headers_get(headers, "transfer-encoding");
     unsigned int lengths = pps_headers_count(headers, "content-length");
 
+    *length = 0;
     if (encoding == NULL) {
-        return lengths > 1;
+        int error = pps_headers_get_number(length, headers, "content-length");
+
+        return lengths > 1 || error == PPS_EINVALID;
     }
     return lengths > 0 || strcasecmp(encoding, "chunked") != 0 ||
-           pps_headers_count(headers, "transfer-encoding") > 1;
+           pps_headers_count(headers, "transfer-encoding") > 1 ||
+           http_minor == 0;
 }
 
 static int
-on_headers_complete(http_parser *parser)
+check_head(pps_request_reader_t *reader)
 {
-    pps_request_reader_t *reader = parser->data;
     const pps_headers_t *headers = &reader->request.headers;
-    const char *expect;
+    int64_t length;
 
-    pps_headers_end(&reader->request.headers);
     if (headers->overflow) {
         return reject(reader, STATUS_HEADERS_TOO_LARGE);
     }
-    if (framing_is_ambiguous(headers) || parser->method == HTTP_CONNECT ||
+    if (framing_is_ambiguous(&length, headers, reader->parser.http_minor) ||
+        reader->parser.method == HTTP_CONNECT ||
         pps_headers_count(headers, "host") != 1) {
         return reject(reader, STATUS_BAD_REQUEST);
     }
-    if (parser->content_length != ULLONG_MAX &&
-        parser->content_length > reader->limits->body_bytes) {
-        return reject(reader, STATUS_BODY_TOO_LARGE);
-    }
-    reader->keep_alive = http_should_keep_alive(parser);
-    expect = pps_headers_get(headers, "expect");
-    reader->expects_continue =
-        expect != NULL && strcasecmp(expect, "100-continue") == 0;
-    return 0;
-}
-
-/* Keeps the trailer from the parser, which would report its fields as those of
- * the head and apply the ones that concern framing. */
-static int
-on_chunk_header(http_parser *parser)
-{
-    pps_request_reader_t *reader = parser->data;
-
-    if (parser->content_length == 0) {
-        reader->in_trailer = 1;
-        http_parser_pause(parser, 1);
-    }
-    return 0;
+    reader->body_left = (uint64_t)length;
+    return reader->body_left > reader->limits->body_bytes
+               ? reject(reader, STATUS_BODY_TOO_LARGE)
+               : 0;
 }
 
 static int
-on_body(http_parser *parser, const char *data, size_t size)
+on_headers_complete(http_parser *parser)
 {
     pps_request_reader_t *reader = parser->data;
+    const char *expect;
 
-    if (reader->request.body.size + size > reader->limits->body_bytes) {
-        return reject(reader, STATUS_BODY_TOO_LARGE);
+    pps_headers_end(&reader->request.headers);
+    if (check_head(reader) != 0) {
+        return -1;
     }
-    pps_buf_append(&reader->request.body, data, size);
-    return 0;
-}
-
-static int
-on_message_complete(http_parser *parser)
-{
-    http_parser_pause(parser, 1);
-    return 0;
+    reader->keep_alive = http_should_keep_alive(parser);
+    expect = pps_headers_get(&reader->request.headers, "expect");
+    reader->expects_continue =
+        expect != NULL && strcasecmp(expect, "100-continue") == 0;
+    reader->is_parsed = 1;
+    return PARSER_STOP;
 }
 
 static const http_parser_settings parser_settings = {
@@ -145,9 +132,6 @@
     .on_header_field = on_name,
     .on_header_value = on_value,
     .on_headers_complete = on_headers_complete,
-    .on_chunk_header = on_chunk_header,
-    .on_body = on_body,
-    .on_message_complete = on_message_complete,
 };
 
 void
@@ -179,8 +163,12 @@
     empty(&reader->request.headers.text);
     empty(&reader->request.target);
     empty(&reader->request.body);
+    pps_head_lines_init(&reader->head, PPS_HEAD_OF_REQUEST);
+    reader->part = PPS_REQUEST_IN_HEAD;
+    reader->is_parsed = 0;
+    reader->body_left = 0;
+    reader->chunks = (pps_chunks_t){0};
     reader->trailer = (pps_field_lines_t){0};
-    reader->in_trailer = 0;
     reader->header_bytes = 0;
     reader->expects_continue = 0;
     reader->keep_alive = 0;
@@ -188,21 +176,86 @@
 }
 
 static pps_request_state_t
-read_message(pps_request_reader_t *reader, const char *data, size_t size,
-             size_t *used)
+reject_malformed(pps_request_reader_t *reader)
+{
+    if (reader->error_status == 0) {
+        reject(reader, STATUS_BAD_REQUEST);
+    }
+    return PPS_REQUEST_REJECTED;
+}
+
+static pps_request_state_t
+start_body(pps_request_reader_t *reader)
+{
+    if (pps_headers_get(&reader->request.headers, "transfer-encoding")) {
+        reader->part = PPS_REQUEST_IN_CHUNKS;
+        return PPS_REQUEST_MORE;
+    }
+    reader->part = PPS_REQUEST_IN_BODY;
+    return reader->body_left == 0 ? PPS_REQUEST_WHOLE : PPS_REQUEST_MORE;
+}
+
+static pps_request_state_t
+read_head(pps_request_reader_t *reader, const char *data, size_t size,
+          size_t *used)
 {
-    *used = http_parser_execute(&reader->parser, &parser_settings, data, size);
-    switch (HTTP_PARSER_ERRNO(&reader->parser)) {
-    case HPE_OK:
+    pps_field_lines_state_t state =
+        pps_head_lines_read(&reader->head, data, size, used);
+
+    http_parser_execute(&reader->parser, &parser_settings, data, *used);
+    if (HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK ||
+        state == PPS_FIELD_LINES_MALFORMED) {
+        return reject_malformed(reader);
+    }
+    if (state == PPS_FIELD_LINES_MORE) {
         return PPS_REQUEST_MORE;
-    case HPE_PAUSED:
-        return reader->in_trailer ? PPS_REQUEST_MORE : PPS_REQUEST_WHOLE;
-    default:
-        if (reader->error_status == 0) {
-            reject(reader, STATUS_BAD_REQUEST);
-        }
+    }
+    return reader->is_parsed ? start_body(reader) : reject_malformed(reader);
+}
+
+static pps_request_state_t
+keep_body(pps_request_reader_t *reader, const char *data, size_t size)
+{
+    pps_buf_t *body = &reader->request.body;
+
+    if (body->size + size > reader->limits->body_bytes) {
+        reject(reader, STATUS_BODY_TOO_LARGE);
+        return PPS_REQUEST_REJECTED;
+    }
+    if (size > 0) {
+        pps_buf_append(body, data, size);
+    }
+    return PPS_REQUEST_MORE;
+}
+
+static pps_request_state_t
+read_body(pps_request_reader_t *reader, const char *data, size_t size,
+          size_t *used)
+{
+    *used = reader->body_left < size ? (size_t)reader->body_left : size;
+    reader->body_left -= *used;
+    if (keep_body(reader, data, *used) != PPS_REQUEST_MORE) {
         return PPS_REQUEST_REJECTED;
     }
+    return reader->body_left == 0 ? PPS_REQUEST_WHOLE : PPS_REQUEST_MORE;
+}
+
+static pps_request_state_t
+read_chunks(pps_request_reader_t *reader, const char *data, size_t size,
+            size_t *used)
+{
+    pps_chunk_piece_t piece;
+
+    switch (pps_chunks_read(&reader->chunks, &piece, data, size, used)) {
+    case PPS_CHUNKS_MALFORMED:
+        return reject_malformed(reader);
+    case PPS_CHUNKS_LAST:
+        reader->part = PPS_REQUEST_IN_TRAILER;
+        break;
+    case PPS_CHUNKS_MORE:
+        break;
+    }
+    return keep_body(reader, piece.data, piece.size);
 }
 
 static pps_request_state_t
@@ -216,8 +269,7 @@
         return PPS_REQUEST_REJECTED;
     }
     if (state == PPS_FIELD_LINES_MALFORMED) {
-        reject(reader, STATUS_BAD_REQUEST);
-        return PPS_REQUEST_REJECTED;
+        return reject_malformed(reader);
     }
     if (state == PPS_FIELD_LINES_MORE) {
         return PPS_REQUEST_MORE;
@@ -227,21 +279,35 @@
     return PPS_REQUEST_WHOLE;
 }
 
+static pps_request_state_t
+read_part(pps_request_reader_t *reader, const char *data, size_t size,
+          size_t *used)
+{
+    switch (reader->part) {
+    case PPS_REQUEST_IN_HEAD:
+        return read_head(reader, data, size, used);
+    case PPS_REQUEST_IN_BODY:
+        return read_body(reader, data, size, used);
+    case PPS_REQUEST_IN_CHUNKS:
+        return read_chunks(reader, data, size, used);
+    case PPS_REQUEST_IN_TRAILER:
+        break;
+    }
+    return skip_trailer(reader, data, size, used);
+}
+
 pps_request_state_t
 pps_request_reader_feed(pps_request_reader_t *reader, const char *data,
                         size_t size, size_t *used)
 {
     pps_request_state_t state = PPS_REQUEST_MORE;
-    size_t trailer_used = 0;
 
     *used = 0;
-    if (!reader->in_trailer) {
-        state = read_message(reader, data, size, used);
-    }
-    if (state == PPS_REQUEST_MORE && reader->in_trailer) {
-        state =
-            skip_trailer(reader, data + *used, size - *used, &trailer_used);
-        *used += trailer_used;
+    while (state == PPS_REQUEST_MORE && *used < size) {
+        size_t part_used = 0;
+
+        state = read_part(reader, data + *used, size - *used, &part_used);
+        *used += part_used;
     }
     if (state == PPS_REQUEST_WHOLE) {
         reader->request.method = http_method_str(reader->parser.method);
--- a/src/libpapayaswitch/transport/request_reader.h
+++ b/src/libpapayaswitch/transport/request_reader.h
@@ -6,7 +6,9 @@
 #ifndef PPS_TRANSPORT_REQUEST_READER_H
 #define PPS_TRANSPORT_REQUEST_READER_H
 
+#include "chunks.h"
 #include "field_lines.h"
+#include "head_lines.h"
 #include "http_request.h"
 
 #include <http_parser.h>
@@ -18,13 +20,25 @@
     PPS_REQUEST_REJECTED, /**< it can't be served; see `error_status` */
 } pps_request_state_t;
 
+/** Part of a request to which the next byte belongs. */
+typedef enum {
+    PPS_REQUEST_IN_HEAD,
+    PPS_REQUEST_IN_BODY, /**< by its length */
+    PPS_REQUEST_IN_CHUNKS,
+    PPS_REQUEST_IN_TRAILER,
+} pps_request_part_t;
+
 /** Reader of one connection. */
 typedef struct {
-    http_parser parser;
+    http_parser parser; /**< of heads */
     const pps_http_limits_t *limits;
     pps_http_request_t request; /**< valid until the next one begins */
+    pps_request_part_t part;
+    pps_head_lines_t head;
+    uint64_t body_left; /**< bytes to come of a body with a length */
+    pps_chunks_t chunks;
     pps_field_lines_t trailer;
-    int in_trailer;
+    int is_parsed;        /**< the parser has seen the end of the head */
     size_t header_bytes;  /**< of the head */
     int expects_continue; /**< the head asks for an interim answer; the owner
                                may clear it */
--- a/src/util/head_lines.c
+++ b/src/util/head_lines.c
@@ -1,4 +1,4 @@
-/** @file head_lines.c @brief Reads a status line, then field lines. */
+/** @file head_lines.c @brief Reads a first line, then field lines. */
 #include "head_lines.h"
 
 #include <ctype.h>
@@ -9,9 +9,9 @@
 #define STATUS_LINE "HTTP/1.# %##"
 
 void
-pps_head_lines_init(pps_head_lines_t *head)
+pps_head_lines_init(pps_head_lines_t *head, pps_head_kind_t kind)
 {
-    *head = (pps_head_lines_t){.fields = {.refuses_folding = 1}};
+    *head = (pps_head_lines_t){.kind = kind, .fields = {.refuses_folding = 1}};
 }
 
 static int
@@ -34,13 +34,20 @@
 }
 
 static pps_field_lines_state_t
-end_status_line(pps_head_lines_t *head, char c)
+end_first_line(pps_head_lines_t *head, char c)
 {
     head->is_behind_cr = c == '\r';
-    head->has_status_line = c == '\n';
+    head->has_first_line = c == '\n';
     return PPS_FIELD_LINES_MORE;
 }
 
+static pps_field_lines_state_t
+read_text(char c)
+{
+    return c == '\t' || !iscntrl((unsigned char)c) ? PPS_FIELD_LINES_MORE
+                                                   : PPS_FIELD_LINES_MALFORMED;
+}
+
 /* Reads a byte behind the status: a blank, then the reason, which may be
  * absent. */
 static pps_field_lines_state_t
@@ -50,33 +57,44 @@
 
     head->has_reason = 1;
     if (is_line_end(c)) {
-        return end_status_line(head, c);
+        return end_first_line(head, c);
     }
     if (is_first) {
         return c == ' ' ? PPS_FIELD_LINES_MORE : PPS_FIELD_LINES_MALFORMED;
     }
-    return c == '\t' || !iscntrl((unsigned char)c) ? PPS_FIELD_LINES_MORE
-                                                   : PPS_FIELD_LINES_MALFORMED;
+    return read_text(c);
+}
+
+static pps_field_lines_state_t
+read_status_line(pps_head_lines_t *head, size_t at, char c)
+{
+    if (at >= strlen(STATUS_LINE)) {
+        return read_reason(head, c);
+    }
+    return matches(STATUS_LINE[at], c) ? PPS_FIELD_LINES_MORE
+                                       : PPS_FIELD_LINES_MALFORMED;
 }
 
 static pps_field_lines_state_t
-read_status_line(pps_head_lines_t *head, char c)
+read_request_line(pps_head_lines_t *head, char c)
 {
-    size_t at = head->status_line_bytes;
+    return is_line_end(c) ? end_first_line(head, c) : read_text(c);
+}
+
+static pps_field_lines_state_t
+read_first_line(pps_head_lines_t *head, char c)
+{
+    size_t at = head->first_line_bytes;
 
     if (head->is_behind_cr) {
-        return c == '\n' ? end_status_line(head, c)
-                         : PPS_FIELD_LINES_MALFORMED;
+        return c == '\n' ? end_first_line(head, c) : PPS_FIELD_LINES_MALFORMED;
     }
     if (at == 0 && is_line_end(c)) {
         return PPS_FIELD_LINES_MORE;
     }
-    head->status_line_bytes++;
-    if (at >= strlen(STATUS_LINE)) {
-        return read_reason(head, c);
-    }
-    return matches(STATUS_LINE[at], c) ? PPS_FIELD_LINES_MORE
-                                       : PPS_FIELD_LINES_MALFORMED;
+    head->first_line_bytes++;
+    return head->kind == PPS_HEAD_OF_ANSWER ? read_status_line(head, at, c)
+                                            : read_request_line(head, c);
 }
 
 pps_field_lines_state_t
@@ -87,11 +105,11 @@
     size_t fields_used = 0;
 
     *used = 0;
-    while (state == PPS_FIELD_LINES_MORE && !head->has_status_line &&
+    while (state == PPS_FIELD_LINES_MORE && !head->has_first_line &&
            *used < size) {
-        state = read_status_line(head, data[(*used)++]);
+        state = read_first_line(head, data[(*used)++]);
     }
-    if (state == PPS_FIELD_LINES_MORE && head->has_status_line) {
+    if (state == PPS_FIELD_LINES_MORE && head->has_first_line) {
         state = pps_field_lines_read(&head->fields, data + *used, size - *used,
                                      &fields_used);
         *used += fields_used;
@@ -102,5 +120,5 @@
 size_t
 pps_head_lines_bytes(const pps_head_lines_t *head)
 {
-    return head->status_line_bytes + head->fields.field_bytes;
+    return head->first_line_bytes + head->fields.field_bytes;
 }
--- a/src/util/http_answer_head.c
+++ b/src/util/http_answer_head.c
@@ -52,7 +52,7 @@
 
     if (!head->is_open) {
         *head = (pps_http_answer_head_t){.is_open = 1};
-        pps_head_lines_init(&head->lines);
+        pps_head_lines_init(&head->lines, PPS_HEAD_OF_ANSWER);
     }
     state = pps_head_lines_read(&head->lines, line, size, &used);
     if (state == PPS_FIELD_LINES_MALFORMED) {
--- a/tests/entry/test_request_reader.c
+++ b/tests/entry/test_request_reader.c
@@ -14,6 +14,8 @@
 
 #define HEAD "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
 #define CHUNKED HEAD "X-Request-Id: r1\r\n\r\n3\r\nabc\r\n0\r\n"
+#define GET "GET /a HTTP/1.1\r\nHost: h\r\n"
+#define POST "POST /a HTTP/1.1\r\nHost: h\r\n"
 #define LINE_40 "X-A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"
 #define SMALL_10 "A:\r\nA:\r\nA:\r\nA:\r\nA:\r\nA:\r\nA:\r\nA:\r\nA:\r\nA:\r\n"
 
@@ -59,6 +61,43 @@
     {"a length", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
      0, "Host=h;Content-Length=3;", "abc", 1},
     {"no body", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", 0, "Host=h;", "", 1},
+    {"empty lines first", "\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n", 0,
+     "Host=h;", "", 1},
+    {"line feeds only", "GET /a HTTP/1.1\nHost: h\n\n", 0, "Host=h;", "", 1},
+    {"blanks around a value", "GET /a HTTP/1.1\r\nHost: \t h \r\n\r\n", 0,
+     "Host=h;", "", 1},
+    {"two chunks with extensions",
+     HEAD "\r\n1;a\r\na\r\n2 ; b=\"c\"\r\nbc\r\n0\r\n\r\n", 0,
+     "Host=h;Transfer-Encoding=chunked;", "abc", 1},
+    {"a blank in a name", GET "X Odd: 1\r\n\r\n", 400, "", "", 0},
+    {"a blank before a colon", GET "X-Odd : 1\r\n\r\n", 400, "", "", 0},
+    {"a blank before a length's colon", POST "Content-Length : 3\r\n\r\nabc",
+     400, "", "", 0},
+    {"a blank before a coding's colon",
+     POST "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n", 400, "", "", 0},
+    {"a control byte in a name", GET "X-\x01: 1\r\n\r\n", 400, "", "", 0},
+    {"a blank before the first field",
+     "GET /a HTTP/1.1\r\n X: 1\r\nHost: h\r\n\r\n", 400, "", "", 0},
+    {"a value that goes on in the next line", GET "X: 1\r\n 2\r\n\r\n", 400,
+     "", "", 0},
+    {"a control byte in a value", GET "X: a\x01z\r\n\r\n", 400, "", "", 0},
+    {"a carriage return in a value", GET "X: a\rz\r\n\r\n", 400, "", "", 0},
+    {"no colon", GET "X-Odd\r\n\r\n", 400, "", "", 0},
+    {"an empty length", POST "Content-Length:\r\n\r\nabc", 400, "", "", 0},
+    {"a length with a sign", POST "Content-Length: +3\r\n\r\nabc", 400, "", "",
+     0},
+    {"chunks in HTTP/1.0",
+     "POST /a HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+     "\r\n",
+     400, "", "", 0},
+    {"more bytes than the chunk's size", HEAD "\r\n3\r\nabcXX0\r\n\r\n", 400,
+     "", "", 0},
+    {"a carriage return only behind a size", HEAD "\r\n3\rXabc\r\n0\r\n\r\n",
+     400, "", "", 0},
+    {"a line feed only behind a chunk", HEAD "\r\n3\r\nabc\n0\r\n\r\n", 400,
+     "", "", 0},
+    {"a second size behind a blank", HEAD "\r\n3 1\r\nabc\r\n0\r\n\r\n", 400,
+     "", "", 0},
 };
 
 #define CASE_COUNT (sizeof(cases) / sizeof(*cases))
@@ -106,10 +145,10 @@
     return state;
 }
 
-/* Guards against a trailer field that is taken for one of the head, or whose
- * end moves, wherever the network cuts the request. The request behind it
- * arrives as sent. */
-Test(request_reader, trailer_changes_a_request)
+/* Guards against a trailer field that is taken for one of the head, against a
+ * request that others read differently, and against an end that depends on
+ * where the network cuts it. The request behind it arrives as sent. */
+Test(request_reader, request_is_taken_for_another)
 {
     static const request_case_t next = {
         "next", "POST /n HTTP/1.1\r\nHost: n\r\nContent-Length: 1\r\n\r\nn",
