--- a/src/util/field_lines.h
+++ b/src/util/field_lines.h
@@ -40,7 +40,7 @@
 /** Reads bytes up to the end of the lines.
  * @param used set to the number of bytes that belong to them */
 pps_field_lines_state_t
-pps_field_lines_read(pps_field_lines_t *trailer, const char *data, size_t size,
+pps_field_lines_read(pps_field_lines_t *lines, const char *data, size_t size,
                      size_t *used);
 
 #endif
