Connections: pipelined input is kept once, and each request begins from the loop

Cause: a request that is answered at once began the next one inside its own call, with a copy of all input behind it. Ruled out: answers that wait, of 40 B each.

Change: an input queue with an offset; the next request is read by a task of the loop, one a turn; from 64 KiB on reading stops in place of the connection.

--- a/src/libpapayaswitch/transport/conn_table.h
+++ b/src/libpapayaswitch/transport/conn_table.h
@@ -30,7 +30,7 @@
     PPS_CONN_ON_INPUT,        /**< bytes have come */
     PPS_CONN_ON_REQUEST,      /**< a request is complete */
     PPS_CONN_ON_REJECTION,    /**< a request can't be served */
-    PPS_CONN_ON_INPUT_FULL,   /**< too many bytes behind the request */
+    PPS_CONN_ON_INPUT_LOST,   /**< bytes can't be kept for lack of memory */
     PPS_CONN_ON_HEAD,         /**< the owner begins an answer in pieces */
     PPS_CONN_ON_PIECE,        /**< the owner sends a piece of it */
     PPS_CONN_ON_END,          /**< the answer ends; the connection is kept */
--- a/src/libpapayaswitch/transport/http_server_state.h
+++ b/src/libpapayaswitch/transport/http_server_state.h
@@ -4,6 +4,7 @@
 
 #include "conn_table.h"
 #include "http_server.h"
+#include "input_queue.h"
 #include "request_reader.h"
 
 #include <urcu/list.h>
@@ -27,9 +28,10 @@
     uv_shutdown_t shutdown;
     pps_request_reader_t reader;
     pps_conn_state_t state;
-    int keep_alive;    /* keep the connection open after this response */
-    pps_buf_t pending; /* input read while a request is being served */
-    pps_buf_t output;  /* of the response, not yet written */
+    int keep_alive;          /* keep the connection open after this response */
+    pps_input_queue_t input; /* read while a request is being served */
+    pps_deferred_t next_request; /* is read from that input */
+    pps_buf_t output;            /* of the response, not yet written */
     pps_deferred_t flush;
     pps_deferred_t report; /* of a broken answer */
     pps_timer_t timer;     /* of the state */
@@ -47,6 +49,28 @@
 void
 pps_http_conn_stop(pps_http_conn_t *conn);
 
+/** Reads from the caller, from now on. */
+void
+pps_http_conn_read(pps_http_conn_t *conn);
+
+/** Waits for the next request, which may have come already. It is read from
+ * the loop, not in the call that ended the answer before it. */
+void
+pps_http_conn_await_request(pps_http_conn_t *conn);
+
+/** Moves to the next state. @return what is to be done */
+pps_conn_action_t
+pps_http_conn_advance(pps_http_conn_t *conn, pps_conn_event_t event);
+
+/** Handles an event that the owner does not cause. */
+void
+pps_http_conn_handle(pps_http_conn_t *conn, pps_conn_event_t event);
+
+/** Ends the connection behind its output: it is shut down when that is
+ * written. */
+void
+pps_http_conn_finish(pps_http_conn_t *conn);
+
 /** Handles output that has been written, or can't be. */
 void
 pps_http_conn_on_written(void *user, int error);
--- a/src/libpapayaswitch/transport/reactor.c
+++ b/src/libpapayaswitch/transport/reactor.c
@@ -20,12 +20,18 @@
     reactor->now_us = reactor->read_clock();
 }
 
+/* Runs the tasks that are pending. Those that they start follow in the next
+ * turn of the loop, which also polls. */
 static void
 run_deferred(pps_reactor_t *reactor)
 {
-    while (!cds_list_empty(&reactor->deferred)) {
+    CDS_LIST_HEAD(batch);
+
+    cds_list_splice(&reactor->deferred, &batch);
+    CDS_INIT_LIST_HEAD(&reactor->deferred);
+    while (!cds_list_empty(&batch)) {
         pps_deferred_t *task =
-            cds_list_first_entry(&reactor->deferred, pps_deferred_t, node);
+            cds_list_first_entry(&batch, pps_deferred_t, node);
 
         pps_reactor_cancel_deferred(task);
         task->run(task->user);
@@ -45,6 +51,10 @@
     if (reactor->before_poll != NULL) {
         reactor->before_poll(reactor->user);
     }
+    if (!cds_list_empty(&reactor->deferred)) {
+        uv_timer_start(&reactor->wake, on_wake, 0, 0);
+        return;
+    }
     if (next_due_us == INT64_MAX) {
         uv_timer_stop(&reactor->wake);
         return;
--- a/src/libpapayaswitch/transport/reactor.h
+++ b/src/libpapayaswitch/transport/reactor.h
@@ -11,8 +11,8 @@
 #include <urcu/list.h>
 #include <uv.h>
 
-/** A task that runs once, before the loop waits for events again. Zero-
- * initialize it. */
+/** A task that runs once, before the loop polls for events again, or without a
+ * wait in the next turn if another task starts it. Zero-initialize it. */
 typedef struct {
     struct cds_list_head node;
     int is_pending;
@@ -58,7 +58,7 @@
                   int64_t period_us, void (*fire)(int64_t now_us, void *user),
                   void *user);
 
-/** Runs a task before the loop waits for events again, after the timers that
+/** Runs a task before the loop polls for events again, after the timers that
  * are due. Does nothing if it is pending. */
 void
 pps_reactor_defer(pps_reactor_t *reactor, pps_deferred_t *task,
