Soak: workers give answers that are none, and no caller may get one

Cause: the soak's workers only failed in ways that HTTP allows; the faults of docs/incidents/malformed-answers.md could not show there.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -161,6 +161,7 @@
                       on_fault_timer, soak);
     limit_start(soak);
     cold_start(soak);
+    malformed_start(soak);
     poison_start(soak);
     cut_start(soak);
     brittle_start(soak);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -386,4 +386,13 @@
 void
 calm_end_check(soak_t *soak);
 
+/** Prepares for answers of workers that are none. */
+void
+malformed_start(const soak_t *soak);
+
+/** Draws whether an answer is malformed, and appends a line to its fields.
+ * @param size of the buffer @return the answer's status */
+unsigned int
+malformed_spoil(char *fields, size_t size, const soak_t *soak);
+
 #endif
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -223,6 +223,10 @@
 {
     client_t *client = user;
 
+    if (failure == PPS_CHANNEL_MALFORMED) {
+        soak_report_violation(client->soak, "an answer that is none",
+                              client->id);
+    }
     client->soak->failed_count++;
     end_client(client);
 }
--- a/tests/soak/soak_worker.c
+++ b/tests/soak/soak_worker.c
@@ -111,10 +111,12 @@
     }
     else {
         char fields[320];
+        unsigned int status;
 
         write_fields(fields, sizeof(fields), run->worker, run->id);
+        status = malformed_spoil(fields, sizeof(fields), run->worker->soak);
         snprintf(text, sizeof(text), "answer to %s", run->id);
-        pps_http_conn_respond(conn, 200, fields, text, strlen(text));
+        pps_http_conn_respond(conn, status, fields, text, strlen(text));
     }
     end_run(run);
 }
