Heads: names and values are checked at once; input that can't be kept ends its connection

Cause: the check of a head took each byte through the state machine, 1,155 ns for 270 B; and without memory for input behind a request that is still being read, its bytes were dropped and the connection read on.

Change: names and values are counted in one loop each, with a table of the characters of a token. A connection whose input can't be kept is closed in each state.

--- a/src/libpapayaswitch/transport/http_conn_input.c
+++ b/src/libpapayaswitch/transport/http_conn_input.c
@@ -47,17 +47,20 @@
     }
 }
 
-/* Keeps bytes until the answer before them has ended. */
-static void
+/* Keeps bytes until the answer before them has ended. Returns 0, or an error
+ * after which the connection is closed. */
+static int
 keep_input(pps_http_conn_t *conn, const char *data, size_t size)
 {
-    if (pps_input_queue_add(&conn->input, data, size) != 0) {
+    int error = pps_input_queue_add(&conn->input, data, size);
+
+    if (error != 0) {
         pps_http_conn_handle(conn, PPS_CONN_ON_INPUT_LOST);
-        return;
     }
-    if (pps_input_queue_is_full(&conn->input)) {
+    else if (pps_input_queue_is_full(&conn->input)) {
         uv_read_stop((uv_stream_t *)&conn->tcp);
     }
+    return error;
 }
 
 /* Reads bytes of a request. Returns how many belong to it. */
@@ -103,10 +106,10 @@
     switch (pps_http_conn_advance(conn, PPS_CONN_ON_INPUT)) {
     case PPS_CONN_READ:
         used = read_request(conn, data, size, &state);
-        if (state == PPS_REQUEST_WHOLE && used < size) {
-            keep_input(conn, data + used, size - used);
+        if (state != PPS_REQUEST_WHOLE || used == size ||
+            keep_input(conn, data + used, size - used) == 0) {
+            act_on(conn, state);
         }
-        act_on(conn, state);
         break;
     case PPS_CONN_KEEP_INPUT:
         keep_input(conn, data, size);
--- a/src/util/field_lines.c
+++ b/src/util/field_lines.c
@@ -2,19 +2,48 @@
 #include "field_lines.h"
 
 #include <ctype.h>
-#include <string.h>
+#include <limits.h>
+
+#define DELETE 0x7f
+
+/* Characters of a token (RFC 9110, 5.6.2). */
+static const char name_chars[UCHAR_MAX + 1] = {
+    ['0' ... '9'] = 1,  ['A' ... 'Z'] = 1, ['a' ... 'z'] = 1, ['!'] = 1,
+    ['#' ... '\''] = 1, ['*'] = 1,         ['+'] = 1,         ['-'] = 1,
+    ['.'] = 1,          ['^' ... '`'] = 1, ['|'] = 1,         ['~'] = 1,
+};
 
 static int
 is_name_char(char c)
 {
-    return c != '\0' &&
-           (isalnum((unsigned char)c) || strchr("!#$%&'*+-.^_`|~", c) != NULL);
+    return name_chars[(unsigned char)c];
 }
 
 static int
 is_value_char(char c)
 {
-    return c == '\t' || !iscntrl((unsigned char)c);
+    unsigned char byte = (unsigned char)c;
+
+    return byte == '\t' || (byte >= ' ' && byte != DELETE);
+}
+
+/* Returns how many bytes of the current name or value follow. */
+static size_t
+count_bytes(pps_field_lines_position_t position, const char *data, size_t size)
+{
+    size_t count = 0;
+
+    if (position == PPS_FIELD_LINES_IN_NAME) {
+        while (count < size && is_name_char(data[count])) {
+            count++;
+        }
+    }
+    if (position == PPS_FIELD_LINES_IN_VALUE) {
+        while (count < size && is_value_char(data[count])) {
+            count++;
+        }
+    }
+    return count;
 }
 
 /* A line that begins with a blank continues the value of the line before it.
@@ -85,6 +114,24 @@
     return c == '\n' ? PPS_FIELD_LINES_WHOLE : PPS_FIELD_LINES_MALFORMED;
 }
 
+static pps_field_lines_state_t
+read_next(pps_field_lines_t *lines, const char *data, size_t size,
+          size_t *used)
+{
+    pps_field_lines_state_t state;
+
+    *used = count_bytes(lines->position, data, size);
+    lines->field_bytes += *used;
+    if (*used > 0) {
+        return PPS_FIELD_LINES_MORE;
+    }
+    *used = 1;
+    state = read_char(lines, data[0]);
+    lines->field_bytes += state == PPS_FIELD_LINES_MORE &&
+                          lines->position != PPS_FIELD_LINES_BEHIND_LAST_CR;
+    return state;
+}
+
 pps_field_lines_state_t
 pps_field_lines_read(pps_field_lines_t *lines, const char *data, size_t size,
                      size_t *used)
@@ -93,10 +140,10 @@
 
     *used = 0;
     while (state == PPS_FIELD_LINES_MORE && *used < size) {
-        state = read_char(lines, data[(*used)++]);
-        lines->field_bytes +=
-            state == PPS_FIELD_LINES_MORE &&
-            lines->position != PPS_FIELD_LINES_BEHIND_LAST_CR;
+        size_t part_used;
+
+        state = read_next(lines, data + *used, size - *used, &part_used);
+        *used += part_used;
     }
     return state;
 }
