Poison: a record says whether other keys may be the cause; a trial that shows nothing does not count

After an end of all hosts the record was all that was left, and said nothing of the others. Trials of doubtful keys fell into the faults, showed nothing, and the next one came 4 and 32 s later.

Ruled out: that living hosts refuse such a part (another key is in all of its ends), and that the record names ends that did not happen.

Change: a record says whether one or two other keys with which no answer went on may be the causes. Such a key is doubtful: one request is let through, which clears it or shows that it is bad. A trial that shows nothing is taken again after 1 s, and a request on trial that was not run goes on.

Tests: test_poison_store (record_does_not_say_that_others_may_be_the_causes, ambiguous_record_leaves_no_trial) and test_poison_table (trial_that_shows_nothing_counts); the first failed before, the others need what is new.

--- a/src/libpapayaswitch/exchange/exchange.c
+++ b/src/libpapayaswitch/exchange/exchange.c
@@ -5,6 +5,7 @@
 #include "crash_line.h"
 #include "decision_log.h"
 #include "exchange_hedge.h"
+#include "exchange_poison.h"
 #include "exchange_refusal.h"
 #include "exchange_unplaced.h"
 #include "host_stop.h"
@@ -73,6 +74,7 @@
 void
 pps_exchange_free(pps_exchange_t *exchange)
 {
+    pps_exchange_end_trial(exchange);
     pps_exchange_discard_answer(exchange);
     pps_timers_cancel(&exchange->deadline_timer);
     pps_timers_cancel(&exchange->silence_timer);
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -59,6 +59,8 @@
     char tried[PPS_SENDS_MAX][PPS_WORKER_TEXT_BYTES]; /**< ids of workers */
     uint64_t request_key;    /**< of method, path, caller and body; see
                                   poison/poison_key.h */
+    uint64_t trial_key;      /**< of which it shows whether it is sound; 0:
+                                  none */
     uint64_t version_digest; /**< decides whether a roll-out moves it: of the
                                   session, or random */
     size_t model;            /**< index in the route's models */
--- a/src/libpapayaswitch/exchange/exchange_poison.c
+++ b/src/libpapayaswitch/exchange/exchange_poison.c
@@ -35,17 +35,38 @@
 }
 
 /* Returns whether the request may show that the key which blocks it is sound.
- * One host takes such trials for all. */
+ * One host takes such trials for all. A request keeps its trial until it has
+ * run. */
 static int
-is_on_trial(const pps_exchange_t *exchange, const pps_poison_block_t *block)
+take_trial(pps_exchange_t *exchange, const pps_poison_block_t *block)
 {
     const pps_dispatcher_t *dispatcher = exchange->dispatcher;
     int is_tester = dispatcher->tests_poison == NULL ||
                     dispatcher->tests_poison(dispatcher->notice_user);
 
-    return block->is_doubtful && is_tester &&
-           pps_poison_table_take_trial(dispatcher->poison, block->key,
-                                       dispatcher->reactor->now_us);
+    if (!block->is_doubtful || !is_tester) {
+        return 0;
+    }
+    if (exchange->trial_key == block->key) {
+        return exchange->runs == 0;
+    }
+    if (!pps_poison_table_take_trial(dispatcher->poison, block->key,
+                                     dispatcher->reactor->now_us)) {
+        return 0;
+    }
+    exchange->trial_key = block->key;
+    pps_decision_log_poison_trial(exchange, block->key);
+    return 1;
+}
+
+void
+pps_exchange_end_trial(const pps_exchange_t *exchange)
+{
+    if (exchange->trial_key != 0) {
+        pps_poison_table_end_trial(exchange->dispatcher->poison,
+                                   exchange->trial_key,
+                                   exchange->dispatcher->reactor->now_us);
+    }
 }
 
 int
@@ -63,8 +84,7 @@
     if (block.key == 0) {
         return 0;
     }
-    if (is_on_trial(exchange, &block)) {
-        pps_decision_log_poison_trial(exchange, block.key);
+    if (take_trial(exchange, &block)) {
         return 0;
     }
     rest_us = pps_poison_evidence_rest_us(
--- a/src/libpapayaswitch/exchange/exchange_poison.h
+++ b/src/libpapayaswitch/exchange/exchange_poison.h
@@ -24,6 +24,11 @@
 int
 pps_exchange_refuse_poison(pps_exchange_t *exchange);
 
+/** Ends the trial of a request that was let through to show whether its key is
+ * sound; does nothing for others. */
+void
+pps_exchange_end_trial(const pps_exchange_t *exchange);
+
 /** Notes that bytes of the answer have arrived: one that goes on for some time
  * speaks for its request. */
 void
--- a/src/libpapayaswitch/poison/poison_evidence.c
+++ b/src/libpapayaswitch/poison/poison_evidence.c
@@ -138,6 +138,47 @@
     return kept < before;
 }
 
+unsigned int
+pps_poison_evidence_without_ambiguous(pps_poison_evidence_t *out,
+                                      const pps_poison_evidence_t *evidence)
+{
+    unsigned int count = 0;
+
+    *out = *evidence;
+    while (count < evidence->crash_count &&
+           (evidence->ambiguous_us == 0 ||
+            evidence->crashes[count].at_us >
+                evidence->ambiguous_us + TIME_DIFFERENCE_US)) {
+        count++;
+    }
+    out->crash_count = count;
+    return count;
+}
+
+/* Takes over that crashes are ambiguous, unless more of them are known. */
+static void
+merge_ambiguity(pps_poison_evidence_t *evidence,
+                const pps_poison_evidence_t *other)
+{
+    pps_poison_evidence_t merged = *evidence;
+    unsigned int clear;
+
+    if (other->ambiguous_us == 0 ||
+        (evidence->ambiguous_us != 0 &&
+         evidence->ambiguous_us >= other->ambiguous_us)) {
+        return;
+    }
+    merged.ambiguous_us = other->ambiguous_us;
+    clear = pps_poison_evidence_without_ambiguous(&merged, &merged);
+    for (unsigned int i = clear; i < evidence->crash_count; i++) {
+        if (!pps_poison_evidence_may_have_crash(other,
+                                                &evidence->crashes[i])) {
+            return;
+        }
+    }
+    evidence->ambiguous_us = other->ambiguous_us;
+}
+
 int
 pps_poison_evidence_merge(pps_poison_evidence_t *evidence,
                           const pps_poison_evidence_t *other)
@@ -155,6 +196,7 @@
         evidence->convicted = 1;
         is_new = 1;
     }
+    merge_ambiguity(evidence, other);
     return is_new || added > 0;
 }
 
--- a/src/libpapayaswitch/poison/poison_evidence.h
+++ b/src/libpapayaswitch/poison/poison_evidence.h
@@ -33,6 +33,9 @@
     uint64_t key;
     int64_t good_us; /**< latest begin of an answer that went on; 0: none */
     int convicted;   /**< the crashes have sufficed once since `good_us` */
+    int64_t ambiguous_us; /**< a record says that other keys may have caused
+                               the crashes up to this time, and may be all that
+                               is left of these; 0: none does */
     pps_poison_crash_t crashes[PPS_POISON_CRASHES_MAX]; /**< newest first */
     unsigned int crash_count;
 } pps_poison_evidence_t;
@@ -54,6 +57,12 @@
 pps_poison_evidence_merge(pps_poison_evidence_t *evidence,
                           const pps_poison_evidence_t *other);
 
+/** Copies evidence without the crashes that a record says are ambiguous.
+ * @param out may be the evidence itself @return the number of crashes left */
+unsigned int
+pps_poison_evidence_without_ambiguous(pps_poison_evidence_t *out,
+                                      const pps_poison_evidence_t *evidence);
+
 /** Returns whether the crashes suffice to take the key for their cause:
  * independent ones of the last minutes. It takes more if an answer with the
  * key is known to have gone on before. */
--- a/src/libpapayaswitch/poison/poison_judge.c
+++ b/src/libpapayaswitch/poison/poison_judge.c
@@ -129,6 +129,63 @@
     return 0;
 }
 
+static int
+may_be_bystander_of(const pps_poison_evidence_t *evidence,
+                    const pps_poison_evidence_t *other)
+{
+    return other->key != evidence->key && other->good_us == 0;
+}
+
+static int
+shares_crash(const pps_poison_evidence_t *evidence,
+             const pps_poison_evidence_t *other)
+{
+    for (unsigned int i = 0; i < evidence->crash_count; i++) {
+        if (pps_poison_evidence_may_have_crash(other, &evidence->crashes[i])) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* Returns whether a cause and another one, or that one alone, may explain all
+ * crashes of a key. */
+static int
+is_explained_with(const pps_poison_table_t *table,
+                  const pps_poison_evidence_t *evidence,
+                  const pps_poison_evidence_t *first)
+{
+    const pps_poison_entry_t *second;
+
+    cds_list_for_each_entry (second, &table->list, node) {
+        if (may_be_bystander_of(evidence, &second->evidence) &&
+            covers_with(first, &second->evidence, evidence)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+int
+pps_poison_table_is_ambiguous(const pps_poison_table_t *table,
+                              const pps_poison_evidence_t *evidence)
+{
+    const pps_poison_entry_t *first;
+    pps_poison_evidence_t rest;
+
+    if (pps_poison_evidence_without_ambiguous(&rest, evidence) == 0) {
+        return 1;
+    }
+    cds_list_for_each_entry (first, &table->list, node) {
+        if (may_be_bystander_of(&rest, &first->evidence) &&
+            shares_crash(&rest, &first->evidence) &&
+            is_explained_with(table, &rest, &first->evidence)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 /* Returns whether a crash of a key is explained by a key that the request does
  * not hold. */
 static int
@@ -190,6 +247,8 @@
     }
     block.key = key;
     block.is_doubtful = is_explained || evidence->good_us != 0 ||
+                        (evidence->ambiguous_us != 0 &&
+                         pps_poison_table_is_ambiguous(table, evidence)) ||
                         (!pps_poison_key_is_request(key) &&
                          has_two_causes(table, evidence, keys, count, 0));
     return block;
--- a/src/libpapayaswitch/poison/poison_table.c
+++ b/src/libpapayaswitch/poison/poison_table.c
@@ -208,6 +208,8 @@
         now_us < entry->next_trial_us) {
         return 0;
     }
+    entry->trial_us = now_us;
+    entry->interval_before_us = entry->trial_interval_us;
     entry->trial_interval_us =
         entry->trial_interval_us == 0
             ? TRIAL_INTERVAL_US
@@ -216,6 +218,19 @@
     return 1;
 }
 
+void
+pps_poison_table_end_trial(pps_poison_table_t *table, uint64_t key,
+                           int64_t now_us)
+{
+    pps_poison_entry_t *entry = find_entry(table, key);
+
+    if (entry == NULL || entry->evidence.crashes[0].at_us >= entry->trial_us) {
+        return;
+    }
+    entry->trial_interval_us = entry->interval_before_us;
+    entry->next_trial_us = now_us + TRIAL_FIRST_US;
+}
+
 void
 pps_poison_table_visit(const pps_poison_table_t *table,
                        unsigned int crashes_min, pps_poison_visit_fn visit,
--- a/src/libpapayaswitch/poison/poison_table.h
+++ b/src/libpapayaswitch/poison/poison_table.h
@@ -44,10 +44,11 @@
 /** A key that blocks a request. */
 typedef struct {
     uint64_t key;    /**< 0: none does */
-    int is_doubtful; /**< answers with it went on before; or other convicted
-                          keys, which the request does not hold, explain so
-                          many of the crashes that the rest would not suffice;
-                          or, for a part, two others may be the causes */
+    int is_doubtful; /**< answers with it went on before; or a record of it
+                          says that it is ambiguous; or other convicted keys,
+                        which the request does not hold, explain so many of the
+                        crashes that the rest would not suffice; or, for a
+                        part, two others may be the causes */
 } pps_poison_block_t;
 
 /** Finds a key that blocks a request with these keys; one that is not
@@ -65,6 +66,13 @@
 pps_poison_table_is_explained(const pps_poison_table_t *table,
                               const pps_poison_evidence_t *evidence);
 
+/** Returns whether one or two other keys, with which no answer is known to
+ * have gone on, may have caused all crashes of a key, whatever requests hold
+ * them. Crashes for which a record says so need no other key. */
+int
+pps_poison_table_is_ambiguous(const pps_poison_table_t *table,
+                              const pps_poison_evidence_t *evidence);
+
 /** Takes the right to let one request with a doubtful key through, which shows
  * whether the key is sound. Such trials become rare if they change nothing.
  * @return whether it was granted */
@@ -72,6 +80,12 @@
 pps_poison_table_take_trial(pps_poison_table_t *table, uint64_t key,
                             int64_t now_us);
 
+/** Ends a trial. One without a crash under the key shows nothing as long as no
+ * answer went on either: the next trial comes as if it had not been taken. */
+void
+pps_poison_table_end_trial(pps_poison_table_t *table, uint64_t key,
+                           int64_t now_us);
+
 /** Returns the evidence on a key with crashes, or NULL. */
 const pps_poison_evidence_t *
 pps_poison_table_lookup(const pps_poison_table_t *table, uint64_t key);
--- a/src/libpapayaswitch/poison/poison_table_state.h
+++ b/src/libpapayaswitch/poison/poison_table_state.h
@@ -18,6 +18,8 @@
     pps_poison_evidence_t evidence;
     int64_t next_trial_us; /* 0: no trial yet */
     int64_t trial_interval_us;
+    int64_t trial_us;           /* when the last trial began */
+    int64_t interval_before_us; /* the interval before that trial */
 } pps_poison_entry_t;
 
 typedef struct {
--- a/tests/entry/test_poison_store.c
+++ b/tests/entry/test_poison_store.c
@@ -243,6 +243,128 @@
     {"two requests, by each other", OTHER_REQUEST, 1, 0, NULL, KEY_TEXT},
 };
 
+typedef struct {
+    const char *what;
+    uint64_t key;            /* convicted by three crashes */
+    uint64_t causes[2];      /* of the first two crashes, and of the third */
+    int64_t good_us;         /* of the second cause */
+    unsigned int last_crash; /* of the second cause; 3: the third one */
+    int is_ambiguous;
+} ambiguous_case_t;
+
+#define PART_KEY OTHER_KEY
+#define BAD_PART UINT64_C(0x52)
+#define BAD_REQUEST UINT64_C(0x43)
+
+static const ambiguous_case_t ambiguous[] = {
+    {"a request, by a request and a part",
+     KEY,
+     {BAD_REQUEST, BAD_PART},
+     0,
+     3,
+     1},
+    {"a request, by two parts", KEY, {OTHER_KEY, BAD_PART}, 0, 3, 1},
+    {"a part, by two requests",
+     PART_KEY,
+     {BAD_REQUEST, BAD_REQUEST + 2},
+     0,
+     3,
+     1},
+    {"a part, by one request", PART_KEY, {BAD_REQUEST, BAD_REQUEST}, 0, 3, 1},
+    {"not by one that is good",
+     KEY,
+     {BAD_REQUEST, BAD_PART},
+     NOW_US - 20 * S,
+     3,
+     0},
+    {"not if one crash is left", KEY, {BAD_REQUEST, BAD_PART}, 0, 8, 0},
+};
+
+/* Adds crashes of another key. @param first_id of them, one after the other */
+static void
+add_crashes(fixture_t *fixture, uint64_t key, uint64_t first_id,
+            unsigned int count, int64_t good_us)
+{
+    pps_poison_evidence_t evidence = {
+        .key = key, .good_us = good_us, .crash_count = count};
+
+    for (unsigned int i = 0; i < count; i++) {
+        uint64_t id = first_id + count - 1 - i;
+
+        evidence.crashes[i] = convicted.crashes[2 - (id - 1) % 3];
+        evidence.crashes[i].id = id;
+    }
+    cr_assert_eq(pps_poison_table_merge(fixture->table, &evidence, NULL), 1);
+}
+
+/* Guards against refusing a sound request for half an hour after an end of all
+ * hosts: bad ones had ended the workers that it was at, and only the sound one
+ * was remembered. */
+Test(poison_store, record_does_not_say_that_others_may_be_the_causes)
+{
+    static const net_answer_t script[] = {{EMPTY, NET_KEEP},
+                                          {WRITTEN, NET_KEEP}};
+
+    for (size_t i = 0; i < sizeof(ambiguous) / sizeof(*ambiguous); i++) {
+        const ambiguous_case_t *item = &ambiguous[i];
+        fixture_t fixture;
+
+        start(&fixture, script, 2);
+        step_until(&fixture, 1);
+        convict(&fixture, item->key, 1);
+        add_crashes(&fixture, item->causes[0], 1, 2, 0);
+        add_crashes(&fixture, item->causes[1], item->last_crash, 1,
+                    item->good_us);
+        step_until(&fixture, 2);
+        cr_expect(was_written(&fixture, "crashes"), "%s", item->what);
+        cr_expect_eq(was_written(&fixture, "ambiguous"), item->is_ambiguous,
+                     "%s", item->what);
+    }
+}
+
+/* Guards against a sound request that no host may try after an end of all
+ * hosts. One more crash shows that the record was right. */
+Test(poison_store, ambiguous_record_leaves_no_trial)
+{
+    const uint64_t keys[] = {KEY};
+    pps_poison_evidence_t another = {
+        .key = KEY,
+        .crashes = {{4, NOW_US - 80 * MS, NOW_US - 10 * MS}},
+        .crash_count = 1,
+    };
+    pps_poison_evidence_t read = convicted;
+    pps_poison_table_t *table;
+    pps_buf_t text = PPS_BUF_INIT;
+
+    read.ambiguous_us = read.crashes[0].at_us;
+    cr_assert_eq(pps_poison_record_write(&text, &read, NOW_US, WALL_US), 0);
+    cr_assert_eq(pps_poison_record_parse(&read, KEY_TEXT, text.data, text.size,
+                                         NOW_US, WALL_US),
+                 0);
+    cr_assert_eq(pps_poison_table_new(&table), 0);
+    cr_assert_eq(pps_poison_table_merge(table, &convicted, NULL), 1);
+    pps_poison_table_merge(table, &read, NULL);
+    cr_expect(pps_poison_table_find_block(table, keys, 1, NOW_US).is_doubtful);
+    pps_poison_table_merge(table, &another, NULL);
+    pps_poison_table_merge(table, &read, NULL);
+    cr_expect_not(
+        pps_poison_table_find_block(table, keys, 1, NOW_US).is_doubtful);
+    another.key = BAD_REQUEST;
+    pps_poison_table_merge(table, &another, NULL);
+    cr_expect(pps_poison_table_find_block(table, keys, 1, NOW_US).is_doubtful,
+              "another key may have caused the last one");
+    another.key = KEY;
+    another.crashes[0].id = 5;
+    another.crashes[0].at_us = NOW_US;
+    another.crashes[0].begun_us = NOW_US - 1 * MS;
+    pps_poison_table_merge(table, &another, NULL);
+    cr_expect_not(
+        pps_poison_table_find_block(table, keys, 1, NOW_US).is_doubtful);
+    cr_expect_eq(pps_poison_table_find_block(table, keys, 1, NOW_US).key, KEY);
+    pps_poison_table_free(table);
+    pps_buf_clear(&text);
+}
+
 /* Guards against refusing a sound request after an end of all hosts: what
  * explains the ends of workers under it is forgotten then. */
 Test(poison_store, key_that_another_one_explains_is_not_written)
--- a/tests/entry/test_poison_table.c
+++ b/tests/entry/test_poison_table.c
@@ -306,6 +306,49 @@
     pps_poison_table_free(table);
 }
 
+typedef enum {
+    TAKE,
+    END,
+    CRASH,
+} trial_event_t;
+
+/* Guards against a sound key that is blocked for half an hour because its
+ * trials met hosts without workers. */
+Test(poison_table, trial_that_shows_nothing_counts)
+{
+    static const struct {
+        int64_t at_s;
+        trial_event_t event;
+        int is_granted;
+    } steps[] = {{1, TAKE, 1},  {2, END, 0},  {2, TAKE, 0},   {3, TAKE, 1},
+                 {4, CRASH, 0}, {4, END, 0},  {5, TAKE, 0},   {7, TAKE, 1},
+                 {8, END, 0},   {9, TAKE, 1}, {10, CRASH, 0}, {10, END, 0},
+                 {40, TAKE, 0}, {41, TAKE, 1}};
+    const event_t end = {0, 50, 0, {PART(1)}};
+    pps_poison_table_t *table;
+
+    cr_assert_eq(pps_poison_table_new(&table), 0);
+    apply(table, &end, 1);
+    for (size_t i = 0; i < sizeof(steps) / sizeof(*steps); i++) {
+        const event_t crash = {steps[i].at_s * 1000, 50, 0, {PART(1)}};
+
+        switch (steps[i].event) {
+        case TAKE:
+            cr_expect_eq(pps_poison_table_take_trial(table, PART(1),
+                                                     T0 + steps[i].at_s * S),
+                         steps[i].is_granted, "step %zu", i);
+            break;
+        case END:
+            pps_poison_table_end_trial(table, PART(1), T0 + steps[i].at_s * S);
+            break;
+        case CRASH:
+            apply(table, &crash, 2 + i);
+            break;
+        }
+    }
+    pps_poison_table_free(table);
+}
+
 Test(poison_table, memory_is_bounded_and_convictions_outlive_the_rest)
 {
     static const uint64_t convicted[] = {PART(1)};
