Tests: early answers read a whole upload in a few turns, and say when it was cut off

Cause: the case that ends in order reads 8 MiB through a receive buffer of 4 KB, a few KB a turn; the kernel gives up a connection whose window stays closed for 2 s, and the test then read on without end.

Change: the buffer is large once reading begins, and a connection that is lost fails the test.

--- a/tests/entry/test_early_answers.c
+++ b/tests/entry/test_early_answers.c
@@ -14,6 +14,7 @@
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -25,6 +26,8 @@
 /** More than the sockets of a connection hold. */
 #define REQUEST_BYTES (8U << 20)
 #define RECEIVE_BUFFER_BYTES 4096
+/** Lets a request be read in few turns of the loop. */
+#define READ_BUFFER_BYTES (1U << 20)
 
 typedef enum {
     END_RESET,
@@ -61,16 +64,21 @@
      PPS_CHANNEL_BROKEN, "part"},
 };
 
+static void
+set_receive_buffer(int fd, int bytes)
+{
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 static int
 listen_on(char address[NET_ADDRESS_BYTES])
 {
     struct sockaddr_in at = {.sin_family = AF_INET,
                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     socklen_t at_bytes = sizeof(at);
-    int buffer_bytes = RECEIVE_BUFFER_BYTES;
     int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
+    set_receive_buffer(fd, RECEIVE_BUFFER_BYTES);
     cr_assert_eq(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
     cr_assert_eq(listen(fd, 1), 0);
     getsockname(fd, (struct sockaddr *)&at, &at_bytes);
@@ -99,8 +107,11 @@
     static char piece[1U << 16];
     ssize_t got;
 
+    set_receive_buffer(fd, READ_BUFFER_BYTES);
     while (size > 0) {
         got = recv(fd, piece, sizeof(piece), MSG_DONTWAIT);
+        cr_assert(got > 0 || (got < 0 && errno == EAGAIN),
+                  "the request was cut off");
         size -= got > 0 ? (size_t)got : 0;
         net_run_for(reactor, 1);
     }
