Requests are refused at their head, before their body has come

Cause: what the head decides was looked at with the whole request.

Change: on_head shows a request whose body is still to come to the owner of the server. Key, route, id, region and a stop of the host are checked there. The rest is discarded: the connection is kept if up to 64 KiB of a known length are left, else closed in order, with input discarded as long as the caller sends, up to one largest body and the time of a request.

Ruled out: that the connections or the answers take the memory.

--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -168,6 +168,12 @@
     pps_exchange_begin(user, conn, request);
 }
 
+static void
+on_head(void *user, pps_http_conn_t *conn, const pps_http_request_t *request)
+{
+    pps_exchange_check_head(user, conn, request);
+}
+
 static void
 on_caller_gone(void *user, void *exchange)
 {
@@ -181,4 +187,4 @@
 }
 
 const pps_http_server_ops_t pps_dispatcher_server_ops = {
-    on_request, on_caller_gone, on_caller_drained};
+    on_request, on_caller_gone, on_caller_drained, on_head};
--- a/src/libpapayaswitch/exchange/exchange.h
+++ b/src/libpapayaswitch/exchange/exchange.h
@@ -114,6 +114,21 @@
 pps_exchange_begin(pps_dispatcher_t *dispatcher, pps_http_conn_t *conn,
                    const pps_http_request_t *request);
 
+/** Refuses a request that can't be served, whatever its body is. Called with
+ * its head, while its body is still to come. */
+void
+pps_exchange_check_head(pps_dispatcher_t *dispatcher, pps_http_conn_t *conn,
+                        const pps_http_request_t *request);
+
+/** Refuses a request whose route and workspace are set, if this host won't
+ * send it to any worker. @return whether it did */
+int
+pps_exchange_refuse_at_head(pps_exchange_t *exchange);
+
+/** Starts serving a request whose route and workspace are set. */
+void
+pps_exchange_start(pps_exchange_t *exchange);
+
 /** Admits the requests that wait for this host to start, if it now has a
  * deployment and workers. */
 void
--- a/src/libpapayaswitch/transport/conn_table.h
+++ b/src/libpapayaswitch/transport/conn_table.h
@@ -3,7 +3,9 @@
  * @brief States of a caller's connection, and what follows from each event.
  * Does no I/O; http_conn.c reports the events and acts.
  *
- * An answer ends whole or visibly broken: its last chunk is only sent in
+ * A request may be answered at its head, before its body has come: the rest is
+ * discarded, or the connection is closed in order. An answer ends whole or
+ * visibly broken: its last chunk is only sent in
  * PPS_CONN_ANSWERING, which a connection leaves for good with the first piece
  * that is lost. A connection that is not kept closes when its output has been
  * written, not before, whether the caller or the stop of the process ends it.
@@ -13,14 +15,16 @@
 
 /** States of a connection. */
 typedef enum {
-    PPS_CONN_IDLE,      /**< waits for the first byte of a request */
-    PPS_CONN_READING,   /**< reads a request */
-    PPS_CONN_SERVING,   /**< the owner has the request */
-    PPS_CONN_ANSWERING, /**< an answer in pieces has begun */
-    PPS_CONN_BROKEN,    /**< the answer has lost a piece, and nothing more is
-                             sent; the owner is told soon */
-    PPS_CONN_FINISHING, /**< the last answer is complete, but not written */
-    PPS_CONN_LINGERING, /**< all is written; input is discarded */
+    PPS_CONN_IDLE,       /**< waits for the first byte of a request */
+    PPS_CONN_READING,    /**< reads a request */
+    PPS_CONN_DISCARDING, /**< the request was answered before its end; the
+                              rest of it is read and discarded */
+    PPS_CONN_SERVING,    /**< the owner has the request */
+    PPS_CONN_ANSWERING,  /**< an answer in pieces has begun */
+    PPS_CONN_BROKEN,     /**< the answer has lost a piece, and nothing more is
+                              sent; the owner is told soon */
+    PPS_CONN_FINISHING,  /**< the last answer is complete, but not written */
+    PPS_CONN_LINGERING,  /**< all is written; input is discarded */
     PPS_CONN_CLOSED,
     PPS_CONN_STATES
 } pps_conn_state_t;
@@ -56,9 +60,13 @@
     PPS_CONN_REJECT_LATE,  /**< answer that the request took too long */
     PPS_CONN_SEND,         /**< send what the owner sends */
     PPS_CONN_NEXT,         /**< send the end, and wait for a request */
+    PPS_CONN_DISCARD_REST, /**< send the end, and read the rest of the request
+                            */
+    PPS_CONN_AWAIT,        /**< wait for a request */
     PPS_CONN_FINISH,       /**< send the end, and wait until it is written */
     PPS_CONN_FINISH_IDLE,  /**< close, once earlier answers are written */
     PPS_CONN_LINGER,       /**< wait a moment for the caller to close */
+    PPS_CONN_LINGER_ON,    /**< wait longer, as the caller still sends */
     PPS_CONN_REPORT_LATER, /**< report soon, not in the owner's call */
     PPS_CONN_CLOSE,        /**< close */
     PPS_CONN_CLOSE_REPORT, /**< close, and tell the owner */
--- a/src/libpapayaswitch/transport/http_conn.c
+++ b/src/libpapayaswitch/transport/http_conn.c
@@ -9,8 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** How long input is read and discarded after the last response. Closing with
- * unread input resets the connection, and the caller may lose the response. */
+/** How long a caller that sends nothing may take to close after the last
+ * response. */
 #define LINGER_US (500 * PPS_US_PER_MS)
 
 #define STATUS_TIMEOUT 408
@@ -78,6 +78,8 @@
         set_timer(conn, limits->request_timeout_us);
         break;
     case PPS_CONN_LINGERING:
+        conn->linger_until_us =
+            conn->server->reactor->now_us + limits->request_timeout_us;
         set_timer(conn, LINGER_US);
         break;
     default:
@@ -115,6 +117,28 @@
     }
 }
 
+void
+pps_http_conn_linger_on(pps_http_conn_t *conn, size_t size)
+{
+    int64_t left_us = conn->linger_until_us - conn->server->reactor->now_us;
+
+    conn->discarded_bytes += size;
+    if (conn->discarded_bytes <= conn->server->limits->body_bytes &&
+        left_us > 0) {
+        set_timer(conn, left_us < LINGER_US ? left_us : LINGER_US);
+    }
+}
+
+void
+pps_http_conn_limit_reading(pps_http_conn_t *conn, int64_t limit_us)
+{
+    int64_t left_us = conn->timer.due_us - conn->server->reactor->now_us;
+
+    if (conn->state == PPS_CONN_READING && limit_us < left_us) {
+        set_timer(conn, limit_us);
+    }
+}
+
 /* Without output that waits there is nothing that the caller could lose. */
 static void
 finish_idle(pps_http_conn_t *conn)
--- a/src/libpapayaswitch/transport/http_conn_input.c
+++ b/src/libpapayaswitch/transport/http_conn_input.c
@@ -23,6 +23,10 @@
     uv_read_start((uv_stream_t *)&conn->tcp, pps_tcp_get_read_buffer, on_read);
 }
 
+/** Most bytes of a refused request that are awaited and discarded, so that its
+ * connection can be kept. */
+#define REST_BYTES_MAX (64U << 10)
+
 static void
 deliver_request(pps_http_conn_t *conn)
 {
@@ -63,6 +67,21 @@
     return error;
 }
 
+static void
+end_request(pps_http_conn_t *conn)
+{
+    switch (pps_http_conn_advance(conn, PPS_CONN_ON_REQUEST)) {
+    case PPS_CONN_DELIVER:
+        deliver_request(conn);
+        break;
+    case PPS_CONN_AWAIT:
+        pps_http_conn_await_request(conn);
+        break;
+    default:
+        break;
+    }
+}
+
 /* Reads bytes of a request. Returns how many belong to it. */
 static size_t
 read_request(pps_http_conn_t *conn, const char *data, size_t size,
@@ -74,18 +93,48 @@
     return used;
 }
 
+/* Returns whether the connection can be kept if the request is refused. A
+ * caller that waits for an interim answer may not send the body at all. */
+static int
+can_discard_rest(const pps_http_conn_t *conn)
+{
+    return conn->reader.keep_alive && !conn->reader.expects_continue &&
+           pps_request_reader_body_left(&conn->reader) <= REST_BYTES_MAX;
+}
+
+static void
+show_head(pps_http_conn_t *conn)
+{
+    pps_http_server_t *server = conn->server;
+
+    conn->has_seen_head = 1;
+    if (server->ops->on_head != NULL) {
+        conn->keep_alive = can_discard_rest(conn);
+        conn->reader.request.received_us = server->reactor->now_us;
+        server->ops->on_head(server->user, conn, &conn->reader.request);
+    }
+}
+
+static void
+await_body(pps_http_conn_t *conn)
+{
+    if (!conn->has_seen_head && pps_request_reader_has_head(&conn->reader)) {
+        show_head(conn);
+    }
+    if (conn->state == PPS_CONN_READING) {
+        send_continue_if_expected(conn);
+    }
+}
+
 static void
 act_on(pps_http_conn_t *conn, pps_request_state_t state)
 {
     switch (state) {
     case PPS_REQUEST_MORE:
-        send_continue_if_expected(conn);
+        await_body(conn);
         break;
     case PPS_REQUEST_WHOLE:
-        if (pps_http_conn_advance(conn, PPS_CONN_ON_REQUEST) ==
-            PPS_CONN_DELIVER) {
-            deliver_request(conn);
-        }
+        end_request(conn);
         break;
     case PPS_REQUEST_REJECTED:
         pps_http_conn_handle(conn, PPS_CONN_ON_REJECTION);
@@ -114,6 +163,9 @@
     case PPS_CONN_KEEP_INPUT:
         keep_input(conn, data, size);
         break;
+    case PPS_CONN_LINGER_ON:
+        pps_http_conn_linger_on(conn, size);
+        break;
     default:
         break;
     }
@@ -143,6 +195,7 @@
 pps_http_conn_await_request(pps_http_conn_t *conn)
 {
     pps_request_reader_begin(&conn->reader);
+    conn->has_seen_head = 0;
     if (pps_input_queue_size(&conn->input) > 0) {
         pps_reactor_defer(conn->server->reactor, &conn->next_request,
                           on_next_request, conn);
--- a/src/libpapayaswitch/transport/http_conn_output.c
+++ b/src/libpapayaswitch/transport/http_conn_output.c
@@ -101,6 +101,9 @@
     case PPS_CONN_NEXT:
         pps_http_conn_await_request(conn);
         break;
+    case PPS_CONN_DISCARD_REST:
+        pps_request_reader_discard_body(&conn->reader);
+        break;
     case PPS_CONN_FINISH:
         pps_http_conn_finish(conn);
         break;
@@ -133,7 +136,7 @@
     int length;
 
     conn->exchange = NULL;
-    if (conn->state != PPS_CONN_SERVING) {
+    if (conn->state != PPS_CONN_SERVING && conn->state != PPS_CONN_READING) {
         return;
     }
     length = snprintf(head, sizeof(head),
--- a/src/libpapayaswitch/transport/http_server.h
+++ b/src/libpapayaswitch/transport/http_server.h
@@ -30,6 +30,12 @@
     /** Reports that the caller has read on; see
      * pps_http_conn_await_drained(). May be NULL if that is not used. */
     void (*on_drained)(void *user, void *exchange);
+    /** Shows a request whose head is complete while its body is still to come.
+     * It may be refused with pps_http_conn_respond(), but with no answer else;
+     * its body is discarded then. Not called if all of it came at once. May be
+     * NULL. */
+    void (*on_head)(void *user, pps_http_conn_t *conn,
+                    const pps_http_request_t *request);
 } pps_http_server_ops_t;
 
 /** Listens on an IPv4 address; port 0 selects a free port. `limits` and `ops`
@@ -65,6 +71,11 @@
 void
 pps_http_conn_attach(pps_http_conn_t *conn, void *exchange);
 
+/** Sets the longest time from now until a request whose head is complete has
+ * come; a shorter one remains. */
+void
+pps_http_conn_limit_reading(pps_http_conn_t *conn, int64_t limit_us);
+
 /** Sends a complete response; may deliver the next request before it returns.
  * A write error closes the connection without `on_disconnect`.
  * @param fields header lines, each ending in CR LF; may be "" */
--- a/src/libpapayaswitch/transport/http_server_state.h
+++ b/src/libpapayaswitch/transport/http_server_state.h
@@ -29,6 +29,9 @@
     pps_request_reader_t reader;
     pps_conn_state_t state;
     int keep_alive;          /* keep the connection open after this response */
+    int has_seen_head;       /* the owner has seen the head of the request */
+    size_t discarded_bytes;  /* behind the last response */
+    int64_t linger_until_us; /* at the latest */
     pps_input_queue_t input; /* read while a request is being served */
     pps_deferred_t next_request; /* is read from that input */
     pps_buf_t output;            /* of the response, not yet written */
@@ -53,6 +56,11 @@
 void
 pps_http_conn_read(pps_http_conn_t *conn);
 
+/** Goes on discarding input behind the last response. Closing with unread
+ * input resets the connection, and the caller may lose the response. */
+void
+pps_http_conn_linger_on(pps_http_conn_t *conn, size_t size);
+
 /** Waits for the next request, which may have come already. It is read from
  * the loop, not in the call that ended the answer before it. */
 void
--- a/src/libpapayaswitch/transport/request_reader.c
+++ b/src/libpapayaswitch/transport/request_reader.c
@@ -166,6 +166,7 @@
     pps_head_lines_init(&reader->head, PPS_HEAD_OF_REQUEST);
     reader->part = PPS_REQUEST_IN_HEAD;
     reader->is_parsed = 0;
+    reader->discards_body = 0;
     reader->body_left = 0;
     reader->chunks = (pps_chunks_t){0};
     reader->trailer = (pps_field_lines_t){0};
@@ -187,6 +188,7 @@
 static pps_request_state_t
 start_body(pps_request_reader_t *reader)
 {
+    reader->request.method = http_method_str(reader->parser.method);
     if (pps_headers_get(&reader->request.headers, "transfer-encoding")) {
         reader->part = PPS_REQUEST_IN_CHUNKS;
         return PPS_REQUEST_MORE;
@@ -222,7 +224,7 @@
         reject(reader, STATUS_BODY_TOO_LARGE);
         return PPS_REQUEST_REJECTED;
     }
-    if (size > 0) {
+    if (size > 0 && !reader->discards_body) {
         pps_buf_append(body, data, size);
     }
     return PPS_REQUEST_MORE;
@@ -309,12 +311,29 @@
         state = read_part(reader, data + *used, size - *used, &part_used);
         *used += part_used;
     }
-    if (state == PPS_REQUEST_WHOLE) {
-        reader->request.method = http_method_str(reader->parser.method);
-    }
     return state;
 }
 
+int
+pps_request_reader_has_head(const pps_request_reader_t *reader)
+{
+    return reader->part != PPS_REQUEST_IN_HEAD;
+}
+
+uint64_t
+pps_request_reader_body_left(const pps_request_reader_t *reader)
+{
+    return reader->part == PPS_REQUEST_IN_BODY ? reader->body_left
+                                               : UINT64_MAX;
+}
+
+void
+pps_request_reader_discard_body(pps_request_reader_t *reader)
+{
+    reader->discards_body = 1;
+    pps_buf_clear(&reader->request.body);
+}
+
 void
 pps_request_reader_clear(pps_request_reader_t *reader)
 {
--- a/src/libpapayaswitch/transport/request_reader.h
+++ b/src/libpapayaswitch/transport/request_reader.h
@@ -39,6 +39,7 @@
     pps_chunks_t chunks;
     pps_field_lines_t trailer;
     int is_parsed;        /**< the parser has seen the end of the head */
+    int discards_body;    /**< the body is read, but not kept */
     size_t header_bytes;  /**< of the head */
     int expects_continue; /**< the head asks for an interim answer; the owner
                                may clear it */
@@ -62,6 +63,19 @@
 pps_request_reader_feed(pps_request_reader_t *reader, const char *data,
                         size_t size, size_t *used);
 
+/** Returns whether the head of a request that goes on is complete. */
+int
+pps_request_reader_has_head(const pps_request_reader_t *reader);
+
+/** Returns the bytes of the body that are still to come, or UINT64_MAX if its
+ * head does not tell. */
+uint64_t
+pps_request_reader_body_left(const pps_request_reader_t *reader);
+
+/** Frees what is kept of the body, and keeps nothing of it from now on. */
+void
+pps_request_reader_discard_body(pps_request_reader_t *reader);
+
 /** Frees what the reader holds. */
 void
 pps_request_reader_clear(pps_request_reader_t *reader);
--- a/tests/entry/test_conn_table.c
+++ b/tests/entry/test_conn_table.c
@@ -86,6 +86,36 @@
      {PPS_CONN_ON_INPUT, PPS_CONN_ON_REJECTION, PPS_CONN_ON_LAST_END, DONE},
      PPS_CONN_FINISHING,
      PPS_CONN_FINISH},
+    {"a request that is answered at its head, kept",
+     {PPS_CONN_ON_INPUT, PPS_CONN_ON_END, DONE},
+     PPS_CONN_DISCARDING,
+     PPS_CONN_DISCARD_REST},
+    {"the rest of a request that was answered at its head",
+     {PPS_CONN_ON_INPUT, PPS_CONN_ON_END, PPS_CONN_ON_INPUT,
+      PPS_CONN_ON_REQUEST, DONE},
+     PPS_CONN_IDLE,
+     PPS_CONN_AWAIT},
+    {"a rest that never comes",
+     {PPS_CONN_ON_INPUT, PPS_CONN_ON_END, PPS_CONN_ON_TIMEOUT, DONE},
+     PPS_CONN_FINISHING,
+     PPS_CONN_FINISH_IDLE},
+    {"a second answer while the rest is read",
+     {PPS_CONN_ON_INPUT, PPS_CONN_ON_END, PPS_CONN_ON_LAST_END, DONE},
+     PPS_CONN_DISCARDING,
+     PPS_CONN_IGNORE},
+    {"a caller that leaves while the rest is read",
+     {PPS_CONN_ON_INPUT, PPS_CONN_ON_END, PPS_CONN_ON_PEER_GONE, DONE},
+     PPS_CONN_CLOSED,
+     PPS_CONN_CLOSE},
+    {"a request that is answered at its head, not kept",
+     {PPS_CONN_ON_INPUT, PPS_CONN_ON_LAST_END, DONE},
+     PPS_CONN_FINISHING,
+     PPS_CONN_FINISH},
+    {"a caller that still sends behind its last answer",
+     {PPS_CONN_ON_INPUT, PPS_CONN_ON_LAST_END, PPS_CONN_ON_WRITTEN,
+      PPS_CONN_ON_INPUT, DONE},
+     PPS_CONN_LINGERING,
+     PPS_CONN_LINGER_ON},
     {"input behind a request",
      {REQUEST, PPS_CONN_ON_INPUT, DONE},
      PPS_CONN_SERVING,
@@ -128,8 +158,9 @@
 check(model_t *model, pps_conn_state_t before, pps_conn_event_t event,
       const pps_conn_step_t *step)
 {
-    int sends_end =
-        step->action == PPS_CONN_NEXT || step->action == PPS_CONN_FINISH;
+    int sends_end = step->action == PPS_CONN_NEXT ||
+                    step->action == PPS_CONN_DISCARD_REST ||
+                    step->action == PPS_CONN_FINISH;
 
     cr_assert(!model->is_closed || step->action == PPS_CONN_IGNORE,
               "an action after the close");
