Bodies of callers share a bounded part of the memory, by workspace

Cause: each body was bounded, their sum was not, and a body is held up to three times: as it was read, as it is sent, and as far as the worker's socket does not take it.

Change: a body over 16 KiB that has not come with its head is charged with its copies before it is read, to its workspace or to the caller's address. While there is no room, nothing more is read from its caller. Room goes to the owner that holds least; the largest body of one that holds more gives way. Who waits over 1 s gets 503 with Retry-After.

--- a/src/libpapayaswitch/exchange/decision_log.c
+++ b/src/libpapayaswitch/exchange/decision_log.c
@@ -12,6 +12,7 @@
 #define US_TO_MS(us) ((us) / PPS_US_PER_MS)
 #define NO_REPORT_AGE (-1)
 #define NO_ANSWER (-1)
+#define STATUS_UNAVAILABLE 503
 /** Number of a prompt's parts that a line has, from the last on. */
 #define LOGGED_PARTS_MAX 8
 #define DIGEST_TEXT_BYTES 18
@@ -42,6 +43,27 @@
                    PPS_STR("reason", reason), PPS_INT("revision", revision)));
 }
 
+void
+pps_decision_log_body_refused(const pps_dispatcher_t *dispatcher,
+                              const pps_body_owner_t *owner, size_t bytes)
+{
+    const pps_byte_account_t *account = &dispatcher->bodies.account;
+    const pps_deployment_t *deployment = dispatcher->deployment;
+    size_t owner_bytes =
+        pps_byte_account_source_bytes(account, pps_body_owner_digest(owner));
+
+    pps_counter_add(PPS_COUNTER_ENTRY_BODY_REFUSALS, 1);
+    pps_logger_write(PPS_LOG_WARN, "body_refused",
+                     PPS_FIELDS(PPS_STR("request", owner->id),
+                                PPS_STR("owner", owner->name),
+                                PPS_INT("bytes", bytes),
+                                PPS_INT("owner_bytes", owner_bytes),
+                                PPS_INT("all_bytes", account->bytes),
+                                PPS_INT("max_bytes", account->max)));
+    pps_decision_log_refused(owner->id, STATUS_UNAVAILABLE, "memory",
+                             deployment != NULL ? deployment->revision : 0);
+}
+
 void
 pps_decision_log_admitted(const pps_exchange_t *exchange)
 {
--- a/src/libpapayaswitch/exchange/decision_log.h
+++ b/src/libpapayaswitch/exchange/decision_log.h
@@ -46,6 +46,13 @@
 void
 pps_decision_log_foreign_answer(const pps_exchange_t *exchange);
 
+/** Logs and counts that a request is refused, as there is no room for its
+ * body.
+ */
+void
+pps_decision_log_body_refused(const pps_dispatcher_t *dispatcher,
+                              const pps_body_owner_t *owner, size_t bytes);
+
 /** Logs and counts that what is held of an answer is given up, as the host
  * holds too much in all.
  * @param held of the attempt, or of its copy, before it is released */
--- a/src/libpapayaswitch/exchange/dispatcher.c
+++ b/src/libpapayaswitch/exchange/dispatcher.c
@@ -30,6 +30,7 @@
     memset(dispatcher, 0, sizeof(*dispatcher));
     dispatcher->reactor = reactor;
     pps_byte_account_init(&dispatcher->held, 0);
+    pps_body_gate_init(&dispatcher->bodies, 0);
     pps_dispatcher_set_options(dispatcher, options);
     dispatcher->caller = caller;
     dispatcher->worker = worker;
@@ -60,6 +61,9 @@
     dispatcher->held.max = options->held_bytes_max > 0
                                ? options->held_bytes_max
                                : PPS_HELD_BYTES_DEFAULT;
+    dispatcher->bodies.account.max = options->body_bytes_max > 0
+                                         ? options->body_bytes_max
+                                         : PPS_BODY_BYTES_DEFAULT;
 }
 
 int
@@ -174,6 +178,12 @@
     pps_exchange_check_head(user, conn, request);
 }
 
+static void
+on_released(void *user, void *holding)
+{
+    pps_body_gate_release(user, holding);
+}
+
 static void
 on_caller_gone(void *user, void *exchange)
 {
@@ -187,4 +197,4 @@
 }
 
 const pps_http_server_ops_t pps_dispatcher_server_ops = {
-    on_request, on_caller_gone, on_caller_drained, on_head};
+    on_request, on_caller_gone, on_caller_drained, on_head, on_released};
--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -8,6 +8,7 @@
 #ifndef PPS_EXCHANGE_DISPATCHER_H
 #define PPS_EXCHANGE_DISPATCHER_H
 
+#include "body_gate.h"
 #include "call.h"
 #include "deployment/deployment.h"
 #include "deployment/region_map.h"
@@ -57,6 +58,8 @@
     pps_rollout_bounds_t rollout;
     size_t held_bytes_max; /**< of workers' answers, over all requests; 0:
                                 PPS_HELD_BYTES_DEFAULT */
+    size_t body_bytes_max; /**< of callers' requests, over all of them; 0:
+                                PPS_BODY_BYTES_DEFAULT */
     int has_pressure; /**< the deployment has the contract `pressure`: hosts
                            share what they know of the workers' load */
 } pps_dispatch_options_t;
@@ -204,6 +207,7 @@
     struct cds_list_head breaks; /**< workers being probed; crash_watch.h */
     struct cds_list_head left_calls; /**< see left_call.h */
     pps_byte_account_t held;         /**< bytes that workers have sent */
+    pps_body_gate_t bodies;          /**< of callers' requests */
     pps_prefix_affinity_t prefixes;
     pps_reachability_t reach;    /**< reachability of the workers */
     pps_path_state_t paths;      /**< whether other hosts reach them */
--- a/src/libpapayaswitch/exchange/exchange_admission.c
+++ b/src/libpapayaswitch/exchange/exchange_admission.c
@@ -7,6 +7,7 @@
 #include "decision_log.h"
 #include "exchange_refusal.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 #define STATUS_UNAUTHORIZED 401
@@ -217,17 +218,36 @@
     }
 }
 
-/* Lets the body come, but not after the deadline. */
+static void
+fill_owner(pps_body_owner_t *out, const pps_exchange_t *exchange)
+{
+    const pps_workspace_t *workspace = exchange->workspace;
+
+    out->id = exchange->call.id;
+    if (workspace != NULL) {
+        snprintf(out->name, sizeof(out->name), "%s", workspace->name);
+    }
+    else {
+        pps_http_conn_peer_address(out->name, sizeof(out->name),
+                                   exchange->conn);
+    }
+}
+
+/* Lets the body come when there is room, but not after the deadline. */
 static void
 await_body(pps_exchange_t *exchange)
 {
+    pps_dispatcher_t *dispatcher = exchange->dispatcher;
     pps_http_conn_t *conn = exchange->conn;
+    pps_body_owner_t owner;
 
+    fill_owner(&owner, exchange);
     if (exchange->route != NULL) {
         pps_http_conn_limit_reading(conn, pps_exchange_time_left_us(exchange));
     }
     pps_http_conn_attach(conn, NULL);
     pps_exchange_free(exchange);
+    pps_body_gate_enter(dispatcher, conn, &owner);
 }
 
 void
--- a/src/libpapayaswitch/memory/byte_account.c
+++ b/src/libpapayaswitch/memory/byte_account.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #define GAUGE_PREFIX "papayaswitch_"
-#define HELD_GAUGE GAUGE_PREFIX "entry_held_bytes"
 
 void
 pps_byte_account_init(pps_byte_account_t *account, size_t max)
@@ -134,37 +133,57 @@
     return PPS_OK;
 }
 
+size_t
+pps_byte_account_source_bytes(const pps_byte_account_t *account,
+                              uint64_t digest)
+{
+    pps_table_item_t *item =
+        pps_table_find(&account->sources, &digest, sizeof(digest));
+
+    return item != NULL
+               ? caa_container_of(item, pps_byte_source_t, item)->bytes
+               : 0;
+}
+
 const char *
 pps_held_kind_name(pps_held_kind_t kind)
 {
     static const char *const names[PPS_HELD_KINDS] = {"answer", "event",
-                                                      "copy"};
+                                                      "copy", "body"};
 
     return names[kind];
 }
 
 static void
-expose_gauge(pps_buf_t *out, const char *name, const char *help, size_t value)
+describe(pps_buf_t *out, const pps_byte_account_labels_t *labels,
+         const char *suffix, const char *help)
+{
+    pps_buf_printf(out, "# HELP %s%s%s %s %s\n# TYPE %s%s%s gauge\n",
+                   GAUGE_PREFIX, labels->name, suffix, help, labels->what,
+                   GAUGE_PREFIX, labels->name, suffix);
+}
+
+static void
+expose_gauge(pps_buf_t *out, const pps_byte_account_labels_t *labels,
+             const char *suffix, const char *help, size_t value)
 {
-    pps_buf_printf(out, "# HELP %s%s %s\n# TYPE %s%s gauge\n%s%s %zu\n",
-                   GAUGE_PREFIX, name, help, GAUGE_PREFIX, name, GAUGE_PREFIX,
-                   name, value);
+    describe(out, labels, suffix, help);
+    pps_buf_printf(out, "%s%s%s %zu\n", GAUGE_PREFIX, labels->name, suffix,
+                   value);
 }
 
 void
-pps_byte_account_expose(pps_buf_t *out, const pps_byte_account_t *account)
+pps_byte_account_expose(pps_buf_t *out, const pps_byte_account_t *account,
+                        const pps_byte_account_labels_t *labels)
 {
-    expose_gauge(out, "entry_held_max_bytes",
-                 "Limit of the bytes held of workers' answers", account->max);
-    expose_gauge(out, "entry_held_peak_bytes",
-                 "Most bytes held since the start", account->peak);
-    pps_buf_printf(out,
-                   "# HELP %s Bytes held of workers' answers\n"
-                   "# TYPE %s gauge\n",
-                   HELD_GAUGE, HELD_GAUGE);
+    expose_gauge(out, labels, "_max_bytes", "Limit of the bytes held",
+                 account->max);
+    expose_gauge(out, labels, "_peak_bytes", "Most bytes held since the start",
+                 account->peak);
+    describe(out, labels, "_bytes", "Bytes held");
     for (int kind = 0; kind < PPS_HELD_KINDS; kind++) {
-        pps_buf_printf(out, "%s{kind=\"%s\"} %zu\n", HELD_GAUGE,
-                       pps_held_kind_name((pps_held_kind_t)kind),
+        pps_buf_printf(out, "%s%s_bytes{kind=\"%s\"} %zu\n", GAUGE_PREFIX,
+                       labels->name, pps_held_kind_name((pps_held_kind_t)kind),
                        account->kind_bytes[kind]);
     }
 }
--- a/src/libpapayaswitch/memory/byte_account.h
+++ b/src/libpapayaswitch/memory/byte_account.h
@@ -23,6 +23,7 @@
     PPS_HELD_ANSWER, /**< answers that callers get when they are whole */
     PPS_HELD_EVENT,  /**< events of streams that are not complete */
     PPS_HELD_COPY,   /**< answers to copies of slow requests */
+    PPS_HELD_BODY,   /**< bodies of callers' requests, with their copies */
     PPS_HELD_KINDS
 } pps_held_kind_t;
 
@@ -92,13 +93,26 @@
 pps_held_t *
 pps_byte_account_find_largest(const pps_byte_account_t *account);
 
+/** Returns the bytes that a source holds. */
+size_t
+pps_byte_account_source_bytes(const pps_byte_account_t *account,
+                              uint64_t digest);
+
 /** Returns the name of a kind, such as "answer". */
 const char *
 pps_held_kind_name(pps_held_kind_t kind);
 
+/** How the gauges of an account are named and described. */
+typedef struct {
+    const char *name; /**< such as "entry_held" */
+    const char *what; /**< whose bytes they are, such as "of workers' answers"
+                       */
+} pps_byte_account_labels_t;
+
 /** Appends the bytes of an account, by kind, as gauges in the Prometheus text
  * format. A failure is kept in the buffer. */
 void
-pps_byte_account_expose(pps_buf_t *out, const pps_byte_account_t *account);
+pps_byte_account_expose(pps_buf_t *out, const pps_byte_account_t *account,
+                        const pps_byte_account_labels_t *labels);
 
 #endif
--- a/src/libpapayaswitch/transport/http_conn.c
+++ b/src/libpapayaswitch/transport/http_conn.c
@@ -38,6 +38,7 @@
     cds_list_del(&conn->node);
     conn->server->conn_count--;
     uv_close((uv_handle_t *)&conn->tcp, on_closed);
+    pps_http_conn_discard_body(conn);
 }
 
 static void
@@ -108,6 +109,7 @@
 {
     conn->shutdown.data = conn;
     pps_input_queue_clear(&conn->input);
+    pps_http_conn_discard_body(conn);
     pps_http_conn_read(conn);
     if (pps_http_conn_flush(conn) != 0 ||
         uv_shutdown(&conn->shutdown, (uv_stream_t *)&conn->tcp, on_shutdown) !=
--- a/src/libpapayaswitch/transport/http_conn_input.c
+++ b/src/libpapayaswitch/transport/http_conn_input.c
@@ -27,6 +27,56 @@
  * connection can be kept. */
 #define REST_BYTES_MAX (64U << 10)
 
+void
+pps_http_conn_release(pps_http_conn_t *conn)
+{
+    void *holding = conn->holding;
+
+    conn->holding = NULL;
+    if (holding != NULL) {
+        conn->server->ops->on_released(conn->server->user, holding);
+    }
+}
+
+void
+pps_http_conn_discard_body(pps_http_conn_t *conn)
+{
+    pps_request_reader_discard_body(&conn->reader);
+    pps_http_conn_release(conn);
+}
+
+void
+pps_http_conn_hold(pps_http_conn_t *conn, void *holding)
+{
+    conn->holding = holding;
+}
+
+int
+pps_http_conn_is_reading(const pps_http_conn_t *conn)
+{
+    return conn->state == PPS_CONN_READING;
+}
+
+uint64_t
+pps_http_conn_body_bytes(const pps_http_conn_t *conn)
+{
+    uint64_t left = pps_request_reader_body_left(&conn->reader);
+
+    return left == UINT64_MAX ? left : left + conn->reader.request.body.size;
+}
+
+void
+pps_http_conn_pause_reading(pps_http_conn_t *conn)
+{
+    uv_read_stop((uv_stream_t *)&conn->tcp);
+}
+
+void
+pps_http_conn_resume_reading(pps_http_conn_t *conn)
+{
+    pps_http_conn_read(conn);
+}
+
 static void
 deliver_request(pps_http_conn_t *conn)
 {
@@ -195,6 +245,7 @@
 pps_http_conn_await_request(pps_http_conn_t *conn)
 {
     pps_request_reader_begin(&conn->reader);
+    pps_http_conn_release(conn);
     conn->has_seen_head = 0;
     if (pps_input_queue_size(&conn->input) > 0) {
         pps_reactor_defer(conn->server->reactor, &conn->next_request,
--- a/src/libpapayaswitch/transport/http_conn_output.c
+++ b/src/libpapayaswitch/transport/http_conn_output.c
@@ -102,7 +102,8 @@
         pps_http_conn_await_request(conn);
         break;
     case PPS_CONN_DISCARD_REST:
-        pps_request_reader_discard_body(&conn->reader);
+        pps_http_conn_discard_body(conn);
+        pps_http_conn_read(conn);
         break;
     case PPS_CONN_FINISH:
         pps_http_conn_finish(conn);
--- a/src/libpapayaswitch/transport/http_server.h
+++ b/src/libpapayaswitch/transport/http_server.h
@@ -36,6 +36,9 @@
      * NULL. */
     void (*on_head)(void *user, pps_http_conn_t *conn,
                     const pps_http_request_t *request);
+    /** Reports that the body of a request has been freed, with the connection
+     * or before; called once after pps_http_conn_hold(). */
+    void (*on_released)(void *user, void *holding);
 } pps_http_server_ops_t;
 
 /** Listens on an IPv4 address; port 0 selects a free port. `limits` and `ops`
@@ -71,6 +74,29 @@
 void
 pps_http_conn_attach(pps_http_conn_t *conn, void *exchange);
 
+/** Sets the object that `on_released` receives when the request's body is
+ * freed. Only in `on_head`. */
+void
+pps_http_conn_hold(pps_http_conn_t *conn, void *holding);
+
+/** Returns whether a request is being read that is not complete. */
+int
+pps_http_conn_is_reading(const pps_http_conn_t *conn);
+
+/** Returns the bytes of the body whose head is complete, or UINT64_MAX if that
+ * does not tell. */
+uint64_t
+pps_http_conn_body_bytes(const pps_http_conn_t *conn);
+
+/** Stops reading a request, so that a disconnect is not seen either. The time
+ * for it goes on. */
+void
+pps_http_conn_pause_reading(pps_http_conn_t *conn);
+
+/** Goes on reading. */
+void
+pps_http_conn_resume_reading(pps_http_conn_t *conn);
+
 /** Sets the longest time from now until a request whose head is complete has
  * come; a shorter one remains. */
 void
--- a/src/libpapayaswitch/transport/http_server_state.h
+++ b/src/libpapayaswitch/transport/http_server_state.h
@@ -42,6 +42,7 @@
     int awaits_drained;
     size_t drained_bytes; /* at which the owner is told */
     void *exchange;       /* set by pps_http_conn_attach(), or NULL */
+    void *holding;        /* set by pps_http_conn_hold(), or NULL */
 };
 
 /** Accepts a pending connection and starts reading. */
@@ -56,6 +57,15 @@
 void
 pps_http_conn_read(pps_http_conn_t *conn);
 
+/** Frees what is kept of the request's body, and keeps no more of it. */
+void
+pps_http_conn_discard_body(pps_http_conn_t *conn);
+
+/** Reports that the request's body has been freed, if the owner wants to know.
+ */
+void
+pps_http_conn_release(pps_http_conn_t *conn);
+
 /** Goes on discarding input behind the last response. Closing with unread
  * input resets the connection, and the caller may lose the response. */
 void
