Tests: early answers wait for the relay's connection instead of blocking on it

Cause: accept() blocks, and the loop that would connect runs in the same thread. A relay connects when it has the whole request of 8 MiB, which took more than the 30 ms that the test waited.

Change: the loop runs until a connection has come, 3 s at most, and fails then.

--- a/tests/entry/test_early_answers.c
+++ b/tests/entry/test_early_answers.c
@@ -15,6 +15,7 @@
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <errno.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -86,6 +87,22 @@
     return fd;
 }
 
+/* Runs the loop until a connection has come and the request is being written,
+ * and accepts it. */
+static int
+accept_from(int listener, pps_reactor_t *reactor)
+{
+    struct pollfd ready = {.fd = listener, .events = POLLIN};
+    int waited_ms = 0;
+
+    do {
+        net_run_for(reactor, SETTLE_MS);
+        waited_ms += SETTLE_MS;
+    } while (poll(&ready, 1, 0) == 0 && waited_ms < LIMIT_MS);
+    cr_assert_eq(poll(&ready, 1, 0), 1, "no connection has come");
+    return accept(listener, NULL, NULL);
+}
+
 static char *
 make_request(size_t *size)
 {
@@ -173,8 +190,7 @@
     cr_assert_eq(pps_http_channel_call(channel, text, size,
                                        &channel_outcome_ops, &outcome),
                  0);
-    net_run_for(&reactor, SETTLE_MS);
-    fd = accept(listener, NULL, NULL);
+    fd = accept_from(listener, &reactor);
     pps_http_channel_pause(channel);
     answer(item, &reactor, fd, size);
     pps_http_channel_resume(channel);
@@ -258,8 +274,7 @@
 
     hosts_start(&hosts, 2, &unused, 1);
     call = call_through_relay(&hosts, address, text, size, &outcome);
-    net_run_for(&hosts.reactor, SETTLE_MS);
-    fd = accept(listener, NULL, NULL);
+    fd = accept_from(listener, &hosts.reactor);
     pps_relay_call_pause(call);
     fill_relay(&hosts.reactor, fd);
     reset(fd);
