Flood: callers with large requests, whole, held back and without a key

Cause: the flood knew workers that send without end and callers that read slowly, not callers that send much.

Change: three forms (uploads, uploads-held, uploads-keyless); callers have keys of two workspaces; a worker knows a request's end by its last bytes.

--- a/src/libpapayaswitch/exchange/body_gate.c
+++ b/src/libpapayaswitch/exchange/body_gate.c
@@ -40,7 +40,7 @@
 pps_body_gate_init(pps_body_gate_t *gate, size_t max)
 {
     pps_byte_account_init(&gate->account, max);
-    CDS_INIT_LIST_HEAD(&gate->reading);
+    CDS_INIT_LIST_HEAD(&gate->held);
     CDS_INIT_LIST_HEAD(&gate->waiting);
     gate->waiting_count = 0;
     gate->is_pumping = 0;
@@ -119,7 +119,7 @@
     body_t *largest = NULL;
     body_t *body;
 
-    cds_list_for_each_entry (body, &gate->reading, node) {
+    cds_list_for_each_entry (body, &gate->held, node) {
         if (!pps_http_conn_is_reading(body->conn) ||
             source_bytes(body) <= source_bytes(next) + next->bytes) {
             continue;
@@ -133,6 +133,7 @@
     return largest;
 }
 
+/* Not called as long as room is made before a body gets it. */
 static void
 give_up(void *owner)
 {
@@ -153,7 +154,7 @@
 
     if (error == 0) {
         stop_waiting(body);
-        cds_list_add_tail(&body->node, &gate->reading);
+        cds_list_add_tail(&body->node, &gate->held);
         pps_http_conn_resume_reading(body->conn);
     }
     return error;
--- a/src/libpapayaswitch/exchange/body_gate.h
+++ b/src/libpapayaswitch/exchange/body_gate.h
@@ -22,10 +22,10 @@
 /** Bodies of one host. Initialize with pps_body_gate_init(). */
 typedef struct {
     pps_byte_account_t account;
-    struct cds_list_head reading; /**< bodies that have room */
+    struct cds_list_head held;    /**< bodies that have room */
     struct cds_list_head waiting; /**< bodies that wait for room */
     size_t waiting_count;
-    int is_pumping;
+    int is_pumping; /**< room is being given to those that wait */
 } pps_body_gate_t;
 
 /** Longest name of a body's owner that is kept, with its end. */
--- a/tests/flood/flood.c
+++ b/tests/flood/flood.c
@@ -22,6 +22,10 @@
 #define SOUND_REQUESTS 120
 #define SOUND_INTERVAL_US (100 * PPS_US_PER_MS)
 #define HEARTBEAT_US (400 * PPS_US_PER_MS)
+#define SMALL_BODY_BYTES 4
+#define SMALL_ANSWER_BYTES 2
+#define BAD_KEY "Authorization: Token bad\r\n"
+#define SOUND_KEY "Authorization: Token sound\r\n"
 #define SLOW_BEHIND_BYTES (16U << 10)
 #define SLOW_PAUSE_US (6 * PPS_US_PER_S)
 #define FILES_MAX 20000
@@ -64,8 +68,10 @@
     "{\"name\":\"c\",\"host\":\"h\",\"path_prefix\":\"/sound/\",\"kind\":"
     "\"non_idempotent\",\"service\":\"sound\",\"max_attempts\":1,"
     "\"timeout_ms\":5000,\"target_latency_ms\":1000}],"
-    "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,"
-    "\"header_timeout_ms\":5000,\"idle_timeout_ms\":15000}}";
+    "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":1048576,"
+    "\"header_timeout_ms\":5000,\"idle_timeout_ms\":15000},"
+    "\"tenants\":[{\"name\":\"bad\",\"api_keys\":[\"bad\"]},"
+    "{\"name\":\"sound\",\"api_keys\":[\"sound\"]}]}";
 
 static void
 write_entries(void)
@@ -170,7 +176,10 @@
 static void
 on_sound_timer(int64_t now_us, void *user)
 {
-    static const flood_reading_t reading = {"/sound/x", 2, 0, 0};
+    static const flood_reading_t reading = {.path = "/sound/x",
+                                            .key = SOUND_KEY,
+                                            .upload_bytes = SMALL_BODY_BYTES,
+                                            .body_bytes = SMALL_ANSWER_BYTES};
 
     if (flood.sound.sent < SOUND_REQUESTS) {
         flood_caller_start(&flood.reactor,
@@ -191,6 +200,13 @@
     static flood_reading_t reading;
 
     reading.path = flood.form->path;
+    reading.key = flood.form->key != NULL ? flood.form->key : BAD_KEY;
+    reading.upload_bytes = SMALL_BODY_BYTES;
+    reading.is_held_back = flood.form->is_held_back;
+    if (flood.form->kind == FLOOD_UPLOAD) {
+        reading.upload_bytes = flood.form->bytes;
+        reading.body_bytes = SMALL_ANSWER_BYTES;
+    }
     if (flood.form->kind == FLOOD_STREAM) {
         reading.body_bytes = (size_t)FLOOD_EVENTS * FLOOD_EVENT_BYTES;
         reading.pause_behind = SLOW_BEHIND_BYTES;
@@ -219,7 +235,9 @@
     for (int i = 0; i < BAD_WORKERS + SOUND_WORKERS; i++) {
         snprintf(id, sizeof(id), "w%d", i);
         flood_worker_start(&flood.workers[i], &flood.reactor, id,
-                           i < BAD_WORKERS ? flood.form : NULL);
+                           i < BAD_WORKERS && flood.form->kind != FLOOD_UPLOAD
+                               ? flood.form
+                               : NULL);
     }
     write_entries();
     for (int i = 0; i < HOSTS; i++) {
--- a/tests/flood/flood.h
+++ b/tests/flood/flood.h
@@ -1,8 +1,9 @@
 /**
  * @file flood.h
  * @brief Flood test: real hosts between many callers and workers that send
- * without end, or whose answers are read slowly. Measures the memory of the
- * hosts, and whether requests to another upstream are served meanwhile.
+ * without end, or whose answers are read slowly, or callers with large
+ * requests. Measures the memory of the hosts, and whether requests to another
+ * upstream are served meanwhile.
  */
 #ifndef PPS_TESTS_FLOOD_FLOOD_H
 #define PPS_TESTS_FLOOD_FLOOD_H
@@ -16,12 +17,17 @@
 /** Events of a sound stream, and the bytes of each. */
 #define FLOOD_EVENTS 900
 #define FLOOD_EVENT_BYTES 1024
+/** What the body of a request ends with. */
+#define FLOOD_BODY_END "body"
+/** Largest body of a request. */
+#define FLOOD_UPLOAD_MAX (1U << 20)
 
 /** What a worker sends. */
 typedef enum {
     FLOOD_ENDLESS, /**< `begin`, then `more` until its connection is closed */
     FLOOD_HALF,    /**< the same up to `bytes`, then nothing */
     FLOOD_STREAM,  /**< a sound stream, which its caller stops to read */
+    FLOOD_UPLOAD,  /**< a short answer to a large request */
 } flood_kind_t;
 
 /** A form of a flood. */
@@ -32,6 +38,9 @@
     const char *begin; /**< "%s" stands for the fields of a sound answer */
     const char *more;
     size_t bytes;
+    const char *key;  /**< header line of the callers; NULL: their workspace's
+                       */
+    int is_held_back; /**< the last byte of a large request does not come */
 } flood_form_t;
 
 extern const flood_form_t flood_forms[];
@@ -60,9 +69,12 @@
     size_t false_ends; /**< streams that looked complete and were not */
 } flood_counts_t;
 
-/** How a caller reads. */
+/** What a caller sends, and how it reads. */
 typedef struct {
     const char *path;
+    const char *key;     /**< header line, or "" */
+    size_t upload_bytes; /**< of its request's body */
+    int is_held_back;    /**< the last of them does not come */
     size_t body_bytes;   /**< of a whole answer */
     size_t pause_behind; /**< bytes after which it stops; 0: never */
     int64_t pause_us;
--- a/tests/flood/flood_caller.c
+++ b/tests/flood/flood_caller.c
@@ -9,7 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define REQUEST_BYTES 256
+#define HEAD_BYTES 256
 #define RECEIVE_BUFFER_BYTES 8192
 #define STATUS_UNAVAILABLE 503
 
@@ -130,23 +130,48 @@
     }
 }
 
+/* Returns a body that ends with FLOOD_BODY_END. */
+static char *
+body_of(size_t size)
+{
+    static char body[FLOOD_UPLOAD_MAX];
+    const size_t end = strlen(FLOOD_BODY_END);
+
+    if (body[0] == '\0') {
+        memset(body, 'u', sizeof(body));
+        memcpy(body + sizeof(body) - end, FLOOD_BODY_END, end);
+    }
+    return body + sizeof(body) - size;
+}
+
+static void
+send_request(caller_t *caller)
+{
+    const flood_reading_t *reading = caller->reading;
+    size_t sent = reading->upload_bytes - (size_t)reading->is_held_back;
+    char head[HEAD_BYTES];
+    uv_buf_t pieces[2];
+
+    snprintf(head, sizeof(head),
+             "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: f%u\r\n"
+             "%sX-Deadline-Ms: 30000\r\nContent-Length: %zu\r\n\r\n",
+             reading->path, next_id++, reading->key, reading->upload_bytes);
+    pieces[0] = uv_buf_init(head, (unsigned int)strlen(head));
+    pieces[1] =
+        uv_buf_init(body_of(reading->upload_bytes), (unsigned int)sent);
+    pps_tcp_write(&caller->tcp, pieces, 2);
+}
+
 static void
 on_connected(uv_connect_t *connect, int status)
 {
     caller_t *caller = connect->data;
-    char text[REQUEST_BYTES];
-    uv_buf_t piece;
 
     if (status != 0) {
         end(caller, 0);
         return;
     }
-    snprintf(text, sizeof(text),
-             "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: f%u\r\n"
-             "X-Deadline-Ms: 30000\r\nContent-Length: 4\r\n\r\nbody",
-             caller->reading->path, next_id++);
-    piece = uv_buf_init(text, (unsigned int)strlen(text));
-    pps_tcp_write(&caller->tcp, &piece, 1);
+    send_request(caller);
     uv_read_start((uv_stream_t *)&caller->tcp, pps_tcp_get_read_buffer,
                   on_read);
 }
--- a/tests/flood/flood_forms.c
+++ b/tests/flood/flood_forms.c
@@ -42,6 +42,11 @@
     {"comments", FLOOD_ENDLESS, "/stream/x", EVENTS, "8\r\n: a b c\n\r\n",
      ENDLESS_BYTES},
     {"slow-callers", FLOOD_STREAM, "/stream/x", EVENTS, "", 0},
+    {"uploads", FLOOD_UPLOAD, "/once/x", NULL, NULL, FLOOD_UPLOAD_MAX},
+    {"uploads-held", FLOOD_UPLOAD, "/once/x", NULL, NULL, FLOOD_UPLOAD_MAX,
+     NULL, 1},
+    {"uploads-keyless", FLOOD_UPLOAD, "/once/x", NULL, NULL, FLOOD_UPLOAD_MAX,
+     "", 1},
 };
 
 const size_t flood_form_count = sizeof(flood_forms) / sizeof(*flood_forms);
--- a/tests/flood/flood_worker.c
+++ b/tests/flood/flood_worker.c
@@ -184,15 +184,15 @@
 on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
 {
     peer_t *peer = stream->data;
-    const char *end;
+    const size_t end = strlen(FLOOD_BODY_END);
 
     if (size < 0) {
         close_peer(peer);
         return;
     }
     pps_buf_append(&peer->got, buffer->base, (size_t)size);
-    end = strstr(pps_buf_text(&peer->got), "\r\n\r\n");
-    if (end != NULL && strstr(end, "body") != NULL) {
+    if (peer->got.size > end && memcmp(peer->got.data + peer->got.size - end,
+                                       FLOOD_BODY_END, end) == 0) {
         answer(peer);
     }
 }
