Copies: changes are not sent from before deletions that a listing made forgotten

What callers saw: nothing that was traced to it; a host could keep a worker whose entry was gone, and go on sending to it.

Cause: the end of a listing forgets all deletions, since those of a listing have no offsets, but noted that every deletion from the listing's end on is remembered. Records of other hosts that come during the listing lie behind that end. A deletion among them was forgotten too, and hosts that asked for the changes from there on did not get it.

Change: what is known begins at the copy's end after the listing.

Measured: test_mirror_changes, deletion_behind_the_end_of_a_listing: fails before ("a" is still there after the changes), passes after; test_mirror and test_mirror_epochs pass.

--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -291,11 +291,12 @@
         return 1;
     }
     delete_absent(mirror, listing, end);
-    pps_mirror_forget_deletions(mirror, end);
     if (listing->epoch == mirror->epoch) {
         end_in_same_epoch(mirror, listing, end);
+        pps_mirror_forget_deletions(mirror, mirror->end);
         return listing->key_deleted;
     }
+    pps_mirror_forget_deletions(mirror, end);
     mirror->epoch = listing->epoch;
     mirror->end = end;
     mirror->relevant_end = end;
--- a/src/libpapayaswitch/mirror/mirror_state.h
+++ b/src/libpapayaswitch/mirror/mirror_state.h
@@ -75,7 +75,8 @@
 pps_mirror_note_deletion(pps_mirror_t *mirror, int64_t offset, const char *key,
                          size_t key_size);
 
-/** Forgets the deletions below `end`: those of a listing have no offsets. */
+/** Forgets all deletions: those of a listing have no offsets.
+ * @param end those from there on are remembered again */
 void
 pps_mirror_forget_deletions(pps_mirror_t *mirror, int64_t end);
 
--- a/tests/entry/test_mirror_changes.c
+++ b/tests/entry/test_mirror_changes.c
@@ -113,6 +113,31 @@
     mirror_fixture_end(&from);
 }
 
+/* Guards against a key that stays at the asker: the sender lists the topic,
+ * and in the meantime a record behind the listing's end deletes the key. */
+Test(mirror_changes, deletion_behind_the_end_of_a_listing)
+{
+    mirror_fixture_t from;
+    mirror_fixture_t to;
+    size_t size;
+
+    mirror_fixture_start(&from);
+    mirror_fixture_start(&to);
+    list(from.mirror, 3, 9, "ab");
+    list(to.mirror, 3, 9, "ab");
+    pps_mirror_begin_listing(from.mirror, 3);
+    pps_mirror_apply_listed(from.mirror, 0, "a", 1, "1", 1);
+    mirror_fixture_apply(from.mirror, 12, "a", NULL);
+    pps_mirror_end_listing(from.mirror, 10);
+    mirror_fixture_apply(from.mirror, 13, "c", "1");
+    pps_mirror_sync_end(to.mirror, 9, 11);
+    if (send_changes(from.mirror, to.mirror, 11) == 0) {
+        cr_expect_null(pps_mirror_get(&size, to.mirror, "a"));
+    }
+    mirror_fixture_end(&from);
+    mirror_fixture_end(&to);
+}
+
 /* Changes that do not follow the copy, or are truncated, change nothing. */
 Test(mirror_changes, bad_changes_are_rejected)
 {
