Copies: entries of a listing do not move the relevant end past records not read

Each one moved the copy's relevant end past its own offset, also past the copy's end. A peer that had read up to there stated the same relevant end, which counts as proof of equal content, and this host moved its end past records that it had neither listed nor read (pps_mirror_sync_end()). The same happened between two pages.

Change: only records move the relevant end one by one; a listing moves it to the listing's end when it is over, and an import to the sender's. A record that a listing has overtaken counts, as what was there before it is not known.

Measured: test_mirror_relevance fails before (a relevant end of 10 behind an end of 7; a record is skipped), passes after; the other tests of copies, listings and the start of a host pass.

--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -84,22 +84,21 @@
     return mirror->current_offset;
 }
 
-static void
+/* Returns whether the change is relevant. */
+static int
 notify_change(pps_mirror_t *mirror, const char *key, const char *value,
-              size_t size, int64_t next_offset)
+              size_t size)
 {
-    if (mirror->on_changed(mirror->user, key, value, size) != 0 &&
-        next_offset > mirror->relevant_end) {
-        mirror->relevant_end = next_offset;
-    }
+    return mirror->on_changed(mirror->user, key, value, size) != 0;
 }
 
-static void
-delete_entry(pps_mirror_t *mirror, pps_mirror_entry_t *entry,
-             int64_t next_offset)
+static int
+delete_entry(pps_mirror_t *mirror, pps_mirror_entry_t *entry)
 {
-    notify_change(mirror, entry->key, NULL, 0, next_offset);
+    int is_relevant = notify_change(mirror, entry->key, NULL, 0);
+
     free_entry(mirror, entry);
+    return is_relevant;
 }
 
 static pps_mirror_entry_t *
@@ -130,21 +129,23 @@
 }
 
 void
-pps_mirror_delete_key(pps_mirror_t *mirror, int64_t offset, const char *key,
-                      size_t key_size)
+pps_mirror_delete_key(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
+                      int64_t offset, const char *key, size_t key_size)
 {
     pps_mirror_entry_t *entry = find_entry(mirror, key, key_size);
 
+    *effect = entry == NULL ? PPS_MIRROR_SAME : PPS_MIRROR_OUTDATED;
     mirror->own.key_deleted = 1;
     pps_mirror_note_deletion(mirror, offset, key, key_size);
     if (entry != NULL && is_newer(entry, mirror->epoch, offset)) {
-        delete_entry(mirror, entry, offset + 1);
+        *effect =
+            delete_entry(mirror, entry) ? PPS_MIRROR_CHANGED : PPS_MIRROR_SAME;
     }
 }
 
 static int
-set_entry(pps_mirror_t *mirror, pps_mirror_entry_t *entry, const char *value,
-          size_t size)
+set_entry(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
+          pps_mirror_entry_t *entry, const char *value, size_t size)
 {
     char *stored = malloc(size + 1);
 
@@ -156,19 +157,21 @@
     free(entry->value);
     entry->value = stored;
     entry->size = size;
-    notify_change(mirror, entry->key, entry->value, entry->size,
-                  entry->offset + 1);
+    *effect = notify_change(mirror, entry->key, entry->value, entry->size)
+                  ? PPS_MIRROR_CHANGED
+                  : PPS_MIRROR_SAME;
     return PPS_OK;
 }
 
 int
-pps_mirror_set_value(pps_mirror_t *mirror, int64_t epoch, int64_t offset,
-                     const char *key, size_t key_size, const char *value,
-                     size_t size)
+pps_mirror_set_value(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
+                     int64_t epoch, int64_t offset, const char *key,
+                     size_t key_size, const char *value, size_t size)
 {
     pps_mirror_entry_t *entry = find_entry(mirror, key, key_size);
     int is_same;
 
+    *effect = PPS_MIRROR_OUTDATED;
     if (memchr(key, '\0', key_size) != NULL) {
         return PPS_EINVALID;
     }
@@ -189,13 +192,17 @@
               entry->size == size && memcmp(entry->value, value, size) == 0;
     entry->epoch = epoch;
     entry->offset = offset;
-    return is_same ? PPS_OK : set_entry(mirror, entry, value, size);
+    *effect = PPS_MIRROR_SAME;
+    return is_same ? PPS_OK : set_entry(effect, mirror, entry, value, size);
 }
 
+/* A record counts if it has changed the copy, and also if the copy had a
+ * listed value that is as new: what was there before is not known. */
 int
 pps_mirror_apply_record(pps_mirror_t *mirror, int64_t offset, const char *key,
                         size_t key_size, const char *value, size_t size)
 {
+    pps_mirror_effect_t effect;
     int error = PPS_OK;
 
     if (offset < mirror->end) {
@@ -203,15 +210,17 @@
     }
     mirror->current_offset = offset;
     if (value == NULL) {
-        pps_mirror_delete_key(mirror, offset, key, key_size);
+        pps_mirror_delete_key(&effect, mirror, offset, key, key_size);
     }
     else {
-        error = pps_mirror_set_value(mirror, mirror->epoch, offset, key,
-                                     key_size, value, size);
+        error = pps_mirror_set_value(&effect, mirror, mirror->epoch, offset,
+                                     key, key_size, value, size);
     }
     mirror->current_offset = -1;
     if (error == 0) {
         mirror->end = offset + 1;
+        mirror->relevant_end =
+            effect != PPS_MIRROR_SAME ? mirror->end : mirror->relevant_end;
     }
     return error;
 }
@@ -240,7 +249,6 @@
     mirror->own = (pps_mirror_listing_t){
         .number = mirror->listing,
         .epoch = epoch,
-        .relevant_end_before = mirror->relevant_end,
     };
 }
 
@@ -248,36 +256,41 @@
 pps_mirror_apply_listed(pps_mirror_t *mirror, int64_t offset, const char *key,
                         size_t key_size, const char *value, size_t size)
 {
-    return pps_mirror_set_value(mirror, mirror->own.epoch, offset, key,
-                                key_size, value, size);
+    pps_mirror_effect_t effect;
+    int error = pps_mirror_set_value(&effect, mirror, mirror->own.epoch,
+                                     offset, key, key_size, value, size);
+
+    mirror->own.has_changes |= effect == PPS_MIRROR_CHANGED;
+    return error;
 }
 
-static void
+/* Returns whether a relevant change was made. */
+static int
 delete_absent(pps_mirror_t *mirror, const pps_mirror_listing_t *listing,
               int64_t end)
 {
     pps_mirror_entry_t *entry;
     pps_mirror_entry_t *next;
+    int has_changes = 0;
 
     cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
         int is_absent = entry->listing < listing->number &&
                         entry->epoch == listing->epoch && entry->offset < end;
 
         if (is_absent || entry->epoch < listing->epoch) {
-            delete_entry(mirror, entry, end);
+            has_changes |= delete_entry(mirror, entry);
         }
     }
+    return has_changes;
 }
 
 /* Ends a listing in the copy's epoch. A listing shows no offsets of deletions:
  * pps_mirror_sync_end() must not treat copies listed before and after one as
  * equal. */
 static void
-end_in_same_epoch(pps_mirror_t *mirror, const pps_mirror_listing_t *listing,
-                  int64_t end)
+end_in_same_epoch(pps_mirror_t *mirror, int has_changes, int64_t end)
 {
-    if (mirror->relevant_end != listing->relevant_end_before &&
-        end > mirror->relevant_end) {
+    if (has_changes && end > mirror->relevant_end) {
         mirror->relevant_end = end;
     }
     pps_mirror_advance(mirror, end);
@@ -287,12 +300,14 @@
 pps_mirror_finish_listing(pps_mirror_t *mirror,
                           const pps_mirror_listing_t *listing, int64_t end)
 {
+    int has_changes;
+
     if (listing->epoch < mirror->epoch) {
         return 1;
     }
-    delete_absent(mirror, listing, end);
+    has_changes = delete_absent(mirror, listing, end) || listing->has_changes;
     if (listing->epoch == mirror->epoch) {
-        end_in_same_epoch(mirror, listing, end);
+        end_in_same_epoch(mirror, has_changes, end);
         pps_mirror_forget_deletions(mirror, mirror->end);
         return listing->key_deleted;
     }
@@ -316,7 +331,7 @@
     pps_mirror_entry_t *next;
 
     cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
-        notify_change(mirror, entry->key, entry->value, entry->size, 0);
+        notify_change(mirror, entry->key, entry->value, entry->size);
     }
 }
 
--- a/src/libpapayaswitch/mirror/mirror.h
+++ b/src/libpapayaswitch/mirror/mirror.h
@@ -46,7 +46,8 @@
 int64_t
 pps_mirror_epoch(const pps_mirror_t *mirror);
 
-/** Returns the offset after the last relevant record or its listing, or -1. */
+/** Returns an offset at or after the end of the last relevant record, and at
+ * most the copy's end; -1 if no record or listing has changed the copy. */
 int64_t
 pps_mirror_relevant_end(const pps_mirror_t *mirror);
 
--- a/src/libpapayaswitch/mirror/mirror_copy.c
+++ b/src/libpapayaswitch/mirror/mirror_copy.c
@@ -171,11 +171,12 @@
 
     for (uint32_t i = 0; error == 0 && i < entries->size; i++) {
         const msgpack_object *fields = entries->ptr[i].via.array.ptr;
+        pps_mirror_effect_t effect;
 
         error = pps_mirror_set_value(
-            mirror, epoch, (int64_t)fields[0].via.u64, fields[1].via.bin.ptr,
-            fields[1].via.bin.size, fields[2].via.bin.ptr,
-            fields[2].via.bin.size);
+            &effect, mirror, epoch, (int64_t)fields[0].via.u64,
+            fields[1].via.bin.ptr, fields[1].via.bin.size,
+            fields[2].via.bin.ptr, fields[2].via.bin.size);
     }
     return error;
 }
@@ -205,9 +206,7 @@
 import_copy(pps_mirror_t *mirror, const msgpack_object_array *copy)
 {
     int64_t relevant_end = (int64_t)copy->ptr[1].via.u64;
-    pps_mirror_listing_t listing = {.epoch = copy_epoch(copy),
-                                    .relevant_end_before =
-                                        mirror->relevant_end};
+    pps_mirror_listing_t listing = {.epoch = copy_epoch(copy)};
     int error;
 
     if (listing.epoch < mirror->epoch ||
@@ -257,8 +256,9 @@
 {
     for (uint32_t i = 0; i < deletions->size; i++) {
         const msgpack_object *fields = deletions->ptr[i].via.array.ptr;
+        pps_mirror_effect_t effect;
 
-        pps_mirror_delete_key(mirror, (int64_t)fields[0].via.u64,
+        pps_mirror_delete_key(&effect, mirror, (int64_t)fields[0].via.u64,
                               fields[1].via.bin.ptr, fields[1].via.bin.size);
     }
 }
--- a/src/libpapayaswitch/mirror/mirror_state.h
+++ b/src/libpapayaswitch/mirror/mirror_state.h
@@ -23,7 +23,7 @@
 typedef struct {
     uint64_t number;
     int64_t epoch;
-    int64_t relevant_end_before;
+    int has_changes; /* it has made a relevant change */
     int key_deleted; /* a record deleted a key since the listing began */
 } pps_mirror_listing_t;
 
@@ -58,17 +58,24 @@
     void *user;
 };
 
-/** Sets a value unless the entry's is newer: by epoch, then by offset.
+/** What a record or a listed value has done to the copy. */
+typedef enum {
+    PPS_MIRROR_OUTDATED, /**< nothing: the copy has a value that is as new */
+    PPS_MIRROR_SAME,     /**< nothing that is relevant to other hosts */
+    PPS_MIRROR_CHANGED,
+} pps_mirror_effect_t;
+
+/** Sets a value unless the entry's is as new: by epoch, then by offset.
  * @return 0, PPS_EINVALID if the key has a NUL byte, or PPS_ENOMEM */
 int
-pps_mirror_set_value(pps_mirror_t *mirror, int64_t epoch, int64_t offset,
-                     const char *key, size_t key_size, const char *value,
-                     size_t size);
+pps_mirror_set_value(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
+                     int64_t epoch, int64_t offset, const char *key,
+                     size_t key_size, const char *value, size_t size);
 
 /** Deletes a key unless its value is newer, and remembers the deletion. */
 void
-pps_mirror_delete_key(pps_mirror_t *mirror, int64_t offset, const char *key,
-                      size_t key_size);
+pps_mirror_delete_key(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
+                      int64_t offset, const char *key, size_t key_size);
 
 /** Remembers that a record deleted a key. */
 void
