Copies: whether a record counts depends on the record and the copy, not on the pool

Cause: hosts take equal relevant ends for equal content, but each one asked its own pool whether a record was relevant. The return of an expired entry was no change to a host that had only scheduled the removal; it stated an end behind the return with the old relevant end, and a host that had not read the return moved its end past it. Later the worker's removal changed nothing at that host, so listeners that had the worker were not told.

Change: a record is relevant if it is a deletion, of an unknown key too, if the copy lacks the key or has a listed value as new, or if a digest of what it says differs from the copy's. The pool may add records, never take any away. What another host forwards counts here too. A copy's owner has a table of callbacks.

Why it works: hosts with complete copies find the same records relevant, or more; so equal relevant ends prove that nothing between two ends is missing.

--- a/fuzz/fuzz_copy.c
+++ b/fuzz/fuzz_copy.c
@@ -15,18 +15,20 @@
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
-static int
-on_changed(void *user, const char *key, const char *value, size_t size)
+static void
+on_changed(pps_mirror_relevance_t *out, void *user, const char *key,
+           const char *value, size_t size)
 {
-    return 1;
 }
 
+static const pps_mirror_ops_t mirror_ops = {.on_changed = on_changed};
+
 static void
 import(const char *data, size_t size)
 {
     pps_mirror_t *mirror;
 
-    if (pps_mirror_new(&mirror, on_changed, NULL) == 0) {
+    if (pps_mirror_new(&mirror, &mirror_ops, NULL) == 0) {
         pps_mirror_apply_record(mirror, 3, "a", 1, "1", 1);
         pps_mirror_import(mirror, data, size);
         pps_mirror_free(mirror);
@@ -56,7 +58,7 @@
     pps_buf_t changes = PPS_BUF_INIT;
     pps_mirror_t *mirror;
 
-    if (pps_mirror_new(&mirror, on_changed, NULL) != 0) {
+    if (pps_mirror_new(&mirror, &mirror_ops, NULL) != 0) {
         return;
     }
     pps_mirror_apply_record(mirror, 3, "a", 1, "1", 1);
--- a/fuzz/fuzz_records.c
+++ b/fuzz/fuzz_records.c
@@ -9,12 +9,14 @@
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
-static int
-on_changed(void *user, const char *key, const char *value, size_t size)
+static void
+on_changed(pps_mirror_relevance_t *out, void *user, const char *key,
+           const char *value, size_t size)
 {
-    return 1;
 }
 
+static const pps_mirror_ops_t mirror_ops = {.on_changed = on_changed};
+
 static void
 decode_datagram(const char *text, size_t size)
 {
@@ -49,7 +51,7 @@
     pps_record_parse_status(&rollout, text, size);
     pps_record_check_evacuation(text, size);
     decode_datagram(text, size);
-    if (pps_mirror_new(&mirror, on_changed, NULL) == 0) {
+    if (pps_mirror_new(&mirror, &mirror_ops, NULL) == 0) {
         pps_mirror_import(mirror, text, size);
         pps_mirror_free(mirror);
     }
--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -7,8 +7,7 @@
 #include <string.h>
 
 int
-pps_mirror_new(pps_mirror_t **out, pps_mirror_changed_fn on_changed,
-               void *user)
+pps_mirror_new(pps_mirror_t **out, const pps_mirror_ops_t *ops, void *user)
 {
     pps_mirror_t *mirror = calloc(1, sizeof(*mirror));
 
@@ -19,7 +18,7 @@
     mirror->end = -1;
     mirror->relevant_end = -1;
     mirror->current_offset = -1;
-    mirror->on_changed = on_changed;
+    mirror->ops = ops;
     mirror->user = user;
     *out = mirror;
     return PPS_OK;
@@ -84,21 +83,19 @@
     return mirror->current_offset;
 }
 
-/* Returns whether the change is relevant. */
-static int
-notify_change(pps_mirror_t *mirror, const char *key, const char *value,
-              size_t size)
+static void
+report_deletion(pps_mirror_t *mirror, const char *key)
 {
-    return mirror->on_changed(mirror->user, key, value, size) != 0;
+    pps_mirror_relevance_t unused = {0};
+
+    mirror->ops->on_changed(&unused, mirror->user, key, NULL, 0);
 }
 
-static int
+static void
 delete_entry(pps_mirror_t *mirror, pps_mirror_entry_t *entry)
 {
-    int is_relevant = notify_change(mirror, entry->key, NULL, 0);
-
+    report_deletion(mirror, entry->key);
     free_entry(mirror, entry);
-    return is_relevant;
 }
 
 static pps_mirror_entry_t *
@@ -128,19 +125,54 @@
                                  : offset > entry->offset;
 }
 
-void
-pps_mirror_delete_key(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
-                      int64_t offset, const char *key, size_t key_size)
+static int
+report_unknown_deletion(pps_mirror_t *mirror, const char *key, size_t key_size)
+{
+    char *text = strndup(key, key_size);
+
+    if (text == NULL) {
+        return PPS_ENOMEM;
+    }
+    report_deletion(mirror, text);
+    free(text);
+    return PPS_OK;
+}
+
+int
+pps_mirror_delete_key(pps_mirror_t *mirror, int64_t offset, const char *key,
+                      size_t key_size)
 {
     pps_mirror_entry_t *entry = find_entry(mirror, key, key_size);
 
-    *effect = entry == NULL ? PPS_MIRROR_SAME : PPS_MIRROR_OUTDATED;
+    if (memchr(key, '\0', key_size) != NULL) {
+        return PPS_EINVALID;
+    }
     mirror->own.key_deleted = 1;
     pps_mirror_note_deletion(mirror, offset, key, key_size);
-    if (entry != NULL && is_newer(entry, mirror->epoch, offset)) {
-        *effect =
-            delete_entry(mirror, entry) ? PPS_MIRROR_CHANGED : PPS_MIRROR_SAME;
+    if (entry == NULL) {
+        return report_unknown_deletion(mirror, key, key_size);
+    }
+    if (is_newer(entry, mirror->epoch, offset)) {
+        delete_entry(mirror, entry);
     }
+    return PPS_OK;
+}
+
+/* Reports the entry's new value and compares what it means with the value
+ * before. */
+static pps_mirror_effect_t
+report_value(pps_mirror_t *mirror, pps_mirror_entry_t *entry)
+{
+    pps_mirror_relevance_t relevance = {0};
+    uint64_t before = entry->meaning;
+
+    mirror->ops->on_changed(&relevance, mirror->user, entry->key, entry->value,
+                            entry->size);
+    entry->meaning = relevance.meaning;
+    return relevance.is_needed || relevance.meaning == 0 ||
+                   relevance.meaning != before
+               ? PPS_MIRROR_CHANGED
+               : PPS_MIRROR_SAME;
 }
 
 static int
@@ -157,12 +189,20 @@
     free(entry->value);
     entry->value = stored;
     entry->size = size;
-    *effect = notify_change(mirror, entry->key, entry->value, entry->size)
-                  ? PPS_MIRROR_CHANGED
-                  : PPS_MIRROR_SAME;
+    *effect = report_value(mirror, entry);
     return PPS_OK;
 }
 
+/* Returns whether an entry of an older epoch has the value that a listing of a
+ * newer one shows. */
+static int
+is_listed_again(const pps_mirror_entry_t *entry, int64_t epoch,
+                const char *value, size_t size)
+{
+    return epoch != entry->epoch && entry->value != NULL &&
+           entry->size == size && memcmp(entry->value, value, size) == 0;
+}
+
 int
 pps_mirror_set_value(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
                      int64_t epoch, int64_t offset, const char *key,
@@ -188,43 +228,69 @@
     if (!is_newer(entry, epoch, offset)) {
         return PPS_OK;
     }
-    is_same = epoch != entry->epoch && entry->value != NULL &&
-              entry->size == size && memcmp(entry->value, value, size) == 0;
+    is_same = is_listed_again(entry, epoch, value, size);
     entry->epoch = epoch;
     entry->offset = offset;
     *effect = PPS_MIRROR_SAME;
     return is_same ? PPS_OK : set_entry(effect, mirror, entry, value, size);
 }
 
-/* A record counts if it has changed the copy, and also if the copy had a
- * listed value that is as new: what was there before is not known. */
-int
-pps_mirror_apply_record(pps_mirror_t *mirror, int64_t offset, const char *key,
-                        size_t key_size, const char *value, size_t size)
+/* Reports a relevant record and moves the relevant end past it. */
+static void
+finish_relevant(pps_mirror_t *mirror, const char *key, size_t key_size,
+                const char *value, size_t size)
 {
-    pps_mirror_effect_t effect;
-    int error = PPS_OK;
+    char *text = strndup(key, key_size);
+
+    if (text != NULL && mirror->ops->on_relevant != NULL) {
+        mirror->ops->on_relevant(mirror->user, text, value, size);
+    }
+    free(text);
+    mirror->relevant_end = mirror->current_offset + 1;
+}
+
+/* Applies a record. It is relevant if it changes the copy, and also if the
+ * copy had a listed value that is as new: what was there before is not known.
+ */
+static int
+apply_record(pps_mirror_t *mirror, int64_t offset, const char *key,
+             size_t key_size, const char *value, size_t size, int is_relevant)
+{
+    pps_mirror_effect_t effect = PPS_MIRROR_CHANGED;
+    int error;
 
     if (offset < mirror->end) {
         return PPS_OK;
     }
     mirror->current_offset = offset;
-    if (value == NULL) {
-        pps_mirror_delete_key(&effect, mirror, offset, key, key_size);
-    }
-    else {
-        error = pps_mirror_set_value(&effect, mirror, mirror->epoch, offset,
-                                     key, key_size, value, size);
+    error = value == NULL
+                ? pps_mirror_delete_key(mirror, offset, key, key_size)
+                : pps_mirror_set_value(&effect, mirror, mirror->epoch, offset,
+                                       key, key_size, value, size);
+    if (error == 0 && (is_relevant || effect != PPS_MIRROR_SAME)) {
+        finish_relevant(mirror, key, key_size, value, size);
     }
     mirror->current_offset = -1;
     if (error == 0) {
         mirror->end = offset + 1;
-        mirror->relevant_end =
-            effect != PPS_MIRROR_SAME ? mirror->end : mirror->relevant_end;
     }
     return error;
 }
 
+int
+pps_mirror_apply_record(pps_mirror_t *mirror, int64_t offset, const char *key,
+                        size_t key_size, const char *value, size_t size)
+{
+    return apply_record(mirror, offset, key, key_size, value, size, 0);
+}
+
+int
+pps_mirror_apply_relayed(pps_mirror_t *mirror, int64_t offset, const char *key,
+                         size_t key_size, const char *value, size_t size)
+{
+    return apply_record(mirror, offset, key, key_size, value, size, 1);
+}
+
 void
 pps_mirror_advance(pps_mirror_t *mirror, int64_t end)
 {
@@ -264,36 +330,25 @@
     return error;
 }
 
-/* Returns whether a relevant change was made. */
+/* Returns whether keys were deleted. */
 static int
 delete_absent(pps_mirror_t *mirror, const pps_mirror_listing_t *listing,
               int64_t end)
 {
     pps_mirror_entry_t *entry;
     pps_mirror_entry_t *next;
-    int has_changes = 0;
+    int has_deleted = 0;
 
     cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
         int is_absent = entry->listing < listing->number &&
                         entry->epoch == listing->epoch && entry->offset < end;
 
         if (is_absent || entry->epoch < listing->epoch) {
-            has_changes |= delete_entry(mirror, entry);
+            delete_entry(mirror, entry);
+            has_deleted = 1;
         }
     }
-    return has_changes;
-}
-
-/* Ends a listing in the copy's epoch. A listing shows no offsets of deletions:
- * pps_mirror_sync_end() must not treat copies listed before and after one as
- * equal. */
-static void
-end_in_same_epoch(pps_mirror_t *mirror, int has_changes, int64_t end)
-{
-    if (has_changes && end > mirror->relevant_end) {
-        mirror->relevant_end = end;
-    }
-    pps_mirror_advance(mirror, end);
+    return has_deleted;
 }
 
 int
@@ -306,16 +361,19 @@
         return 1;
     }
     has_changes = delete_absent(mirror, listing, end) || listing->has_changes;
-    if (listing->epoch == mirror->epoch) {
-        end_in_same_epoch(mirror, has_changes, end);
-        pps_mirror_forget_deletions(mirror, mirror->end);
-        return listing->key_deleted;
+    if (listing->epoch > mirror->epoch) {
+        pps_mirror_forget_deletions(mirror, end);
+        mirror->epoch = listing->epoch;
+        mirror->end = end;
+        mirror->relevant_end = end;
+        return 0;
     }
-    pps_mirror_forget_deletions(mirror, end);
-    mirror->epoch = listing->epoch;
-    mirror->end = end;
-    mirror->relevant_end = end;
-    return 0;
+    if (has_changes && end > mirror->relevant_end) {
+        mirror->relevant_end = end;
+    }
+    pps_mirror_advance(mirror, end);
+    pps_mirror_forget_deletions(mirror, mirror->end);
+    return listing->key_deleted;
 }
 
 int
@@ -331,7 +389,7 @@
     pps_mirror_entry_t *next;
 
     cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
-        notify_change(mirror, entry->key, entry->value, entry->size);
+        report_value(mirror, entry);
     }
 }
 
--- a/src/libpapayaswitch/mirror/mirror.h
+++ b/src/libpapayaswitch/mirror/mirror.h
@@ -11,6 +11,12 @@
  * backup starts a higher epoch and assigns offsets again. The copy enters an
  * epoch with the end of a complete listing in it; until then it keeps its
  * content. Nothing of a lower epoch replaces what a higher one has set.
+ *
+ * Hosts compare their copies by the offset after the last relevant record. So
+ * that equal offsets mean equal content, it depends on the record and on the
+ * copy alone whether a record is relevant, and not on what else a host knows:
+ * deletions always are, and values unless they mean the same as the copy's. An
+ * owner may count more records than these, never fewer.
  */
 #ifndef PPS_MIRROR_MIRROR_H
 #define PPS_MIRROR_MIRROR_H
@@ -22,17 +28,31 @@
 /** A copy of a topic. */
 typedef struct pps_mirror pps_mirror_t;
 
-/**
- * Called with a key's new value; `value` is NULL if the key was deleted.
- * @return nonzero if the change is relevant: other hosts need it soon
- */
-typedef int (*pps_mirror_changed_fn)(void *user, const char *key,
-                                     const char *value, size_t size);
-
-/** Creates an empty copy, whose end is -1. @return 0 or PPS_ENOMEM */
+/** Whether other hosts need a value; zero: they do. */
+typedef struct {
+    uint64_t meaning; /**< a digest of what the value says, equal for values
+                           that say the same to all hosts: a function of the
+                           key and the value. 0: unlike any other */
+    int is_needed;    /**< they need it whatever it says */
+} pps_mirror_relevance_t;
+
+/** Callbacks of the owner of a copy. */
+typedef struct {
+    /** Called with a key's new value; `value` is NULL if a record deleted the
+     * key, which the copy may lack.
+     * @param out zero at first; not used for deletions, which are relevant */
+    void (*on_changed)(pps_mirror_relevance_t *out, void *user,
+                       const char *key, const char *value, size_t size);
+    /** Called with each relevant record, after `on_changed` and before the
+     * relevant end moves past it. May be NULL. */
+    void (*on_relevant)(void *user, const char *key, const char *value,
+                        size_t size);
+} pps_mirror_ops_t;
+
+/** Creates an empty copy, whose end is -1. `ops` must outlive it.
+ * @return 0 or PPS_ENOMEM */
 int
-pps_mirror_new(pps_mirror_t **out, pps_mirror_changed_fn on_changed,
-               void *user);
+pps_mirror_new(pps_mirror_t **out, const pps_mirror_ops_t *ops, void *user);
 
 /** Frees a copy; NULL is allowed. */
 void
@@ -62,6 +82,12 @@
 pps_mirror_apply_record(pps_mirror_t *mirror, int64_t offset, const char *key,
                         size_t key_size, const char *value, size_t size);
 
+/** As pps_mirror_apply_record(), for a record that another host has found to
+ * be relevant: it counts here too. */
+int
+pps_mirror_apply_relayed(pps_mirror_t *mirror, int64_t offset, const char *key,
+                         size_t key_size, const char *value, size_t size);
+
 /** Moves the end forward after all records below it have been applied. */
 void
 pps_mirror_advance(pps_mirror_t *mirror, int64_t end);
@@ -118,7 +144,8 @@
 int
 pps_mirror_is_full_copy(const char *data, size_t size);
 
-/** Calls `on_changed` for each key as if its value had just been set. */
+/** Calls `on_changed` for each key as if its value had just been set. No
+ * record counts for it. */
 void
 pps_mirror_replay(pps_mirror_t *mirror);
 
--- a/src/libpapayaswitch/mirror/mirror_copy.c
+++ b/src/libpapayaswitch/mirror/mirror_copy.c
@@ -251,16 +251,19 @@
            are_deletions(&copy->ptr[5]);
 }
 
-static void
+static int
 apply_deletions(pps_mirror_t *mirror, const msgpack_object_array *deletions)
 {
-    for (uint32_t i = 0; i < deletions->size; i++) {
+    int error = PPS_OK;
+
+    for (uint32_t i = 0; error == 0 && i < deletions->size; i++) {
         const msgpack_object *fields = deletions->ptr[i].via.array.ptr;
-        pps_mirror_effect_t effect;
 
-        pps_mirror_delete_key(&effect, mirror, (int64_t)fields[0].via.u64,
-                              fields[1].via.bin.ptr, fields[1].via.bin.size);
+        error = pps_mirror_delete_key(mirror, (int64_t)fields[0].via.u64,
+                                      fields[1].via.bin.ptr,
+                                      fields[1].via.bin.size);
     }
+    return error;
 }
 
 static int
@@ -278,7 +281,9 @@
     }
     error = import_entries(mirror, mirror->epoch, &copy->ptr[2].via.array);
     if (error == 0) {
-        apply_deletions(mirror, &copy->ptr[5].via.array);
+        error = apply_deletions(mirror, &copy->ptr[5].via.array);
+    }
+    if (error == 0) {
         pps_mirror_advance(mirror, (int64_t)copy->ptr[0].via.u64);
         mirror->relevant_end = relevant_end;
     }
--- a/src/libpapayaswitch/mirror/mirror_state.h
+++ b/src/libpapayaswitch/mirror/mirror_state.h
@@ -16,6 +16,7 @@
     size_t size;
     int64_t epoch;
     int64_t offset;   /* in `epoch` */
+    uint64_t meaning; /* of the value; see pps_mirror_relevance_t */
     uint64_t listing; /* newest listing that contains or precedes the value */
 } pps_mirror_entry_t;
 
@@ -23,7 +24,7 @@
 typedef struct {
     uint64_t number;
     int64_t epoch;
-    int has_changes; /* it has made a relevant change */
+    int has_changes; /* it changed the copy */
     int key_deleted; /* a record deleted a key since the listing began */
 } pps_mirror_listing_t;
 
@@ -54,14 +55,14 @@
     pps_mirror_listing_t own; /* the listing between begin and end */
     int64_t current_offset;
     pps_mirror_deletions_t deletions;
-    pps_mirror_changed_fn on_changed;
+    const pps_mirror_ops_t *ops;
     void *user;
 };
 
-/** What a record or a listed value has done to the copy. */
+/** What a value has done to the copy. */
 typedef enum {
     PPS_MIRROR_OUTDATED, /**< nothing: the copy has a value that is as new */
-    PPS_MIRROR_SAME,     /**< nothing that is relevant to other hosts */
+    PPS_MIRROR_SAME,     /**< it is newer, and means the same to all hosts */
     PPS_MIRROR_CHANGED,
 } pps_mirror_effect_t;
 
@@ -72,10 +73,12 @@
                      int64_t epoch, int64_t offset, const char *key,
                      size_t key_size, const char *value, size_t size);
 
-/** Deletes a key unless its value is newer, and remembers the deletion. */
-void
-pps_mirror_delete_key(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
-                      int64_t offset, const char *key, size_t key_size);
+/** Deletes a key unless its value is newer, and remembers the deletion. A key
+ * that the copy lacks is reported too: other hosts may have it.
+ * @return 0, PPS_EINVALID if the key has a NUL byte, or PPS_ENOMEM */
+int
+pps_mirror_delete_key(pps_mirror_t *mirror, int64_t offset, const char *key,
+                      size_t key_size);
 
 /** Remembers that a record deleted a key. */
 void
--- a/tests/entry/mirror_fixture.c
+++ b/tests/entry/mirror_fixture.c
@@ -5,21 +5,26 @@
 #include <criterion/criterion.h>
 #include <string.h>
 
-/* Records each change; values that begin with 'h' are not relevant. */
-static int
-on_changed(void *user, const char *key, const char *value, size_t size)
+/* Records each change. */
+static void
+on_changed(pps_mirror_relevance_t *out, void *user, const char *key,
+           const char *value, size_t size)
 {
     pps_buf_printf(user, "%s%s%.*s;", key, value ? "=" : "-", (int)size,
                    value ? value : "");
-    return value == NULL || value[0] != 'h';
+    if (value != NULL) {
+        out->meaning = 1;
+        out->is_needed = value[0] != 'h';
+    }
 }
 
+static const pps_mirror_ops_t ops = {.on_changed = on_changed};
+
 void
 mirror_fixture_start(mirror_fixture_t *fixture)
 {
     memset(fixture, 0, sizeof(*fixture));
-    cr_assert_eq(
-        pps_mirror_new(&fixture->mirror, on_changed, &fixture->changes), 0);
+    cr_assert_eq(pps_mirror_new(&fixture->mirror, &ops, &fixture->changes), 0);
 }
 
 void
--- a/tests/entry/mirror_fixture.h
+++ b/tests/entry/mirror_fixture.h
@@ -6,7 +6,7 @@
 #include "mirror/mirror.h"
 
 /** A mirror and its changes: "key=value;" or "key-;" each. Values that begin
- * with 'h' are not relevant to other hosts. */
+ * with 'h' mean the same as any value before them. */
 typedef struct {
     pps_buf_t changes;
     pps_mirror_t *mirror;
--- a/tests/entry/store_topic_fixture.c
+++ b/tests/entry/store_topic_fixture.c
@@ -7,14 +7,14 @@
 #include <criterion/criterion.h>
 #include <string.h>
 
-static int
-on_changed(void *user, const char *key, const char *value, size_t size)
+static void
+on_changed(pps_mirror_relevance_t *out, void *user, const char *key,
+           const char *value, size_t size)
 {
     store_topic_fixture_t *fixture = user;
 
     pps_buf_printf(&fixture->changes, "%s%s%.*s;", key, value ? "=" : "-",
                    (int)size, value ? value : "");
-    return 1;
 }
 
 static void
@@ -36,6 +36,7 @@
                    (int)epoch);
 }
 
+static const pps_mirror_ops_t mirror_ops = {.on_changed = on_changed};
 static const pps_store_topic_ops_t ops = {on_read, on_failed, on_epoch};
 static const pps_store_topic_options_t options = {"keyed.t", 0,
                                                   20 * PPS_US_PER_MS};
@@ -47,7 +48,7 @@
     memset(fixture, 0, sizeof(*fixture));
     steady_clock_init_reactor(&fixture->reactor);
     net_server_start(&fixture->server, &fixture->reactor, script, size);
-    cr_assert_eq(pps_mirror_new(&fixture->mirror, on_changed, fixture), 0);
+    cr_assert_eq(pps_mirror_new(&fixture->mirror, &mirror_ops, fixture), 0);
     cr_assert_eq(pps_store_topic_new(&fixture->topic, &fixture->reactor,
                                      fixture->server.address, fixture->mirror,
                                      &options, &ops, fixture),
--- a/tests/entry/test_evacuation_orders.c
+++ b/tests/entry/test_evacuation_orders.c
@@ -32,7 +32,7 @@
     node.store_epoch = 1;
     for (int i = 0; i < NODE_TOPICS; i++) {
         cr_assert_eq(pps_mirror_new(&node.mirrors[i],
-                                    pps_node_on_operator_record, &node),
+                                    &pps_node_operator_mirror_ops, &node),
                      0);
     }
 }
--- a/tests/entry/test_evacuation_relay.c
+++ b/tests/entry/test_evacuation_relay.c
@@ -66,7 +66,7 @@
                                      NULL, NULL),
                  0);
     cr_assert_eq(pps_mirror_new(&node.mirrors[NODE_TOPIC_OPERATOR],
-                                pps_node_on_operator_record, &node),
+                                &pps_node_operator_mirror_ops, &node),
                  0);
     mirror = node.mirrors[NODE_TOPIC_OPERATOR];
     cr_assert_eq(pps_gossip_new(&node.gossip, &node.reactor, "a",
--- a/tests/entry/test_mirror.c
+++ b/tests/entry/test_mirror.c
@@ -184,23 +184,28 @@
     {"peer's copy is empty", -1, -1, 9},
 };
 
-static int
-is_relevant(void *user, const char *key, const char *value, size_t size)
+/* Values of the key "m" are relevant, those of others mean the same. */
+static void
+weigh_key(pps_mirror_relevance_t *out, void *user, const char *key,
+          const char *value, size_t size)
 {
-    return key[0] == 'm';
+    out->meaning = key[0] != 'm';
 }
 
+static const pps_mirror_ops_t ops_of_m = {.on_changed = weigh_key};
+
 /* A host need not read irrelevant records that a peer has read already. */
 Test(mirror, end_follows_a_peer_with_equal_content)
 {
     for (size_t i = 0; i < sizeof(sync_ends) / sizeof(*sync_ends); i++) {
         pps_mirror_t *mirror;
 
-        cr_assert_eq(pps_mirror_new(&mirror, is_relevant, NULL), 0);
+        cr_assert_eq(pps_mirror_new(&mirror, &ops_of_m, NULL), 0);
         pps_mirror_sync_end(mirror, sync_ends[i].relevant_end,
                             sync_ends[i].end);
         cr_expect_eq(pps_mirror_end(mirror), -1);
         pps_mirror_begin_listing(mirror, 0);
+        pps_mirror_apply_listed(mirror, 0, "x", 1, "v", 1);
         pps_mirror_end_listing(mirror, 4);
         pps_mirror_apply_record(mirror, 4, "m", 1, "v", 1);
         pps_mirror_apply_record(mirror, 8, "x", 1, "v", 1);
@@ -213,12 +218,14 @@
     }
 }
 
-static int
-always_relevant(void *user, const char *key, const char *value, size_t size)
+static void
+ignore_change(pps_mirror_relevance_t *out, void *user, const char *key,
+              const char *value, size_t size)
 {
-    return 1;
 }
 
+static const pps_mirror_ops_t ops = {.on_changed = ignore_change};
+
 /* Two hosts list the topic, one before a key was deleted and one after. Both
  * listings have the same newest value but the copies differ, so the first host
  * must not skip the deletion. */
@@ -228,8 +235,8 @@
     pps_mirror_t *after;
     size_t size;
 
-    cr_assert_eq(pps_mirror_new(&before, always_relevant, NULL), 0);
-    cr_assert_eq(pps_mirror_new(&after, always_relevant, NULL), 0);
+    cr_assert_eq(pps_mirror_new(&before, &ops, NULL), 0);
+    cr_assert_eq(pps_mirror_new(&after, &ops, NULL), 0);
     pps_mirror_begin_listing(before, 0);
     pps_mirror_apply_listed(before, 3, "gone", 4, "v", 1);
     pps_mirror_apply_listed(before, 4, "kept", 4, "v", 1);
--- a/tests/entry/test_mirror_relevance.c
+++ b/tests/entry/test_mirror_relevance.c
@@ -9,8 +9,9 @@
 
 typedef enum {
     NONE,
-    RECORD, /* a record of the store; without a value it deletes the key */
-    BEGIN,  /* a listing */
+    RECORD,  /* a record of the store; without a value it deletes the key */
+    RELAYED, /* the same, from another host */
+    BEGIN,   /* a listing */
     LISTED,
     FINISH, /* the listing; `offset` is the topic's end when it began */
     PEER,   /* states `offset` as its relevant end, and `end` */
@@ -34,6 +35,31 @@
 
 /* Each case begins with a listing of the key "a" up to 5. */
 static const case_t cases[] = {
+    {"a value that means the same",
+     {{RECORD, 5, "a", "h1"}},
+     5,
+     6,
+     "a=1;a=h1;"},
+    {"a value that means the same, but another host found it relevant",
+     {{RELAYED, 5, "a", "h1"}},
+     6,
+     6,
+     "a=1;a=h1;"},
+    {"an entry that has expired is back",
+     {{RECORD, 5, "a", NULL}, {RECORD, 6, "a", "h1"}},
+     7,
+     7,
+     "a=1;a-;a=h1;"},
+    {"an entry that a listing lacked is back",
+     {{BEGIN}, {FINISH, 7}, {RECORD, 8, "a", "h1"}},
+     9,
+     9,
+     "a=1;a-;a=h1;"},
+    {"a key that the copy lacks is deleted",
+     {{RECORD, 6, "b", NULL}},
+     7,
+     7,
+     "a=1;b-;"},
     {"an entry that was listed behind the end does not count before it",
      {{BEGIN}, {LISTED, 9, "a", "2"}, {FINISH, 7}},
      7,
@@ -71,6 +97,10 @@
         error = pps_mirror_apply_record(mirror, step->offset, step->key, 1,
                                         step->value, size);
         break;
+    case RELAYED:
+        error = pps_mirror_apply_relayed(mirror, step->offset, step->key, 1,
+                                         step->value, size);
+        break;
     case BEGIN:
         pps_mirror_begin_listing(mirror, 1);
         break;
--- a/tests/entry/test_node_start.c
+++ b/tests/entry/test_node_start.c
@@ -60,12 +60,14 @@
      1},
 };
 
-static int
-ignore_change(void *user, const char *key, const char *value, size_t size)
+static void
+ignore_change(pps_mirror_relevance_t *out, void *user, const char *key,
+              const char *value, size_t size)
 {
-    return 1;
 }
 
+static const pps_mirror_ops_t mirror_ops = {.on_changed = ignore_change};
+
 /* Encodes a copy with one key. */
 static pps_buf_t
 encode_copy(const char *key, const char *value)
@@ -73,7 +75,7 @@
     pps_mirror_t *mirror;
     pps_buf_t copy = PPS_BUF_INIT;
 
-    cr_assert_eq(pps_mirror_new(&mirror, ignore_change, NULL), 0);
+    cr_assert_eq(pps_mirror_new(&mirror, &mirror_ops, NULL), 0);
     pps_mirror_begin_listing(mirror, 1);
     pps_mirror_apply_listed(mirror, 3, key, strlen(key), value, strlen(value));
     pps_mirror_end_listing(mirror, 9);
@@ -283,7 +285,7 @@
     pps_mirror_t *mirror;
     int count = -1;
 
-    cr_assert_eq(pps_mirror_new(&mirror, ignore_change, NULL), 0);
+    cr_assert_eq(pps_mirror_new(&mirror, &mirror_ops, NULL), 0);
     if (!is_packed) {
         pps_buf_append(&plain, reply->body.data, reply->body.size);
     }
--- a/tests/entry/test_records.c
+++ b/tests/entry/test_records.c
@@ -78,6 +78,60 @@
     }
 }
 
+#define ENTRY(address, zone, version, slots, state, more)                     \
+    "{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"" zone         \
+    "\",\"version\":\"" version "\",\"slots\":" slots ",\"state\":\"" state   \
+    "\"" more "}"
+
+typedef struct {
+    const char *name;
+    const char *text;
+    int is_same; /* as the first one */
+} digest_case_t;
+
+static const digest_case_t digests[] = {
+    {"first", ENTRY("1.2.3.4:5", "z", "v1", "8", "ready", ",\"sequence\":1"),
+     1},
+    {"sequence",
+     ENTRY("1.2.3.4:5", "z", "v1", "8", "ready", ",\"sequence\":2"), 1},
+    {"less time to stay cold",
+     ENTRY("1.2.3.4:5", "z", "v1", "8", "ready", ",\"cold_remaining_ms\":9"),
+     1},
+    {"address", ENTRY("1.2.3.4:6", "z", "v1", "8", "ready", ""), 0},
+    {"zone", ENTRY("1.2.3.4:5", "y", "v1", "8", "ready", ""), 0},
+    {"version", ENTRY("1.2.3.4:5", "z", "v2", "8", "ready", ""), 0},
+    {"slots", ENTRY("1.2.3.4:5", "z", "v1", "9", "ready", ""), 0},
+    {"state", ENTRY("1.2.3.4:5", "z", "v1", "8", "draining", ""), 0},
+    {"start", ENTRY("1.2.3.4:5", "z", "v1", "8", "ready", ",\"born\":7"), 0},
+    {"models",
+     ENTRY("1.2.3.4:5", "z", "v1", "8", "ready",
+           ",\"models\":[{\"name\":\"m\"}]"),
+     0},
+};
+
+/* Guards against a change of a worker that hosts take for a sign of life, and
+ * against signs of life that are told to all hosts. */
+Test(records, digest_of_what_an_entry_says)
+{
+    uint64_t first = 0;
+
+    for (size_t i = 0; i < sizeof(digests) / sizeof(*digests); i++) {
+        const char *text = digests[i].text;
+        pps_worker_info_t info;
+        uint64_t digest;
+
+        cr_assert_eq(pps_record_parse_worker(&info, "w", text, strlen(text)),
+                     0, "%s", digests[i].name);
+        digest = pps_record_digest_worker(&info);
+        first = i == 0 ? digest : first;
+        cr_expect_neq(digest, 0, "%s", digests[i].name);
+        cr_expect_neq(digest, pps_record_digest_worker(NULL), "%s",
+                      digests[i].name);
+        cr_expect_eq(digest == first, digests[i].is_same, "%s",
+                     digests[i].name);
+    }
+}
+
 /* Guards against an entry that ends the host, or that it takes for a worker.
  */
 Test(records, worker_that_is_very_deeply_nested)
