Copies: a listing that finds nothing changed says which records it stands for

Cause: a host whose records the store has dropped lists the topic. If nothing has changed it kept its relevant end, though a key may have changed and changed back in between. A host that had read the first of the two changes, and only listens since, compares with that relevant end: it is ahead of it, so it asks nobody, and the next forwarded record moves its end past the second change.

Change: the copy remembers the part that it has listed instead of reading it. A peer whose relevant end lies there shows that something was relevant: then the host's relevant end moves behind the part, and the peer fetches what it lacks. Records that are forwarded, and copies, state the end of the part. Hosts without such a peer do nothing: raising the relevant end with each listing would let all hosts fetch the topic after each compaction.

--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -18,6 +18,7 @@
     mirror->end = -1;
     mirror->relevant_end = -1;
     mirror->current_offset = -1;
+    mirror->unread = (pps_mirror_unread_t){-1, -1};
     mirror->ops = ops;
     mirror->user = user;
     *out = mirror;
@@ -77,6 +78,13 @@
     return mirror->relevant_end;
 }
 
+int64_t
+pps_mirror_required_end(const pps_mirror_t *mirror)
+{
+    return mirror->unread.end > mirror->relevant_end ? mirror->unread.end
+                                                     : mirror->relevant_end;
+}
+
 int64_t
 pps_mirror_current_offset(const pps_mirror_t *mirror)
 {
@@ -299,13 +307,37 @@
     }
 }
 
+/* Returns whether an offset lies in the part that was listed and not read. */
+static int
+is_unread(const pps_mirror_t *mirror, int64_t offset)
+{
+    return mirror->unread.end > mirror->relevant_end &&
+           offset > mirror->unread.from && offset <= mirror->unread.end;
+}
+
+void
+pps_mirror_raise_relevant_end(pps_mirror_t *mirror, int64_t relevant_end)
+{
+    if (is_unread(mirror, relevant_end)) {
+        relevant_end = mirror->unread.end;
+    }
+    if (relevant_end > mirror->relevant_end) {
+        mirror->relevant_end = relevant_end;
+    }
+}
+
 void
 pps_mirror_sync_end(pps_mirror_t *mirror, int64_t relevant_end, int64_t end)
 {
-    if (mirror->end >= 0 && relevant_end >= 0 &&
-        relevant_end == mirror->relevant_end) {
+    if (mirror->end < 0 || relevant_end < 0) {
+        return;
+    }
+    if (relevant_end == mirror->relevant_end) {
         pps_mirror_advance(mirror, end);
     }
+    else if (is_unread(mirror, relevant_end)) {
+        pps_mirror_raise_relevant_end(mirror, relevant_end);
+    }
 }
 
 void
@@ -366,6 +398,7 @@
         mirror->epoch = listing->epoch;
         mirror->end = end;
         mirror->relevant_end = end;
+        mirror->unread = (pps_mirror_unread_t){-1, -1};
         return 0;
     }
     if (has_changes && end > mirror->relevant_end) {
@@ -376,9 +409,28 @@
     return listing->key_deleted;
 }
 
+/* Notes that the records from the copy's end up to that of a listing are not
+ * read. What an earlier listing passed over is added. */
+static void
+note_unread(pps_mirror_t *mirror, int64_t end)
+{
+    pps_mirror_unread_t *unread = &mirror->unread;
+
+    if (end <= mirror->end) {
+        return;
+    }
+    if (unread->end <= mirror->relevant_end) {
+        unread->from = mirror->end;
+    }
+    unread->end = end;
+}
+
 int
 pps_mirror_end_listing(pps_mirror_t *mirror, int64_t end)
 {
+    if (mirror->own.epoch == mirror->epoch) {
+        note_unread(mirror, end);
+    }
     return pps_mirror_finish_listing(mirror, &mirror->own, end);
 }
 
--- a/src/libpapayaswitch/mirror/mirror.h
+++ b/src/libpapayaswitch/mirror/mirror.h
@@ -71,6 +71,12 @@
 int64_t
 pps_mirror_relevant_end(const pps_mirror_t *mirror);
 
+/** Returns the end that another copy must have reached before the next record
+ * completes it: the relevant end, or that of a listing which found nothing
+ * changed behind it, but does not show what had changed in the meantime. */
+int64_t
+pps_mirror_required_end(const pps_mirror_t *mirror);
+
 /** Returns the offset that pps_mirror_apply_record() is applying, or -1. */
 int64_t
 pps_mirror_current_offset(const pps_mirror_t *mirror);
@@ -92,9 +98,12 @@
 void
 pps_mirror_advance(pps_mirror_t *mirror, int64_t end);
 
-/** Moves the end forward to that of a peer's copy of the same epoch if both
- * have the same relevant end: no record between the two ends is relevant or
- * need be read. */
+/** Compares the copy with a peer's of the same epoch. If both have the same
+ * relevant end, the end moves forward to the peer's: no record between the two
+ * ends is relevant or need be read. If the peer's relevant end lies in a part
+ * of the topic that this host has listed instead of reading it, the relevant
+ * end moves to the end of that part, so that the peer fetches what it lacks.
+ */
 void
 pps_mirror_sync_end(pps_mirror_t *mirror, int64_t relevant_end, int64_t end);
 
--- a/src/libpapayaswitch/mirror/mirror_copy.c
+++ b/src/libpapayaswitch/mirror/mirror_copy.c
@@ -39,7 +39,7 @@
     msgpack_packer_init(&packer, out, append);
     msgpack_pack_array(&packer, COPY_FIELDS);
     msgpack_pack_int64(&packer, mirror->end);
-    msgpack_pack_int64(&packer, mirror->relevant_end);
+    msgpack_pack_int64(&packer, pps_mirror_required_end(mirror));
     msgpack_pack_array(&packer, pps_table_count(&mirror->table));
     cds_list_for_each_entry (entry, &mirror->entries, node) {
         pack_entry(&packer, entry);
@@ -118,7 +118,7 @@
     msgpack_packer_init(&packer, out, append);
     msgpack_pack_array(&packer, CHANGES_FIELDS);
     msgpack_pack_int64(&packer, mirror->end);
-    msgpack_pack_int64(&packer, mirror->relevant_end);
+    msgpack_pack_int64(&packer, pps_mirror_required_end(mirror));
     msgpack_pack_array(&packer, count_entries_from(mirror, from));
     cds_list_for_each_entry (entry, &mirror->entries, node) {
         if (entry->offset >= from) {
@@ -202,6 +202,20 @@
     return copy->size < COPY_FIELDS ? 0 : (int64_t)copy->ptr[3].via.u64;
 }
 
+/* Ends the import of a full copy of this epoch or a higher one. The sender's
+ * relevant end holds, whatever the copy has changed here. */
+static void
+finish_import(pps_mirror_t *mirror, const pps_mirror_listing_t *listing,
+              int64_t end, int64_t relevant_end)
+{
+    int64_t before =
+        listing->epoch == mirror->epoch ? mirror->relevant_end : -1;
+
+    pps_mirror_finish_listing(mirror, listing, end);
+    mirror->relevant_end = before;
+    pps_mirror_raise_relevant_end(mirror, relevant_end);
+}
+
 static int
 import_copy(pps_mirror_t *mirror, const msgpack_object_array *copy)
 {
@@ -217,9 +231,8 @@
     listing.number = ++mirror->listing;
     error = import_entries(mirror, listing.epoch, &copy->ptr[2].via.array);
     if (error == 0) {
-        pps_mirror_finish_listing(mirror, &listing,
-                                  (int64_t)copy->ptr[0].via.u64);
-        mirror->relevant_end = relevant_end;
+        finish_import(mirror, &listing, (int64_t)copy->ptr[0].via.u64,
+                      relevant_end);
     }
     return error;
 }
@@ -285,7 +298,7 @@
     }
     if (error == 0) {
         pps_mirror_advance(mirror, (int64_t)copy->ptr[0].via.u64);
-        mirror->relevant_end = relevant_end;
+        pps_mirror_raise_relevant_end(mirror, relevant_end);
     }
     return error;
 }
--- a/src/libpapayaswitch/mirror/mirror_state.h
+++ b/src/libpapayaswitch/mirror/mirror_state.h
@@ -28,6 +28,14 @@
     int key_deleted; /* a record deleted a key since the listing began */
 } pps_mirror_listing_t;
 
+/** Offsets of records that were not read, since a listing that covers them
+ * found nothing changed. Between them a key may have changed and changed
+ * back. */
+typedef struct {
+    int64_t from;
+    int64_t end; /* not above the relevant end: none */
+} pps_mirror_unread_t;
+
 /** Number of deletions that are remembered. */
 #define PPS_MIRROR_DELETIONS 256
 
@@ -54,6 +62,7 @@
     uint64_t listing;         /* number of the newest listing */
     pps_mirror_listing_t own; /* the listing between begin and end */
     int64_t current_offset;
+    pps_mirror_unread_t unread;
     pps_mirror_deletions_t deletions;
     const pps_mirror_ops_t *ops;
     void *user;
@@ -90,6 +99,10 @@
 void
 pps_mirror_forget_deletions(pps_mirror_t *mirror, int64_t end);
 
+/** Raises the relevant end to a peer's, whose copy was imported. */
+void
+pps_mirror_raise_relevant_end(pps_mirror_t *mirror, int64_t relevant_end);
+
 /** Ends a listing as pps_mirror_end_listing(). */
 int
 pps_mirror_finish_listing(pps_mirror_t *mirror,
--- a/tests/entry/test_mirror_relevance.c
+++ b/tests/entry/test_mirror_relevance.c
@@ -30,6 +30,7 @@
     step_t steps[STEPS_MAX];
     int64_t relevant_end;
     int64_t end;
+    int64_t required_end;
     const char *changes;
 } case_t;
 
@@ -39,31 +40,37 @@
      {{RECORD, 5, "a", "h1"}},
      5,
      6,
+     5,
      "a=1;a=h1;"},
     {"a value that means the same, but another host found it relevant",
      {{RELAYED, 5, "a", "h1"}},
      6,
      6,
+     6,
      "a=1;a=h1;"},
     {"an entry that has expired is back",
      {{RECORD, 5, "a", NULL}, {RECORD, 6, "a", "h1"}},
      7,
      7,
+     7,
      "a=1;a-;a=h1;"},
     {"an entry that a listing lacked is back",
      {{BEGIN}, {FINISH, 7}, {RECORD, 8, "a", "h1"}},
      9,
      9,
+     9,
      "a=1;a-;a=h1;"},
     {"a key that the copy lacks is deleted",
      {{RECORD, 6, "b", NULL}},
      7,
      7,
+     7,
      "a=1;b-;"},
     {"an entry that was listed behind the end does not count before it",
      {{BEGIN}, {LISTED, 9, "a", "2"}, {FINISH, 7}},
      7,
      7,
+     7,
      "a=1;a=2;"},
     {"records before such an entry are not skipped",
      {{BEGIN},
@@ -73,17 +80,74 @@
       {RECORD, 8, "b", "1"}},
      9,
      9,
+     9,
      "a=1;a=2;b=1;"},
     {"the record of such an entry counts",
      {{BEGIN}, {LISTED, 9, "a", "2"}, {FINISH, 7}, {RECORD, 9, "a", "2"}},
      10,
      10,
+     10,
      "a=1;a=2;"},
     {"a listing in progress does not count",
      {{BEGIN}, {LISTED, 9, "a", "2"}, {PEER, 10, .end = 12}},
      5,
      5,
+     5,
      "a=1;a=2;"},
+    {"a listing that finds nothing changed",
+     {{BEGIN}, {LISTED, 7, "a", "h1"}, {FINISH, 9}},
+     5,
+     9,
+     9,
+     "a=1;a=h1;"},
+    {"a peer that had the same before it has the same",
+     {{BEGIN}, {LISTED, 7, "a", "h1"}, {FINISH, 9}, {PEER, 5, .end = 20}},
+     5,
+     20,
+     9,
+     "a=1;a=h1;"},
+    {"a peer has read a part of what it covers",
+     {{BEGIN}, {LISTED, 7, "a", "h1"}, {FINISH, 9}, {PEER, 7, .end = 7}},
+     9,
+     9,
+     9,
+     "a=1;a=h1;"},
+    {"a peer has read a part of what two of them cover",
+     {{BEGIN},
+      {LISTED, 7, "a", "h1"},
+      {FINISH, 9},
+      {BEGIN},
+      {LISTED, 7, "a", "h1"},
+      {FINISH, 14},
+      {PEER, 7, .end = 7}},
+     14,
+     14,
+     14,
+     "a=1;a=h1;"},
+    {"a peer lacks more than it covers",
+     {{BEGIN}, {LISTED, 7, "a", "h1"}, {FINISH, 9}, {PEER, 4, .end = 7}},
+     5,
+     9,
+     9,
+     "a=1;a=h1;"},
+    {"a peer has more than it covers",
+     {{BEGIN}, {LISTED, 7, "a", "h1"}, {FINISH, 9}, {PEER, 12, .end = 12}},
+     5,
+     9,
+     9,
+     "a=1;a=h1;"},
+    {"a record after it is relevant",
+     {{BEGIN}, {LISTED, 7, "a", "h1"}, {FINISH, 9}, {RECORD, 10, "b", "1"}},
+     11,
+     11,
+     11,
+     "a=1;a=h1;b=1;"},
+    {"a listing that is behind the copy",
+     {{RECORD, 8, "a", "h1"}, {BEGIN}, {LISTED, 8, "a", "h1"}, {FINISH, 7}},
+     5,
+     9,
+     5,
+     "a=1;a=h1;"},
 };
 
 static void
@@ -121,16 +185,23 @@
 }
 
 static void
-run_case(const case_t *c)
+start(mirror_fixture_t *f)
 {
-    static const step_t start[] = {
+    static const step_t steps[] = {
         {BEGIN}, {LISTED, 2, "a", "1"}, {FINISH, 5}};
-    mirror_fixture_t f;
 
-    mirror_fixture_start(&f);
-    for (size_t i = 0; i < sizeof(start) / sizeof(*start); i++) {
-        take_step(f.mirror, &start[i]);
+    mirror_fixture_start(f);
+    for (size_t i = 0; i < sizeof(steps) / sizeof(*steps); i++) {
+        take_step(f->mirror, &steps[i]);
     }
+}
+
+static void
+run_case(const case_t *c)
+{
+    mirror_fixture_t f;
+
+    start(&f);
     for (size_t i = 0; i < STEPS_MAX; i++) {
         take_step(f.mirror, &c->steps[i]);
     }
@@ -139,6 +210,9 @@
                  (int)pps_mirror_relevant_end(f.mirror));
     cr_expect_eq(pps_mirror_end(f.mirror), c->end, "%s: end %d", c->name,
                  (int)pps_mirror_end(f.mirror));
+    cr_expect_eq(pps_mirror_required_end(f.mirror), c->required_end,
+                 "%s: required end %d", c->name,
+                 (int)pps_mirror_required_end(f.mirror));
     cr_expect_str_eq(pps_buf_text(&f.changes), c->changes, "%s: %s", c->name,
                      pps_buf_text(&f.changes));
     mirror_fixture_end(&f);
@@ -152,3 +226,41 @@
         run_case(&cases[i]);
     }
 }
+
+/* Sends a copy's ends and, if the other one is behind, its content. */
+static void
+tell(pps_mirror_t *from, pps_mirror_t *to)
+{
+    pps_buf_t copy = PPS_BUF_INIT;
+
+    pps_mirror_sync_end(to, pps_mirror_relevant_end(from),
+                        pps_mirror_end(from));
+    if (pps_mirror_relevant_end(from) > pps_mirror_end(to)) {
+        cr_assert_eq(pps_mirror_encode(from, &copy), 0);
+        cr_expect_eq(pps_mirror_import(to, copy.data, copy.size), 0);
+    }
+    pps_buf_clear(&copy);
+}
+
+/* Guards against a host that has read that a key was deleted, and never learns
+ * that it was written again: the reader has listed the topic instead. */
+Test(mirror_relevance, a_host_between_two_changes_learns_of_the_second)
+{
+    mirror_fixture_t reader;
+    mirror_fixture_t listener;
+    size_t size;
+
+    start(&reader);
+    start(&listener);
+    mirror_fixture_apply(listener.mirror, 6, "a", NULL);
+    pps_mirror_begin_listing(reader.mirror, 1);
+    pps_mirror_apply_listed(reader.mirror, 7, "a", 1, "h1", 2);
+    cr_expect_eq(pps_mirror_end_listing(reader.mirror, 9), 0);
+    tell(reader.mirror, listener.mirror);
+    tell(listener.mirror, reader.mirror);
+    tell(reader.mirror, listener.mirror);
+    cr_expect_not_null(pps_mirror_get(&size, listener.mirror, "a"));
+    cr_expect_eq(pps_mirror_end(listener.mirror), 9);
+    mirror_fixture_end(&reader);
+    mirror_fixture_end(&listener);
+}
