Gossip: relevant ends of builds that count by their own state prove nothing

Cause: a relevant end of a build before does not cover the records that only other hosts found relevant. A host that takes it for proof moves its end past them, and if both readers are of that build, nobody tells it of them.

Change: a state says whether its host has the rule.

Left: a copy that is fetched from a host of a build before brings its relevant end along.

--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -32,6 +32,9 @@
 #define PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS 4U
 #define PPS_GOSSIP_LACKS_PERMIT_SIZES 8U
 #define PPS_GOSSIP_LACKS_ROLLOUT_REPORTS 16U
+/** Which records are relevant depends on its own state there, so that its
+ * relevant ends prove nothing. */
+#define PPS_GOSSIP_LACKS_RELEVANCE_RULE 32U
 
 /** A roll-out and the evidence that one host has collected. */
 typedef struct {
@@ -310,6 +313,15 @@
 int
 pps_gossip_is_reader(const pps_gossip_t *gossip);
 
+/**
+ * Checks whether this host reads the store although enough hosts rank before
+ * it, as some of those are of a build that does not do something. It is one of
+ * the first readers among the hosts of other builds then.
+ * @param lacks PPS_GOSSIP_LACKS_...
+ */
+int
+pps_gossip_reads_beside_older(const pps_gossip_t *gossip, unsigned int lacks);
+
 /** Checks whether all hosts send their state to this one. With many peers
  * these are the readers that reach the store; if there are none, the hosts
  * that rank first among the live ones. */
--- a/src/libpapayaswitch/gossip/gossip_readers.c
+++ b/src/libpapayaswitch/gossip/gossip_readers.c
@@ -98,16 +98,18 @@
     return strcmp(host->host_id, other->host_id) < 0;
 }
 
-/* Counts the reader candidates that rank before a host. */
+/* Counts the reader candidates that rank before a host.
+ * @param lacks those of builds that lack any of this are left out */
 static unsigned int
 count_candidates_before(const pps_gossip_t *gossip,
-                        const pps_gossip_state_t *host)
+                        const pps_gossip_state_t *host, unsigned int lacks)
 {
     const pps_gossip_peer_t *peer;
     unsigned int before = 0;
 
     cds_list_for_each_entry (peer, &gossip->peers, node) {
         before += is_reader_candidate(gossip, peer) &&
+                  (peer->state.lacks & lacks) == 0 &&
                   ranks_before(&peer->state, host);
     }
     return before;
@@ -116,15 +118,23 @@
 int
 pps_gossip_is_reader(const pps_gossip_t *gossip)
 {
-    return count_candidates_before(gossip, &gossip->own.state) <
+    return count_candidates_before(gossip, &gossip->own.state, 0) <
            PPS_GOSSIP_READERS;
 }
 
+int
+pps_gossip_reads_beside_older(const pps_gossip_t *gossip, unsigned int lacks)
+{
+    return pps_gossip_has_older(gossip, lacks) &&
+           count_candidates_before(gossip, &gossip->own.state, lacks) <
+               PPS_GOSSIP_READERS;
+}
+
 int
 pps_gossip_is_first_reader(const pps_gossip_t *gossip)
 {
     return gossip->own.state.read_age_us >= 0 &&
-           count_candidates_before(gossip, &gossip->own.state) == 0;
+           count_candidates_before(gossip, &gossip->own.state, 0) == 0;
 }
 
 /* Inserts a host into a ranked list of at most PPS_GOSSIP_READERS entries. */
--- a/tests/entry/test_gossip_codec.c
+++ b/tests/entry/test_gossip_codec.c
@@ -240,7 +240,8 @@
                                         PPS_GOSSIP_LACKS_DIGESTS |
                                         PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS |
                                         PPS_GOSSIP_LACKS_PERMIT_SIZES |
-                                        PPS_GOSSIP_LACKS_ROLLOUT_REPORTS);
+                                        PPS_GOSSIP_LACKS_ROLLOUT_REPORTS |
+                                        PPS_GOSSIP_LACKS_RELEVANCE_RULE);
     pps_buf_clear(&encoded);
     cr_assert_eq(pps_gossip_encode_record(&encoded, &record), 0);
     encoded.data[0]--;
