Copies: listings and ends have files of their own, and a listing knows the topic's end when it begins

Cause: mirror.c had 484 lines with three jobs (records, listings, the offsets that hosts compare), eight parameters were passed from function to function, and the end that the first page of a listing states was known only to its reader.

Change: mirror_listing.c and mirror_ends.c; records and entries are passed as one item; pps_mirror_begin_listing() takes the end. No change of behaviour.

--- a/src/libpapayaswitch/mirror/mirror.h
+++ b/src/libpapayaswitch/mirror/mirror.h
@@ -110,9 +110,10 @@
 /** Begins a full listing; pps_mirror_end_listing() deletes absent keys.
  * @param epoch of the listing; in one above the copy's, listed values replace
  *        those of the copy whatever their offsets, and an unchanged value is
- *        not reported; in one below, they are ignored */
+ *        not reported; in one below, they are ignored
+ * @param end the topic's end, as the first page states it */
 void
-pps_mirror_begin_listing(pps_mirror_t *mirror, int64_t epoch);
+pps_mirror_begin_listing(pps_mirror_t *mirror, int64_t epoch, int64_t end);
 
 /** Applies one entry of the listing.
  * @return 0, PPS_EINVALID if the key has a NUL byte, or PPS_ENOMEM */
@@ -121,13 +122,12 @@
                         size_t key_size, const char *value, size_t size);
 
 /** Ends a complete listing. Deletes keys that it did not contain, except those
- * written at or after `end` in the same epoch.
- * @param end the topic's end when the listing began
+ * written at or after its end in the same epoch.
  * @return 0, or 1 if another listing is needed: the copy is of a higher epoch
  *         by now, or a record deleted a key that the listing may have added
  *         again */
 int
-pps_mirror_end_listing(pps_mirror_t *mirror, int64_t end);
+pps_mirror_end_listing(pps_mirror_t *mirror);
 
 /** Returns the value of a key, valid until the key changes, or NULL. */
 const char *
@@ -159,9 +159,9 @@
 pps_mirror_replay(pps_mirror_t *mirror);
 
 /** Replaces the content with another host's encoded copy if that has a higher
- * epoch, or the same and a higher relevant end. Keeps newer entries. A copy
- * without an epoch counts as of epoch 0. Encoded changes are applied if they
- * begin at or before this copy's end, in its epoch.
+ * epoch, or the same and a higher relevant end. Keeps newer
+ * entries. A copy without an epoch counts as of epoch 0. Encoded changes are
+ * applied if they begin at or before this copy's end, in its epoch.
  * @return 0; PPS_ECORRUPT if it is malformed or its relevant end is -1, or
  *         PPS_ECONFLICT if changes do not follow this copy: then nothing is
  *         applied; or PPS_ENOMEM */
--- a/src/libpapayaswitch/mirror/mirror_copy.c
+++ b/src/libpapayaswitch/mirror/mirror_copy.c
@@ -164,19 +164,24 @@
 }
 
 static int
-import_entries(pps_mirror_t *mirror, int64_t epoch,
-               const msgpack_object_array *entries)
+import_entries(pps_mirror_t *mirror, const msgpack_object_array *entries,
+               int64_t epoch)
 {
     int error = PPS_OK;
 
     for (uint32_t i = 0; error == 0 && i < entries->size; i++) {
         const msgpack_object *fields = entries->ptr[i].via.array.ptr;
+        const pps_mirror_item_t item = {
+            .epoch = epoch,
+            .offset = (int64_t)fields[0].via.u64,
+            .key = fields[1].via.bin.ptr,
+            .key_size = fields[1].via.bin.size,
+            .value = fields[2].via.bin.ptr,
+            .size = fields[2].via.bin.size,
+        };
         pps_mirror_effect_t effect;
 
-        error = pps_mirror_set_value(
-            &effect, mirror, epoch, (int64_t)fields[0].via.u64,
-            fields[1].via.bin.ptr, fields[1].via.bin.size,
-            fields[2].via.bin.ptr, fields[2].via.bin.size);
+        error = pps_mirror_set_value(&effect, mirror, &item);
     }
     return error;
 }
@@ -206,12 +211,12 @@
  * relevant end holds, whatever the copy has changed here. */
 static void
 finish_import(pps_mirror_t *mirror, const pps_mirror_listing_t *listing,
-              int64_t end, int64_t relevant_end)
+              int64_t relevant_end)
 {
     int64_t before =
         listing->epoch == mirror->epoch ? mirror->relevant_end : -1;
 
-    pps_mirror_finish_listing(mirror, listing, end);
+    pps_mirror_finish_listing(mirror, listing);
     mirror->relevant_end = before;
     pps_mirror_raise_relevant_end(mirror, relevant_end);
 }
@@ -219,20 +224,20 @@
 static int
 import_copy(pps_mirror_t *mirror, const msgpack_object_array *copy)
 {
+    int64_t end = (int64_t)copy->ptr[0].via.u64;
     int64_t relevant_end = (int64_t)copy->ptr[1].via.u64;
-    pps_mirror_listing_t listing = {.epoch = copy_epoch(copy)};
+    int64_t epoch = copy_epoch(copy);
+    pps_mirror_listing_t listing;
     int error;
 
-    if (listing.epoch < mirror->epoch ||
-        (listing.epoch == mirror->epoch &&
-         relevant_end <= mirror->relevant_end)) {
+    if (epoch < mirror->epoch ||
+        (epoch == mirror->epoch && relevant_end <= mirror->relevant_end)) {
         return PPS_OK;
     }
-    listing.number = ++mirror->listing;
-    error = import_entries(mirror, listing.epoch, &copy->ptr[2].via.array);
+    listing = pps_mirror_start_listing(mirror, epoch, end);
+    error = import_entries(mirror, &copy->ptr[2].via.array, epoch);
     if (error == 0) {
-        finish_import(mirror, &listing, (int64_t)copy->ptr[0].via.u64,
-                      relevant_end);
+        finish_import(mirror, &listing, relevant_end);
     }
     return error;
 }
@@ -292,7 +297,7 @@
     if (relevant_end <= mirror->relevant_end) {
         return PPS_OK;
     }
-    error = import_entries(mirror, mirror->epoch, &copy->ptr[2].via.array);
+    error = import_entries(mirror, &copy->ptr[2].via.array, mirror->epoch);
     if (error == 0) {
         error = apply_deletions(mirror, &copy->ptr[5].via.array);
     }
--- a/src/libpapayaswitch/mirror/mirror_state.h
+++ b/src/libpapayaswitch/mirror/mirror_state.h
@@ -24,6 +24,7 @@
 typedef struct {
     uint64_t number;
     int64_t epoch;
+    int64_t end;     /* of the topic, when the listing began */
     int has_changes; /* it changed the copy */
     int key_deleted; /* a record deleted a key since the listing began */
 } pps_mirror_listing_t;
@@ -59,7 +60,7 @@
     int64_t epoch;
     int64_t end;
     int64_t relevant_end;
-    uint64_t listing;         /* number of the newest listing */
+    uint64_t listings;        /* number of the newest listing */
     pps_mirror_listing_t own; /* the listing between begin and end */
     int64_t current_offset;
     pps_mirror_unread_t unread;
@@ -75,12 +76,34 @@
     PPS_MIRROR_CHANGED,
 } pps_mirror_effect_t;
 
+/** A record, or an entry of a listing. */
+typedef struct {
+    int64_t epoch;
+    int64_t offset;
+    const char *key;
+    size_t key_size;
+    const char *value; /**< NULL: deletes the key */
+    size_t size;
+} pps_mirror_item_t;
+
+/** Finds the entry of a key, or NULL. */
+pps_mirror_entry_t *
+pps_mirror_find_entry(const pps_mirror_t *mirror, const char *key,
+                      size_t size);
+
+/** Deletes an entry and reports it. */
+void
+pps_mirror_delete_entry(pps_mirror_t *mirror, pps_mirror_entry_t *entry);
+
 /** Sets a value unless the entry's is as new: by epoch, then by offset.
  * @return 0, PPS_EINVALID if the key has a NUL byte, or PPS_ENOMEM */
 int
 pps_mirror_set_value(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
-                     int64_t epoch, int64_t offset, const char *key,
-                     size_t key_size, const char *value, size_t size);
+                     const pps_mirror_item_t *item);
+
+/** Returns a new listing. @param end of the topic when it was made */
+pps_mirror_listing_t
+pps_mirror_start_listing(pps_mirror_t *mirror, int64_t epoch, int64_t end);
 
 /** Deletes a key unless its value is newer, and remembers the deletion. A key
  * that the copy lacks is reported too: other hosts may have it.
@@ -106,6 +129,6 @@
 /** Ends a listing as pps_mirror_end_listing(). */
 int
 pps_mirror_finish_listing(pps_mirror_t *mirror,
-                          const pps_mirror_listing_t *listing, int64_t end);
+                          const pps_mirror_listing_t *listing);
 
 #endif
