Copies: one that is older than the content is not imported

Cause: a copy was imported if its relevant end was above the host's relevant end. A host that moved its end past the copy's while that was on its way deleted what the copy lacked, though it had been written again.

Change: a copy, or changes, are imported only if their relevant end lies behind the host's end, as hosts decide when they ask for one.

--- a/src/libpapayaswitch/mirror/mirror.h
+++ b/src/libpapayaswitch/mirror/mirror.h
@@ -159,7 +159,7 @@
 pps_mirror_replay(pps_mirror_t *mirror);
 
 /** Replaces the content with another host's encoded copy if that has a higher
- * epoch, or the same and a higher relevant end. Keeps newer
+ * epoch, or the same and a relevant end behind this copy's end. Keeps newer
  * entries. A copy without an epoch counts as of epoch 0. Encoded changes are
  * applied if they begin at or before this copy's end, in its epoch.
  * @return 0; PPS_ECORRUPT if it is malformed or its relevant end is -1, or
--- a/src/libpapayaswitch/mirror/mirror_copy.c
+++ b/src/libpapayaswitch/mirror/mirror_copy.c
@@ -231,7 +231,7 @@
     int error;
 
     if (epoch < mirror->epoch ||
-        (epoch == mirror->epoch && relevant_end <= mirror->relevant_end)) {
+        (epoch == mirror->epoch && relevant_end <= mirror->end)) {
         return PPS_OK;
     }
     listing = pps_mirror_start_listing(mirror, epoch, end);
@@ -294,7 +294,7 @@
         mirror->end < (int64_t)copy->ptr[4].via.u64) {
         return PPS_ECONFLICT;
     }
-    if (relevant_end <= mirror->relevant_end) {
+    if (relevant_end <= mirror->end) {
         return PPS_OK;
     }
     error = import_entries(mirror, &copy->ptr[2].via.array, mirror->epoch);
--- a/tests/entry/test_mirror_relevance.c
+++ b/tests/entry/test_mirror_relevance.c
@@ -270,3 +270,30 @@
     mirror_fixture_end(&reader);
     mirror_fixture_end(&listener);
 }
+
+/* Guards against a copy that is on its way while its receiver moves on: it
+ * lacks a key that was written again since. */
+Test(mirror_relevance, copies_older_than_the_content_change_nothing)
+{
+    mirror_fixture_t sender;
+    mirror_fixture_t f;
+    pps_buf_t copy = PPS_BUF_INIT;
+    size_t size;
+
+    start(&sender);
+    start(&f);
+    mirror_fixture_apply(sender.mirror, 6, "a", NULL);
+    cr_assert_eq(pps_mirror_encode(sender.mirror, &copy), 0);
+    pps_mirror_sync_end(f.mirror, 5, 9);
+    cr_expect_eq(pps_mirror_import(f.mirror, copy.data, copy.size), 0);
+    cr_expect_not_null(pps_mirror_get(&size, f.mirror, "a"));
+    cr_expect_eq(pps_mirror_relevant_end(f.mirror), 5);
+    pps_buf_clear(&copy);
+    cr_assert_eq(pps_mirror_encode_changes(sender.mirror, 1, 5, &copy), 0);
+    cr_expect_eq(pps_mirror_import(f.mirror, copy.data, copy.size), 0);
+    cr_expect_not_null(pps_mirror_get(&size, f.mirror, "a"));
+    cr_expect_eq(pps_mirror_relevant_end(f.mirror), 5);
+    pps_buf_clear(&copy);
+    mirror_fixture_end(&sender);
+    mirror_fixture_end(&f);
+}
