Copies: a page that is older than the copy deletes and adds no keys

Cause: the first page of a listing can arrive after records that were written since it was sent. A key that one of them had deleted was added again, and at the listing's end keys were deleted that had been written since.

Change: if the copy's end lies behind the end that the first page states, the copy shows which keys there are below its own end.

--- a/src/libpapayaswitch/mirror/mirror.h
+++ b/src/libpapayaswitch/mirror/mirror.h
@@ -107,7 +107,9 @@
 void
 pps_mirror_sync_end(pps_mirror_t *mirror, int64_t relevant_end, int64_t end);
 
-/** Begins a full listing; pps_mirror_end_listing() deletes absent keys.
+/** Begins a full listing; pps_mirror_end_listing() deletes absent keys. Its
+ * pages may be older than the copy, if that moves on by other sources: then
+ * the copy shows what has been deleted, not the listing.
  * @param epoch of the listing; in one above the copy's, listed values replace
  *        those of the copy whatever their offsets, and an unchanged value is
  *        not reported; in one below, they are ignored
@@ -115,14 +117,16 @@
 void
 pps_mirror_begin_listing(pps_mirror_t *mirror, int64_t epoch, int64_t end);
 
-/** Applies one entry of the listing.
+/** Applies one entry of the listing. Skips a key that the copy lacks if the
+ * copy's end lies behind the listing's end and the entry.
  * @return 0, PPS_EINVALID if the key has a NUL byte, or PPS_ENOMEM */
 int
 pps_mirror_apply_listed(pps_mirror_t *mirror, int64_t offset, const char *key,
                         size_t key_size, const char *value, size_t size);
 
 /** Ends a complete listing. Deletes keys that it did not contain, except those
- * written at or after its end in the same epoch.
+ * written at or after its end in the same epoch, and none if the copy's end
+ * lies behind its end.
  * @return 0, or 1 if another listing is needed: the copy is of a higher epoch
  *         by now, or a record deleted a key that the listing may have added
  *         again */
--- a/src/libpapayaswitch/mirror/mirror_listing.c
+++ b/src/libpapayaswitch/mirror/mirror_listing.c
@@ -19,6 +19,14 @@
     mirror->own = pps_mirror_start_listing(mirror, epoch, end);
 }
 
+/* Returns whether the copy has come to an end behind that of a listing, of
+ * which a page may be older than the copy. */
+static int
+is_overtaken(const pps_mirror_t *mirror, const pps_mirror_listing_t *listing)
+{
+    return listing->epoch == mirror->epoch && mirror->end > listing->end;
+}
+
 int
 pps_mirror_apply_listed(pps_mirror_t *mirror, int64_t offset, const char *key,
                         size_t key_size, const char *value, size_t size)
@@ -26,20 +34,27 @@
     const pps_mirror_item_t item = {mirror->own.epoch, offset, key,
                                     key_size,          value,  size};
     pps_mirror_effect_t effect;
-    int error = pps_mirror_set_value(&effect, mirror, &item);
+    int error;
 
+    if (is_overtaken(mirror, &mirror->own) && offset < mirror->end &&
+        pps_mirror_find_entry(mirror, key, key_size) == NULL) {
+        return PPS_OK;
+    }
+    error = pps_mirror_set_value(&effect, mirror, &item);
     mirror->own.has_changes |= effect == PPS_MIRROR_CHANGED;
     return error;
 }
 
 /* Returns whether an entry has been deleted, as a listing does not have it. */
 static int
-is_absent(const pps_mirror_listing_t *listing, const pps_mirror_entry_t *entry)
+is_absent(const pps_mirror_t *mirror, const pps_mirror_listing_t *listing,
+          const pps_mirror_entry_t *entry)
 {
     if (entry->epoch != listing->epoch) {
         return entry->epoch < listing->epoch;
     }
-    return entry->listing < listing->number && entry->offset < listing->end;
+    return entry->listing < listing->number && entry->offset < listing->end &&
+           !is_overtaken(mirror, listing);
 }
 
 /* Returns whether keys were deleted. */
@@ -51,7 +66,7 @@
     int has_deleted = 0;
 
     cds_list_for_each_entry_safe (entry, next, &mirror->entries, node) {
-        if (is_absent(listing, entry)) {
+        if (is_absent(mirror, listing, entry)) {
             pps_mirror_delete_entry(mirror, entry);
             has_deleted = 1;
         }
