Copies: a listing deletes keys of a copy that came while it was read

Cause: keys are marked with the number of the newest listing, be it the store's or another host's copy. A host that starts lists the topic and imports a copy; the copy's keys counted as listed, also those that the listing lacked.

Change: a key has a mark for each of the two.

--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -201,7 +201,8 @@
 
 int
 pps_mirror_set_value(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
-                     const pps_mirror_item_t *item)
+                     const pps_mirror_item_t *item,
+                     const pps_mirror_listing_t *listing)
 {
     pps_mirror_entry_t *entry =
         pps_mirror_find_entry(mirror, item->key, item->key_size);
@@ -219,7 +220,9 @@
     if (entry == NULL) {
         return PPS_ENOMEM;
     }
-    entry->listing = mirror->listings;
+    if (listing != NULL) {
+        entry->marks[listing->kind] = listing->number;
+    }
     return is_newer(entry, item->epoch, item->offset)
                ? update_entry(effect, mirror, entry, item)
                : PPS_OK;
@@ -256,7 +259,7 @@
     error = record->value == NULL
                 ? pps_mirror_delete_key(mirror, record->offset, record->key,
                                         record->key_size)
-                : pps_mirror_set_value(&effect, mirror, record);
+                : pps_mirror_set_value(&effect, mirror, record, NULL);
     if (error == 0 && (is_relevant || effect != PPS_MIRROR_SAME)) {
         finish_relevant(mirror, record);
     }
--- a/src/libpapayaswitch/mirror/mirror_copy.c
+++ b/src/libpapayaswitch/mirror/mirror_copy.c
@@ -163,9 +163,10 @@
     return 1;
 }
 
+/* @param listing NULL: the entries are changes, not a full copy */
 static int
 import_entries(pps_mirror_t *mirror, const msgpack_object_array *entries,
-               int64_t epoch)
+               int64_t epoch, const pps_mirror_listing_t *listing)
 {
     int error = PPS_OK;
 
@@ -181,7 +182,7 @@
         };
         pps_mirror_effect_t effect;
 
-        error = pps_mirror_set_value(&effect, mirror, &item);
+        error = pps_mirror_set_value(&effect, mirror, &item, listing);
     }
     return error;
 }
@@ -234,8 +235,9 @@
         (epoch == mirror->epoch && relevant_end <= mirror->end)) {
         return PPS_OK;
     }
-    listing = pps_mirror_start_listing(mirror, epoch, end);
-    error = import_entries(mirror, &copy->ptr[2].via.array, epoch);
+    listing =
+        pps_mirror_start_listing(mirror, PPS_MIRROR_IMPORTED, epoch, end);
+    error = import_entries(mirror, &copy->ptr[2].via.array, epoch, &listing);
     if (error == 0) {
         finish_import(mirror, &listing, relevant_end);
     }
@@ -297,7 +299,8 @@
     if (relevant_end <= mirror->end) {
         return PPS_OK;
     }
-    error = import_entries(mirror, &copy->ptr[2].via.array, mirror->epoch);
+    error =
+        import_entries(mirror, &copy->ptr[2].via.array, mirror->epoch, NULL);
     if (error == 0) {
         error = apply_deletions(mirror, &copy->ptr[5].via.array);
     }
--- a/src/libpapayaswitch/mirror/mirror_listing.c
+++ b/src/libpapayaswitch/mirror/mirror_listing.c
@@ -4,9 +4,11 @@
 #include "papayaswitch/errors.h"
 
 pps_mirror_listing_t
-pps_mirror_start_listing(pps_mirror_t *mirror, int64_t epoch, int64_t end)
+pps_mirror_start_listing(pps_mirror_t *mirror, pps_mirror_kind_t kind,
+                         int64_t epoch, int64_t end)
 {
     return (pps_mirror_listing_t){
+        .kind = kind,
         .number = ++mirror->listings,
         .epoch = epoch,
         .end = end,
@@ -16,7 +18,7 @@
 void
 pps_mirror_begin_listing(pps_mirror_t *mirror, int64_t epoch, int64_t end)
 {
-    mirror->own = pps_mirror_start_listing(mirror, epoch, end);
+    mirror->own = pps_mirror_start_listing(mirror, PPS_MIRROR_OWN, epoch, end);
 }
 
 /* Returns whether the copy has come to an end behind that of a listing, of
@@ -40,7 +42,7 @@
         pps_mirror_find_entry(mirror, key, key_size) == NULL) {
         return PPS_OK;
     }
-    error = pps_mirror_set_value(&effect, mirror, &item);
+    error = pps_mirror_set_value(&effect, mirror, &item, &mirror->own);
     mirror->own.has_changes |= effect == PPS_MIRROR_CHANGED;
     return error;
 }
@@ -53,8 +55,8 @@
     if (entry->epoch != listing->epoch) {
         return entry->epoch < listing->epoch;
     }
-    return entry->listing < listing->number && entry->offset < listing->end &&
-           !is_overtaken(mirror, listing);
+    return entry->marks[listing->kind] != listing->number &&
+           entry->offset < listing->end && !is_overtaken(mirror, listing);
 }
 
 /* Returns whether keys were deleted. */
--- a/src/libpapayaswitch/mirror/mirror_state.h
+++ b/src/libpapayaswitch/mirror/mirror_state.h
@@ -7,6 +7,13 @@
 
 #include <urcu/list.h>
 
+/** Where a full listing comes from. Both kinds may be in progress at once. */
+typedef enum {
+    PPS_MIRROR_OWN,      /**< the store */
+    PPS_MIRROR_IMPORTED, /**< another host's copy */
+    PPS_MIRROR_KINDS,
+} pps_mirror_kind_t;
+
 /** A key and its newest value. */
 typedef struct {
     struct cds_list_head node;
@@ -17,11 +24,13 @@
     int64_t epoch;
     int64_t offset;   /* in `epoch` */
     uint64_t meaning; /* of the value; see pps_mirror_relevance_t */
-    uint64_t listing; /* newest listing that contains or precedes the value */
+    uint64_t
+        marks[PPS_MIRROR_KINDS]; /* numbers of the last listings with it */
 } pps_mirror_entry_t;
 
 /** A listing in progress. */
 typedef struct {
+    pps_mirror_kind_t kind;
     uint64_t number;
     int64_t epoch;
     int64_t end;     /* of the topic, when the listing began */
@@ -96,14 +105,17 @@
 pps_mirror_delete_entry(pps_mirror_t *mirror, pps_mirror_entry_t *entry);
 
 /** Sets a value unless the entry's is as new: by epoch, then by offset.
+ * @param listing that contains it; NULL: a record
  * @return 0, PPS_EINVALID if the key has a NUL byte, or PPS_ENOMEM */
 int
 pps_mirror_set_value(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
-                     const pps_mirror_item_t *item);
+                     const pps_mirror_item_t *item,
+                     const pps_mirror_listing_t *listing);
 
 /** Returns a new listing. @param end of the topic when it was made */
 pps_mirror_listing_t
-pps_mirror_start_listing(pps_mirror_t *mirror, int64_t epoch, int64_t end);
+pps_mirror_start_listing(pps_mirror_t *mirror, pps_mirror_kind_t kind,
+                         int64_t epoch, int64_t end);
 
 /** Deletes a key unless its value is newer, and remembers the deletion. A key
  * that the copy lacks is reported too: other hosts may have it.
--- a/tests/entry/test_mirror_relevance.c
+++ b/tests/entry/test_mirror_relevance.c
@@ -321,3 +321,29 @@
     mirror_fixture_end(&sender);
     mirror_fixture_end(&f);
 }
+
+/* Guards against a key that has been deleted and that a host keeps, as another
+ * host's copy with it came while this one listed the topic. */
+Test(mirror_relevance, listing_deletes_keys_of_a_copy_that_came_meanwhile)
+{
+    mirror_fixture_t sender;
+    mirror_fixture_t f;
+    pps_buf_t copy = PPS_BUF_INIT;
+    size_t size;
+
+    start(&sender);
+    start(&f);
+    mirror_fixture_apply(sender.mirror, 6, "b", "1");
+    cr_assert_eq(pps_mirror_encode(sender.mirror, &copy), 0);
+    pps_mirror_begin_listing(f.mirror, 1, 9);
+    pps_mirror_apply_listed(f.mirror, 2, "a", 1, "1", 1);
+    cr_expect_eq(pps_mirror_import(f.mirror, copy.data, copy.size), 0);
+    cr_expect_not_null(pps_mirror_get(&size, f.mirror, "b"));
+    cr_expect_eq(pps_mirror_end_listing(f.mirror), 0);
+    cr_expect_null(pps_mirror_get(&size, f.mirror, "b"));
+    cr_expect_not_null(pps_mirror_get(&size, f.mirror, "a"));
+    cr_expect_eq(pps_mirror_relevant_end(f.mirror), 9);
+    pps_buf_clear(&copy);
+    mirror_fixture_end(&sender);
+    mirror_fixture_end(&f);
+}
