Copies: a listing has changed nothing only if the copy has stood still meanwhile

Cause: a listing that finds nothing changed leaves the relevant end as it is. The entries had been compared with the copy as it was then; when an import replaced it between two pages, or when an earlier listing had shown an entry behind the copy's end, the host stated an end behind a relevant record with the relevant end of before, and others moved theirs past the record.

--- a/src/libpapayaswitch/mirror/mirror_listing.c
+++ b/src/libpapayaswitch/mirror/mirror_listing.c
@@ -12,6 +12,7 @@
         .number = ++mirror->listings,
         .epoch = epoch,
         .end = end,
+        .end_before = mirror->end,
     };
 }
 
@@ -29,6 +30,8 @@
     return listing->epoch == mirror->epoch && mirror->end > listing->end;
 }
 
+/* An entry that an earlier listing has shown already, behind the copy's end,
+ * is a change: its record has not counted yet. */
 int
 pps_mirror_apply_listed(pps_mirror_t *mirror, int64_t offset, const char *key,
                         size_t key_size, const char *value, size_t size)
@@ -43,7 +46,9 @@
         return PPS_OK;
     }
     error = pps_mirror_set_value(&effect, mirror, &item, &mirror->own);
-    mirror->own.has_changes |= effect == PPS_MIRROR_CHANGED;
+    mirror->own.has_changes |=
+        effect == PPS_MIRROR_CHANGED ||
+        (effect == PPS_MIRROR_OUTDATED && offset >= mirror->end);
     return error;
 }
 
@@ -124,9 +129,13 @@
     unread->end = end;
 }
 
+/* The entries have been compared with the copy at several ends if it has moved
+ * on meanwhile: that nothing has changed is not known then. */
 int
 pps_mirror_end_listing(pps_mirror_t *mirror)
 {
+    mirror->own.has_changes |=
+        mirror->end < mirror->own.end && mirror->end != mirror->own.end_before;
     if (mirror->own.epoch == mirror->epoch) {
         note_unread(mirror, mirror->own.end);
     }
--- a/src/libpapayaswitch/mirror/mirror_state.h
+++ b/src/libpapayaswitch/mirror/mirror_state.h
@@ -33,9 +33,10 @@
     pps_mirror_kind_t kind;
     uint64_t number;
     int64_t epoch;
-    int64_t end;     /* of the topic, when the listing began */
-    int has_changes; /* it changed the copy */
-    int key_deleted; /* a record deleted a key since the listing began */
+    int64_t end;        /* of the topic, when the listing began */
+    int64_t end_before; /* of the copy then */
+    int has_changes;    /* it changed the copy */
+    int key_deleted;    /* a record deleted a key since the listing began */
 } pps_mirror_listing_t;
 
 /** Offsets of records that were not read, since a listing that covers them
