Tests: the play of hosts is cut by job

Change: the store and those who write to it, messages and the client that takes their place, hosts and the comparison are files of their own; no line of a test is changed.

Measured: test_node_agreement and test_node_builds pass.

--- a/tests/entry/node_play.h
+++ b/tests/entry/node_play.h
@@ -213,6 +213,22 @@
 void
 node_play_store_stop(int64_t duration_us, int lapses);
 
+/** Returns whether the store refuses all calls. */
+int
+node_play_store_is_down(void);
+
+/** Lets the first workers and the operator write to the store. */
+void
+node_play_start_writers(void);
+
+/** Draws the workers whose entries expire in an outage that begins. */
+void
+node_play_draw_lapses(int64_t duration_us);
+
+/** Lets the operator write again what a restore has lost. */
+void
+node_play_write_again(void);
+
 /** Lets the workers and the operator write to the store, and entries expire.
  */
 void
--- a/tests/entry/node_play_net.c
+++ b/tests/entry/node_play_net.c
@@ -1,5 +1,5 @@
 /** @file node_play_net.c @brief Datagrams and calls of a play of hosts. */
-#include "node_play.h"
+#include "node_play_net.h"
 
 #include "clock.h"
 #include "gossip/gossip_state.h"
@@ -23,76 +23,31 @@
 /** Longest time that a read waits at the store between two looks. */
 #define WAIT_STEP_US (20 * PPS_US_PER_MS)
 
-/** Requests of hosts: one call at a time. */
-struct pps_http_requester {
-    unsigned int host;
-    char address[NODE_PLAY_TEXT_BYTES];
-    const char *fields;
-    pps_http_requester_head_fn on_head;
-    void *head_user;
-    pps_http_requester_done_fn done;
-    void *user;
-    char path[1024];
-    pps_buf_t body;
-    int has_body;
-    unsigned int call;
-    int is_busy;
-};
-
-typedef enum {
-    EVENT_DATAGRAM,
-    EVENT_REQUEST, /* arrives at the server */
-    EVENT_ANSWER,  /* arrives at the host that asked */
-    EVENT_TIMEOUT,
-} event_kind_t;
-
-typedef struct node_play_event {
-    int64_t at_us;
-    uint64_t order;
-    event_kind_t kind;
-    unsigned int host; /* that the event concerns */
-    unsigned int incarnation;
-    pps_http_requester_t *requester;
-    unsigned int call;
-    int64_t wait_until_us; /* of a read that waits at the store */
-    unsigned int status;
-    int64_t epoch;
-    char *fields;
-    pps_buf_t data;
-} event_t;
-
-/* What a host answers to another one. */
-struct pps_http_conn {
-    unsigned int status;
-    pps_buf_t fields;
-    pps_buf_t body;
-};
-
 static int
-is_before(const event_t *a, const event_t *b)
+is_before(const node_play_event_t *a, const node_play_event_t *b)
 {
     return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
 }
 
 static void
-swap(event_t *a, event_t *b)
+swap(node_play_event_t *a, node_play_event_t *b)
 {
-    event_t kept = *a;
+    node_play_event_t kept = *a;
 
     *a = *b;
     *b = kept;
 }
 
-static void
-push(event_t event)
+void
+node_play_push(node_play_event_t event)
 {
     node_play_t *play = node_play;
     size_t at = play->event_count++;
 
     if (at == play->event_capacity) {
         play->event_capacity = at > 0 ? 2 * at : EVENTS_MIN;
-        play->events =
-            realloc(play->events, play->event_capacity * sizeof(event_t));
+        play->events = realloc(play->events, play->event_capacity *
+                                                 sizeof(node_play_event_t));
         cr_assert_not_null(play->events);
     }
     event.order = play->event_order++;
@@ -104,11 +59,11 @@
     }
 }
 
-static event_t
+static node_play_event_t
 pop(void)
 {
     node_play_t *play = node_play;
-    event_t first = play->events[0];
+    node_play_event_t first = play->events[0];
     size_t at = 0;
 
     play->events[0] = play->events[--play->event_count];
@@ -129,7 +84,7 @@
 }
 
 static void
-free_event(event_t *event)
+free_event(node_play_event_t *event)
 {
     pps_buf_clear(&event->data);
     free(event->fields);
@@ -146,8 +101,8 @@
     node_play->event_count = 0;
 }
 
-static int64_t
-draw_latency_us(void)
+int64_t
+node_play_draw_latency_us(void)
 {
     int is_late = node_play->calm_us == 0 &&
                   pps_rng_below(&node_play->rng, LATE_ONE_IN) == 0;
@@ -165,15 +120,15 @@
 static void
 send_datagram(int to, const pps_buf_t *encoded)
 {
-    event_t event = {
-        .at_us = node_play->now_us + draw_latency_us(),
+    node_play_event_t event = {
+        .at_us = node_play->now_us + node_play_draw_latency_us(),
         .kind = EVENT_DATAGRAM,
         .host = (unsigned int)to,
         .incarnation = node_play->hosts[to].incarnation,
     };
 
     cr_assert_eq(pps_buf_append(&event.data, encoded->data, encoded->size), 0);
-    push(event);
+    node_play_push(event);
 }
 
 static void
@@ -215,11 +170,11 @@
 }
 
 static void
-send_answer(const event_t *request, unsigned int status, int64_t epoch,
-            const char *fields, const pps_buf_t *body)
+send_answer(const node_play_event_t *request, unsigned int status,
+            int64_t epoch, const char *fields, const pps_buf_t *body)
 {
-    event_t answer = {
-        .at_us = node_play->now_us + draw_latency_us(),
+    node_play_event_t answer = {
+        .at_us = node_play->now_us + node_play_draw_latency_us(),
         .kind = EVENT_ANSWER,
         .host = request->host,
         .incarnation = request->incarnation,
@@ -231,12 +186,12 @@
     };
 
     cr_assert_eq(pps_buf_append(&answer.data, body->data, body->size), 0);
-    push(answer);
+    node_play_push(answer);
 }
 
 /* Returns whether a read waits at the store until there are records. */
 static int
-must_wait(event_t *request, const pps_buf_t *answer)
+must_wait(node_play_event_t *request, const pps_buf_t *answer)
 {
     const char *wait = strstr(request->requester->path, "&wait_ms=");
     const size_t empty_bytes = 16;
@@ -253,7 +208,7 @@
 }
 
 static void
-answer_as_store(event_t *request)
+answer_as_store(node_play_event_t *request)
 {
     const node_play_host_t *host = &node_play->hosts[request->host];
     pps_http_requester_t *requester = request->requester;
@@ -270,10 +225,10 @@
                                         requester->has_body ? &requester->body
                                                             : NULL);
         if (must_wait(request, &body)) {
-            event_t again = *request;
+            node_play_event_t again = *request;
 
             again.at_us = node_play->now_us + WAIT_STEP_US;
-            push(again);
+            node_play_push(again);
             pps_buf_clear(&body);
             return;
         }
@@ -283,7 +238,7 @@
 }
 
 static void
-answer_as_host(const event_t *request, int index)
+answer_as_host(const node_play_event_t *request, int index)
 {
     node_play_host_t *host = &node_play->hosts[index];
     pps_http_requester_t *requester = request->requester;
@@ -311,7 +266,7 @@
 }
 
 static void
-end_call(const event_t *event, int error)
+end_call(const node_play_event_t *event, int error)
 {
     pps_http_requester_t *requester = event->requester;
     pps_http_reply_t reply = {.status = event->status};
@@ -334,7 +289,7 @@
 }
 
 static void
-handle_request(event_t *event)
+handle_request(node_play_event_t *event)
 {
     pps_http_requester_t *requester = event->requester;
     int to = node_play_find_address(requester->address);
@@ -351,7 +306,7 @@
 }
 
 static void
-handle(event_t *event)
+handle(node_play_event_t *event)
 {
     node_play_host_t *host = &node_play->hosts[event->host];
 
@@ -382,147 +337,16 @@
 {
     while (node_play->event_count > 0 &&
            node_play->events[0].at_us <= node_play->now_us) {
-        event_t event = pop();
+        node_play_event_t event = pop();
         const node_play_host_t *host = &node_play->hosts[event.host];
 
         if (event.kind != EVENT_REQUEST &&
             node_play->now_us < host->frozen_until_us) {
             event.at_us = host->frozen_until_us;
-            push(event);
+            node_play_push(event);
             continue;
         }
         handle(&event);
         free_event(&event);
     }
 }
-
-/* The functions below take the place of those of http_requester.c, and of the
- * one by which a host answers. */
-
-int
-__wrap_pps_http_requester_new(pps_http_requester_t **out,
-                              pps_reactor_t *reactor, const char *address);
-void
-__wrap_pps_http_requester_set_address(pps_http_requester_t *requester,
-                                      const char *address);
-void
-__wrap_pps_http_requester_set_head_fn(pps_http_requester_t *requester,
-                                      pps_http_requester_head_fn on_head,
-                                      void *user);
-void
-__wrap_pps_http_requester_set_fields(pps_http_requester_t *requester,
-                                     const char *fields);
-void
-__wrap_pps_http_requester_set_body_max(pps_http_requester_t *requester,
-                                       size_t size);
-void
-__wrap_pps_http_requester_set_progress(pps_http_requester_t *requester,
-                                       int64_t step_us, int64_t max_us);
-int
-__wrap_pps_http_requester_is_busy(const pps_http_requester_t *requester);
-void
-__wrap_pps_http_requester_call(pps_http_requester_t *requester,
-                               const char *path, const pps_buf_t *body,
-                               int64_t timeout_us,
-                               pps_http_requester_done_fn done, void *user);
-void
-__wrap_pps_http_conn_respond(pps_http_conn_t *conn, unsigned int status,
-                             const char *fields, const void *body,
-                             size_t size);
-
-int
-__wrap_pps_http_requester_new(pps_http_requester_t **out,
-                              pps_reactor_t *reactor, const char *address)
-{
-    pps_http_requester_t *requester = calloc(1, sizeof(*requester));
-
-    cr_assert_not_null(requester);
-    requester->host = node_play->running;
-    requester->fields = "";
-    __wrap_pps_http_requester_set_address(requester, address);
-    *out = requester;
-    return PPS_OK;
-}
-
-void
-__wrap_pps_http_requester_set_address(pps_http_requester_t *requester,
-                                      const char *address)
-{
-    snprintf(requester->address, sizeof(requester->address), "%s", address);
-}
-
-void
-__wrap_pps_http_requester_set_head_fn(pps_http_requester_t *requester,
-                                      pps_http_requester_head_fn on_head,
-                                      void *user)
-{
-    requester->on_head = on_head;
-    requester->head_user = user;
-}
-
-void
-__wrap_pps_http_requester_set_fields(pps_http_requester_t *requester,
-                                     const char *fields)
-{
-    requester->fields = fields;
-}
-
-void
-__wrap_pps_http_requester_set_body_max(pps_http_requester_t *requester,
-                                       size_t size)
-{
-}
-
-void
-__wrap_pps_http_requester_set_progress(pps_http_requester_t *requester,
-                                       int64_t step_us, int64_t max_us)
-{
-}
-
-int
-__wrap_pps_http_requester_is_busy(const pps_http_requester_t *requester)
-{
-    return requester->is_busy;
-}
-
-void
-__wrap_pps_http_requester_call(pps_http_requester_t *requester,
-                               const char *path, const pps_buf_t *body,
-                               int64_t timeout_us,
-                               pps_http_requester_done_fn done, void *user)
-{
-    event_t event = {
-        .at_us = node_play->now_us + draw_latency_us(),
-        .kind = EVENT_REQUEST,
-        .host = requester->host,
-        .incarnation = node_play->hosts[requester->host].incarnation,
-        .requester = requester,
-        .call = ++requester->call,
-    };
-
-    cr_assert_not(requester->is_busy);
-    requester->is_busy = 1;
-    requester->done = done;
-    requester->user = user;
-    snprintf(requester->path, sizeof(requester->path), "%s", path);
-    pps_buf_clear(&requester->body);
-    requester->has_body = body != NULL;
-    if (body != NULL) {
-        pps_buf_append(&requester->body, body->data, body->size);
-    }
-    push(event);
-    event.kind = EVENT_TIMEOUT;
-    event.at_us = node_play->now_us + timeout_us;
-    push(event);
-}
-
-void
-__wrap_pps_http_conn_respond(pps_http_conn_t *conn, unsigned int status,
-                             const char *fields, const void *body, size_t size)
-{
-    struct pps_http_conn *answer = (struct pps_http_conn *)conn;
-
-    answer->status = status;
-    pps_buf_puts(&answer->fields, fields);
-    pps_buf_append(&answer->body, body, size);
-}
