Copies: a host logs and counts records that it turns out to have missed

Change: record_missed (topic, key, offset, the copy's ends) and entry_records_missed_total, when a value from below the copy's end changes what a key says. The play of hosts takes each one for a finding, also if the host has the record by then. Two cases of tests whose copies contradict each other by hand expect it.

--- a/src/libpapayaswitch/mirror/mirror.c
+++ b/src/libpapayaswitch/mirror/mirror.c
@@ -186,17 +186,39 @@
            memcmp(entry->value, item->value, item->size) == 0;
 }
 
+/* Reports an entry whose new value was written below the copy's end and says
+ * something else than the value before. */
+static void
+check_missed(const pps_mirror_t *mirror, const pps_mirror_entry_t *entry,
+             uint64_t meaning_before)
+{
+    if (mirror->ops->on_missed != NULL && entry->epoch == mirror->epoch &&
+        entry->offset < mirror->end &&
+        (entry->meaning == 0 || entry->meaning != meaning_before)) {
+        mirror->ops->on_missed(mirror->user, mirror, entry->key,
+                               entry->offset);
+    }
+}
+
 static int
 update_entry(pps_mirror_effect_t *effect, pps_mirror_t *mirror,
              pps_mirror_entry_t *entry, const pps_mirror_item_t *item)
 {
     int is_same = is_listed_again(entry, item);
+    uint64_t meaning_before = entry->meaning;
+    int error;
 
     entry->epoch = item->epoch;
     entry->offset = item->offset;
     *effect = PPS_MIRROR_SAME;
-    return is_same ? PPS_OK
-                   : set_entry(effect, mirror, entry, item->value, item->size);
+    if (is_same) {
+        return PPS_OK;
+    }
+    error = set_entry(effect, mirror, entry, item->value, item->size);
+    if (error == 0) {
+        check_missed(mirror, entry, meaning_before);
+    }
+    return error;
 }
 
 int
--- a/src/libpapayaswitch/mirror/mirror.h
+++ b/src/libpapayaswitch/mirror/mirror.h
@@ -4,8 +4,9 @@
  *
  * The copy is filled from a full listing, from the records that follow one, or
  * from another host's copy, and reports each changed key to its owner. Offsets
- * order these sources: an older value never replaces a newer one. The offset
- * of a deletion is not kept, so an older listing can add the key again.
+ * order these sources: an older value never replaces a newer one, and where
+ * the offset of a deletion is not kept, the newer source says which keys there
+ * are.
  *
  * Offsets are comparable within one epoch only. A store that comes back from a
  * backup starts a higher epoch and assigns offsets again. The copy enters an
@@ -47,6 +48,11 @@
      * relevant end moves past it. May be NULL. */
     void (*on_relevant)(void *user, const char *key, const char *value,
                         size_t size);
+    /** Called when a listing or another host's copy has just changed a key by
+     * a value from below the copy's end: the copy had missed its record. May
+     * be NULL. */
+    void (*on_missed)(void *user, const pps_mirror_t *mirror, const char *key,
+                      int64_t offset);
 } pps_mirror_ops_t;
 
 /** Creates an empty copy, whose end is -1. `ops` must outlive it.
--- a/src/libpapayaswitch/mirror/mirror_state.h
+++ b/src/libpapayaswitch/mirror/mirror_state.h
@@ -24,8 +24,7 @@
     int64_t epoch;
     int64_t offset;   /* in `epoch` */
     uint64_t meaning; /* of the value; see pps_mirror_relevance_t */
-    uint64_t
-        marks[PPS_MIRROR_KINDS]; /* numbers of the last listings with it */
+    uint64_t marks[PPS_MIRROR_KINDS]; /* the last listings that have it */
 } pps_mirror_entry_t;
 
 /** A listing in progress. */
--- a/tests/entry/mirror_fixture.c
+++ b/tests/entry/mirror_fixture.c
@@ -18,7 +18,15 @@
     }
 }
 
-static const pps_mirror_ops_t ops = {.on_changed = on_changed};
+static void
+on_missed(void *user, const pps_mirror_t *mirror, const char *key,
+          int64_t offset)
+{
+    pps_buf_printf(user, "%s missed;", key);
+}
+
+static const pps_mirror_ops_t ops = {.on_changed = on_changed,
+                                     .on_missed = on_missed};
 
 void
 mirror_fixture_start(mirror_fixture_t *fixture)
--- a/tests/entry/mirror_fixture.h
+++ b/tests/entry/mirror_fixture.h
@@ -5,7 +5,8 @@
 
 #include "mirror/mirror.h"
 
-/** A mirror and its changes: "key=value;" or "key-;" each. Values that begin
+/** A mirror and its changes: "key=value;" or "key-;" each, and "key missed;"
+ * if its record had been missed. Values that begin
  * with 'h' mean the same as any value before them. */
 typedef struct {
     pps_buf_t changes;
--- a/tests/entry/node_play.c
+++ b/tests/entry/node_play.c
@@ -2,6 +2,7 @@
 #include "node_play.h"
 
 #include "clock.h"
+#include "counters.h"
 #include "logger.h"
 
 #include <criterion/criterion.h>
@@ -185,6 +186,8 @@
     node_play->now_us = START_US;
     set_up_log("-");
     node_play->next_seed = seed * 1000;
+    node_play->missed_before =
+        pps_counter_sum(PPS_COUNTER_ENTRY_RECORDS_MISSED);
     pps_rng_init(&node_play->rng, seed);
     node_play_store_start();
     for (unsigned int i = 0; i < options->hosts; i++) {
--- a/tests/entry/node_play.h
+++ b/tests/entry/node_play.h
@@ -117,6 +117,7 @@
     uint64_t next_seed;
     unsigned int ports; /**< that workers have used */
     int is_logging;     /**< PPS_PLAY_LOG is set: lines name host and time */
+    uint64_t missed_before; /**< records missed in the plays before */
     node_play_finding_t finding;
 } node_play_t;
 
--- a/tests/entry/node_play_compare.c
+++ b/tests/entry/node_play_compare.c
@@ -3,6 +3,7 @@
 #include "node_play.h"
 
 #include "clock.h"
+#include "counters.h"
 #include "names.h"
 #include "records.h"
 
@@ -124,6 +125,20 @@
     }
 }
 
+/* Notes a finding if a host has noticed that it had missed a record, even if
+ * it has it now. */
+static void
+check_missed(void)
+{
+    uint64_t missed = pps_counter_sum(PPS_COUNTER_ENTRY_RECORDS_MISSED);
+
+    if (missed != node_play->missed_before) {
+        snprintf(node_play->finding.text, sizeof(node_play->finding.text),
+                 "%lld ms: host %u had missed a record",
+                 (long long)node_play_elapsed_ms(), node_play->running);
+    }
+}
+
 void
 node_play_compare(void)
 {
@@ -132,6 +147,7 @@
     for (unsigned int i = 0; i < node_play->options.workers; i++) {
         observe_worker(i);
     }
+    check_missed();
     if (node_play->calm_us == 0 || node_play->finding.text[0] != '\0' ||
         node_play->now_us < node_play->calm_us + STABLE_US) {
         return;
--- a/tests/entry/test_mirror_epochs.c
+++ b/tests/entry/test_mirror_epochs.c
@@ -81,7 +81,7 @@
 static const epoch_import_t epoch_imports[] = {
     {"a higher epoch at lower offsets", 2, 3, 1, 90, "z=1;a=1;z-;", 2, 3},
     {"a lower epoch at higher offsets", 1, 90, 2, 3, "z=1;", 2, 3},
-    {"the same epoch, newer", 2, 9, 2, 3, "z=1;a=1;z-;", 2, 9},
+    {"the same epoch, newer", 2, 9, 2, 3, "z=1;a=1;a missed;z-;", 2, 9},
     {"the same epoch, older", 2, 3, 2, 9, "z=1;", 2, 9},
 };
 
--- a/tests/entry/test_mirror_relevance.c
+++ b/tests/entry/test_mirror_relevance.c
@@ -171,7 +171,7 @@
      9,
      9,
      9,
-     "a=1;b=1;a-;"},
+     "a=1;b=1;b missed;a-;"},
     {"a listing of a copy that moves on meanwhile counts",
      {{BEGIN, 9}, {LISTED, 7, "a", "h1"}, {PEER, 5, .end = 8}, {FINISH}},
      9,
