Soak: no host may have missed a record

Cause: a record that a host has missed shows in the soak only if requests suffer from it by chance.

Change: after the run the logs of the hosts are searched for record_missed, unless hosts of an earlier build run too: those miss records.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,6 +1,8 @@
 /** @file soak.c @brief Runs the randomized soak test with one seed. */
 #include "soak.h"
 
+#include "soak_missed.h"
+
 #include "clock.h"
 #include "logger.h"
 
@@ -268,6 +270,7 @@
     check_rollout(&soak);
     cut_check(&soak);
     calm_end_check(&soak);
+    missed_check(&soak);
     printf("seed %llu: sent %u, served %u, refused %u, failed %u; %u workers "
            "ended; %u checked in an evacuation; %u broken; logs in %s\n",
            (unsigned long long)soak.seed, soak.sent_count, soak.served_count,
