--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0: the same without the restart.
+set -u
+cd "$(dirname "$0")/../.." || exit 2
+command -v python3 >/dev/null || exit 2
+exec timeout -k 2 118 python3 review/13/case.py
--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -348,6 +348,7 @@
         self.process = None
         self.last_beat = 0.0
         self.born_ms = 0
+        self.state = "ready"
         self.on_event = lambda worker, event: None
 
     async def start(self):
@@ -375,9 +376,10 @@
                                                line.decode().strip()))
             self.on_event(self, event)
 
-    def entry(self, state="ready"):
+    def entry(self):
         return json.dumps({
-            "service": self.service, "version": self.version, "state": state,
+            "service": self.service, "version": self.version,
+            "state": self.state,
             "address": "%s:%d" % (self.address, self.port),
             "zone": list(ZONES)[self.number % len(ZONES)],
             "slots": self.options.get("slots", 48), "cold_remaining_ms": 0,
@@ -394,6 +396,17 @@
         await asyncio.sleep(2 * HEARTBEAT_S)
         await self.store.put("keyed.servers", worker_id, None)
 
+    async def drain(self, seconds):
+        """Reports that it leaves, serves on and leaves."""
+        self.state = "draining"
+        await self.store.put("keyed.servers", self.id, self.entry())
+        self.lab.record("worker %s is draining" % self.id)
+        await asyncio.sleep(seconds)
+        self.lab.record("worker %s leaves" % self.id)
+        self.process.send_signal(signal.SIGTERM)
+        await self.process.wait()
+        await self.store.put("keyed.servers", self.id, None)
+
     async def crash(self):
         self.lab.record("SIGKILL for worker %s" % self.id)
         self.process.send_signal(signal.SIGKILL)
--- a/review/standins-3/worker.py
+++ b/review/standins-3/worker.py
@@ -6,11 +6,17 @@
 events, pause_s     pieces of a stream and the time between two
 has_length          whether its answers are sent in chunks; otherwise they have
                     no length and end with the channel
+rest_share, rest_s  of so many of the streams that begin here, the pieces rest
+rest_behind         for so long behind this piece, as when the request gives way
+                    to others; none, if they are left out
+
+It drops a request when its channel closes.
 """
 import asyncio
 import json
 import sys
 import time
+import zlib
 
 OPTIONS = json.loads(sys.argv[1])
 running = 0
@@ -39,7 +45,21 @@
     return lines[0].split(" "), fields, body
 
 
-async def answer(writer, fields):
+def rests(request_id, first):
+    """Returns whether the pieces of a stream rest once."""
+    return first == 1 and zlib.crc32(request_id.encode()) % 100 < \
+        100 * OPTIONS.get("rest_share", 0)
+
+
+async def wait(reader, seconds):
+    """Returns whether the channel is still open after a time."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until and not reader.at_eof():
+        await asyncio.sleep(min(0.05, until - time.monotonic()))
+    return not reader.at_eof()
+
+
+async def answer(reader, writer, fields):
     request_id = fields["x-request-id"]
     chunked = OPTIONS["has_length"]
     first = int(fields.get("last-event-id", 0)) + 1
@@ -53,7 +73,14 @@
                   (request_id, OPTIONS["id"], request_id, running,
                    OPTIONS["slots"], framing)).encode())
     for number in range(first, OPTIONS["events"] + 1):
-        await asyncio.sleep(OPTIONS["pause_s"])
+        is_open = await wait(reader, OPTIONS["pause_s"])
+        if is_open and number == OPTIONS.get("rest_behind", 0) + 1 and \
+                rests(request_id, first):
+            tell(event="rest", request=request_id)
+            is_open = await wait(reader, OPTIONS["rest_s"])
+        if not is_open:
+            tell(event="dropped", request=request_id, last=number - 1)
+            return
         event = ("id: %d\ndata: %s-%d\n\n" %
                  (number, request_id, number)).encode()
         writer.write(b"%x\r\n%b\r\n" % (len(event), event) if chunked
@@ -77,7 +104,7 @@
         else:
             running += 1
             try:
-                await answer(writer, fields)
+                await answer(reader, writer, fields)
             finally:
                 running -= 1
     except (asyncio.IncompleteReadError, ConnectionError):
