Roll-outs: the log says why a target is held, who decided it and when

Change: changes of roll-outs name hold, age_ms, from and processes, and the counts are the sum on which the host decides, in holds that were heard, too.

Measured: entry_test_rollout, _reports, _completion and _rolled_back pass; nothing is decided otherwise.

--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -8,6 +8,9 @@
 
 #include <string.h>
 
+/** Sources of a change that are no other hosts. */
+#define FROM_SELF "self"
+#define FROM_STORE "store"
 #define EVIDENCE_LOG_PERIOD_US (1 * PPS_US_PER_S)
 /** Oldest report of a live host on which a completion may rest: some datagrams
  * in a row may be lost. */
@@ -43,17 +46,35 @@
     state->told_until_us = dispatcher->reactor->now_us + END_TOLD_US;
 }
 
+/* Logs a change that rests on this host's counts and those that it was told.
+ */
+static void
+log_change(const pps_dispatcher_t *dispatcher,
+           const pps_upstream_state_t *state, const char *event,
+           const char *from)
+{
+    const pps_rollout_source_t source = {
+        .from = from,
+        .now_us = dispatcher->reactor->now_us,
+        .processes = 1 + pps_rollout_reports_count(&state->reports),
+    };
+    pps_rollout_tally_t sum;
+
+    pps_rollout_controller_sum(&sum, state);
+    pps_rollout_log(event, &state->rollout, &sum, &source);
+}
+
 /* Adopts a later state of the roll-out. Nothing is counted once it has ended.
  */
 static void
 advance(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
-        pps_rollout_state_t new_state, const char *event)
+        pps_rollout_state_t new_state, const char *event, const char *from)
 {
     if (new_state <= state->rollout.state) {
         return;
     }
     state->rollout.state = new_state;
-    pps_rollout_log(event, &state->rollout, &state->tally);
+    log_change(dispatcher, state, event, from);
     if (new_state != PPS_ROLLOUT_ACTIVE) {
         tell_end(dispatcher, state);
         pps_rollout_reports_clear(&state->reports);
@@ -101,7 +122,7 @@
     pps_rollout_begin(&state->rollout, dispatcher->reactor->now_us);
     state->complete_since_us = 0;
     memset(&state->tally, 0, sizeof(state->tally));
-    pps_rollout_log("rollout_ordered", &state->rollout, &state->tally);
+    log_change(dispatcher, state, "rollout_ordered", FROM_STORE);
 }
 
 void
@@ -125,23 +146,24 @@
         state->rollout.started_us = dispatcher->reactor->now_us;
         tell_end(dispatcher, state);
     }
-    advance(dispatcher, state, status->state, "rollout_declared");
+    advance(dispatcher, state, status->state, "rollout_declared", FROM_STORE);
 }
 
 static void
 merge_remote(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
-             const pps_rollout_t *remote)
+             const char *host, const pps_rollout_t *remote)
 {
     pps_rollout_t *local = &state->rollout;
 
-    advance(dispatcher, state, remote->state, "rollout_heard");
+    advance(dispatcher, state, remote->state, "rollout_heard", host);
     if (local->state > remote->state) {
         tell_end(dispatcher, state);
     }
     pps_rollout_merge(local, remote);
     if (remote->held && !local->held) {
         local->held = 1;
-        pps_rollout_log("rollout_held", local, &state->tally);
+        local->hold_reason = remote->hold_reason;
+        log_change(dispatcher, state, "rollout_held", host);
     }
 }
 
@@ -156,7 +178,7 @@
         }
         return;
     }
-    merge_remote(dispatcher, state, &report->rollout);
+    merge_remote(dispatcher, state, host, &report->rollout);
     if (state->rollout.state == PPS_ROLLOUT_ACTIVE) {
         pps_rollout_reports_note(&state->reports, host, &report->tally,
                                  dispatcher->reactor->now_us);
@@ -342,15 +364,15 @@
     verdict = pps_rollout_step(&state->rollout, &sum, &basis,
                                dispatcher->reactor->now_us);
     if (old_held != state->rollout.held) {
-        pps_rollout_log("rollout_held", &state->rollout, &sum);
+        log_change(dispatcher, state, "rollout_held", FROM_SELF);
         pps_gossip_send_state(gossip);
     }
     if (old_next_share != state->rollout.next_share) {
-        pps_rollout_log("rollout_planned", &state->rollout, &sum);
+        log_change(dispatcher, state, "rollout_planned", FROM_SELF);
         pps_gossip_send_state(gossip);
     }
     if (old_share != state->rollout.share) {
-        pps_rollout_log("rollout_step", &state->rollout, &sum);
+        log_change(dispatcher, state, "rollout_step", FROM_SELF);
     }
     if (!is_unopposed(dispatcher, state, gossip, verdict) &&
         verdict == PPS_ROLLOUT_COMPLETE) {
--- a/src/libpapayaswitch/rollout/rollout.c
+++ b/src/libpapayaswitch/rollout/rollout.c
@@ -98,6 +98,7 @@
     rollout->started_us = now_us;
     rollout->share = 0;
     rollout->held = 0;
+    rollout->hold_reason = PPS_ROLLOUT_HOLD_UNKNOWN;
     rollout->proven = 0;
     rollout->next_share = 0;
     rollout->next_age_us = 0;
@@ -211,19 +212,36 @@
     }
 }
 
-/* Returns whether the target has to be rolled back: it is bad, or the requests
- * or the time are used up in which it could be proven. */
+/* Returns why the target has to be rolled back: it is bad, or the requests or
+ * the time are used up in which it could be proven. */
+static pps_rollout_hold_t
+find_hold_reason(const pps_rollout_t *rollout,
+                 const pps_rollout_tally_t *tally,
+                 const pps_rollout_bounds_t *bounds, int64_t age_us)
+{
+    if (pps_rollout_is_bad(tally)) {
+        return PPS_ROLLOUT_HOLD_BAD;
+    }
+    if (rollout->proven) {
+        return PPS_ROLLOUT_HOLD_UNKNOWN;
+    }
+    if (is_exposure_used_up(rollout, tally, bounds, age_us)) {
+        return PPS_ROLLOUT_HOLD_EXPOSURE;
+    }
+    return age_us >= rollout->duration_us ? PPS_ROLLOUT_HOLD_TIME
+                                          : PPS_ROLLOUT_HOLD_UNKNOWN;
+}
+
 static int
-must_hold(const pps_rollout_t *rollout, const pps_rollout_tally_t *tally,
+must_hold(pps_rollout_t *rollout, const pps_rollout_tally_t *tally,
           const pps_rollout_basis_t *basis, int64_t age_us)
 {
-    if (rollout->held || !basis->knows_all_hosts) {
-        return rollout->held;
+    if (!rollout->held && basis->knows_all_hosts) {
+        rollout->hold_reason =
+            find_hold_reason(rollout, tally, &basis->bounds, age_us);
+        rollout->held = rollout->hold_reason != PPS_ROLLOUT_HOLD_UNKNOWN;
     }
-    return pps_rollout_is_bad(tally) ||
-           (!rollout->proven &&
-            (is_exposure_used_up(rollout, tally, &basis->bounds, age_us) ||
-             age_us >= rollout->duration_us));
+    return rollout->held;
 }
 
 pps_rollout_verdict_t
@@ -237,7 +255,6 @@
     }
     rollout->proven |= pps_rollout_is_sound(tally);
     if (must_hold(rollout, tally, basis, age_us)) {
-        rollout->held = 1;
         return PPS_ROLLOUT_ROLL_BACK;
     }
     if (age_us >= rollout->next_age_us) {
--- a/src/libpapayaswitch/rollout/rollout.h
+++ b/src/libpapayaswitch/rollout/rollout.h
@@ -28,6 +28,16 @@
     PPS_ROLLOUT_ROLLED_BACK,
 } pps_rollout_state_t;
 
+/** Why a target is held. */
+typedef enum {
+    PPS_ROLLOUT_HOLD_UNKNOWN,  /**< not held, or held by a host of an older
+                                    build, which doesn't tell why */
+    PPS_ROLLOUT_HOLD_BAD,      /**< its results show that it is bad */
+    PPS_ROLLOUT_HOLD_EXPOSURE, /**< unproven, and it may get no more requests
+                                */
+    PPS_ROLLOUT_HOLD_TIME,     /**< unproven, and the duration is over */
+} pps_rollout_hold_t;
+
 /** A roll-out of one upstream to a target version. */
 typedef struct {
     char upstream[PPS_ROLLOUT_TEXT_BYTES];
@@ -41,6 +51,7 @@
     int proven;              /**< target is shown to be sound; final */
     int held;                /**< target failed or could not be proven, gets
                                   no sessions; final */
+    pps_rollout_hold_t hold_reason;
 } pps_rollout_t;
 
 /** Action that a step calls for. */
--- a/src/libpapayaswitch/rollout/rollout_log.c
+++ b/src/libpapayaswitch/rollout/rollout_log.c
@@ -4,9 +4,23 @@
 #include "clock.h"
 #include "logger.h"
 
+static const char *
+hold_name(const pps_rollout_t *rollout)
+{
+    static const char *const names[] = {
+        [PPS_ROLLOUT_HOLD_UNKNOWN] = "unknown",
+        [PPS_ROLLOUT_HOLD_BAD] = "bad",
+        [PPS_ROLLOUT_HOLD_EXPOSURE] = "exposure_used_up",
+        [PPS_ROLLOUT_HOLD_TIME] = "time_used_up",
+    };
+
+    return rollout->held ? names[rollout->hold_reason] : "none";
+}
+
 void
 pps_rollout_log(const char *event, const pps_rollout_t *rollout,
-                const pps_rollout_tally_t *tally)
+                const pps_rollout_tally_t *tally,
+                const pps_rollout_source_t *source)
 {
     pps_rollout_count_t target = pps_rollout_sum_kinds(tally->target);
     pps_rollout_count_t baseline = pps_rollout_sum_kinds(tally->baseline);
@@ -16,9 +30,13 @@
         PPS_FIELDS(
             PPS_STR("upstream", rollout->upstream),
             PPS_STR("target", rollout->target),
-            PPS_INT("state", rollout->state),
+            PPS_INT("state", rollout->state), PPS_STR("from", source->from),
+            PPS_STR("hold", hold_name(rollout)),
             PPS_INT("proven", rollout->proven),
             PPS_INT("share", rollout->share),
+            PPS_INT("age_ms",
+                    (source->now_us - rollout->started_us) / PPS_US_PER_MS),
+            PPS_INT("processes", source->processes),
             PPS_INT("duration_ms", rollout->duration_us / PPS_US_PER_MS),
             PPS_INT("next_share", rollout->next_share),
             PPS_INT("next_age_ms", rollout->next_age_us / PPS_US_PER_MS),
--- a/src/libpapayaswitch/rollout/rollout_log.h
+++ b/src/libpapayaswitch/rollout/rollout_log.h
@@ -18,10 +18,19 @@
                                      lately */
 } pps_rollout_view_t;
 
+/** Where a change of a roll-out comes from. */
+typedef struct {
+    const char *from; /**< address of the host that told of it, "store", or
+                           "self" */
+    int64_t now_us;
+    size_t processes; /**< whose counts the results are the sum of */
+} pps_rollout_source_t;
+
 /** Logs a change of a roll-out with the results that it rests on. */
 void
 pps_rollout_log(const char *event, const pps_rollout_t *rollout,
-                const pps_rollout_tally_t *tally);
+                const pps_rollout_tally_t *tally,
+                const pps_rollout_source_t *source);
 
 /** Logs the evidence that a roll-out is judged by at a moment. */
 void
--- a/src/libpapayaswitch/rollout/rollout_reports.c
+++ b/src/libpapayaswitch/rollout/rollout_reports.c
@@ -48,6 +48,19 @@
     }
 }
 
+size_t
+pps_rollout_reports_count(const struct cds_list_head *reports)
+{
+    const struct cds_list_head *report;
+    size_t count = 0;
+
+    cds_list_for_each(report, reports)
+    {
+        count++;
+    }
+    return count;
+}
+
 int64_t
 pps_rollout_reports_told_us(const struct cds_list_head *reports,
                             const char *host)
--- a/src/libpapayaswitch/rollout/rollout_reports.h
+++ b/src/libpapayaswitch/rollout/rollout_reports.h
@@ -30,6 +30,10 @@
 pps_rollout_reports_sum(pps_rollout_tally_t *sum,
                         const struct cds_list_head *reports);
 
+/** Returns the number of reports. */
+size_t
+pps_rollout_reports_count(const struct cds_list_head *reports);
+
 /** Returns when a host last told of the roll-out, or 0 if it never did. */
 int64_t
 pps_rollout_reports_told_us(const struct cds_list_head *reports,
