Roll-outs: no step without the duration, which may come after the status

Cause: a host that starts reads the status before the order. The status has no duration, so duration_us was 0, and the order that came after it was dropped, as its target was known. The next step found the time used up.

Change: an order, or a report of another host, gives the duration where none is known; without one nothing is judged or planned.

Evidence: test_rollout_start, the cases status/order, status alone and status/peer, failed before (held, duration 0).

--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -114,7 +114,14 @@
     pps_upstream_state_t *state =
         pps_dispatcher_upstream(dispatcher, order->upstream);
 
-    if (state == NULL || strcmp(state->rollout.target, order->target) == 0) {
+    if (state == NULL) {
+        return;
+    }
+    if (strcmp(state->rollout.target, order->target) == 0) {
+        /* The status arrived before the order. */
+        if (state->rollout.duration_us == 0) {
+            state->rollout.duration_us = order->duration_us;
+        }
         return;
     }
     supersede(state, order->target);
--- a/src/libpapayaswitch/rollout/controller.h
+++ b/src/libpapayaswitch/rollout/controller.h
@@ -9,7 +9,8 @@
 #include "exchange/dispatcher.h"
 #include "gossip/gossip.h"
 
-/** Starts the ordered roll-out unless the current one has the same target. */
+/** Starts the ordered roll-out unless the current one has the same target.
+ * Notes the duration if that one is known from its status only. */
 void
 pps_rollout_controller_apply_order(pps_dispatcher_t *dispatcher,
                                    const pps_rollout_t *order);
--- a/src/libpapayaswitch/rollout/rollout.c
+++ b/src/libpapayaswitch/rollout/rollout.c
@@ -200,6 +200,9 @@
     if (remote->started_us < rollout->started_us - START_TOLERANCE_US) {
         rollout->started_us = remote->started_us;
     }
+    if (rollout->duration_us == 0) {
+        rollout->duration_us = remote->duration_us;
+    }
     rollout->proven |= remote->proven;
     if (remote->share > rollout->share) {
         rollout->share = remote->share;
@@ -250,7 +253,8 @@
 {
     int64_t age_us = now_us - rollout->started_us;
 
-    if (rollout->state != PPS_ROLLOUT_ACTIVE) {
+    if (rollout->state != PPS_ROLLOUT_ACTIVE ||
+        (rollout->duration_us == 0 && !rollout->held)) {
         return PPS_ROLLOUT_CONTINUE;
     }
     rollout->proven |= pps_rollout_is_sound(tally);
--- a/src/libpapayaswitch/rollout/rollout.h
+++ b/src/libpapayaswitch/rollout/rollout.h
@@ -44,7 +44,8 @@
     char target[PPS_ROLLOUT_TEXT_BYTES]; /**< target version */
     pps_rollout_state_t state;
     int64_t started_us;      /**< on this host's clock */
-    int64_t duration_us;     /**< the operator's limit for the roll-out */
+    int64_t duration_us;     /**< the operator's limit for the roll-out; 0: not
+                                  known yet */
     unsigned int share;      /**< sessions on the target, per thousand */
     unsigned int next_share; /**< planned share, announced in advance */
     int64_t next_age_us;     /**< time from the start to the planned move */
@@ -83,7 +84,8 @@
  * the operator's duration is used up, it is held and rolled back. A target
  * that is shown to be sound gets all sessions and is completed. One that is
  * clean but could not be loaded gets them so late that the bound is kept even
- * if it is bad, and is completed just before the end.
+ * if it is bad, and is completed just before the end. Without a known duration
+ * nothing is judged or planned.
  * @return the due action
  */
 pps_rollout_verdict_t
@@ -104,12 +106,13 @@
 unsigned int
 pps_rollout_share(const pps_rollout_t *rollout, int64_t now_us);
 
-/** Starts the roll-out without a planned move. Requires `duration_us`. */
+/** Starts the roll-out without a planned move. */
 void
 pps_rollout_begin(pps_rollout_t *rollout, int64_t now_us);
 
-/** Adopts another host's start if it is clearly earlier, its share if larger,
- * its planned move if it is to a larger share or earlier, and its proof. */
+/** Adopts another host's start if it is clearly earlier, its duration if none
+ * is known, its share if larger, its planned move if it is to a larger share
+ * or earlier, and its proof. */
 void
 pps_rollout_merge(pps_rollout_t *rollout, const pps_rollout_t *remote);
 
--- /dev/null
+++ b/tests/entry/test_rollout_start.c
@@ -0,0 +1,115 @@
+/** @file test_rollout_start.c @brief Tests what a host that starts within a
+ * roll-out makes of its order, its status and other hosts' reports. */
+#include "clock.h"
+#include "gossip/gossip_state.h"
+#include "rollout/controller.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define S PPS_US_PER_S
+#define DURATION_US (24 * S)
+#define STEPS_MAX 3
+
+typedef enum {
+    NOTHING,
+    READS_ORDER,
+    READS_STATUS, /**< "active", without a duration */
+    HEARS_PEER,
+} step_t;
+
+typedef struct {
+    const char *name;
+    step_t steps[STEPS_MAX];
+    int64_t duration_us; /**< that is known after the steps */
+} start_case_t;
+
+static const start_case_t cases[] = {
+    {"order", {READS_ORDER}, DURATION_US},
+    {"order, status", {READS_ORDER, READS_STATUS}, DURATION_US},
+    {"status, order", {READS_STATUS, READS_ORDER}, DURATION_US},
+    {"status", {READS_STATUS}, 0},
+    {"status, peer", {READS_STATUS, HEARS_PEER}, DURATION_US},
+    {"status, peer, order",
+     {READS_STATUS, HEARS_PEER, READS_ORDER},
+     DURATION_US},
+};
+
+static void
+ignore_state(void *user, pps_gossip_state_t *out)
+{
+}
+
+static void
+ignore_datagram(void *user, const char *address, const pps_buf_t *encoded)
+{
+}
+
+static const pps_gossip_ops_t gossip_ops = {.fill_state = ignore_state};
+
+static void
+run_step(pps_dispatcher_t *dispatcher, step_t step)
+{
+    pps_rollout_t rollout = {.upstream = "s",
+                             .target = "v2",
+                             .state = PPS_ROLLOUT_ACTIVE,
+                             .started_us = dispatcher->reactor->now_us - 3 * S,
+                             .duration_us =
+                                 step == READS_STATUS ? 0 : DURATION_US};
+    pps_gossip_peer_t peer = {.state.rollout_count = 1,
+                              .state.address = "127.0.0.2"};
+
+    switch (step) {
+    case NOTHING:
+        break;
+    case READS_ORDER:
+        pps_rollout_controller_apply_order(dispatcher, &rollout);
+        break;
+    case READS_STATUS:
+        pps_rollout_controller_apply_status(dispatcher, &rollout);
+        break;
+    case HEARS_PEER:
+        peer.state.rollouts[0].rollout = rollout;
+        pps_rollout_controller_merge_peer(dispatcher, &peer);
+        break;
+    }
+}
+
+/* Guards against a good version that is held by a host that reads the status
+ * before the order, as the time seems to be used up. */
+Test(rollout_start, a_host_holds_nothing_before_it_knows_the_duration)
+{
+    static const pps_dispatch_options_t options = {.repeat_window_us = 10 * S,
+                                                   .rollout = {0.15, 30}};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+        pps_reactor_t reactor;
+        pps_dispatcher_t dispatcher;
+        pps_gossip_t *gossip;
+        pps_upstream_state_t *state;
+
+        cr_assert_eq(pps_reactor_init(&reactor), 0);
+        reactor.now_us = 100 * S;
+        cr_assert_eq(
+            pps_dispatcher_init(&dispatcher, &reactor, &options, NULL, NULL),
+            0);
+        cr_assert_eq(pps_gossip_new(&gossip, &reactor, "h", "127.0.0.1", "z",
+                                    0, &gossip_ops, NULL),
+                     0);
+        gossip->transmit = ignore_datagram;
+        for (size_t step = 0; step < STEPS_MAX; step++) {
+            run_step(&dispatcher, cases[i].steps[step]);
+        }
+        state = pps_dispatcher_upstream(&dispatcher, "s");
+        for (int step = 0; step < 40; step++) {
+            reactor.now_us += S / 4;
+            cr_expect_eq(
+                pps_rollout_controller_step(&dispatcher, state, gossip),
+                PPS_ROLLOUT_CONTINUE, "%s", cases[i].name);
+        }
+        cr_expect_eq(state->rollout.held, 0, "%s", cases[i].name);
+        cr_expect_eq(state->rollout.duration_us, cases[i].duration_us, "%s",
+                     cases[i].name);
+    }
+}
