Roll-outs: what a process has counted stays when it has ended

What callers saw: with hosts restarted in turn, a good version was rolled back in the last second of its duration, and a bad one was shown to more callers than the bound knows.

Cause: a host's report by its address was replaced by that of its new process, which begins at 0, and the new process had no counts from before its start. The sum that all decide on went down with each restart.

Change: counts are kept by process (address and incarnation) and only grow. Hosts that hear all others tell a digest of the ended processes' counts with each roll-out and send a host whose digest differs what it may lack: all to a process that has just started, else what has changed lately. Hosts of older builds are sent none; the new fields stand last. Weighed: handing one sum over (can't be merged without doubling), the status record (no room), the copies of topics (read once at the start, not healed after a loss).

--- a/src/libpapayaswitch/gossip/gossip_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_codec.c
@@ -21,7 +21,8 @@
 #define ABILITIES                                                             \
     (PPS_GOSSIP_LACKS_FORWARDING | PPS_GOSSIP_LACKS_DIGESTS |                 \
      PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS | PPS_GOSSIP_LACKS_PERMIT_SIZES |     \
-     PPS_GOSSIP_LACKS_ROLLOUT_REPORTS | PPS_GOSSIP_LACKS_RELEVANCE_RULE)
+     PPS_GOSSIP_LACKS_ROLLOUT_REPORTS | PPS_GOSSIP_LACKS_RELEVANCE_RULE |     \
+     PPS_GOSSIP_LACKS_ENDED_COUNTS)
 
 static void
 pack_string(msgpack_packer *packer, const char *text)
--- a/src/libpapayaswitch/gossip/gossip_codec.h
+++ b/src/libpapayaswitch/gossip/gossip_codec.h
@@ -34,6 +34,7 @@
     PPS_GOSSIP_BEACON,
     PPS_GOSSIP_STATE_REQUEST,
     PPS_GOSSIP_ROLLOUT_REPORT,
+    PPS_GOSSIP_ENDED_COUNT_REPORT,
 } pps_gossip_kind_t;
 
 /** Returns the kind that the first bytes of a datagram state. */
@@ -120,6 +121,17 @@
 pps_gossip_decode_rollouts(pps_gossip_rollouts_t *out, const char *data,
                            size_t size, int64_t now_us);
 
+/** Appends counts of ended processes. @return 0 or PPS_ENOMEM */
+int
+pps_gossip_encode_ended_counts(pps_buf_t *out,
+                               const pps_gossip_ended_counts_t *counts);
+
+/** Decodes counts of ended processes. Items beyond the maximum number are left
+ * out. @return 0, or PPS_ECORRUPT if it has none */
+int
+pps_gossip_decode_ended_counts(pps_gossip_ended_counts_t *out,
+                               const char *data, size_t size);
+
 /** Decodes a state datagram. Ages become start times on this host's clock.
  * @return 0 or PPS_ECORRUPT */
 int
--- a/src/libpapayaswitch/gossip/gossip_event_codec.c
+++ b/src/libpapayaswitch/gossip/gossip_event_codec.c
@@ -60,6 +60,8 @@
         return PPS_GOSSIP_BEACON;
     case PPS_GOSSIP_STATE_REQUEST_VERSION:
         return PPS_GOSSIP_STATE_REQUEST;
+    case PPS_GOSSIP_ENDED_COUNTS_VERSION:
+        return PPS_GOSSIP_ENDED_COUNT_REPORT;
     case PPS_GOSSIP_ROLLOUTS_VERSION:
         return PPS_GOSSIP_ROLLOUT_REPORT;
     default:
--- a/src/libpapayaswitch/gossip/gossip_receive.c
+++ b/src/libpapayaswitch/gossip/gossip_receive.c
@@ -171,10 +171,24 @@
     pps_gossip_rollouts_t rollouts;
     int error = pps_gossip_decode_rollouts(&rollouts, data, size,
                                            gossip->reactor->now_us);
+    const pps_gossip_peer_t *peer =
+        error == 0 ? pps_gossip_find_peer(gossip, rollouts.from) : NULL;
 
-    if (error == 0 && gossip->ops->on_rollouts != NULL &&
-        pps_gossip_find_peer(gossip, rollouts.from) != NULL) {
-        gossip->ops->on_rollouts(gossip->user, &rollouts);
+    if (peer != NULL && gossip->ops->on_rollouts != NULL) {
+        gossip->ops->on_rollouts(gossip->user, peer, &rollouts);
+    }
+    return error;
+}
+
+static int
+receive_ended_counts(pps_gossip_t *gossip, const char *data, size_t size)
+{
+    pps_gossip_ended_counts_t counts;
+    int error = pps_gossip_decode_ended_counts(&counts, data, size);
+
+    if (error == 0 && gossip->ops->on_ended_counts != NULL &&
+        pps_gossip_find_peer(gossip, counts.from) != NULL) {
+        gossip->ops->on_ended_counts(gossip->user, &counts);
     }
     return error;
 }
@@ -206,6 +220,8 @@
         return receive_state_request(gossip, data, size);
     case PPS_GOSSIP_ROLLOUT_REPORT:
         return receive_rollouts(gossip, data, size);
+    case PPS_GOSSIP_ENDED_COUNT_REPORT:
+        return receive_ended_counts(gossip, data, size);
     case PPS_GOSSIP_MARK:
         return receive_mark(gossip, data, size);
     case PPS_GOSSIP_FORWARD:
--- a/src/libpapayaswitch/gossip/gossip_state_send.c
+++ b/src/libpapayaswitch/gossip/gossip_state_send.c
@@ -115,6 +115,7 @@
         return;
     }
     memcpy(rollouts.from, gossip->own.state.address, sizeof(rollouts.from));
+    rollouts.incarnation = gossip->own.state.incarnation;
     do {
         rollouts.count =
             gossip->ops->fill_rollouts(gossip->user, rollouts.items, first);
--- a/src/libpapayaswitch/gossip/gossip_versions.h
+++ b/src/libpapayaswitch/gossip/gossip_versions.h
@@ -19,6 +19,7 @@
 #define PPS_GOSSIP_BEACON_VERSION 24
 #define PPS_GOSSIP_STATE_REQUEST_VERSION 25
 #define PPS_GOSSIP_ROLLOUTS_VERSION 26
+#define PPS_GOSSIP_ENDED_COUNTS_VERSION 27
 
 /** Writes packed bytes to a pps_buf_t, as msgpack_packer_init() expects. */
 int
--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -176,7 +176,8 @@
 
 static void
 merge_report(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
-             const char *host, const pps_gossip_rollout_t *report)
+             const pps_gossip_process_t *process,
+             const pps_gossip_rollout_t *report)
 {
     if (strcmp(state->rollout.target, report->rollout.target) != 0) {
         if (pps_version_set_contains(&state->superseded,
@@ -185,15 +186,16 @@
         }
         return;
     }
-    merge_remote(dispatcher, state, host, &report->rollout);
+    merge_remote(dispatcher, state, process->host, &report->rollout);
     if (state->rollout.state == PPS_ROLLOUT_ACTIVE) {
-        pps_rollout_reports_note(&state->reports, host, &report->tally,
+        pps_rollout_reports_note(&state->reports, process, report,
                                  dispatcher->reactor->now_us);
     }
 }
 
 static void
-merge_reports(const pps_dispatcher_t *dispatcher, const char *host,
+merge_reports(const pps_dispatcher_t *dispatcher,
+              const pps_gossip_process_t *process,
               const pps_gossip_rollout_t *reports, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
@@ -201,7 +203,7 @@
             dispatcher, reports[i].rollout.upstream);
 
         if (state != NULL) {
-            merge_report(dispatcher, state, host, &reports[i]);
+            merge_report(dispatcher, state, process, &reports[i]);
         }
     }
 }
@@ -210,16 +212,25 @@
 pps_rollout_controller_merge_peer(pps_dispatcher_t *dispatcher,
                                   const pps_gossip_peer_t *peer)
 {
-    merge_reports(dispatcher, peer->state.address, peer->state.rollouts,
+    pps_gossip_process_t process = {.incarnation = peer->state.incarnation};
+
+    memcpy(process.host, peer->state.address, sizeof(process.host));
+    merge_reports(dispatcher, &process, peer->state.rollouts,
                   peer->state.rollout_count);
 }
 
 void
 pps_rollout_controller_merge_rollouts(pps_dispatcher_t *dispatcher,
+                                      const pps_gossip_peer_t *peer,
                                       const pps_gossip_rollouts_t *rollouts)
 {
-    merge_reports(dispatcher, rollouts->from, rollouts->items,
-                  rollouts->count);
+    pps_gossip_process_t process = {.incarnation = rollouts->incarnation};
+
+    memcpy(process.host, rollouts->from, sizeof(process.host));
+    if (process.incarnation == 0) {
+        process.incarnation = peer->state.incarnation;
+    }
+    merge_reports(dispatcher, &process, rollouts->items, rollouts->count);
 }
 
 void
@@ -295,8 +306,8 @@
     const pps_gossip_peer_t *peer;
 
     cds_list_for_each_entry (peer, pps_gossip_peers(gossip), node) {
-        int64_t age_us = now_us - pps_rollout_reports_told_us(
-                                      &state->reports, peer->state.address);
+        int64_t age_us = now_us - pps_rollout_reports_told_us(&state->reports,
+                                                              &peer->state);
 
         if (!pps_gossip_is_live(gossip, peer)) {
             continue;
@@ -366,6 +377,8 @@
     pps_rollout_verdict_t verdict;
 
     pps_exchange_evidence_count_waiting(dispatcher, state);
+    pps_rollout_reports_review(&state->reports, gossip,
+                               dispatcher->reactor->now_us);
     pps_rollout_controller_sum(&sum, state);
     log_evidence(dispatcher, state, &sum, gossip);
     verdict = pps_rollout_step(&state->rollout, &sum, &basis,
--- a/src/libpapayaswitch/rollout/controller.h
+++ b/src/libpapayaswitch/rollout/controller.h
@@ -36,10 +36,11 @@
 /** The same for the roll-outs that another host tells beside its state. */
 void
 pps_rollout_controller_merge_rollouts(pps_dispatcher_t *dispatcher,
+                                      const pps_gossip_peer_t *peer,
                                       const pps_gossip_rollouts_t *rollouts);
 
-/** Sums the roll-out's tallies of this host and all that have told of it, live
- * or not. */
+/** Sums the roll-out's tallies of this process and all others that have told
+ * of it, ended or not. */
 void
 pps_rollout_controller_sum(pps_rollout_tally_t *out,
                            const pps_upstream_state_t *state);
--- a/src/libpapayaswitch/rollout/rollout_export.c
+++ b/src/libpapayaswitch/rollout/rollout_export.c
@@ -1,6 +1,8 @@
 /** @file rollout_export.c @brief Selects the roll-outs that hosts are told. */
 #include "rollout_export.h"
 
+#include "rollout_reports.h"
+
 static int
 is_active(const pps_dispatcher_t *dispatcher,
           const pps_upstream_state_t *state)
@@ -44,6 +46,9 @@
         }
         selection->out[selection->count].rollout = state->rollout;
         selection->out[selection->count].tally = state->tally;
+        selection->out[selection->count].ended_digest =
+            pps_rollout_reports_digest(&state->reports);
+        selection->out[selection->count].has_ended_digest = 1;
         selection->count++;
     }
 }
--- a/src/libpapayaswitch/rollout/rollout_reports.h
+++ b/src/libpapayaswitch/rollout/rollout_reports.h
@@ -1,7 +1,10 @@
 /**
  * @file rollout_reports.h
- * @brief What other hosts have told of an active roll-out. Does no I/O and
- * reads no clock.
+ * @brief What the processes of other hosts have counted of an active roll-out.
+ * Does no I/O and reads no clock.
+ *
+ * A process's counts only grow. Those of a process that has ended stay, and
+ * are handed to hosts that start, so that all hosts come to the same sum.
  */
 #ifndef PPS_ROLLOUT_ROLLOUT_REPORTS_H
 #define PPS_ROLLOUT_ROLLOUT_REPORTS_H
@@ -11,19 +14,39 @@
 
 #include <urcu/list.h>
 
-/** The last report of one host. */
+/** The counts of one process. */
 typedef struct {
     struct cds_list_head node;
-    char host[PPS_GOSSIP_TEXT_BYTES]; /**< address */
+    pps_gossip_process_t process;
     pps_rollout_tally_t tally;
-    int64_t told_us; /**< when it was received */
+    int64_t first_told_us; /**< when it first told its counts itself; 0: never
+                            */
+    int64_t told_us;       /**< when it last did; 0: never */
+    int is_ended;          /**< it is no live host's process */
+    int64_t changed_us;    /**< when it ended, or its counts last changed since
+                            */
+    uint64_t ended_digest; /**< as it last told */
+    int has_ended_digest;
 } pps_rollout_report_t;
 
-/** Notes a host's counts in place of those that it told before. They are left
- * out if memory is exhausted, which counts as a host that tells nothing. */
+/** Notes counts that a process has told itself. They are left out if memory is
+ * exhausted or there are too many processes, which counts as one that tells
+ * nothing. */
 void
-pps_rollout_reports_note(struct cds_list_head *reports, const char *host,
-                         const pps_rollout_tally_t *tally, int64_t now_us);
+pps_rollout_reports_note(struct cds_list_head *reports,
+                         const pps_gossip_process_t *process,
+                         const pps_gossip_rollout_t *report, int64_t now_us);
+
+/** Notes counts of an ended process that another host has handed over. */
+void
+pps_rollout_reports_note_ended(struct cds_list_head *reports,
+                               const pps_gossip_ended_count_t *count,
+                               int64_t now_us);
+
+/** Finds out which processes have ended. */
+void
+pps_rollout_reports_review(struct cds_list_head *reports, pps_gossip_t *gossip,
+                           int64_t now_us);
 
 /** Adds the counts of all reports to `sum`. */
 void
@@ -34,10 +57,20 @@
 size_t
 pps_rollout_reports_count(const struct cds_list_head *reports);
 
-/** Returns when a host last told of the roll-out, or 0 if it never did. */
+/** Returns a digest of the ended processes and their counts. */
+uint64_t
+pps_rollout_reports_digest(const struct cds_list_head *reports);
+
+/** Returns the report of a process, or NULL. */
+const pps_rollout_report_t *
+pps_rollout_reports_lookup(const struct cds_list_head *reports,
+                           const pps_gossip_process_t *process);
+
+/** Returns when the process of a host last told of the roll-out, or 0 if it
+ * never did. */
 int64_t
 pps_rollout_reports_told_us(const struct cds_list_head *reports,
-                            const char *host);
+                            const pps_gossip_state_t *host);
 
 /** Removes all reports. */
 void
--- a/src/libpapayaswitch/rollout/verdict.c
+++ b/src/libpapayaswitch/rollout/verdict.c
@@ -153,6 +153,27 @@
     sum->exposed += tally->exposed;
 }
 
+static uint64_t
+count_progress(const pps_rollout_count_t *count)
+{
+    return (uint64_t)count->answers + count->failures + count->timed +
+           count->slow + count->scored;
+}
+
+uint64_t
+pps_rollout_tally_progress(const pps_rollout_tally_t *tally)
+{
+    uint64_t progress = (uint64_t)tally->requests +
+                        count_progress(&tally->loaded_baseline) +
+                        count_progress(&tally->loaded_target);
+
+    for (size_t i = 0; i < PPS_ROLLOUT_KINDS; i++) {
+        progress += count_progress(&tally->baseline[i]) +
+                    count_progress(&tally->target[i]);
+    }
+    return progress;
+}
+
 pps_rollout_count_t
 pps_rollout_sum_kinds(const pps_rollout_count_t *counts)
 {
--- a/src/libpapayaswitch/rollout/verdict.h
+++ b/src/libpapayaswitch/rollout/verdict.h
@@ -91,6 +91,11 @@
 pps_rollout_tally_add(pps_rollout_tally_t *sum,
                       const pps_rollout_tally_t *tally);
 
+/** Returns a number that grows with each change of a tally, so that the later
+ * one of two tallies of a process is the one with the larger number. */
+uint64_t
+pps_rollout_tally_progress(const pps_rollout_tally_t *tally);
+
 /** Returns the results of all kinds of request together. */
 pps_rollout_count_t
 pps_rollout_sum_kinds(const pps_rollout_count_t *counts);
--- a/tests/entry/test_gossip_codec.c
+++ b/tests/entry/test_gossip_codec.c
@@ -236,12 +236,12 @@
     cr_expect_eq(state.state.topic_ends[1], 512);
     cr_expect_eq(state.state.topic_epochs[1], 0);
     cr_expect_eq(state.state.takes_relays, 0);
-    cr_expect_eq(state.state.lacks, PPS_GOSSIP_LACKS_FORWARDING |
-                                        PPS_GOSSIP_LACKS_DIGESTS |
-                                        PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS |
-                                        PPS_GOSSIP_LACKS_PERMIT_SIZES |
-                                        PPS_GOSSIP_LACKS_ROLLOUT_REPORTS |
-                                        PPS_GOSSIP_LACKS_RELEVANCE_RULE);
+    cr_expect_eq(
+        state.state.lacks,
+        PPS_GOSSIP_LACKS_FORWARDING | PPS_GOSSIP_LACKS_DIGESTS |
+            PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS |
+            PPS_GOSSIP_LACKS_PERMIT_SIZES | PPS_GOSSIP_LACKS_ROLLOUT_REPORTS |
+            PPS_GOSSIP_LACKS_RELEVANCE_RULE | PPS_GOSSIP_LACKS_ENDED_COUNTS);
     pps_buf_clear(&encoded);
     cr_assert_eq(pps_gossip_encode_record(&encoded, &record), 0);
     encoded.data[0]--;
--- a/tests/entry/test_gossip_golden.c
+++ b/tests/entry/test_gossip_golden.c
@@ -132,12 +132,32 @@
     rollout->started_us = NOW_US - 7;
     rollout->duration_us = 9;
     rollout->held = 1;
+    rollout->hold_reason = PPS_ROLLOUT_HOLD_TIME;
+    rollouts.incarnation = 77;
+    rollouts.items[0].ended_digest = 9;
     rollouts.items[0].tally.requests = 5;
     rollouts.items[0].tally.target[1] = (pps_rollout_count_t){2, 1};
     rollouts.count = 1;
     pps_gossip_encode_rollouts(out, &rollouts, NOW_US);
 }
 
+static void
+encode_ended_counts(pps_buf_t *out)
+{
+    static pps_gossip_ended_counts_t counts;
+    pps_gossip_ended_count_t *item = &counts.items[0];
+
+    snprintf(counts.from, sizeof(counts.from), "10.0.0.1");
+    snprintf(counts.upstream, sizeof(counts.upstream), "s");
+    snprintf(counts.target, sizeof(counts.target), "v2");
+    snprintf(item->process.host, sizeof(item->process.host), "10.0.0.2");
+    item->process.incarnation = 77;
+    item->tally.requests = 5;
+    item->tally.target[1] = (pps_rollout_count_t){2, 1};
+    counts.count = 1;
+    pps_gossip_encode_ended_counts(out, &counts);
+}
+
 typedef struct {
     const char *name;
     void (*encode)(pps_buf_t *out);
@@ -160,11 +180,14 @@
     {"record request", encode_record_request,
      "9515a831302e302e302e310103cd0384"},
     {"state", encode_state,
-     "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000013f"
+     "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000017f"
      "09"},
     {"roll-outs", encode_rollouts,
-     "931aa831302e302e302e31919ea173a27632010709000100000500919a01010201000000"
-     "000000929a000000000000000000009a0100000000000000000000"},
+     "941aa831302e302e302e3191dc0010a173a27632010709000100000500919a0101020100"
+     "0000000000929a000000000000000000009a010000000000000000000003094d"},
+    {"counts of ended processes", encode_ended_counts,
+     "951ba831302e302e302e31a173a276329196a831302e302e302e324d0500919a01010201"
+     "000000000000929a000000000000000000009a01000000000000000000"},
 };
 
 static void
@@ -213,20 +236,26 @@
      "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000010"
      "309",
      PPS_GOSSIP_LACKS_BRITTLE_UPSTREAMS | PPS_GOSSIP_LACKS_PERMIT_SIZES |
-         PPS_GOSSIP_LACKS_ROLLOUT_REPORTS | PPS_GOSSIP_LACKS_RELEVANCE_RULE},
+         PPS_GOSSIP_LACKS_ROLLOUT_REPORTS | PPS_GOSSIP_LACKS_RELEVANCE_RULE |
+         PPS_GOSSIP_LACKS_ENDED_COUNTS},
     {"239b270",
      "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000010"
      "709",
      PPS_GOSSIP_LACKS_PERMIT_SIZES | PPS_GOSSIP_LACKS_ROLLOUT_REPORTS |
-         PPS_GOSSIP_LACKS_RELEVANCE_RULE},
+         PPS_GOSSIP_LACKS_RELEVANCE_RULE | PPS_GOSSIP_LACKS_ENDED_COUNTS},
     {"72556c90",
      "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000010"
      "f09",
-     PPS_GOSSIP_LACKS_ROLLOUT_REPORTS | PPS_GOSSIP_LACKS_RELEVANCE_RULE},
+     PPS_GOSSIP_LACKS_ROLLOUT_REPORTS | PPS_GOSSIP_LACKS_RELEVANCE_RULE |
+         PPS_GOSSIP_LACKS_ENDED_COUNTS},
     {"945a9a9b",
      "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000011"
      "f09",
-     PPS_GOSSIP_LACKS_RELEVANCE_RULE},
+     PPS_GOSSIP_LACKS_RELEVANCE_RULE | PPS_GOSSIP_LACKS_ENDED_COUNTS},
+    {"6a58ded5",
+     "9f04a168a831302e302e302e31a161084d9300000093000000000000909095000000013"
+     "f09",
+     PPS_GOSSIP_LACKS_ENDED_COUNTS},
 };
 
 static void
@@ -268,3 +297,25 @@
     cr_expect_eq(poison.items[0].crashes[0].at_us, NOW_US - 50);
     cr_expect_eq(poison.items[0].crashes[0].worker, 0);
 }
+
+/* Builds before this one tell neither why a target is held nor which processes
+ * they know of. */
+Test(gossip_golden, roll_outs_of_the_builds_before_are_not_read)
+{
+    pps_gossip_rollouts_t rollouts;
+    char data[HEX_BYTES];
+    size_t size =
+        read_hex(data, "931aa831302e302e302e31919ea173a276320107090001000005"
+                       "00919a01010201000000000000929a000000000000000000009a"
+                       "0100000000000000000000");
+
+    cr_assert_eq(pps_gossip_decode_rollouts(&rollouts, data, size, NOW_US), 0);
+    cr_assert_eq(rollouts.count, 1);
+    cr_expect_eq(rollouts.incarnation, 0);
+    cr_expect_eq(rollouts.items[0].rollout.held, 1);
+    cr_expect_eq(rollouts.items[0].rollout.hold_reason,
+                 PPS_ROLLOUT_HOLD_UNKNOWN);
+    cr_expect_eq(rollouts.items[0].has_ended_digest, 0);
+    cr_expect_eq(rollouts.items[0].tally.requests, 5);
+    cr_expect_eq(rollouts.items[0].tally.target[1].failures, 1);
+}
--- a/tests/entry/test_rollout_reports.c
+++ b/tests/entry/test_rollout_reports.c
@@ -90,11 +90,12 @@
 }
 
 static void
-on_rollouts(void *user, const pps_gossip_rollouts_t *rollouts)
+on_rollouts(void *user, const pps_gossip_peer_t *peer,
+            const pps_gossip_rollouts_t *rollouts)
 {
     play_host_t *host = user;
 
-    pps_rollout_controller_merge_rollouts(&host->dispatcher, rollouts);
+    pps_rollout_controller_merge_rollouts(&host->dispatcher, peer, rollouts);
 }
 
 static const pps_gossip_ops_t gossip_ops = {
