Roll-outs: a host judges a target only when it knows what all have counted

What callers saw: a good version was rolled back just after a host had started, been added or become one of those that hear all others.

Cause: in a small fleet a host judged before it had heard anybody, and in a large one as soon as it became one of those that others report to; a host that was cut off judged what is left of the bound without most requests; and the hold of any of them is final for all.

Change: rollout_knowledge: a host judges, plans and completes once all live hosts have told of the roll-out and, where they keep counts of ended processes, the same ones (after 1 s at the earliest), or after 3 s; one that hears fewer than half of those that told until lately doesn't find the bound used up. A bad version is held by any that knows enough, as before. A host that has just learned of a roll-out adopts an earlier start exactly, not only one that is 300 ms earlier, so that it makes announced moves with the others.

--- a/src/libpapayaswitch/exchange/dispatcher.h
+++ b/src/libpapayaswitch/exchange/dispatcher.h
@@ -32,6 +32,7 @@
 #include "repeat_limit.h"
 #include "rng.h"
 #include "rollout/rollout.h"
+#include "rollout/rollout_knowledge.h"
 #include "rollout/usual_times.h"
 #include "rollout/version_set.h"
 
@@ -156,8 +157,9 @@
     pps_rollout_tally_t tally;    /**< counts of this host only */
     struct cds_list_head reports; /**< of other hosts on the active roll-out;
                                        see rollout_reports.h */
-    int64_t told_until_us;        /**< until when other hosts are told how the
-                                       roll-out has ended */
+    pps_rollout_knowledge_t knowledge; /**< of the active roll-out */
+    int64_t told_until_us; /**< until when other hosts are told how the
+                                roll-out has ended */
     /** Of the baseline, by kind of request and model of its route. */
     pps_usual_times_t usual[PPS_ROLLOUT_KINDS][PPS_DISPATCH_MODELS];
     int64_t next_evidence_log_us;
--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -18,6 +18,13 @@
 /** Time for which other hosts are told how a roll-out has ended: since then,
  * or since one of them last took it for active. */
 #define END_TOLD_US (10 * PPS_US_PER_S)
+/** How much earlier than this host's a start is that a host tells which has
+ * known the roll-out before: hosts that start together tell each other only
+ * that they have just learned of it. */
+#define STARTED_BEFORE_US (1 * PPS_US_PER_S)
+/** Time for which a process that is not heard any more counts as lost, rather
+ * than as one that is gone. */
+#define LOST_LATELY_US (10 * PPS_US_PER_S)
 /** Time for which a roll-out must be due for completion before it is declared,
  * so that other hosts can object. */
 #define OBJECTION_TIME_US (300 * PPS_US_PER_MS)
@@ -64,6 +71,14 @@
     pps_rollout_log(event, &state->rollout, &sum, &source);
 }
 
+/* Begins to collect what other hosts know of a roll-out. */
+static void
+learn(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state)
+{
+    state->knowledge =
+        (pps_rollout_knowledge_t){.known_us = dispatcher->reactor->now_us};
+}
+
 /* Adopts a later state of the roll-out. Nothing is counted once it has ended.
  */
 static void
@@ -129,6 +144,7 @@
     pps_rollout_begin(&state->rollout, dispatcher->reactor->now_us);
     state->complete_since_us = 0;
     memset(&state->tally, 0, sizeof(state->tally));
+    learn(dispatcher, state);
     log_change(dispatcher, state, "rollout_ordered", FROM_STORE);
 }
 
@@ -151,6 +167,7 @@
         supersede(state, status->target);
         state->rollout = *status;
         state->rollout.started_us = dispatcher->reactor->now_us;
+        learn(dispatcher, state);
         tell_end(dispatcher, state);
     }
     advance(dispatcher, state, status->state, "rollout_declared", FROM_STORE);
@@ -166,6 +183,10 @@
     if (local->state > remote->state) {
         tell_end(dispatcher, state);
     }
+    if (!state->knowledge.is_complete &&
+        remote->started_us < local->started_us) {
+        local->started_us = remote->started_us;
+    }
     pps_rollout_merge(local, remote);
     if (remote->held && !local->held) {
         local->held = 1;
@@ -337,6 +358,62 @@
     pps_rollout_log_evidence(&state->rollout, sum, &view);
 }
 
+/* Adds what a live peer has told of the roll-out. */
+static void
+view_neighbour(pps_rollout_neighbours_t *out,
+               const pps_upstream_state_t *state, const pps_gossip_t *gossip,
+               const pps_gossip_peer_t *peer)
+{
+    pps_gossip_process_t process = {.incarnation = peer->state.incarnation};
+    const pps_rollout_report_t *report;
+
+    memcpy(process.host, peer->state.address, sizeof(process.host));
+    report = pps_rollout_reports_lookup(&state->reports, &process);
+    out->live++;
+    if (report == NULL || report->told_us == 0) {
+        out->untold++;
+    }
+    else if (report->has_ended_digest &&
+             pps_gossip_shares_ended_counts(gossip, peer) &&
+             report->ended_digest !=
+                 pps_rollout_reports_digest(&state->reports)) {
+        out->differing++;
+    }
+}
+
+static pps_rollout_neighbours_t
+view_neighbours(const pps_upstream_state_t *state, pps_gossip_t *gossip,
+                int64_t now_us)
+{
+    pps_rollout_neighbours_t neighbours = {.hears_all =
+                                               pps_gossip_hears_all(gossip)};
+    const pps_rollout_report_t *report;
+    const pps_gossip_peer_t *peer;
+
+    cds_list_for_each_entry (peer, pps_gossip_peers(gossip), node) {
+        if (pps_gossip_is_live(gossip, peer)) {
+            view_neighbour(&neighbours, state, gossip, peer);
+        }
+    }
+    cds_list_for_each_entry (report, &state->reports, node) {
+        neighbours.lost += report->is_ended && report->told_us != 0 &&
+                           now_us - report->told_us < LOST_LATELY_US;
+    }
+    return neighbours;
+}
+
+int
+pps_rollout_controller_knows_share(const pps_upstream_state_t *state,
+                                   pps_gossip_t *gossip)
+{
+    pps_rollout_neighbours_t neighbours =
+        view_neighbours(state, gossip, state->knowledge.known_us);
+
+    return neighbours.live > 0 && neighbours.untold == 0 &&
+           state->knowledge.known_us - state->rollout.started_us >=
+               STARTED_BEFORE_US;
+}
+
 /* Returns whether a completion can be declared: each live host has told of
  * this roll-out lately, none objects, and this has been so for a time. A hold
  * that arrives within that time wins. A host that tells nothing does not
@@ -369,16 +446,21 @@
     unsigned int old_share = state->rollout.share;
     unsigned int old_next_share = state->rollout.next_share;
     int old_held = state->rollout.held;
-    const pps_rollout_basis_t basis = {
+    pps_rollout_basis_t basis = {
         .bounds = dispatcher->options.rollout,
-        .knows_all_hosts = pps_gossip_hears_all(gossip),
         .running = count_running(dispatcher, state),
     };
+    pps_rollout_neighbours_t neighbours;
     pps_rollout_verdict_t verdict;
 
     pps_exchange_evidence_count_waiting(dispatcher, state);
     pps_rollout_reports_review(&state->reports, gossip,
                                dispatcher->reactor->now_us);
+    neighbours = view_neighbours(state, gossip, dispatcher->reactor->now_us);
+    pps_rollout_knowledge_update(&state->knowledge, &neighbours,
+                                 dispatcher->reactor->now_us);
+    basis.knows_all_hosts = state->knowledge.is_complete;
+    basis.is_cut_off = pps_rollout_knowledge_is_cut_off(&neighbours);
     pps_rollout_controller_sum(&sum, state);
     log_evidence(dispatcher, state, &sum, gossip);
     verdict = pps_rollout_step(&state->rollout, &sum, &basis,
--- a/src/libpapayaswitch/rollout/controller.h
+++ b/src/libpapayaswitch/rollout/controller.h
@@ -39,6 +39,12 @@
                                       const pps_gossip_peer_t *peer,
                                       const pps_gossip_rollouts_t *rollouts);
 
+/** Returns whether other hosts have told this one, which has just started, how
+ * far the roll-out is: all live ones have, and one knew it before. */
+int
+pps_rollout_controller_knows_share(const pps_upstream_state_t *state,
+                                   pps_gossip_t *gossip);
+
 /** Sums the roll-out's tallies of this process and all others that have told
  * of it, ended or not. */
 void
--- a/src/libpapayaswitch/rollout/rollout.c
+++ b/src/libpapayaswitch/rollout/rollout.c
@@ -220,7 +220,7 @@
 static pps_rollout_hold_t
 find_hold_reason(const pps_rollout_t *rollout,
                  const pps_rollout_tally_t *tally,
-                 const pps_rollout_bounds_t *bounds, int64_t age_us)
+                 const pps_rollout_basis_t *basis, int64_t age_us)
 {
     if (pps_rollout_is_bad(tally)) {
         return PPS_ROLLOUT_HOLD_BAD;
@@ -228,7 +228,8 @@
     if (rollout->proven) {
         return PPS_ROLLOUT_HOLD_UNKNOWN;
     }
-    if (is_exposure_used_up(rollout, tally, bounds, age_us)) {
+    if (!basis->is_cut_off &&
+        is_exposure_used_up(rollout, tally, &basis->bounds, age_us)) {
         return PPS_ROLLOUT_HOLD_EXPOSURE;
     }
     return age_us >= rollout->duration_us ? PPS_ROLLOUT_HOLD_TIME
@@ -240,8 +241,7 @@
           const pps_rollout_basis_t *basis, int64_t age_us)
 {
     if (!rollout->held && basis->knows_all_hosts) {
-        rollout->hold_reason =
-            find_hold_reason(rollout, tally, &basis->bounds, age_us);
+        rollout->hold_reason = find_hold_reason(rollout, tally, basis, age_us);
         rollout->held = rollout->hold_reason != PPS_ROLLOUT_HOLD_UNKNOWN;
     }
     return rollout->held;
@@ -267,7 +267,7 @@
     if (basis->knows_all_hosts) {
         plan_next_move(rollout, tally, basis, age_us);
     }
-    return rollout->share == PPS_ROLLOUT_SHARE_MAX &&
+    return basis->knows_all_hosts && rollout->share == PPS_ROLLOUT_SHARE_MAX &&
                    age_us >= completion_age_us(rollout) &&
                    pps_rollout_is_clean(tally)
                ? PPS_ROLLOUT_COMPLETE
--- a/src/libpapayaswitch/rollout/rollout.h
+++ b/src/libpapayaswitch/rollout/rollout.h
@@ -72,9 +72,13 @@
 typedef struct {
     pps_rollout_bounds_t bounds;
     /** The results of all hosts are known, rather than those of the hosts that
-     * send theirs to this one. Only then is a target judged: each judgement of
-     * a few answers may be wrong, and many hosts would judge. */
+     * send theirs to this one, or since this one started. Only then is a
+     * target judged: each judgement of a few answers may be wrong, and many
+     * hosts would judge. */
     int knows_all_hosts;
+    /** Most hosts are out of touch with this one, so that their requests are
+     * missing, and what is left of the bound is not known. */
+    int is_cut_off;
     double running; /**< requests at the upstream's workers */
 } pps_rollout_basis_t;
 
