--- a/tests/entry/node_play.c
+++ b/tests/entry/node_play.c
@@ -110,6 +110,8 @@
                                     .memory_mb = 128,
                                     .repeat_ratio = 1,
                                     .repeat_window_s = 10,
+                                    .exposure_share = 0.1,
+                                    .exposure_more = 20,
                                     .seed_count = 1};
     const char *address = node_play->hosts[index].address;
 
--- a/tests/entry/test_node_agreement.c
+++ b/tests/entry/test_node_agreement.c
@@ -3,12 +3,9 @@
 #include "node_play.h"
 
 #include "clock.h"
+#include "play_apart.h"
 
 #include <criterion/criterion.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 /** Course of a play: faults, then changes without faults, then nothing. */
 #define FAULTS_FROM_MS 3000
@@ -155,54 +152,24 @@
     node_play_compare();
 }
 
-/* Runs a play in a process of its own, as hosts are never freed. */
 static void
-play_apart(node_play_finding_t *out, const node_play_options_t *options,
-           uint64_t seed)
+play_case(const void *options, uint64_t seed)
 {
-    int ends[2];
-    int status = 0;
-    pid_t pid;
-    ssize_t size;
-
-    cr_assert_eq(pipe(ends), 0);
-    pid = fork();
-    cr_assert_geq(pid, 0);
-    if (pid == 0) {
-        play(options, seed);
-        size = write(ends[1], &node_play->finding, sizeof(*out));
-        _exit(size == sizeof(*out) ? 0 : 1);
-    }
-    close(ends[1]);
-    size = read(ends[0], out, sizeof(*out));
-    close(ends[0]);
-    waitpid(pid, &status, 0);
-    if (size != sizeof(*out) || status != 0) {
-        snprintf(out->text, sizeof(out->text), "the play ended: status %d",
-                 status);
-    }
-}
-
-static uint64_t
-read_number(const char *name, uint64_t otherwise)
-{
-    const char *text = getenv(name);
-
-    return text != NULL ? strtoull(text, NULL, 10) : otherwise;
+    play(options, seed);
 }
 
 /* Guards against a worker that has left, or has come back, and of which a host
  * never learns, as hosts judged by their own state which records count. */
 Test(node_agreement, hosts_believe_what_the_store_says)
 {
-    uint64_t first = read_number("PPS_PLAY_FIRST", 1);
-    uint64_t count = read_number("PPS_PLAY_SEEDS", SEEDS);
+    uint64_t first = play_apart_number("PPS_PLAY_FIRST", 1);
+    uint64_t count = play_apart_number("PPS_PLAY_SEEDS", SEEDS);
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
         for (uint64_t seed = first; seed < first + count; seed++) {
             node_play_finding_t finding;
 
-            play_apart(&finding, &cases[i], seed);
+            play_apart(&finding, play_case, &cases[i], seed);
             cr_expect_str_eq(finding.text, "", "%s, seed %llu: %s",
                              cases[i].name, (unsigned long long)seed,
                              finding.text);
