Roll-outs: a hold of an older build is checked by a host that knows all counts

Change: hosts tell the reason of a hold. One without a reason is of an older build; a host that knows all counts acts on it only if they support it. What an older build writes to the store as the first reader is final and can't be helped.

Tests: test_rollout_start, holds of older builds. test_rollout_completion's host that holds in time now gives a reason, as hosts of this build do; without one it stood for an older build whose hold the counts don't support.

--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -173,6 +173,27 @@
     advance(dispatcher, state, status->state, "rollout_declared", FROM_STORE);
 }
 
+/* Returns whether to act on another host's hold. Hosts of older builds, which
+ * don't tell the reason, may have decided it on a part of the counts: a host
+ * that knows all of them checks it. */
+static int
+is_hold_credible(const pps_dispatcher_t *dispatcher,
+                 const pps_upstream_state_t *state,
+                 const pps_rollout_t *remote)
+{
+    const pps_rollout_basis_t basis = {.bounds = dispatcher->options.rollout,
+                                       .knows_all_hosts = 1};
+    pps_rollout_tally_t sum;
+
+    if (remote->hold_reason != PPS_ROLLOUT_HOLD_UNKNOWN ||
+        !state->knowledge.is_complete || state->rollout.duration_us == 0) {
+        return 1;
+    }
+    pps_rollout_controller_sum(&sum, state);
+    return pps_rollout_supports_hold(&state->rollout, &sum, &basis,
+                                     dispatcher->reactor->now_us);
+}
+
 static void
 merge_remote(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
              const char *host, const pps_rollout_t *remote)
@@ -188,7 +209,8 @@
         local->started_us = remote->started_us;
     }
     pps_rollout_merge(local, remote);
-    if (remote->held && !local->held) {
+    if (remote->held && !local->held &&
+        is_hold_credible(dispatcher, state, remote)) {
         local->held = 1;
         local->hold_reason = remote->hold_reason;
         log_change(dispatcher, state, "rollout_held", host);
--- a/src/libpapayaswitch/rollout/rollout.c
+++ b/src/libpapayaswitch/rollout/rollout.c
@@ -274,6 +274,16 @@
                : PPS_ROLLOUT_CONTINUE;
 }
 
+int
+pps_rollout_supports_hold(const pps_rollout_t *rollout,
+                          const pps_rollout_tally_t *tally,
+                          const pps_rollout_basis_t *basis, int64_t now_us)
+{
+    return find_hold_reason(rollout, tally, basis,
+                            now_us - rollout->started_us) !=
+           PPS_ROLLOUT_HOLD_UNKNOWN;
+}
+
 unsigned int
 pps_rollout_share(const pps_rollout_t *rollout, int64_t now_us)
 {
--- a/src/libpapayaswitch/rollout/rollout.h
+++ b/src/libpapayaswitch/rollout/rollout.h
@@ -96,6 +96,13 @@
 pps_rollout_step(pps_rollout_t *rollout, const pps_rollout_tally_t *tally,
                  const pps_rollout_basis_t *basis, int64_t now_us);
 
+/** Returns whether what a host knows supports a hold that another one has told
+ * of. */
+int
+pps_rollout_supports_hold(const pps_rollout_t *rollout,
+                          const pps_rollout_tally_t *tally,
+                          const pps_rollout_basis_t *basis, int64_t now_us);
+
 /** Returns whether the roll-out is active and its target unproven. */
 int
 pps_rollout_is_on_trial(const pps_rollout_t *rollout);
--- a/src/libpapayaswitch/rollout/rollout_knowledge.c
+++ b/src/libpapayaswitch/rollout/rollout_knowledge.c
@@ -4,9 +4,11 @@
 #include "clock.h"
 
 /** Times after which a host judges: at the earliest, so that it has met the
- * others, and in any case. */
+ * others, and even if some have not told anything or know something else. */
 #define COMPLETE_MIN_US (1 * PPS_US_PER_S)
 #define COMPLETE_MAX_US (3 * PPS_US_PER_S)
+/** Part of the live hosts that may have told nothing then. */
+#define UNTOLD_DIVISOR 4
 
 static int64_t
 later_of(int64_t a, int64_t b)
@@ -32,7 +34,8 @@
     waited_us =
         now_us - later_of(knowledge->known_us, knowledge->hears_all_us);
     knowledge->is_complete |=
-        waited_us >= COMPLETE_MAX_US ||
+        (waited_us >= COMPLETE_MAX_US &&
+         UNTOLD_DIVISOR * neighbours->untold <= neighbours->live) ||
         (waited_us >= COMPLETE_MIN_US && neighbours->live > 0 &&
          neighbours->untold == 0 && neighbours->differing == 0);
 }
--- a/src/libpapayaswitch/rollout/rollout_knowledge.h
+++ b/src/libpapayaswitch/rollout/rollout_knowledge.h
@@ -30,7 +30,9 @@
 
 /** Updates what a host knows. A host that has just started, or that others
  * have just begun to report to, judges once all have reported and their
- * knowledge of ended processes is its own, or after a longest time. */
+ * knowledge of ended processes is its own, or after a longest
+ * time if most have reported: others may take it for a host that they need not
+ * report to. */
 void
 pps_rollout_knowledge_update(pps_rollout_knowledge_t *knowledge,
                              const pps_rollout_neighbours_t *neighbours,
--- a/tests/entry/test_rollout_completion.c
+++ b/tests/entry/test_rollout_completion.c
@@ -43,6 +43,8 @@
     message.state.rollout_count = 1;
     message.state.rollouts[0].rollout = *rollout;
     message.state.rollouts[0].rollout.held = held;
+    message.state.rollouts[0].rollout.hold_reason =
+        held ? PPS_ROLLOUT_HOLD_BAD : PPS_ROLLOUT_HOLD_UNKNOWN;
     cr_assert_eq(pps_gossip_encode_state(&encoded, &message, now_us), 0);
     cr_assert_eq(pps_gossip_receive(gossip, encoded.data, encoded.size), 0);
     pps_buf_clear(&encoded);
--- a/tests/entry/test_rollout_start.c
+++ b/tests/entry/test_rollout_start.c
@@ -36,6 +36,24 @@
      DURATION_US},
 };
 
+/** A hold that a host with all counts hears. */
+typedef struct {
+    const char *name;
+    pps_rollout_hold_t reason;
+    uint32_t failures; /**< of 100 answers of the target */
+    int64_t age_us;
+    int is_held; /**< it acts on the hold */
+} hold_case_t;
+
+static const hold_case_t hold_cases[] = {
+    {"time, too early, of an older build", PPS_ROLLOUT_HOLD_UNKNOWN, 0,
+     DURATION_US / 2, 0},
+    {"time, of an older build", PPS_ROLLOUT_HOLD_UNKNOWN, 0, DURATION_US, 1},
+    {"bad, of an older build", PPS_ROLLOUT_HOLD_UNKNOWN, 50, DURATION_US / 2,
+     1},
+    {"bad", PPS_ROLLOUT_HOLD_BAD, 0, DURATION_US / 2, 1},
+};
+
 static void
 ignore_state(void *user, pps_gossip_state_t *out)
 {
@@ -113,3 +131,40 @@
                      cases[i].name);
     }
 }
+
+/* Guards against a good version that is rolled back, as a host of a build
+ * before has held it without its duration. */
+Test(rollout_start, a_hold_of_an_older_build_is_obeyed_blindly)
+{
+    static const pps_dispatch_options_t options = {.repeat_window_us = 10 * S,
+                                                   .rollout = {0.15, 30}};
+
+    for (size_t i = 0; i < sizeof(hold_cases) / sizeof(*hold_cases); i++) {
+        const hold_case_t *item = &hold_cases[i];
+        pps_gossip_peer_t peer = {.state.rollout_count = 1,
+                                  .state.address = "127.0.0.2"};
+        pps_reactor_t reactor;
+        pps_dispatcher_t dispatcher;
+        pps_upstream_state_t *state;
+
+        cr_assert_eq(pps_reactor_init(&reactor), 0);
+        reactor.now_us = 100 * S;
+        cr_assert_eq(
+            pps_dispatcher_init(&dispatcher, &reactor, &options, NULL, NULL),
+            0);
+        run_step(&dispatcher, READS_ORDER);
+        state = pps_dispatcher_upstream(&dispatcher, "s");
+        state->knowledge.is_complete = 1;
+        state->tally.requests = 2000;
+        state->tally.exposed = 100;
+        state->tally.baseline[0].answers = 1900;
+        state->tally.target[0].answers = 100;
+        state->tally.target[0].failures = item->failures;
+        reactor.now_us += item->age_us;
+        peer.state.rollouts[0].rollout = state->rollout;
+        peer.state.rollouts[0].rollout.held = 1;
+        peer.state.rollouts[0].rollout.hold_reason = item->reason;
+        pps_rollout_controller_merge_peer(&dispatcher, &peer);
+        cr_expect_eq(state->rollout.held, item->is_held, "%s", item->name);
+    }
+}
