--- a/src/libpapayaswitch/rollout/rollout_reports.c
+++ b/src/libpapayaswitch/rollout/rollout_reports.c
@@ -54,20 +54,20 @@
 void
 pps_rollout_reports_note(struct cds_list_head *reports,
                          const pps_gossip_process_t *process,
-                         const pps_gossip_rollout_t *item, int64_t now_us)
+                         const pps_gossip_rollout_t *told, int64_t now_us)
 {
     pps_rollout_report_t *report = find_or_add(reports, process);
 
     if (report == NULL) {
         return;
     }
-    merge_tally(report, &item->tally, now_us);
+    merge_tally(report, &told->tally, now_us);
     report->told_us = now_us;
     if (report->first_told_us == 0) {
         report->first_told_us = now_us;
     }
-    report->ended_digest = item->ended_digest;
-    report->has_ended_digest = item->has_ended_digest;
+    report->ended_digest = told->ended_digest;
+    report->has_ended_digest = told->has_ended_digest;
 }
 
 void
--- a/src/libpapayaswitch/rollout/rollout_reports.h
+++ b/src/libpapayaswitch/rollout/rollout_reports.h
@@ -35,7 +35,7 @@
 void
 pps_rollout_reports_note(struct cds_list_head *reports,
                          const pps_gossip_process_t *process,
-                         const pps_gossip_rollout_t *report, int64_t now_us);
+                         const pps_gossip_rollout_t *told, int64_t now_us);
 
 /** Notes counts of an ended process that another host has handed over. */
 void
