Roll-outs: a host that knows few hosts waits for the reports of those that others know

Cause: a host of a large fleet that had just met a few others took their reports for those of all, as it counted only the hosts it had heard itself.

Change: hosts that another live host counts are waited for, too.

--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -409,6 +409,7 @@
 {
     pps_rollout_neighbours_t neighbours = {.hears_all =
                                                pps_gossip_hears_all(gossip)};
+    unsigned int expected = pps_gossip_count_live_hosts(gossip) - 1;
     const pps_rollout_report_t *report;
     const pps_gossip_peer_t *peer;
 
@@ -417,6 +418,10 @@
             view_neighbour(&neighbours, state, gossip, peer);
         }
     }
+    if (expected > neighbours.live) {
+        neighbours.untold += expected - neighbours.live;
+        neighbours.live = expected;
+    }
     cds_list_for_each_entry (report, &state->reports, node) {
         neighbours.lost += report->is_ended && report->told_us != 0 &&
                            now_us - report->told_us < LOST_LATELY_US;
--- a/src/libpapayaswitch/rollout/rollout_knowledge.h
+++ b/src/libpapayaswitch/rollout/rollout_knowledge.h
@@ -20,7 +20,8 @@
 /** What the live hosts have told. */
 typedef struct {
     int hears_all;          /**< see pps_gossip_hears_all() */
-    unsigned int live;      /**< other live hosts */
+    unsigned int live;      /**< other live hosts, as many as any host knows
+                             */
     unsigned int untold;    /**< of these, those without a report yet */
     unsigned int differing; /**< of these, those that know other ended
                                  processes or other counts of them */
