--- a/tests/entry/test_rollout_start.c
+++ b/tests/entry/test_rollout_start.c
@@ -94,24 +94,29 @@
     }
 }
 
-/* Guards against a good version that is held by a host that reads the status
- * before the order, as the time seems to be used up. */
-Test(rollout_start, a_host_holds_nothing_before_it_knows_the_duration)
+static void
+start_host(pps_reactor_t *reactor, pps_dispatcher_t *dispatcher)
 {
     static const pps_dispatch_options_t options = {.repeat_window_us = 10 * S,
                                                    .rollout = {0.15, 30}};
 
+    cr_assert_eq(pps_reactor_init(reactor), 0);
+    reactor->now_us = 100 * S;
+    cr_assert_eq(
+        pps_dispatcher_init(dispatcher, reactor, &options, NULL, NULL), 0);
+}
+
+/* Guards against a good version that is held by a host that reads the status
+ * before the order, as the time seems to be used up. */
+Test(rollout_start, a_host_holds_nothing_before_it_knows_the_duration)
+{
     for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
         pps_reactor_t reactor;
         pps_dispatcher_t dispatcher;
         pps_gossip_t *gossip;
         pps_upstream_state_t *state;
 
-        cr_assert_eq(pps_reactor_init(&reactor), 0);
-        reactor.now_us = 100 * S;
-        cr_assert_eq(
-            pps_dispatcher_init(&dispatcher, &reactor, &options, NULL, NULL),
-            0);
+        start_host(&reactor, &dispatcher);
         cr_assert_eq(pps_gossip_new(&gossip, &reactor, "h", "127.0.0.1", "z",
                                     0, &gossip_ops, NULL),
                      0);
@@ -136,9 +141,6 @@
  * before has held it without its duration. */
 Test(rollout_start, a_hold_of_an_older_build_is_obeyed_blindly)
 {
-    static const pps_dispatch_options_t options = {.repeat_window_us = 10 * S,
-                                                   .rollout = {0.15, 30}};
-
     for (size_t i = 0; i < sizeof(hold_cases) / sizeof(*hold_cases); i++) {
         const hold_case_t *item = &hold_cases[i];
         pps_gossip_peer_t peer = {.state.rollout_count = 1,
@@ -147,11 +149,7 @@
         pps_dispatcher_t dispatcher;
         pps_upstream_state_t *state;
 
-        cr_assert_eq(pps_reactor_init(&reactor), 0);
-        reactor.now_us = 100 * S;
-        cr_assert_eq(
-            pps_dispatcher_init(&dispatcher, &reactor, &options, NULL, NULL),
-            0);
+        start_host(&reactor, &dispatcher);
         run_step(&dispatcher, READS_ORDER);
         state = pps_dispatcher_upstream(&dispatcher, "s");
         state->knowledge.is_complete = 1;
