--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -5,6 +5,7 @@
 #include "exchange/exchange_evidence.h"
 #include "rollout_log.h"
 #include "rollout_reports.h"
+#include "rollout_view.h"
 
 #include <string.h>
 
@@ -12,9 +13,6 @@
 #define FROM_SELF "self"
 #define FROM_STORE "store"
 #define EVIDENCE_LOG_PERIOD_US (1 * PPS_US_PER_S)
-/** Oldest report of a live host on which a completion may rest: some datagrams
- * in a row may be lost. */
-#define OBJECTION_AGE_MAX_US (1500 * PPS_US_PER_MS)
 /** Time for which other hosts are told how a roll-out has ended: since then,
  * or since one of them last took it for active. */
 #define END_TOLD_US (10 * PPS_US_PER_S)
@@ -22,9 +20,6 @@
  * known the roll-out before: hosts that start together tell each other only
  * that they have just learned of it. */
 #define STARTED_BEFORE_US (1 * PPS_US_PER_S)
-/** Time for which a process that is not heard any more counts as lost, rather
- * than as one that is gone. */
-#define LOST_LATELY_US (10 * PPS_US_PER_S)
 /** Time for which a roll-out must be due for completion before it is declared,
  * so that other hosts can object. */
 #define OBJECTION_TIME_US (300 * PPS_US_PER_MS)
@@ -284,157 +279,28 @@
     pps_rollout_reports_sum(out, &state->reports);
 }
 
-static void
-view_exchanges(pps_rollout_view_t *out, const pps_dispatcher_t *dispatcher,
-               const pps_upstream_state_t *state)
-{
-    const pps_exchange_t *exchange;
-
-    cds_list_for_each_entry (exchange, &dispatcher->exchanges, node) {
-        int64_t wait_us = dispatcher->reactor->now_us - exchange->sent_us;
-
-        if (exchange->upstream_state != state || !exchange->on_target ||
-            exchange->attempt != PPS_ATTEMPT_SENT) {
-            continue;
-        }
-        out->waiting++;
-        if (wait_us > out->longest_wait_us) {
-            out->longest_wait_us = wait_us;
-        }
-    }
-}
-
-static void
-view_workers(pps_rollout_view_t *out, const pps_dispatcher_t *dispatcher,
-             const pps_upstream_state_t *state)
-{
-    const pps_pool_worker_t *worker;
-
-    cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
-                             node) {
-        double load =
-            pps_pool_worker_load(worker, dispatcher->reactor->now_us);
-
-        if (strcmp(worker->info.upstream, state->name) == 0 &&
-            strcmp(worker->info.version, state->rollout.target) == 0 &&
-            load > out->target_load) {
-            out->target_load = load;
-        }
-    }
-}
-
-/* Estimates the requests that run at all workers of the upstream. */
-static double
-count_running(const pps_dispatcher_t *dispatcher,
-              const pps_upstream_state_t *state)
-{
-    const pps_pool_worker_t *worker;
-    double running = 0;
-
-    cds_list_for_each_entry (worker, pps_pool_workers(dispatcher->pool),
-                             node) {
-        if (worker->listed &&
-            strcmp(worker->info.upstream, state->name) == 0) {
-            running +=
-                pps_pool_worker_busy(worker, dispatcher->reactor->now_us, 1);
-        }
-    }
-    return running;
-}
-
-static void
-view_peers(pps_rollout_view_t *out, const pps_upstream_state_t *state,
-           pps_gossip_t *gossip, int64_t now_us)
-{
-    const pps_gossip_peer_t *peer;
-
-    cds_list_for_each_entry (peer, pps_gossip_peers(gossip), node) {
-        int64_t age_us = now_us - pps_rollout_reports_told_us(&state->reports,
-                                                              &peer->state);
-
-        if (!pps_gossip_is_live(gossip, peer)) {
-            continue;
-        }
-        if (age_us > out->oldest_report_us) {
-            out->oldest_report_us = age_us;
-        }
-        out->unheard_hosts += age_us > OBJECTION_AGE_MAX_US;
-    }
-}
-
 static void
 log_evidence(const pps_dispatcher_t *dispatcher, pps_upstream_state_t *state,
              const pps_rollout_tally_t *sum, pps_gossip_t *gossip)
 {
     int64_t now_us = dispatcher->reactor->now_us;
-    pps_rollout_view_t view = {0};
+    pps_rollout_view_t view;
 
     if (state->rollout.state != PPS_ROLLOUT_ACTIVE ||
         now_us < state->next_evidence_log_us) {
         return;
     }
     state->next_evidence_log_us = now_us + EVIDENCE_LOG_PERIOD_US;
-    view_exchanges(&view, dispatcher, state);
-    view_workers(&view, dispatcher, state);
-    view_peers(&view, state, gossip, now_us);
+    pps_rollout_view_all(&view, dispatcher, state, gossip);
     pps_rollout_log_evidence(&state->rollout, sum, &view);
 }
 
-/* Adds what a live peer has told of the roll-out. */
-static void
-view_neighbour(pps_rollout_neighbours_t *out,
-               const pps_upstream_state_t *state, const pps_gossip_t *gossip,
-               const pps_gossip_peer_t *peer)
-{
-    pps_gossip_process_t process = {.incarnation = peer->state.incarnation};
-    const pps_rollout_report_t *report;
-
-    memcpy(process.host, peer->state.address, sizeof(process.host));
-    report = pps_rollout_reports_lookup(&state->reports, &process);
-    out->live++;
-    if (report == NULL || report->told_us == 0) {
-        out->untold++;
-    }
-    else if (report->has_ended_digest &&
-             pps_gossip_shares_ended_counts(gossip, peer) &&
-             report->ended_digest !=
-                 pps_rollout_reports_digest(&state->reports)) {
-        out->differing++;
-    }
-}
-
-static pps_rollout_neighbours_t
-view_neighbours(const pps_upstream_state_t *state, pps_gossip_t *gossip,
-                int64_t now_us)
-{
-    pps_rollout_neighbours_t neighbours = {.hears_all =
-                                               pps_gossip_hears_all(gossip)};
-    unsigned int expected = pps_gossip_count_live_hosts(gossip) - 1;
-    const pps_rollout_report_t *report;
-    const pps_gossip_peer_t *peer;
-
-    cds_list_for_each_entry (peer, pps_gossip_peers(gossip), node) {
-        if (pps_gossip_is_live(gossip, peer)) {
-            view_neighbour(&neighbours, state, gossip, peer);
-        }
-    }
-    if (expected > neighbours.live) {
-        neighbours.untold += expected - neighbours.live;
-        neighbours.live = expected;
-    }
-    cds_list_for_each_entry (report, &state->reports, node) {
-        neighbours.lost += report->is_ended && report->told_us != 0 &&
-                           now_us - report->told_us < LOST_LATELY_US;
-    }
-    return neighbours;
-}
-
 int
 pps_rollout_controller_knows_share(const pps_upstream_state_t *state,
                                    pps_gossip_t *gossip)
 {
     pps_rollout_neighbours_t neighbours =
-        view_neighbours(state, gossip, state->knowledge.known_us);
+        pps_rollout_view_neighbours(state, gossip, state->knowledge.known_us);
 
     return neighbours.live > 0 && neighbours.untold == 0 &&
            state->knowledge.known_us - state->rollout.started_us >=
@@ -453,7 +319,7 @@
     pps_rollout_view_t view = {0};
 
     if (verdict == PPS_ROLLOUT_COMPLETE) {
-        view_peers(&view, state, gossip, now_us);
+        pps_rollout_view_peers(&view, state, gossip, now_us);
     }
     if (verdict != PPS_ROLLOUT_COMPLETE || view.unheard_hosts > 0) {
         state->complete_since_us = 0;
@@ -475,7 +341,7 @@
     int old_held = state->rollout.held;
     pps_rollout_basis_t basis = {
         .bounds = dispatcher->options.rollout,
-        .running = count_running(dispatcher, state),
+        .running = pps_rollout_view_count_running(dispatcher, state),
     };
     pps_rollout_neighbours_t neighbours;
     pps_rollout_verdict_t verdict;
@@ -483,7 +349,8 @@
     pps_exchange_evidence_count_waiting(dispatcher, state);
     pps_rollout_reports_review(&state->reports, gossip,
                                dispatcher->reactor->now_us);
-    neighbours = view_neighbours(state, gossip, dispatcher->reactor->now_us);
+    neighbours = pps_rollout_view_neighbours(state, gossip,
+                                             dispatcher->reactor->now_us);
     pps_rollout_knowledge_update(&state->knowledge, &neighbours,
                                  dispatcher->reactor->now_us);
     basis.knows_all_hosts = state->knowledge.is_complete;
