Roll-outs: a host adopts small differences of the start only while it joins

Change: only a host that has learned of the roll-out at least 1 s after its start does so, for 1.5 s; later the tolerance of 300 ms holds as before.

--- a/src/libpapayaswitch/rollout/controller.c
+++ b/src/libpapayaswitch/rollout/controller.c
@@ -20,6 +20,8 @@
  * known the roll-out before: hosts that start together tell each other only
  * that they have just learned of it. */
 #define STARTED_BEFORE_US (1 * PPS_US_PER_S)
+/** Time for which a host joins a roll-out that others knew before. */
+#define JOINING_US (1500 * PPS_US_PER_MS)
 /** Time for which a roll-out must be due for completion before it is declared,
  * so that other hosts can object. */
 #define OBJECTION_TIME_US (300 * PPS_US_PER_MS)
@@ -168,6 +170,20 @@
     advance(dispatcher, state, status->state, "rollout_declared", FROM_STORE);
 }
 
+/* Returns whether this host has just learned of a roll-out that the other one
+ * had known before. It takes the earliest start that it is told then, as the
+ * first report may have been late. Later, and among hosts that learned of it
+ * together, the start would move ever earlier. */
+static int
+is_joining(const pps_dispatcher_t *dispatcher,
+           const pps_upstream_state_t *state, const pps_rollout_t *remote)
+{
+    int64_t known_us = state->knowledge.known_us;
+
+    return known_us - remote->started_us >= STARTED_BEFORE_US &&
+           dispatcher->reactor->now_us - known_us < JOINING_US;
+}
+
 /* Returns whether to act on another host's hold. Hosts of older builds, which
  * don't tell the reason, may have decided it on a part of the counts: a host
  * that knows all of them checks it. */
@@ -199,8 +215,8 @@
     if (local->state > remote->state) {
         tell_end(dispatcher, state);
     }
-    if (!state->knowledge.is_complete &&
-        remote->started_us < local->started_us) {
+    if (remote->started_us < local->started_us &&
+        is_joining(dispatcher, state, remote)) {
         local->started_us = remote->started_us;
     }
     pps_rollout_merge(local, remote);
--- a/tests/entry/test_rollout_start.c
+++ b/tests/entry/test_rollout_start.c
@@ -54,6 +54,20 @@
     {"bad", PPS_ROLLOUT_HOLD_BAD, 0, DURATION_US / 2, 1},
 };
 
+/** Starts that a host hears, each a bit earlier than the one before. */
+typedef struct {
+    const char *name;
+    int64_t learned_us; /**< after the others' start */
+    int64_t heard_us;   /**< after it has learned of the roll-out */
+    int is_adopted;     /**< it adopts small differences */
+} clock_case_t;
+
+static const clock_case_t clock_cases[] = {
+    {"a host that learned of it with the others", 0, S / 10, 0},
+    {"a host that starts", 5 * S, S, 1},
+    {"a host that started a while ago", 5 * S, 5 * S, 0},
+};
+
 static void
 ignore_state(void *user, pps_gossip_state_t *out)
 {
@@ -166,3 +180,37 @@
         cr_expect_eq(state->rollout.held, item->is_held, "%s", item->name);
     }
 }
+
+/* Guards against moves that come ever earlier, in the first half of the
+ * duration, as hosts adopt each other's starts without a tolerance. */
+Test(rollout_start, starts_move_ever_earlier)
+{
+    const int64_t step_us = S / 50;
+
+    for (size_t i = 0; i < sizeof(clock_cases) / sizeof(*clock_cases); i++) {
+        const clock_case_t *item = &clock_cases[i];
+        pps_gossip_peer_t peer = {.state.rollout_count = 1,
+                                  .state.address = "127.0.0.2"};
+        pps_rollout_t *told = &peer.state.rollouts[0].rollout;
+        pps_reactor_t reactor;
+        pps_dispatcher_t dispatcher;
+        pps_upstream_state_t *state;
+        int64_t first_us;
+
+        start_host(&reactor, &dispatcher);
+        run_step(&dispatcher, READS_ORDER);
+        state = pps_dispatcher_upstream(&dispatcher, "s");
+        *told = state->rollout;
+        told->started_us = reactor.now_us - item->learned_us;
+        pps_rollout_controller_merge_peer(&dispatcher, &peer);
+        first_us = state->rollout.started_us;
+        reactor.now_us += item->heard_us;
+        for (int step = 0; step < 200; step++) {
+            told->started_us = state->rollout.started_us - step_us;
+            pps_rollout_controller_merge_peer(&dispatcher, &peer);
+        }
+        cr_expect_eq(state->rollout.started_us < first_us, item->is_adopted,
+                     "%s: %lld us earlier", item->name,
+                     (long long)(first_us - state->rollout.started_us));
+    }
+}
