--- a/src/libpapayaswitch/gossip/gossip.h
+++ b/src/libpapayaswitch/gossip/gossip.h
@@ -20,8 +20,6 @@
 #define PPS_GOSSIP_TOPICS 3
 /** Maximum number of roll-outs in one datagram. */
 #define PPS_GOSSIP_ROLLOUTS 2
-/** Maximum number of ended processes' counts in one datagram. */
-#define PPS_GOSSIP_ENDED_COUNTS 4
 /** Maximum number of keys with evidence in one datagram. */
 #define PPS_GOSSIP_POISON_ITEMS 6
 
@@ -49,27 +47,6 @@
     int has_ended_digest; /**< hosts of older builds send none */
 } pps_gossip_rollout_t;
 
-/** A process of a host: a host has another one after each start. */
-typedef struct {
-    char host[PPS_GOSSIP_TEXT_BYTES]; /**< address */
-    uint64_t incarnation;
-} pps_gossip_process_t;
-
-/** What a process counted of a roll-out until it ended. */
-typedef struct {
-    pps_gossip_process_t process;
-    pps_rollout_tally_t tally;
-} pps_gossip_ended_count_t;
-
-/** Counts of ended processes that a host hands to another one. */
-typedef struct {
-    char from[PPS_GOSSIP_TEXT_BYTES]; /**< address of the sender */
-    char upstream[PPS_ROLLOUT_TEXT_BYTES];
-    char target[PPS_ROLLOUT_TEXT_BYTES];
-    pps_gossip_ended_count_t items[PPS_GOSSIP_ENDED_COUNTS];
-    size_t count;
-} pps_gossip_ended_counts_t;
-
 /** What a host tells of roll-outs beside those in its state. */
 typedef struct {
     char from[PPS_GOSSIP_TEXT_BYTES]; /**< address of the sender */
@@ -189,6 +166,8 @@
                              this host can't be chosen */
 } pps_gossip_rank_t;
 
+struct pps_gossip_ended_counts; /* gossip_processes.h */
+
 /** Callbacks of the owner, on the reactor's thread. */
 typedef struct {
     /** Fills in the topic offsets, the first roll-outs, `read_age_us` and
@@ -219,7 +198,7 @@
                         const pps_gossip_rollouts_t *rollouts);
     /** Called when a peer hands over counts of ended processes. */
     void (*on_ended_counts)(void *user,
-                            const pps_gossip_ended_counts_t *counts);
+                            const struct pps_gossip_ended_counts *counts);
 } pps_gossip_ops_t;
 
 /** The gossip socket of one host and the peers it knows. */
@@ -288,29 +267,6 @@
                        const pps_poison_evidence_t *items, size_t count,
                        const char *address);
 
-/** Sends counts of ended processes to a peer; the address of this host is
- * filled in. */
-void
-pps_gossip_send_ended_counts(pps_gossip_t *gossip,
-                             const pps_gossip_peer_t *peer,
-                             pps_gossip_ended_counts_t *counts);
-
-/** Checks whether this host and a peer both hear all hosts, so that they keep
- * the counts of ended processes for each other. */
-int
-pps_gossip_shares_ended_counts(const pps_gossip_t *gossip,
-                               const pps_gossip_peer_t *peer);
-
-/** Checks whether this process has the address and incarnation. */
-int
-pps_gossip_is_own_process(const pps_gossip_t *gossip,
-                          const pps_gossip_process_t *process);
-
-/** Checks whether a live peer is the process, which then has not ended. */
-int
-pps_gossip_is_live_process(pps_gossip_t *gossip,
-                           const pps_gossip_process_t *process);
-
 /** Checks whether this host passes on evidence that is news to it and that one
  * host has sent to it only: with many hosts, the others do not hear each
  * other.
--- a/src/libpapayaswitch/gossip/gossip_codec.h
+++ b/src/libpapayaswitch/gossip/gossip_codec.h
@@ -4,6 +4,7 @@
 
 #include "buf.h"
 #include "gossip.h"
+#include "gossip_processes.h"
 
 #include <msgpack.h>
 
--- a/src/libpapayaswitch/gossip/gossip_processes.c
+++ b/src/libpapayaswitch/gossip/gossip_processes.c
@@ -1,5 +1,7 @@
 /** @file gossip_processes.c @brief Tells processes of hosts apart, and sends
  * what ended ones have counted. */
+#include "gossip_processes.h"
+
 #include "gossip_state.h"
 
 #include <string.h>
--- a/src/libpapayaswitch/rollout/ended_counts.h
+++ b/src/libpapayaswitch/rollout/ended_counts.h
@@ -8,6 +8,7 @@
 
 #include "exchange/dispatcher.h"
 #include "gossip/gossip.h"
+#include "gossip/gossip_processes.h"
 
 /** Sends a peer what it may lack, if the digests that it has told with its
  * roll-outs are not those of this host. */
--- a/src/libpapayaswitch/rollout/rollout_reports.h
+++ b/src/libpapayaswitch/rollout/rollout_reports.h
@@ -10,6 +10,7 @@
 #define PPS_ROLLOUT_ROLLOUT_REPORTS_H
 
 #include "gossip/gossip.h"
+#include "gossip/gossip_processes.h"
 #include "verdict.h"
 
 #include <urcu/list.h>
