Gossip: a hub answers a host that it hears for the first time

What callers saw: requests of sessions on the new version ran on the old one at a host that was added to a fleet of 18 while the store did not answer.

Cause: in a fleet of more than 13 a hub sends its state to relays only. A host that has just started and knows nobody but a hub was heard by it and got no answer; it heard the first other host after 1.9 s and took callers after 1.2 s. By the same way hosts that had been cut off reported to nobody for seconds, so that a completion waited for them.

Change: a host to which all others report answers the first state of a peer that was not live with its own, once.

--- a/src/libpapayaswitch/gossip/gossip_receive.c
+++ b/src/libpapayaswitch/gossip/gossip_receive.c
@@ -13,6 +13,7 @@
 {
     pps_gossip_peer_t *peer =
         pps_gossip_find_peer(gossip, message->state.address);
+    int was_live;
 
     if (strcmp(message->state.address, gossip->own.state.address) == 0) {
         return;
@@ -23,7 +24,8 @@
     if (peer == NULL) {
         return;
     }
-    if (!pps_gossip_is_live(gossip, peer)) {
+    was_live = pps_gossip_is_live(gossip, peer);
+    if (!was_live) {
         pps_logger_write(PPS_LOG_INFO, "peer_heard",
                          PPS_FIELDS(PPS_STR("peer", message->state.host_id),
                                     PPS_STR("at", message->state.address)));
@@ -37,6 +39,9 @@
     pps_gossip_note_relays(gossip, message, peer);
     pps_gossip_send_due_digest(gossip);
     gossip->ops->on_state(gossip->user, peer);
+    if (!was_live) {
+        pps_gossip_answer_first_state(gossip, peer);
+    }
 }
 
 static int
--- a/src/libpapayaswitch/gossip/gossip_state.h
+++ b/src/libpapayaswitch/gossip/gossip_state.h
@@ -102,6 +102,13 @@
 void
 pps_gossip_send_regular_state(pps_gossip_t *gossip);
 
+/** Sends this host's state to a peer that was not live before, if all hosts
+ * send theirs to this one: the peer may have just started, and others are not
+ * told of it at once in a large fleet. */
+void
+pps_gossip_answer_first_state(pps_gossip_t *gossip,
+                              const pps_gossip_peer_t *peer);
+
 /** Adds a peer; NULL when there are too many or memory is exhausted. */
 pps_gossip_peer_t *
 pps_gossip_add_peer(pps_gossip_t *gossip, const char *address);
--- a/src/libpapayaswitch/gossip/gossip_state_send.c
+++ b/src/libpapayaswitch/gossip/gossip_state_send.c
@@ -126,6 +126,32 @@
     } while (rollouts.count == PPS_GOSSIP_ROLLOUTS);
 }
 
+static void
+describe_own(pps_gossip_t *gossip)
+{
+    gossip->own.state.rollout_count = 0;
+    gossip->own.state.live_hosts =
+        (int)pps_gossip_count_locally_live_hosts(gossip);
+    gossip->ops->fill_state(gossip->user, &gossip->own.state);
+}
+
+void
+pps_gossip_answer_first_state(pps_gossip_t *gossip,
+                              const pps_gossip_peer_t *peer)
+{
+    pps_buf_t encoded = PPS_BUF_INIT;
+
+    if (!pps_gossip_hears_all(gossip)) {
+        return;
+    }
+    describe_own(gossip);
+    if (pps_gossip_encode_state(&encoded, &gossip->own,
+                                gossip->reactor->now_us) == 0) {
+        pps_gossip_send_to(gossip, peer->state.address, &encoded);
+    }
+    pps_buf_clear(&encoded);
+}
+
 static void
 send_state(pps_gossip_t *gossip, int is_urgent)
 {
@@ -134,10 +160,7 @@
     pps_state_plan_t plan;
 
     measure_domain(gossip);
-    gossip->own.state.rollout_count = 0;
-    gossip->own.state.live_hosts =
-        (int)pps_gossip_count_locally_live_hosts(gossip);
-    gossip->ops->fill_state(gossip->user, &gossip->own.state);
+    describe_own(gossip);
     pps_state_plan_begin(&plan, gossip, is_urgent);
     choose_hints(gossip, &plan);
     if (pps_gossip_encode_state(&encoded, &gossip->own,
