--- a/tests/entry/rollout_play.h
+++ b/tests/entry/rollout_play.h
@@ -23,7 +23,9 @@
     ROLLOUT_PLAY_KILLS,        /**< a host is killed and comes back */
     ROLLOUT_PLAY_LOSSES,       /**< hosts are killed for good */
     ROLLOUT_PLAY_ADDITIONS,    /**< hosts are added */
-    ROLLOUT_PLAY_OUTAGE,       /**< hosts start while the store is down */
+    ROLLOUT_PLAY_HERD,         /**< all hosts are killed at once */
+    ROLLOUT_PLAY_OUTAGE,       /**< hosts start while the store is down, after
+                                    sessions have moved */
     ROLLOUT_PLAY_RESTORE,      /**< the store comes back from a backup */
     ROLLOUT_PLAY_ANYTHING,     /**< all of it and cuts, pauses and lost
                                     messages in random order */
--- a/tests/entry/rollout_play_faults.c
+++ b/tests/entry/rollout_play_faults.c
@@ -8,6 +8,9 @@
 #define FAULTS_FROM_MS 4000
 #define FAULTS_TO_MS 14000
 #define CALM_MS 7000
+/** The same for faults that are to meet sessions on the target. */
+#define MOVED_FROM_MS 12500
+#define MOVED_TO_MS 16000
 /** Time that a host takes to stop, and between the stops of two. */
 #define STOP_US (2900 * PPS_US_PER_MS)
 #define TURN_MS 3000
@@ -46,6 +49,14 @@
     }
 }
 
+static void
+kill_all(void)
+{
+    for (unsigned int i = 0; i < rollout_play.options.hosts; i++) {
+        node_play_kill(i, node_play_draw_us(200, 1000));
+    }
+}
+
 static void
 add_host(void)
 {
@@ -136,6 +147,9 @@
     case ROLLOUT_PLAY_ADDITIONS:
         add_host();
         return 1000;
+    case ROLLOUT_PLAY_HERD:
+        kill_all();
+        return 0;
     case ROLLOUT_PLAY_OUTAGE:
         node_play_store_stop(node_play_draw_us(2000, 4000), 0);
         node_play_kill(draw_host(), node_play_draw_us(200, 700));
@@ -152,6 +166,21 @@
     return 0;
 }
 
+/* Draws when the faults begin, after the order. */
+static int64_t
+draw_start_ms(void)
+{
+    switch (rollout_play.options.fault) {
+    case ROLLOUT_PLAY_TURNS:
+        return FAULTS_FROM_MS;
+    case ROLLOUT_PLAY_OUTAGE:
+    case ROLLOUT_PLAY_HERD:
+        return node_play_draw_us(MOVED_FROM_MS, MOVED_TO_MS) / PPS_US_PER_MS;
+    default:
+        return node_play_draw_us(FAULTS_FROM_MS, FAULTS_TO_MS) / PPS_US_PER_MS;
+    }
+}
+
 void
 rollout_play_break_hosts(void)
 {
@@ -159,12 +188,7 @@
         ROLLOUT_PLAY_ORDER_MS + ROLLOUT_PLAY_DURATION_MS - CALM_MS;
     int64_t pause_ms = 1;
 
-    rollout_play_run_until(
-        ROLLOUT_PLAY_ORDER_MS +
-        (rollout_play.options.fault == ROLLOUT_PLAY_TURNS
-             ? FAULTS_FROM_MS
-             : node_play_draw_us(FAULTS_FROM_MS, FAULTS_TO_MS) /
-                   PPS_US_PER_MS));
+    rollout_play_run_until(ROLLOUT_PLAY_ORDER_MS + draw_start_ms());
     while (pause_ms > 0 && node_play_elapsed_ms() < end_ms &&
            node_play->finding.text[0] == '\0') {
         pause_ms = break_something();
