--- a/tests/entry/node_play.h
+++ b/tests/entry/node_play.h
@@ -49,6 +49,8 @@
     int64_t epoch;
     int64_t down_until_us;
     node_play_refusal_t refusal;
+    int refuses_status; /**< writes of statuses find that the topic has grown
+                         */
 } node_play_store_t;
 
 typedef struct {
--- a/tests/entry/node_play_store.c
+++ b/tests/entry/node_play_store.c
@@ -211,6 +211,10 @@
     char key[NODE_PLAY_TEXT_BYTES];
     size_t start = head_bytes + key_size;
 
+    if (node_play->store.refuses_status &&
+        strcmp(topic->name, PPS_TOPIC_STATUS) == 0) {
+        return STATUS_PRECONDITION_FAILED;
+    }
     if (at != NULL &&
         strtoull(at + strlen("&at="), NULL, 10) != topic->count) {
         return STATUS_PRECONDITION_FAILED;
--- a/tests/entry/rollout_play.c
+++ b/tests/entry/rollout_play.c
@@ -145,6 +145,7 @@
     }
     rollout_play_run_until(ROLLOUT_PLAY_ORDER_MS);
     node_play_store_back_up();
+    node_play->store.refuses_status = options->fault == ROLLOUT_PLAY_NO_STATUS;
     rollout_play_write_order();
     rollout_play_break_hosts();
     rollout_play_compare_hosts();
--- a/tests/entry/rollout_play.h
+++ b/tests/entry/rollout_play.h
@@ -26,9 +26,10 @@
     ROLLOUT_PLAY_HERD,         /**< all hosts are killed at once */
     ROLLOUT_PLAY_OUTAGE,       /**< hosts start while the store is down, after
                                     sessions have moved */
-    ROLLOUT_PLAY_RESTORE,      /**< the store comes back from a backup */
-    ROLLOUT_PLAY_ANYTHING,     /**< all of it and cuts, pauses and lost
-                                    messages in random order */
+    ROLLOUT_PLAY_NO_STATUS, /**< the same, and the store has taken no status */
+    ROLLOUT_PLAY_RESTORE,   /**< the store comes back from a backup */
+    ROLLOUT_PLAY_ANYTHING,  /**< all of it and cuts, pauses and lost
+                                 messages in random order */
 } rollout_play_fault_t;
 
 typedef struct {
--- a/tests/entry/rollout_play_faults.c
+++ b/tests/entry/rollout_play_faults.c
@@ -151,6 +151,7 @@
         kill_all();
         return 0;
     case ROLLOUT_PLAY_OUTAGE:
+    case ROLLOUT_PLAY_NO_STATUS:
         node_play_store_stop(node_play_draw_us(2000, 4000), 0);
         node_play_kill(draw_host(), node_play_draw_us(200, 700));
         add_host();
@@ -174,6 +175,7 @@
     case ROLLOUT_PLAY_TURNS:
         return FAULTS_FROM_MS;
     case ROLLOUT_PLAY_OUTAGE:
+    case ROLLOUT_PLAY_NO_STATUS:
     case ROLLOUT_PLAY_HERD:
         return node_play_draw_us(MOVED_FROM_MS, MOVED_TO_MS) / PPS_US_PER_MS;
     default:
@@ -197,6 +199,7 @@
     rollout_play_run_until(end_ms);
     node_play->loss = 0;
     node_play->store.down_until_us = 0;
+    node_play->store.refuses_status = 0;
     for (unsigned int i = 0; i < rollout_play.options.hosts; i++) {
         node_play->hosts[i].cut_until_us = 0;
         node_play->hosts[i].store_cut_until_us = 0;
--- a/tests/entry/test_rollout_agreement.c
+++ b/tests/entry/test_rollout_agreement.c
@@ -21,6 +21,7 @@
     {"hosts are lost", 8, 0, ROLLOUT_PLAY_LOSSES, 0},
     {"hosts are added", 8, 4, ROLLOUT_PLAY_ADDITIONS, 0},
     {"hosts start without the store", 6, 2, ROLLOUT_PLAY_OUTAGE, 0},
+    {"hosts start without a status", 6, 2, ROLLOUT_PLAY_NO_STATUS, 0},
     {"the store is restored", 6, 0, ROLLOUT_PLAY_RESTORE, 0},
     {"anything", 8, 2, ROLLOUT_PLAY_ANYTHING, 0},
     {"many hosts, nothing happens", 18, 0, ROLLOUT_PLAY_NOTHING, 0},
