Process tests: a stopped process has stopped when harness_signal() returns

Cause: kill(SIGSTOP) returns before the threads of the process have stopped. The engine could still take the request and send its response head, and stop after that; then "yes" is the right answer, since a stream had been opened (pps_answer_read() is the only way to upstream_failed here). Ruled out: an attempt that times out is always told as unknown (chat.c, may_have_run), and no other path of an unopened answer says "yes".

Change: after SIGSTOP harness_signal() waits until the kernel tells the parent that all threads have stopped. The product is as it was; no check is changed.

Test: standin_stop/no_thread_of_a_stopped_engine_runs, failed 3 of 3 before, passes 6 of 6, 3 of them beside 24 busy processes. The six process tests that stop processes pass.

--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -209,6 +209,23 @@
     return error < 0 ? error : (*out)->port;
 }
 
+/* SIGSTOP takes effect thread by thread; the parent is told when the last one
+ * has stopped. */
+static int
+wait_stopped(const harness_process_t *process)
+{
+    siginfo_t info;
+
+    if (waitid(P_PID, (id_t)process->pid, &info,
+               WSTOPPED | WEXITED | WNOWAIT) != 0) {
+        return pps_error_set(PPS_EIO, "waitid: %s", strerror(errno));
+    }
+    if (info.si_code != CLD_STOPPED) {
+        return pps_error_set(PPS_ECLOSED, "the process has ended");
+    }
+    return PPS_OK;
+}
+
 int
 harness_signal(const harness_process_t *process, int number)
 {
@@ -218,7 +235,7 @@
     if (kill(process->pid, number) != 0) {
         return pps_error_set(PPS_EIO, "kill: %s", strerror(errno));
     }
-    return PPS_OK;
+    return number == SIGSTOP ? wait_stopped(process) : PPS_OK;
 }
 
 static int
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -78,7 +78,10 @@
 harness_start_server(harness_t *harness, harness_process_t **out,
                      const char *program, const char *const *args);
 
-/** Sends a signal. @return 0 or a negative error */
+/**
+ * Sends a signal. After SIGSTOP it waits until all threads have stopped.
+ * @return 0 or a negative error
+ */
 int
 harness_signal(const harness_process_t *process, int number);
 
